--- /dev/null
+++ b/cmd/pollenbend/main.go
@@ -0,0 +1,4 @@
+// Command pollenbend is a cluster scheduler for unlike workloads.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,112 @@
+// Package verdict says what is known about the effect of a request: whether it
+// ran, certainly did not run, or may have run.
+package verdict
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Verdict tells a caller whether its request may have had an effect. Only
+// NotRun may be retried as a new request.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value, so that a forgotten verdict never claims
+	// more than is known.
+	MayHaveRun Verdict = iota
+	// Done means the request ran once and its answer is complete.
+	Done
+	// NotRun means the request had no effect and never will.
+	NotRun
+	// Pending means the request is accepted and its final verdict is still to
+	// come. It appears in status answers only.
+	Pending
+)
+
+var names = [...]string{MayHaveRun: "may_have_run", Done: "done", NotRun: "not_run", Pending: "pending"}
+
+// String returns the name used in JSON answers and logs.
+func (v Verdict) String() string {
+	if int(v) < len(names) {
+		return names[v]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error for an
+// unknown name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, n := range names {
+		if n == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return errors.Newf("unknown verdict %q", text)
+}
+
+// Code is a stable machine-readable reason, as listed in docs/API.md.
+type Code string
+
+// Codes shared by the services.
+const (
+	CodeOK             Code = ""
+	CodeBadRequest     Code = "bad_request"
+	CodeUnauthorized   Code = "unauthorized"
+	CodeForbidden      Code = "forbidden"
+	CodeNotFound       Code = "not_found"
+	CodeConflict       Code = "conflict"
+	CodeTooLarge       Code = "too_large"
+	CodeOverloaded     Code = "overloaded"
+	CodeNeverFits      Code = "never_fits"
+	CodeDeadline       Code = "deadline_exceeded"
+	CodeCanceled       Code = "canceled"
+	CodeUnavailable    Code = "unavailable"
+	CodeDraining       Code = "draining"
+	CodeInDoubt        Code = "in_doubt"
+	CodeTaskFailed     Code = "task_failed"
+	CodeAnswerTooOld   Code = "answer_expired"
+	CodeStaleAuthority Code = "stale_authority"
+)
+
+// Error is an error with a verdict. RetryAfter, when positive, is the time the
+// caller should wait before it asks again.
+type Error struct {
+	Verdict    Verdict
+	Code       Code
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Message) }
+
+// Refuse returns an Error whose verdict is NotRun.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// After sets RetryAfter and returns e.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Of returns the verdict carried by err: Done for nil, MayHaveRun for an error
+// that carries none.
+func Of(err error) Verdict {
+	if err == nil {
+		return Done
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Runs the formatter check, vet, staticcheck, the build and every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+SEED=20261203
+export CGO_ENABLED=1
+
+unformatted=$(git ls-files '*.go' | xargs gofmt -l)
+if [ -n "$unformatted" ]; then
+  echo "gofmt: $unformatted"
+  exit 1
+fi
+go vet ./...
+go tool staticcheck ./...
+go build -o bin/pollenbend ./cmd/pollenbend
+
+tests=$(git ls-files '*_test.go' | xargs -r cat | wc -l)
+all=$(git ls-files '*.go' | xargs cat | wc -l)
+echo "Go lines: $all, tests: $tests ($((100 * tests / all))%)"
+if [ $((3 * tests)) -gt "$all" ]; then
+  echo "tests are over a third of the code"
+  exit 1
+fi
+
+echo "test seed: $SEED"
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known failures (KNOWN-RED.txt), passed over:"
+  cat KNOWN-RED.txt
+  skip=$(sed -n 's/^test: \([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+fi
+go test -race -shuffle="$SEED" ${skip:+-skip "$skip"} ./...
