--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,172 @@
+// Package core assembles the services into the decision core. It does no I/O and
+// reads no clock: Step turns one event at a given time into actions, so a recorded
+// stream of events always gives the same actions.
+package core
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/config"
+	"pollenbend/internal/service/gateway"
+	"pollenbend/internal/service/ledger"
+	"pollenbend/internal/service/limits"
+	"pollenbend/internal/service/membership"
+	"pollenbend/internal/service/ownership"
+	"pollenbend/internal/service/requests"
+	"pollenbend/internal/wire"
+)
+
+// Options configures a core.
+type Options struct {
+	Self   platform.Instance
+	Timing event.Timing
+	Seed   uint64
+	Placer ledger.Placer // nil for best fit by full scan
+}
+
+// Core is the decision core. It must be used from one goroutine.
+type Core struct {
+	env    *event.Env
+	kernel *kernel.Kernel
+	reader *logReader
+
+	ticks     []service.TickHandler
+	listings  []service.ListingHandler
+	messages  []service.MessageHandler
+	peerDowns []service.PeerDownHandler
+	workers   []service.WorkerHandler
+	appends   []service.AppendHandler
+	callers   []service.CallerHandler
+	drains    []service.DrainHandler
+	stepEnds  []service.StepEndHandler
+}
+
+// bound is a service that finds others when all are registered.
+type bound interface {
+	Bind(k *kernel.Kernel) error
+}
+
+// New returns a core with all services registered and bound.
+func New(o Options) (*Core, error) {
+	env := event.NewEnv(o.Self, o.Timing, o.Seed)
+	k := kernel.New()
+	placer := o.Placer
+	if placer == nil {
+		placer = ledger.NewBestFit()
+	}
+	for _, s := range []kernel.Service{
+		membership.New(env),
+		config.New(env),
+		ownership.New(env),
+		ledger.New(env, placer),
+		limits.New(env),
+		requests.New(env),
+		gateway.New(env),
+	} {
+		if err := k.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	for _, b := range kernel.All[bound](k) {
+		if err := b.Bind(k); err != nil {
+			return nil, errors.Wrap(err, "bind services")
+		}
+	}
+	return assemble(env, k), nil
+}
+
+func assemble(env *event.Env, k *kernel.Kernel) *Core {
+	return &Core{
+		env: env, kernel: k, reader: newLogReader(env, k),
+		ticks:     kernel.All[service.TickHandler](k),
+		listings:  kernel.All[service.ListingHandler](k),
+		messages:  kernel.All[service.MessageHandler](k),
+		peerDowns: kernel.All[service.PeerDownHandler](k),
+		workers:   kernel.All[service.WorkerHandler](k),
+		appends:   kernel.All[service.AppendHandler](k),
+		callers:   kernel.All[service.CallerHandler](k),
+		drains:    kernel.All[service.DrainHandler](k),
+		stepEnds:  kernel.All[service.StepEndHandler](k),
+	}
+}
+
+// Kernel returns the registry, for reading state in status pages and tests.
+func (c *Core) Kernel() *kernel.Kernel { return c.kernel }
+
+// NextOffset returns the offset from which the log is to be read.
+func (c *Core) NextOffset() uint64 { return c.reader.next }
+
+// Step handles one event at time now and returns the actions that follow.
+func (c *Core) Step(now time.Duration, e event.Event) []event.Action {
+	c.env.Begin(now)
+	c.handle(e)
+	for _, h := range c.stepEnds {
+		h.OnStepEnd()
+	}
+	return c.env.Take()
+}
+
+func (c *Core) handle(e event.Event) {
+	switch e := e.(type) {
+	case event.Tick:
+		for _, h := range c.ticks {
+			h.OnTick()
+		}
+	case event.LogRead:
+		c.reader.read(e)
+	case event.AppendDone:
+		for _, h := range c.appends {
+			h.OnAppendDone(e)
+		}
+	case event.Listed:
+		for _, h := range c.listings {
+			h.OnListing(e.Listing)
+		}
+	case event.PeerMessage:
+		c.message(e)
+	case event.PeerDown:
+		for _, h := range c.peerDowns {
+			h.OnPeerDown(e.Peer)
+		}
+	case event.RenewDone:
+		for _, h := range c.workers {
+			h.OnRenewDone(e)
+		}
+	case event.StartDone:
+		for _, h := range c.workers {
+			h.OnStartDone(e)
+		}
+	case event.RequestIn:
+		for _, h := range c.callers {
+			h.OnRequest(e.Handle, e.Request)
+		}
+	case event.RequestGone:
+		for _, h := range c.callers {
+			h.OnRequestGone(e.Handle)
+		}
+	case event.DrainStarted:
+		for _, h := range c.drains {
+			h.OnDrain()
+		}
+	}
+}
+
+func (c *Core) message(e event.PeerMessage) {
+	switch m := e.Message.(type) {
+	case wire.FetchLog:
+		c.reader.serve(e.From, m)
+		return
+	case wire.LogEntries:
+		c.reader.take(m.Entries)
+		return
+	}
+	for _, h := range c.messages {
+		h.OnMessage(e.From, e.Message)
+	}
+}
--- /dev/null
+++ b/internal/core/logreader.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/wire"
+)
+
+// logReader applies log entries in order, whether they come from the log or from
+// a peer, and keeps the latest ones for peers that cannot reach the log.
+type logReader struct {
+	env     *event.Env
+	entries []service.EntryHandler
+	records []service.RecordHandler
+	logs    []service.LogHandler
+
+	next   uint64 // offset of the next entry to apply
+	recent []platform.Entry
+}
+
+const (
+	firstOffset = 1
+	maxRecent   = 4096
+	maxServed   = 256
+)
+
+func newLogReader(env *event.Env, k *kernel.Kernel) *logReader {
+	return &logReader{
+		env:     env,
+		entries: kernel.All[service.EntryHandler](k),
+		records: kernel.All[service.RecordHandler](k),
+		logs:    kernel.All[service.LogHandler](k),
+		next:    firstOffset,
+	}
+}
+
+func (r *logReader) read(e event.LogRead) {
+	if e.Oldest > r.next && len(e.Entries) > 0 {
+		r.next = max(r.next, e.Entries[0].Offset)
+	}
+	r.take(e.Entries)
+	for _, h := range r.logs {
+		h.OnLog(e.Oldest, e.Next)
+	}
+}
+
+// take applies entries that continue what is applied. It skips those that are
+// applied already and stops at a gap.
+func (r *logReader) take(entries []platform.Entry) {
+	for _, e := range entries {
+		if e.Offset < r.next {
+			continue
+		}
+		if e.Offset > r.next {
+			return
+		}
+		r.apply(e)
+	}
+}
+
+func (r *logReader) apply(e platform.Entry) {
+	r.next = e.Offset + 1
+	r.keep(e)
+	records, err := wire.DecodeEntry(e.Data)
+	if err == nil {
+		for _, rec := range records {
+			for _, h := range r.records {
+				h.OnRecord(e.Offset, rec)
+			}
+		}
+	}
+	for _, h := range r.entries {
+		h.OnEntry(e.Offset)
+	}
+}
+
+func (r *logReader) keep(e platform.Entry) {
+	r.recent = append(r.recent, e)
+	if len(r.recent) > 2*maxRecent {
+		r.recent = append([]platform.Entry(nil), r.recent[len(r.recent)-maxRecent:]...)
+	}
+}
+
+// serve sends entries to a peer that asks for them.
+func (r *logReader) serve(to wire.Owner, m wire.FetchLog) {
+	var out []platform.Entry
+	for _, e := range r.recent {
+		if e.Offset >= m.From && len(out) < maxServed {
+			out = append(out, e)
+		}
+	}
+	if len(out) > 0 && out[0].Offset == m.From {
+		r.env.Send(to.Instance, wire.LogEntries{Entries: out})
+	}
+}
--- /dev/null
+++ b/internal/event/env.go
@@ -0,0 +1,75 @@
+package event
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/wire"
+)
+
+// Timing holds the durations that the services work with.
+type Timing struct {
+	Heartbeat       time.Duration // between heartbeats to each peer
+	DeadAfter       time.Duration // silence after which a peer counts as dead
+	WorkerLease     time.Duration // how long a worker lease lasts without renewal
+	TaskLease       time.Duration // how long a worker runs tasks on without renewal
+	ConfigFreshness time.Duration // longest time without log and peers in which work is taken
+	Retention       time.Duration // how long a finished request is remembered
+	RequestTimeout  time.Duration // longest time a caller may wait
+}
+
+// Env is what the services of one core share: time, randomness, identity and the
+// actions of the current step. It is owned by the core's goroutine.
+type Env struct {
+	Self   platform.Instance
+	Timing Timing
+
+	now     time.Duration
+	rng     *rand.Rand
+	actions []Action
+	appends uint64
+}
+
+// NewEnv returns an Env whose randomness is drawn from seed.
+func NewEnv(self platform.Instance, timing Timing, seed uint64) *Env {
+	return &Env{Self: self, Timing: timing, rng: rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))}
+}
+
+// Owner returns this instance in its present life.
+func (e *Env) Owner() wire.Owner {
+	return wire.Owner{Instance: e.Self.ID, Incarnation: e.Self.Incarnation}
+}
+
+// Now returns the time of the current step on this instance's monotonic clock.
+func (e *Env) Now() time.Duration { return e.now }
+
+// Rand returns the source of randomness.
+func (e *Env) Rand() *rand.Rand { return e.rng }
+
+// Emit adds an action to the current step.
+func (e *Env) Emit(a Action) { e.actions = append(e.actions, a) }
+
+// Send emits a message to a peer.
+func (e *Env) Send(to model.InstanceID, m wire.Message) { e.Emit(Send{To: to, Message: m}) }
+
+// Append emits records for the log and returns the id that AppendDone will carry.
+func (e *Env) Append(records ...wire.Record) uint64 {
+	e.appends++
+	e.Emit(Append{ID: e.appends, Records: records})
+	return e.appends
+}
+
+// Begin starts a step at now. Time never runs backwards.
+func (e *Env) Begin(now time.Duration) {
+	e.now = max(e.now, now)
+	e.actions = nil
+}
+
+// Take ends the step and returns its actions.
+func (e *Env) Take() []Action {
+	taken := e.actions
+	e.actions = nil
+	return taken
+}
--- /dev/null
+++ b/internal/model/shard.go
@@ -0,0 +1,119 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Shards is the number of shards into which workers, requests and teams are
+// hashed. Each shard has one owner and a term.
+const Shards = 256
+
+// Shard numbers a shard, from 0 to Shards-1.
+type Shard uint16
+
+// ShardOfWorker returns the shard whose owner may lease the worker.
+func ShardOfWorker(id WorkerID) Shard { return hashShard("w/" + string(id)) }
+
+// ShardOfTeam returns the shard whose owner keeps the team's upper limit.
+func ShardOfTeam(id TeamID) Shard { return hashShard("t/" + string(id)) }
+
+// ShardOfRequest returns the shard whose owner remembers the request. A ticket
+// names its shard; any other id is hashed together with its team.
+func ShardOfRequest(team TeamID, id string) Shard {
+	if t, err := ParseTicket(id); err == nil {
+		return t.Shard
+	}
+	return hashShard("r/" + string(team) + "/" + id)
+}
+
+func hashShard(s string) Shard { return Shard(xxhash.Sum64String(s) % Shards) }
+
+// Ticket is a request id that an owner of a shard issued. While the owner's term
+// is the ticket's, the owner knows for certain whether it has seen the request.
+type Ticket struct {
+	Shard  Shard
+	Term   uint64
+	Serial string
+}
+
+const ticketPrefix = "tk"
+
+// String returns the ticket as callers carry it.
+func (t Ticket) String() string {
+	return fmt.Sprintf("%s-%d-%d-%s", ticketPrefix, t.Shard, t.Term, t.Serial)
+}
+
+// ParseTicket parses the form that String returns. It returns an error for any
+// other text.
+func ParseTicket(s string) (Ticket, error) {
+	parts := strings.SplitN(s, "-", 4)
+	if len(parts) != 4 || parts[0] != ticketPrefix || parts[3] == "" {
+		return Ticket{}, errors.Newf("%q is not a ticket", s)
+	}
+	shard, err := strconv.ParseUint(parts[1], 10, 16)
+	if err != nil || shard >= Shards {
+		return Ticket{}, errors.Newf("ticket %q: bad shard", s)
+	}
+	term, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return Ticket{}, errors.Newf("ticket %q: bad term", s)
+	}
+	return Ticket{Shard: Shard(shard), Term: term, Serial: parts[3]}, nil
+}
+
+// TaskIDOf returns the id of task index of the request or job id of team.
+func TaskIDOf(team TeamID, id string, index int) TaskID {
+	return TaskID(string(team) + "/" + id + "/" + strconv.Itoa(index))
+}
+
+// runMark separates the run number from a task id.
+const runMark = "~"
+
+// WithRun returns the id under which run number run of the task is started. Run 1
+// carries the plain id; a later run follows only after the known end of the one
+// before it.
+func WithRun(id TaskID, run int) TaskID {
+	if run <= 1 {
+		return id
+	}
+	return id + TaskID(runMark+strconv.Itoa(run))
+}
+
+// BaseTask returns id without its run number.
+func BaseTask(id TaskID) TaskID {
+	s := string(id)
+	mark := strings.LastIndex(s, runMark)
+	if mark < 0 || strings.IndexByte(s[mark:], '/') >= 0 {
+		return id
+	}
+	return TaskID(s[:mark])
+}
+
+// RequestOfTask splits a task id into the parts TaskIDOf joined, leaving out the
+// run number. It returns an error when id has another form.
+func RequestOfTask(id TaskID) (team TeamID, request string, index int, err error) {
+	s := string(BaseTask(id))
+	first, last := strings.IndexByte(s, '/'), strings.LastIndexByte(s, '/')
+	if first <= 0 || last <= first+1 {
+		return "", "", 0, errors.Newf("%q is not a task id", s)
+	}
+	index, err = strconv.Atoi(s[last+1:])
+	if err != nil {
+		return "", "", 0, errors.Wrapf(err, "task id %q", s)
+	}
+	return TeamID(s[:first]), s[first+1 : last], index, nil
+}
+
+// ShardOfTask returns the shard of the request or job that the task belongs to.
+func ShardOfTask(id TaskID) Shard {
+	team, request, _, err := RequestOfTask(id)
+	if err != nil {
+		return hashShard(string(id))
+	}
+	return ShardOfRequest(team, request)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,313 @@
+// Package node runs a decision core: one goroutine owns the core, others carry
+// out its actions on the network and bring the results back as events.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/core"
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/transport"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// Config configures a node.
+type Config struct {
+	Self     platform.Instance
+	Timing   event.Timing
+	Listen   string // UDP address for peers
+	Identity transport.Identity
+	Log      platform.Log
+	Stream   string // of the log
+	List     platform.InstanceList
+	Workers  platform.Workers
+	Logger   *slog.Logger
+	Metrics  gometrics.Registry
+}
+
+const (
+	inboxSize    = 16384
+	tickInterval = 20 * time.Millisecond
+	listInterval = 500 * time.Millisecond
+	readWait     = time.Second
+	readLimit    = 512
+	readRetry    = 200 * time.Millisecond
+	callTimeout  = 2 * time.Second
+)
+
+// Node is a running instance.
+type Node struct {
+	cfg       Config
+	core      *core.Core
+	transport *transport.Transport
+	inbox     chan event.Event
+	appends   chan event.Append
+	started   time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	handles atomic.Uint64
+	mu      sync.Mutex
+	callers map[uint64]chan model.Answer
+	up      map[model.InstanceID]model.Incarnation
+
+	view     atomic.Pointer[View]
+	draining atomic.Bool
+	probe    probe
+}
+
+// Start starts a node. Stop ends it.
+func Start(cfg Config) (*Node, error) {
+	if cfg.Metrics == nil {
+		cfg.Metrics = gometrics.NewRegistry()
+	}
+	c, err := core.New(core.Options{Self: cfg.Self, Timing: cfg.Timing, Seed: uint64(cfg.Self.Incarnation)})
+	if err != nil {
+		return nil, errors.Wrap(err, "assemble core")
+	}
+	n := &Node{
+		cfg: cfg, core: c, started: time.Now(),
+		inbox:   make(chan event.Event, inboxSize),
+		appends: make(chan event.Append, inboxSize),
+		callers: make(map[uint64]chan model.Answer),
+		up:      make(map[model.InstanceID]model.Incarnation),
+	}
+	n.view.Store(&View{})
+	if n.probe, err = newProbe(c.Kernel()); err != nil {
+		return nil, err
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.transport, err = transport.Listen(transport.Config{
+		Self: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, Listen: cfg.Listen, TLS: cfg.Identity,
+		Handler: peerHandler{n}, Heartbeat: cfg.Timing.Heartbeat, DeadAfter: cfg.Timing.DeadAfter,
+		Logger: cfg.Logger, Metrics: cfg.Metrics,
+	})
+	if err != nil {
+		n.cancel()
+		return nil, err
+	}
+	for _, run := range []func(){n.loop, n.readLog, n.appendLog, n.watchList} {
+		n.wg.Go(run)
+	}
+	return n, nil
+}
+
+// Stop ends the node at once. Drain first for a graceful shutdown.
+func (n *Node) Stop() {
+	n.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := n.transport.Close(ctx); err != nil {
+		n.cfg.Logger.Warn("close transport", "error", err)
+	}
+	n.wg.Wait()
+}
+
+// Drain starts a graceful shutdown and waits until nothing is left to finish or
+// ctx ends.
+func (n *Node) Drain(ctx context.Context) {
+	n.draining.Store(true)
+	n.post(event.DrainStarted{})
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if n.view.Load().Drained {
+				return
+			}
+		}
+	}
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// post hands an event to the core. It waits while the inbox is full, so that the
+// network slows down and nothing is lost in between.
+func (n *Node) post(e event.Event) {
+	select {
+	case n.inbox <- e:
+	case <-n.ctx.Done():
+	}
+}
+
+// loop is the goroutine that owns the core.
+func (n *Node) loop() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case e := <-n.inbox:
+			n.step(e)
+		case <-ticker.C:
+			n.step(event.Tick{})
+			n.view.Store(n.probe.view(n.draining.Load()))
+		}
+	}
+}
+
+func (n *Node) step(e event.Event) {
+	for _, a := range n.core.Step(n.now(), e) {
+		n.act(a)
+	}
+}
+
+func (n *Node) act(a event.Action) {
+	switch a := a.(type) {
+	case event.Append:
+		n.queueAppend(a)
+	case event.Send:
+		n.send(a)
+	case event.Renew:
+		n.wg.Go(func() { n.renew(a) })
+	case event.Start:
+		n.wg.Go(func() { n.start(a) })
+	case event.Stop:
+		n.wg.Go(func() { n.stopTask(a) })
+	case event.Respond:
+		n.respond(a)
+	}
+}
+
+func (n *Node) send(a event.Send) {
+	payload, err := wire.EncodeMessage(a.Message)
+	if err != nil {
+		n.cfg.Logger.Error("encode message", "to", a.To, "error", err)
+		return
+	}
+	if n.transport.Send(a.To, payload) {
+		return
+	}
+	if inc, up := n.incarnation(a.To); up {
+		n.later(event.PeerDown{Peer: wire.Owner{Instance: a.To, Incarnation: inc}})
+	}
+}
+
+// later posts an event from the core's own goroutine, which must not wait for
+// itself.
+func (n *Node) later(e event.Event) {
+	n.wg.Go(func() { n.post(e) })
+}
+
+func (n *Node) incarnation(id model.InstanceID) (model.Incarnation, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	inc, ok := n.up[id]
+	return inc, ok
+}
+
+// Do carries a caller's request to the core and returns the whole answer.
+func (n *Node) Do(ctx context.Context, r model.Request) model.Answer {
+	handle := n.handles.Add(1)
+	ch := make(chan model.Answer, 1)
+	n.mu.Lock()
+	n.callers[handle] = ch
+	n.mu.Unlock()
+	select {
+	case n.inbox <- event.RequestIn{Handle: handle, Request: r}:
+	default:
+		n.forget(handle)
+		return model.Refusal(r.ID, verdict.Refuse(verdict.CodeOverloaded, "this instance is overloaded").After(time.Second))
+	}
+	select {
+	case a := <-ch:
+		return a
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+	n.forget(handle)
+	n.post(event.RequestGone{Handle: handle})
+	return model.Answer{
+		ID: r.ID, Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt,
+		Message: "the wait ended before the answer came", RetryAfter: time.Second,
+	}
+}
+
+func (n *Node) forget(handle uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.callers, handle)
+}
+
+func (n *Node) respond(a event.Respond) {
+	n.mu.Lock()
+	ch, ok := n.callers[a.Handle]
+	delete(n.callers, a.Handle)
+	n.mu.Unlock()
+	if ok {
+		ch <- a.Answer
+	}
+}
+
+// Ready implements httpapi.Status.
+func (n *Node) Ready() (bool, string) {
+	v := n.view.Load()
+	return v.Ready, v.Reason
+}
+
+// Draining implements httpapi.Status.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// PeerAddr returns the address that peers dial.
+func (n *Node) PeerAddr() string { return n.transport.Addr() }
+
+// View is what other goroutines may know of the core, renewed on every tick.
+type View struct {
+	Ready   bool
+	Reason  string
+	Drained bool
+}
+
+// probe reads a View from the core's services, on the core's goroutine.
+type probe struct {
+	config interface{ Fresh() bool }
+	owners interface{ Owned() []wire.ShardTerm }
+	open   interface{ Open() int }
+	busy   interface{ Busy() int }
+}
+
+func newProbe(k *kernel.Kernel) (p probe, err error) {
+	if p.config, err = kernel.Find[interface{ Fresh() bool }](k, service.Config); err != nil {
+		return p, err
+	}
+	if p.owners, err = kernel.Find[interface{ Owned() []wire.ShardTerm }](k, service.Ownership); err != nil {
+		return p, err
+	}
+	if p.busy, err = kernel.Find[interface{ Busy() int }](k, service.Requests); err != nil {
+		return p, err
+	}
+	p.open, err = kernel.Find[interface{ Open() int }](k, service.Gateway)
+	return p, err
+}
+
+func (p probe) view(draining bool) *View {
+	v := &View{Ready: true}
+	switch {
+	case draining:
+		v.Ready, v.Reason = false, "draining"
+	case !p.config.Fresh():
+		v.Ready, v.Reason = false, "neither the log nor enough peers were heard lately"
+	case len(p.owners.Owned()) == 0:
+		v.Ready, v.Reason = false, "no shard is owned yet"
+	}
+	v.Drained = p.open.Open() == 0 && p.busy.Busy() == 0
+	return v
+}
--- /dev/null
+++ b/internal/service/gateway/gateway.go
@@ -0,0 +1,389 @@
+// Package gateway takes callers' requests at the instance they reached: it checks
+// the key, routes each request to the owner of its shard, and gives the caller
+// exactly one final answer.
+package gateway
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/ownership"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// Config checks keys and applies changes.
+type Config interface {
+	// Authorize returns the team for which work may be taken from a queue.
+	Authorize(key, queue string) (model.TeamID, string, *verdict.Error)
+	AuthorizeOperator(key string) (string, *verdict.Error)
+	Fresh() bool
+	Change(handle uint64, author string, c model.Change)
+	Document() (model.Declarations, uint64)
+}
+
+// Ownership routes requests.
+type Ownership interface {
+	Owner(model.Shard) (ownership.Slot, bool)
+	Owned() []wire.ShardTerm
+	Slots() [model.Shards]ownership.Slot
+}
+
+// Members tells who lives.
+type Members interface {
+	IsLive(wire.Owner) bool
+	Live() []wire.Owner
+	Leaving() bool
+}
+
+// Coordinator serves requests whose shard this instance owns.
+type Coordinator interface {
+	Serve(from wire.Owner, f wire.Forward)
+}
+
+// Ledger tells about workers here.
+type Ledger interface {
+	Free() model.Resources
+	Holding() []model.WorkerID
+	Coverage() wire.Coverage
+}
+
+// Service is the gateway.
+type Service struct {
+	env         *event.Env
+	config      Config
+	ownership   Ownership
+	members     Members
+	coordinator Coordinator
+	ledger      Ledger
+
+	pending map[uint64]*pending
+	serial  uint64
+}
+
+// pending is a caller's request that has no final answer yet.
+type pending struct {
+	forward  wire.Forward
+	shard    model.Shard
+	sentTo   wire.Owner
+	sent     bool // it may have reached an owner
+	retryAt  time.Duration
+	deadline time.Duration
+	moves    int
+}
+
+const (
+	// answerGrace is how much longer than the coordinator the gateway waits, so
+	// that the coordinator's better informed verdict comes first.
+	answerGrace = 300 * time.Millisecond
+	moveRetry   = 100 * time.Millisecond
+	maxMoves    = 20
+	noOwnerWait = time.Second
+	maxPending  = 20000
+	maxTickets  = 1000
+)
+
+// New returns the gateway.
+func New(env *event.Env) *Service {
+	return &Service{env: env, pending: make(map[uint64]*pending)}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return service.Gateway }
+
+// Bind finds the services that this one works with.
+func (s *Service) Bind(k *kernel.Kernel) (err error) {
+	if s.config, err = kernel.Find[Config](k, service.Config); err != nil {
+		return err
+	}
+	if s.ownership, err = kernel.Find[Ownership](k, service.Ownership); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Find[Members](k, service.Membership); err != nil {
+		return err
+	}
+	if s.coordinator, err = kernel.Find[Coordinator](k, service.Requests); err != nil {
+		return err
+	}
+	s.ledger, err = kernel.Find[Ledger](k, service.Ledger)
+	return err
+}
+
+// OnRequest takes a caller's request.
+func (s *Service) OnRequest(handle uint64, r model.Request) {
+	if refusal := s.take(handle, r); refusal != nil {
+		s.respond(handle, model.Refusal(r.ID, refusal))
+	}
+}
+
+func (s *Service) take(handle uint64, r model.Request) *verdict.Error {
+	if len(s.pending) >= maxPending {
+		return verdict.Refuse(verdict.CodeOverloaded, "this instance has %d requests open", maxPending).After(time.Second)
+	}
+	switch r.Op {
+	case model.OpCall, model.OpSubmit, model.OpStatus, model.OpCancel:
+		return s.takeWork(handle, r)
+	case model.OpTicket:
+		return s.issueTickets(handle, r)
+	case model.OpApply, model.OpConfig, model.OpCell:
+		return s.takeOperator(handle, r)
+	}
+	return verdict.Refuse(verdict.CodeBadRequest, "operation %q is not known", r.Op)
+}
+
+func (s *Service) takeWork(handle uint64, r model.Request) *verdict.Error {
+	team, keyName, refusal := s.config.Authorize(r.Key, r.Queue)
+	if refusal != nil {
+		return refusal
+	}
+	takesWork := r.Op == model.OpCall || r.Op == model.OpSubmit
+	if takesWork && !s.config.Fresh() {
+		return verdict.Refuse(verdict.CodeUnavailable, "this instance is cut off from the log and its peers").After(noOwnerWait)
+	}
+	if r.ID == "" {
+		if !takesWork {
+			return verdict.Refuse(verdict.CodeBadRequest, "an id is required")
+		}
+		id, ok := s.mint()
+		if !ok {
+			return verdict.Refuse(verdict.CodeUnavailable, "no shard is owned yet").After(noOwnerWait)
+		}
+		r.ID = id
+	}
+	r.Key = ""
+	p := &pending{
+		forward:  wire.Forward{Handle: handle, Team: team, KeyName: keyName, Request: r},
+		shard:    model.ShardOfRequest(team, r.ID),
+		deadline: s.env.Now() + s.timeout(r) + answerGrace,
+	}
+	s.pending[handle] = p
+	s.route(handle, p)
+	return nil
+}
+
+func (s *Service) timeout(r model.Request) time.Duration {
+	if r.Timeout <= 0 {
+		return s.env.Timing.RequestTimeout
+	}
+	return min(r.Timeout, s.env.Timing.RequestTimeout)
+}
+
+// mint returns a new ticket of a shard owned here, or of any owned shard when
+// this instance owns none.
+func (s *Service) mint() (string, bool) {
+	owned := s.ownership.Owned()
+	if len(owned) == 0 {
+		for i, slot := range s.ownership.Slots() {
+			if slot.Term != 0 && s.members.IsLive(slot.Owner) {
+				owned = append(owned, wire.ShardTerm{Shard: model.Shard(i), Term: slot.Term})
+			}
+		}
+	}
+	if len(owned) == 0 {
+		return "", false
+	}
+	s.serial++
+	st := owned[s.serial%uint64(len(owned))]
+	var random [6]byte
+	for i := range random {
+		random[i] = byte(s.env.Rand().Uint32())
+	}
+	serial := fmt.Sprintf("%x.%x.%s", uint64(s.env.Self.Incarnation), s.serial, hex.EncodeToString(random[:]))
+	return model.Ticket{Shard: st.Shard, Term: st.Term, Serial: serial}.String(), true
+}
+
+func (s *Service) issueTickets(handle uint64, r model.Request) *verdict.Error {
+	if _, _, refusal := s.config.Authorize(r.Key, r.Queue); refusal != nil {
+		return refusal
+	}
+	if r.Count < 1 || r.Count > maxTickets {
+		return verdict.Refuse(verdict.CodeBadRequest, "count must be from 1 to %d", maxTickets)
+	}
+	a := model.Answer{Verdict: verdict.Done}
+	for range r.Count {
+		id, ok := s.mint()
+		if !ok {
+			return verdict.Refuse(verdict.CodeUnavailable, "no shard is owned yet").After(noOwnerWait)
+		}
+		a.Tickets = append(a.Tickets, id)
+	}
+	s.respond(handle, a)
+	return nil
+}
+
+// route hands a request to the owner of its shard. A request that certainly was
+// never handed over is refused at once when there is no owner to take it.
+func (s *Service) route(handle uint64, p *pending) {
+	slot, ok := s.ownership.Owner(p.shard)
+	if !ok || !s.members.IsLive(slot.Owner) {
+		if !p.sent {
+			s.finish(handle, model.Refusal(p.forward.Request.ID, verdict.Refuse(verdict.CodeUnavailable,
+				"the owner of the request's shard is not reachable").After(noOwnerWait)))
+			return
+		}
+		p.retryAt = s.env.Now() + moveRetry
+		return
+	}
+	p.sentTo, p.sent, p.retryAt = slot.Owner, true, 0
+	f := p.forward
+	f.Request.Timeout = p.deadline - answerGrace - s.env.Now()
+	if slot.Owner == s.env.Owner() {
+		s.coordinator.Serve(s.env.Owner(), f)
+		return
+	}
+	s.env.Send(slot.Owner.Instance, f)
+}
+
+// OnMessage takes answers from coordinators.
+func (s *Service) OnMessage(from wire.Owner, m wire.Message) {
+	switch m := m.(type) {
+	case wire.Reply:
+		s.OnReply(from, m)
+	case wire.Forward:
+		s.coordinator.Serve(from, m)
+	}
+}
+
+// OnReply passes a coordinator's answer on. An answer to another request than the
+// handle's, or from an instance that was not asked, is dropped.
+func (s *Service) OnReply(from wire.Owner, m wire.Reply) {
+	p, ok := s.pending[m.Handle]
+	if !ok || p.sentTo != from || m.Answer.ID != p.forward.Request.ID {
+		return
+	}
+	if m.Answer.Code == verdict.CodeStaleAuthority && p.moves < maxMoves {
+		p.moves++
+		p.retryAt = s.env.Now() + moveRetry
+		return
+	}
+	s.finish(m.Handle, m.Answer)
+}
+
+// OnPeerDown asks again, by id, for what was sent over the lost connection.
+func (s *Service) OnPeerDown(peer wire.Owner) {
+	for _, p := range s.pending {
+		if p.sentTo == peer {
+			p.retryAt = s.env.Now() + moveRetry
+		}
+	}
+}
+
+// OnShardMoved asks the new owner for what the one before had not answered.
+func (s *Service) OnShardMoved(m service.ShardMove) {
+	for _, p := range s.pending {
+		if p.shard == m.Shard && p.sentTo != m.After {
+			p.retryAt = s.env.Now()
+		}
+	}
+}
+
+// OnTick retries routes and ends requests whose time is up.
+func (s *Service) OnTick() {
+	now := s.env.Now()
+	for _, handle := range s.sortedHandles() {
+		p := s.pending[handle]
+		switch {
+		case now >= p.deadline:
+			s.finish(handle, s.expired(p))
+		case p.retryAt > 0 && now >= p.retryAt:
+			s.route(handle, p)
+		}
+	}
+}
+
+func (s *Service) expired(p *pending) model.Answer {
+	e := verdict.Refuse(verdict.CodeDeadline, "no answer from the owner of the request's shard in time").After(noOwnerWait)
+	if p.sent {
+		e.Verdict = verdict.MayHaveRun
+		e.Code = verdict.CodeInDoubt
+	}
+	return model.Refusal(p.forward.Request.ID, e)
+}
+
+func (s *Service) sortedHandles() []uint64 {
+	handles := make([]uint64, 0, len(s.pending))
+	for h := range s.pending {
+		handles = append(handles, h)
+	}
+	slices.Sort(handles)
+	return handles
+}
+
+// OnRequestGone forgets a caller. Its request goes on: the caller may ask for it
+// by id.
+func (s *Service) OnRequestGone(handle uint64) { delete(s.pending, handle) }
+
+func (s *Service) finish(handle uint64, a model.Answer) {
+	delete(s.pending, handle)
+	s.respond(handle, a)
+}
+
+func (s *Service) respond(handle uint64, a model.Answer) {
+	s.env.Emit(event.Respond{Handle: handle, Answer: a})
+}
+
+// Open returns how many callers wait for an answer.
+func (s *Service) Open() int { return len(s.pending) }
+
+func (s *Service) takeOperator(handle uint64, r model.Request) *verdict.Error {
+	author, refusal := s.config.AuthorizeOperator(r.Key)
+	if refusal != nil {
+		return refusal
+	}
+	switch r.Op {
+	case model.OpApply:
+		if r.Change == nil {
+			return verdict.Refuse(verdict.CodeBadRequest, "a change is required")
+		}
+		s.config.Change(handle, author, *r.Change)
+	case model.OpConfig:
+		doc, version := s.config.Document()
+		s.respondJSON(handle, doc, version)
+	case model.OpCell:
+		_, version := s.config.Document()
+		s.respondJSON(handle, s.cell(), version)
+	}
+	return nil
+}
+
+// Cell describes this instance's view of the cell.
+type Cell struct {
+	Instance model.InstanceID         `json:"instance"`
+	Live     []wire.Owner             `json:"live"`
+	Shards   map[model.InstanceID]int `json:"shards"`
+	Workers  []model.WorkerID         `json:"workers"`
+	Covered  int                      `json:"covered"`
+	Free     model.Resources          `json:"free"`
+	Leaving  bool                     `json:"leaving"`
+	Open     int                      `json:"open_requests"`
+}
+
+func (s *Service) cell() Cell {
+	c := Cell{
+		Instance: s.env.Self.ID, Live: s.members.Live(), Shards: make(map[model.InstanceID]int),
+		Workers: s.ledger.Holding(), Covered: len(s.ledger.Coverage().Workers), Free: s.ledger.Free(),
+		Leaving: s.members.Leaving(), Open: len(s.pending),
+	}
+	for _, slot := range s.ownership.Slots() {
+		if slot.Term != 0 {
+			c.Shards[slot.Owner.Instance]++
+		}
+	}
+	return c
+}
+
+func (s *Service) respondJSON(handle uint64, v any, version uint64) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		s.respond(handle, model.Answer{Verdict: verdict.NotRun, Code: verdict.CodeUnavailable, Message: err.Error()})
+		return
+	}
+	s.respond(handle, model.Answer{Verdict: verdict.Done, Body: body, Version: version})
+}
--- /dev/null
+++ b/internal/service/limits/limits.go
@@ -0,0 +1,365 @@
+// Package limits keeps teams within their upper limits across the whole fleet.
+//
+// A limit is held in escrow: the owner of a team's shard splits it into ceilings,
+// one for each instance that holds workers, and an instance never runs more of
+// the team than its ceiling. The sum of the ceilings, plus every slot of every
+// worker whose holder is not heard, never passes the limit. What cannot be
+// reached still counts as used.
+package limits
+
+import (
+	"slices"
+	"time"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/membership"
+	"pollenbend/internal/wire"
+)
+
+// Config tells the limit in force for a team.
+type Config interface {
+	// Limit returns the most tasks that a team may run, 0 for no limit.
+	Limit(model.TeamID) int64
+	LimitedTeams() []model.TeamID
+}
+
+// Ledger tells what runs here.
+type Ledger interface {
+	Running(model.TeamID) int64
+	Usage(model.TeamID) model.Resources
+	Teams() []model.TeamID
+	Coverage() wire.Coverage
+	Roster() map[model.WorkerID]model.Worker
+}
+
+// Ownership tells who keeps a team's limit.
+type Ownership interface {
+	Mine(model.Shard) (term uint64, ok bool)
+	Applied() uint64
+}
+
+// Members tells who lives and what they reported.
+type Members interface {
+	Live() []wire.Owner
+	Member(model.InstanceID) (*membership.Member, bool)
+}
+
+// Demand tells how many tasks of a team wait at this instance.
+type Demand interface {
+	Waiting(model.TeamID) int64
+}
+
+// Service is the limits service.
+type Service struct {
+	env       *event.Env
+	config    Config
+	ledger    Ledger
+	ownership Ownership
+	members   Members
+	demand    Demand
+
+	held     map[model.TeamID]ceiling
+	blocked  map[model.TeamID]int64 // starts refused since the last heartbeat
+	escrows  map[model.TeamID]*escrow
+	nextPlan time.Duration
+}
+
+// ceiling is this instance's part of a team's limit.
+type ceiling struct {
+	term uint64
+	seq  uint64
+	max  int64
+}
+
+// escrow is the owner's account of one team's ceilings, for one term of its shard.
+type escrow struct {
+	term    uint64
+	readyAt time.Duration
+	grants  map[wire.Owner]grant
+}
+
+// grant is the last ceiling sent to a holder. Peak is the highest ceiling among
+// the grants that the holder has not confirmed: any of them may be in force there.
+type grant struct {
+	seq  uint64
+	peak int64
+}
+
+const (
+	planInterval = 100 * time.Millisecond
+	// lowerSlack is how far a ceiling may stand above its target before it is
+	// called back.
+	lowerSlack = 1
+)
+
+// New returns the limits service.
+func New(env *event.Env) *Service {
+	return &Service{
+		env:     env,
+		held:    make(map[model.TeamID]ceiling),
+		blocked: make(map[model.TeamID]int64),
+		escrows: make(map[model.TeamID]*escrow),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return service.Limits }
+
+// Bind finds the services that this one works with.
+func (s *Service) Bind(k *kernel.Kernel) (err error) {
+	if s.config, err = kernel.Find[Config](k, service.Config); err != nil {
+		return err
+	}
+	if s.ledger, err = kernel.Find[Ledger](k, service.Ledger); err != nil {
+		return err
+	}
+	if s.ownership, err = kernel.Find[Ownership](k, service.Ownership); err != nil {
+		return err
+	}
+	if s.demand, err = kernel.Find[Demand](k, service.Requests); err != nil {
+		return err
+	}
+	s.members, err = kernel.Find[Members](k, service.Membership)
+	return err
+}
+
+// MayStart reports whether one more task of team may start here.
+func (s *Service) MayStart(team model.TeamID) bool {
+	if s.config.Limit(team) == 0 {
+		return true
+	}
+	if s.ledger.Running(team) < s.held[team].max {
+		return true
+	}
+	s.blocked[team]++
+	return false
+}
+
+// OnMessage applies grants.
+func (s *Service) OnMessage(_ wire.Owner, m wire.Message) {
+	if g, ok := m.(wire.Grant); ok {
+		s.apply(g)
+	}
+}
+
+func (s *Service) apply(g wire.Grant) {
+	h := s.held[g.Team]
+	if g.Term < h.term || g.Term == h.term && g.Seq <= h.seq {
+		return
+	}
+	s.held[g.Team] = ceiling{term: g.Term, seq: g.Seq, max: g.Ceiling}
+}
+
+// FillBeat reports running tasks, ceilings and demand by team.
+func (s *Service) FillBeat(b *wire.Heartbeat) {
+	b.Teams = s.loads()
+	clear(s.blocked)
+}
+
+func (s *Service) loads() []wire.TeamLoad {
+	teams := s.ledger.Teams()
+	for t := range s.held {
+		teams = append(teams, t)
+	}
+	for t := range s.blocked {
+		teams = append(teams, t)
+	}
+	slices.Sort(teams)
+	teams = slices.Compact(teams)
+	loads := make([]wire.TeamLoad, 0, len(teams))
+	for _, t := range teams {
+		loads = append(loads, s.load(t))
+	}
+	return loads
+}
+
+func (s *Service) load(team model.TeamID) wire.TeamLoad {
+	h := s.held[team]
+	running, waiting := s.ledger.Running(team), s.demand.Waiting(team)
+	return wire.TeamLoad{
+		Team: team, Running: running, Waiting: waiting, Usage: s.ledger.Usage(team),
+		Ceiling: h.max, GrantTerm: h.term, GrantSeq: h.seq,
+		Wanted: running + waiting + s.blocked[team],
+	}
+}
+
+// OnTick plans the ceilings of the teams that this instance keeps.
+func (s *Service) OnTick() {
+	if s.env.Now() < s.nextPlan {
+		return
+	}
+	s.nextPlan = s.env.Now() + planInterval
+	for _, team := range s.config.LimitedTeams() {
+		term, ok := s.ownership.Mine(model.ShardOfTeam(team))
+		if !ok {
+			delete(s.escrows, team)
+			continue
+		}
+		s.plan(team, term)
+	}
+}
+
+// holding is what the owner believes of one holder of ceilings.
+type holding struct {
+	owner wire.Owner
+	// bound is the most that the holder may be running, now or after any grant
+	// that is still on its way.
+	bound int64
+	need  int64
+}
+
+func (s *Service) plan(team model.TeamID, term uint64) {
+	e := s.escrowOf(team, term)
+	if s.env.Now() < e.readyAt {
+		return
+	}
+	holdings, ok := s.holdings(team, e)
+	if !ok {
+		return
+	}
+	free := s.config.Limit(team) - s.uncovered()
+	for _, h := range holdings {
+		free -= h.bound
+	}
+	targets := split(s.config.Limit(team)-s.uncovered(), holdings)
+	for i, h := range holdings {
+		switch target := targets[i]; {
+		case target > h.bound && free > 0:
+			raise := min(target-h.bound, free)
+			free -= raise
+			s.grant(team, e, h.owner, h.bound+raise)
+		case target < h.bound-lowerSlack:
+			s.grant(team, e, h.owner, target)
+		}
+	}
+}
+
+// escrowOf returns the account for the term. A new owner waits one worker lease
+// before its first grant, so that every holder that it does not hear has lost the
+// leases under which it could still start tasks.
+func (s *Service) escrowOf(team model.TeamID, term uint64) *escrow {
+	e, ok := s.escrows[team]
+	if !ok || e.term != term {
+		e = &escrow{term: term, grants: make(map[wire.Owner]grant)}
+		e.readyAt = s.env.Now() + s.env.Timing.WorkerLease
+		s.escrows[team] = e
+	}
+	return e
+}
+
+// holdings returns what every live member may be running. It is not ok while a
+// member's report is older than this term: the member might still apply a grant
+// of the owner before.
+func (s *Service) holdings(team model.TeamID, e *escrow) ([]holding, bool) {
+	var list []holding
+	for _, o := range s.members.Live() {
+		load, applied, ok := s.report(o, team)
+		if !ok || applied < e.term {
+			return nil, false
+		}
+		list = append(list, holding{owner: o, bound: bound(load, e, o), need: load.Wanted})
+	}
+	return list, true
+}
+
+func (s *Service) report(o wire.Owner, team model.TeamID) (load wire.TeamLoad, applied uint64, ok bool) {
+	if o == s.env.Owner() {
+		return s.load(team), s.ownership.Applied(), true
+	}
+	m, ok := s.members.Member(o.Instance)
+	if !ok || m.Owner != o || m.Coverage.Version < m.Beat.Coverage {
+		return wire.TeamLoad{}, 0, false
+	}
+	for _, l := range m.Beat.Teams {
+		if l.Team == team {
+			return l, m.Beat.Applied, true
+		}
+	}
+	return wire.TeamLoad{Team: team}, m.Beat.Applied, true
+}
+
+// bound is the highest count that a holder may reach: its running tasks, the
+// ceiling it reported, and the last grant unless it reported that very grant.
+func bound(load wire.TeamLoad, e *escrow, o wire.Owner) int64 {
+	b := max(load.Running, load.Ceiling)
+	g, sent := e.grants[o]
+	if !sent {
+		return b
+	}
+	if load.GrantTerm == e.term && load.GrantSeq == g.seq {
+		e.grants[o] = grant{seq: g.seq}
+		return b
+	}
+	return max(b, g.peak)
+}
+
+func (s *Service) grant(team model.TeamID, e *escrow, to wire.Owner, ceiling int64) {
+	g := e.grants[to]
+	g = grant{seq: g.seq + 1, peak: max(g.peak, ceiling)}
+	e.grants[to] = g
+	msg := wire.Grant{Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling}
+	if to == s.env.Owner() {
+		s.apply(msg)
+		return
+	}
+	s.env.Send(to.Instance, msg)
+}
+
+// uncovered returns the slots of the listed workers that no live member covers:
+// any of them may be running tasks of any team.
+func (s *Service) uncovered() int64 {
+	covered := make(map[model.WorkerID]bool)
+	for _, o := range s.members.Live() {
+		for _, id := range s.coverageOf(o).Workers {
+			covered[id] = true
+		}
+	}
+	var slots int64
+	for id, w := range s.ledger.Roster() {
+		if !covered[id] {
+			slots += w.Capacity.Slots
+		}
+	}
+	return slots
+}
+
+func (s *Service) coverageOf(o wire.Owner) wire.Coverage {
+	if o == s.env.Owner() {
+		return s.ledger.Coverage()
+	}
+	if m, ok := s.members.Member(o.Instance); ok {
+		return m.Coverage
+	}
+	return wire.Coverage{}
+}
+
+// split divides limit over the holders: to each its need as far as it goes round,
+// the rest in equal parts as room for sudden demand.
+func split(limit int64, holders []holding) []int64 {
+	targets := make([]int64, len(holders))
+	if limit <= 0 || len(holders) == 0 {
+		return targets
+	}
+	order := make([]int, len(holders))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return int(holders[a].need - holders[b].need) })
+	left := limit
+	for rank, i := range order {
+		part := left / int64(len(order)-rank)
+		targets[i] = min(holders[i].need, part)
+		left -= targets[i]
+	}
+	spare, extra := left/int64(len(order)), left%int64(len(order))
+	for rank, i := range order {
+		targets[i] += spare
+		if int64(rank) < extra {
+			targets[i]++
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/service/membership/membership.go
@@ -0,0 +1,289 @@
+// Package membership decides which instances are alive, from the platform's
+// lagging instance list and from heartbeats between the instances.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/wire"
+)
+
+// Member is what this instance knows of another.
+type Member struct {
+	Owner    wire.Owner
+	Beat     wire.Heartbeat
+	HeardAt  time.Duration
+	Coverage wire.Coverage
+	dead     bool
+}
+
+// Service tracks the members of the cell. A member counts as dead when it was
+// silent for Timing.DeadAfter here and for most of the members heard here, so
+// that one broken link moves no shard.
+type Service struct {
+	env          *event.Env
+	contributors []service.BeatContributor
+	listeners    []service.MemberHandler
+
+	listed   map[model.InstanceID]platform.Instance
+	members  map[model.InstanceID]*Member
+	beatSeq  uint64
+	lastBeat time.Duration
+	leaving  bool
+}
+
+// New returns the membership service.
+func New(env *event.Env) *Service {
+	return &Service{
+		env:     env,
+		listed:  make(map[model.InstanceID]platform.Instance),
+		members: make(map[model.InstanceID]*Member),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return service.Membership }
+
+// Bind finds the services that this one works with.
+func (s *Service) Bind(k *kernel.Kernel) error {
+	s.contributors = kernel.All[service.BeatContributor](k)
+	s.listeners = kernel.All[service.MemberHandler](k)
+	return nil
+}
+
+// OnListing takes over a view of the instance list.
+func (s *Service) OnListing(l platform.Listing) {
+	clear(s.listed)
+	for _, i := range l.Instances {
+		s.listed[i.ID] = i
+	}
+}
+
+// OnMessage takes heartbeats and coverage.
+func (s *Service) OnMessage(from wire.Owner, m wire.Message) {
+	switch m := m.(type) {
+	case wire.Heartbeat:
+		s.onHeartbeat(from, m)
+	case wire.Coverage:
+		s.onCoverage(from, m)
+	}
+}
+
+func (s *Service) onHeartbeat(from wire.Owner, beat wire.Heartbeat) {
+	known, ok := s.members[from.Instance]
+	if ok && from.Incarnation < known.Owner.Incarnation {
+		return
+	}
+	if ok && from.Incarnation > known.Owner.Incarnation {
+		s.declareDead(known)
+		ok = false
+	}
+	if !ok {
+		known = &Member{Owner: from}
+		s.members[from.Instance] = known
+	}
+	known.HeardAt = s.env.Now()
+	known.dead = false
+	if beat.Seq > known.Beat.Seq {
+		known.Beat = beat
+	}
+	if known.Coverage.Version < known.Beat.Coverage {
+		s.env.Send(from.Instance, wire.FetchCoverage{})
+	}
+}
+
+func (s *Service) onCoverage(from wire.Owner, c wire.Coverage) {
+	m, ok := s.members[from.Instance]
+	if ok && m.Owner == from && c.Version > m.Coverage.Version {
+		m.Coverage = c
+	}
+}
+
+// OnTick sends heartbeats and looks for dead members.
+func (s *Service) OnTick() {
+	if s.lastBeat == 0 || s.env.Now()-s.lastBeat >= s.env.Timing.Heartbeat {
+		s.lastBeat = s.env.Now()
+		s.sendHeartbeats()
+	}
+	for _, id := range s.sortedMembers() {
+		m := s.members[id]
+		if !m.dead && s.silent(m) && s.mostMiss(m.Owner) {
+			s.declareDead(m)
+		}
+	}
+}
+
+func (s *Service) sendHeartbeats() {
+	s.beatSeq++
+	beat := wire.Heartbeat{Seq: s.beatSeq, Self: s.env.Self, Leaving: s.leaving}
+	for _, o := range s.heard() {
+		beat.Hears = append(beat.Hears, o)
+	}
+	for _, c := range s.contributors {
+		c.FillBeat(&beat)
+	}
+	for _, id := range s.Peers() {
+		s.env.Send(id, beat)
+	}
+}
+
+// Peers returns the listed or heard instances other than this one, sorted.
+func (s *Service) Peers() []model.InstanceID {
+	var ids []model.InstanceID
+	for id := range s.listed {
+		if id != s.env.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	for id, m := range s.members {
+		if _, ok := s.listed[id]; !ok && !m.dead {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *Service) silent(m *Member) bool {
+	return s.env.Now()-m.HeardAt >= s.env.Timing.DeadAfter
+}
+
+// mostMiss reports whether most of the members heard here, this one included, no
+// longer hear o.
+func (s *Service) mostMiss(o wire.Owner) bool {
+	voters, missing := 1, 1
+	for _, m := range s.members {
+		if m.dead || s.silent(m) {
+			continue
+		}
+		voters++
+		if !slices.Contains(m.Beat.Hears, o) {
+			missing++
+		}
+	}
+	return 2*missing > voters
+}
+
+func (s *Service) declareDead(m *Member) {
+	m.dead = true
+	for _, l := range s.listeners {
+		l.OnMemberDead(m.Owner)
+	}
+}
+
+func (s *Service) heard() []wire.Owner {
+	var owners []wire.Owner
+	for _, m := range s.members {
+		if !m.dead && !s.silent(m) {
+			owners = append(owners, m.Owner)
+		}
+	}
+	slices.SortFunc(owners, compareOwners)
+	return owners
+}
+
+func compareOwners(a, b wire.Owner) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+func (s *Service) sortedMembers() []model.InstanceID {
+	ids := make([]model.InstanceID, 0, len(s.members))
+	for id := range s.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Live returns the members that do not count as dead, this instance included,
+// sorted.
+func (s *Service) Live() []wire.Owner {
+	live := []wire.Owner{s.env.Owner()}
+	for _, m := range s.members {
+		if !m.dead {
+			live = append(live, m.Owner)
+		}
+	}
+	slices.SortFunc(live, compareOwners)
+	return live
+}
+
+// Eligible returns the live members that may be given shards: those that are not
+// leaving, by the list or by their own word.
+func (s *Service) Eligible() []wire.Owner {
+	var fit []wire.Owner
+	for _, o := range s.Live() {
+		if !s.isLeaving(o.Instance) {
+			fit = append(fit, o)
+		}
+	}
+	return fit
+}
+
+func (s *Service) isLeaving(id model.InstanceID) bool {
+	if s.listed[id].Leaving {
+		return true
+	}
+	if id == s.env.Self.ID {
+		return s.leaving
+	}
+	m, ok := s.members[id]
+	return ok && m.Beat.Leaving
+}
+
+// IsLive reports whether o counts as alive. An instance never heard of does not.
+func (s *Service) IsLive(o wire.Owner) bool {
+	if o == s.env.Owner() {
+		return true
+	}
+	m, ok := s.members[o.Instance]
+	return ok && m.Owner == o && !m.dead
+}
+
+// Majority reports whether this instance hears more than half of the listed
+// instances, itself included. Without it, it may be the one that is cut off.
+func (s *Service) Majority() bool {
+	voters, heard := 1, 1
+	for id := range s.listed {
+		if id == s.env.Self.ID {
+			continue
+		}
+		voters++
+		if m, ok := s.members[id]; ok && !m.dead && !s.silent(m) {
+			heard++
+		}
+	}
+	return 2*heard > voters
+}
+
+// Member returns what is known of a live member other than this instance.
+func (s *Service) Member(id model.InstanceID) (*Member, bool) {
+	m, ok := s.members[id]
+	if !ok || m.dead {
+		return nil, false
+	}
+	return m, true
+}
+
+// HeardWithin reports whether any peer was heard within d.
+func (s *Service) HeardWithin(d time.Duration) bool {
+	for _, m := range s.members {
+		if m.HeardAt > 0 && s.env.Now()-m.HeardAt <= d {
+			return true
+		}
+	}
+	return false
+}
+
+// OnDrain marks this instance as leaving.
+func (s *Service) OnDrain() { s.leaving = true }
+
+// Leaving reports whether this instance is leaving.
+func (s *Service) Leaving() bool { return s.isLeaving(s.env.Self.ID) }
--- /dev/null
+++ b/internal/service/requests/requests.go
@@ -0,0 +1,457 @@
+// Package requests coordinates the requests whose shards this instance owns: it
+// remembers each by id, queues it for its team, dispatches its tasks to worker
+// holders and answers everyone who asks for it.
+//
+// A task is dispatched again only when it is certain that the dispatch before has
+// not started it and never will; see locate.go.
+package requests
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/membership"
+	"pollenbend/internal/service/ownership"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// Ownership tells which shards are owned here.
+type Ownership interface {
+	Mine(model.Shard) (term uint64, ok bool)
+	Owner(model.Shard) (ownership.Slot, bool)
+}
+
+// Members tells who lives and what is free where.
+type Members interface {
+	Live() []wire.Owner
+	IsLive(wire.Owner) bool
+	Member(model.InstanceID) (*membership.Member, bool)
+}
+
+// Ledger runs tasks on the workers held here.
+type Ledger interface {
+	Dispatch(wire.Dispatch) wire.TaskState
+	Locate(wire.Locate) wire.Located
+	Cancel(wire.CancelTask)
+	Free() model.Resources
+	Roster() map[model.WorkerID]model.Worker
+}
+
+// Config describes services and teams.
+type Config interface {
+	Service(name string) (model.Service, bool)
+	Share(model.TeamID) int64
+}
+
+// Replier gives an answer to a caller at this instance.
+type Replier interface {
+	OnReply(from wire.Owner, m wire.Reply)
+}
+
+// Service is the coordinator.
+type Service struct {
+	env       *event.Env
+	ownership Ownership
+	members   Members
+	ledger    Ledger
+	config    Config
+	replier   Replier
+
+	entries map[model.TaskID]*entry
+	queues  *queues
+	rooms   map[model.InstanceID]*room
+	gained  [model.Shards]time.Duration // when a shard with a past was gained
+	locates map[uint64]*locate
+	locID   uint64
+	moved   bool // something happened that may let waiting tasks start
+}
+
+// room is what is believed free at another instance, from its last heartbeat less
+// what was sent there since.
+type room struct {
+	seq  uint64
+	free model.Resources
+}
+
+// phase is where a request stands at its coordinator.
+type phase uint8
+
+const (
+	phaseLocating phase = iota // not known whether it was started before
+	phaseWaiting
+	phaseDispatched
+	phaseRunning
+	phaseFinished
+)
+
+// entry is the memory of one request.
+type entry struct {
+	id          string
+	task        model.Task
+	base        model.TaskID
+	shard       model.Shard
+	fingerprint uint64
+	phase       phase
+	holder      wire.Owner // instance that the task was dispatched to
+	attempt     uint32
+	run         int
+	born        time.Duration // when it was received first, at the latest
+	receivedAt  time.Duration
+	startedAt   time.Duration
+	finishedAt  time.Duration
+	deadline    time.Duration
+	canceled    bool
+	waiters     []waiter
+	answer      model.Answer
+	worker      model.WorkerID
+}
+
+type waiter struct {
+	from     wire.Owner
+	handle   uint64
+	deadline time.Duration
+}
+
+const (
+	maxEntries       = 200000
+	maxWaitingByTeam = 4096
+	maxRuns          = 3
+	retryAfter       = time.Second
+)
+
+// New returns the coordinator.
+func New(env *event.Env) *Service {
+	return &Service{
+		env:     env,
+		entries: make(map[model.TaskID]*entry),
+		queues:  newQueues(),
+		rooms:   make(map[model.InstanceID]*room),
+		locates: make(map[uint64]*locate),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return service.Requests }
+
+// Bind finds the services that this one works with.
+func (s *Service) Bind(k *kernel.Kernel) (err error) {
+	if s.ownership, err = kernel.Find[Ownership](k, service.Ownership); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Find[Members](k, service.Membership); err != nil {
+		return err
+	}
+	if s.ledger, err = kernel.Find[Ledger](k, service.Ledger); err != nil {
+		return err
+	}
+	if s.config, err = kernel.Find[Config](k, service.Config); err != nil {
+		return err
+	}
+	s.replier, err = kernel.Find[Replier](k, service.Gateway)
+	return err
+}
+
+// Serve takes a request from a gateway.
+func (s *Service) Serve(from wire.Owner, f wire.Forward) {
+	r := f.Request
+	shard := model.ShardOfRequest(f.Team, r.ID)
+	term, mine := s.ownership.Mine(shard)
+	if !mine {
+		s.refuse(from, f, verdict.Refuse(verdict.CodeStaleAuthority, "the shard has another owner").After(retryAfter))
+		return
+	}
+	switch r.Op {
+	case model.OpCall:
+		s.call(from, f, shard, term)
+	case model.OpStatus:
+		s.status(from, f)
+	case model.OpCancel:
+		s.cancel(from, f)
+	default:
+		s.refuse(from, f, verdict.Refuse(verdict.CodeBadRequest, "operation %q is not served here", r.Op))
+	}
+}
+
+func (s *Service) call(from wire.Owner, f wire.Forward, shard model.Shard, term uint64) {
+	base := model.TaskIDOf(f.Team, f.Request.ID, 0)
+	w := waiter{from: from, handle: f.Handle, deadline: s.env.Now() + f.Request.Timeout}
+	if e, ok := s.entries[base]; ok {
+		s.join(e, w, f)
+		return
+	}
+	e, refusal := s.newEntry(base, shard, f)
+	if refusal != nil {
+		s.refuse(from, f, refusal)
+		return
+	}
+	e.waiters = append(e.waiters, w)
+	e.deadline = w.deadline
+	s.entries[base] = e
+	if s.neverSeen(f.Request.ID, shard, term) {
+		s.enqueue(e)
+		return
+	}
+	s.startLocate(e)
+}
+
+// join adds a caller to a request that is known already.
+func (s *Service) join(e *entry, w waiter, f wire.Forward) {
+	if e.fingerprint != 0 && e.fingerprint != fingerprint(f.Request) {
+		s.refuse(w.from, f, verdict.Refuse(verdict.CodeConflict, "the id was used for another request"))
+		return
+	}
+	if e.phase == phaseFinished {
+		s.reply(w, e.answer)
+		return
+	}
+	e.waiters = append(e.waiters, w)
+	e.deadline = max(e.deadline, w.deadline)
+}
+
+func (s *Service) newEntry(base model.TaskID, shard model.Shard, f wire.Forward) (*entry, *verdict.Error) {
+	if len(s.entries) >= maxEntries {
+		return nil, verdict.Refuse(verdict.CodeOverloaded, "too many requests are remembered here").After(retryAfter)
+	}
+	if s.queues.len(f.Team) >= maxWaitingByTeam {
+		return nil, verdict.Refuse(verdict.CodeOverloaded, "the team has %d requests waiting here", maxWaitingByTeam).After(retryAfter)
+	}
+	t, refusal := s.buildTask(base, f)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if !s.everFits(&t) {
+		return nil, verdict.Refuse(verdict.CodeNeverFits, "no listed worker could ever run this: demand %+v, selector %+v", t.Demand, t.Require)
+	}
+	return &entry{
+		id: f.Request.ID, task: t, base: base, shard: shard, run: 1,
+		fingerprint: fingerprint(f.Request), receivedAt: s.env.Now(), born: s.env.Now(),
+	}, nil
+}
+
+// buildTask joins the caller's part of a task with what its service declares.
+func (s *Service) buildTask(base model.TaskID, f wire.Forward) (model.Task, *verdict.Error) {
+	t := f.Request.Task
+	t.ID, t.Team, t.Kind = base, f.Team, model.KindRequest
+	if f.Request.Service != "" {
+		svc, ok := s.config.Service(f.Request.Service)
+		if !ok {
+			return t, verdict.Refuse(verdict.CodeNotFound, "service %q is not declared", f.Request.Service)
+		}
+		t.Service, t.Repeatable = svc.Name, svc.Repeatable
+		t.Class = cmp.Or(t.Class, svc.Class)
+		t.Require = append(slices.Clone(svc.Require), t.Require...)
+		t.Prefer = append(slices.Clone(svc.Prefer), t.Prefer...)
+		if t.Demand.IsZero() {
+			t.Demand = svc.Demand
+		}
+	}
+	t.Class = cmp.Or(t.Class, model.ClassNormal)
+	t.Demand.Slots = max(t.Demand.Slots, 1)
+	return t, nil
+}
+
+func (s *Service) everFits(t *model.Task) bool {
+	roster := s.ledger.Roster()
+	if len(roster) == 0 {
+		return true
+	}
+	for _, w := range roster {
+		if t.Demand.Fits(w.Capacity) && t.Require.Matches(w.Labels) {
+			return true
+		}
+	}
+	return false
+}
+
+func fingerprint(r model.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{string(r.Op), r.Service, string(r.Task.Payload)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return max(h.Sum64(), 1)
+}
+
+// neverSeen reports whether a request without an entry was certainly not seen
+// before: its ticket is of the present term, or everything that could have been
+// seen before this term is past its retention.
+func (s *Service) neverSeen(id string, shard model.Shard, term uint64) bool {
+	if t, err := model.ParseTicket(id); err == nil && t.Term == term {
+		return true
+	}
+	gained := s.gained[shard]
+	return gained == 0 || s.env.Now()-gained > s.env.Timing.Retention+s.env.Timing.RequestTimeout
+}
+
+func (s *Service) enqueue(e *entry) {
+	e.phase = phaseWaiting
+	s.queues.push(e)
+	s.moved = true
+}
+
+// finish gives a request its final answer and tells everyone who waits for it.
+func (s *Service) finish(e *entry, a model.Answer) {
+	a.ID = e.id
+	e.phase = phaseFinished
+	e.finishedAt = s.env.Now()
+	e.answer = a
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		s.reply(w, a)
+	}
+	s.moved = true
+}
+
+func (s *Service) reply(w waiter, a model.Answer) {
+	m := wire.Reply{Handle: w.handle, Answer: a}
+	if w.from == s.env.Owner() {
+		s.replier.OnReply(w.from, m)
+		return
+	}
+	s.env.Send(w.from.Instance, m)
+}
+
+func (s *Service) refuse(from wire.Owner, f wire.Forward, e *verdict.Error) {
+	s.reply(waiter{from: from, handle: f.Handle}, model.Refusal(f.Request.ID, e))
+}
+
+func (s *Service) status(from wire.Owner, f wire.Forward) {
+	w := waiter{from: from, handle: f.Handle}
+	e, ok := s.entries[model.TaskIDOf(f.Team, f.Request.ID, 0)]
+	if !ok {
+		s.refuse(from, f, s.unknown(f))
+		return
+	}
+	if e.phase == phaseFinished {
+		s.reply(w, e.answer)
+		return
+	}
+	s.reply(w, model.Answer{ID: e.id, Verdict: verdict.Pending, Message: e.phase.String(), Worker: e.worker})
+}
+
+// unknown tells about an id without an entry: "not run" only when that is
+// certain.
+func (s *Service) unknown(f wire.Forward) *verdict.Error {
+	shard := model.ShardOfRequest(f.Team, f.Request.ID)
+	term, _ := s.ownership.Mine(shard)
+	e := verdict.Refuse(verdict.CodeNotFound, "no request with this id is remembered")
+	if !s.neverSeen(f.Request.ID, shard, term) {
+		e.Verdict = verdict.MayHaveRun
+	}
+	return e
+}
+
+// String names a phase as status answers show it.
+func (p phase) String() string {
+	switch p {
+	case phaseLocating:
+		return "checking whether it ran before"
+	case phaseWaiting:
+		return "waiting"
+	case phaseDispatched:
+		return "starting"
+	case phaseRunning:
+		return "running"
+	}
+	return "finished"
+}
+
+func (s *Service) cancel(from wire.Owner, f wire.Forward) {
+	e, ok := s.entries[model.TaskIDOf(f.Team, f.Request.ID, 0)]
+	if !ok {
+		s.refuse(from, f, s.unknown(f))
+		return
+	}
+	w := waiter{from: from, handle: f.Handle, deadline: s.env.Now() + f.Request.Timeout}
+	switch e.phase {
+	case phaseFinished:
+		s.reply(w, e.answer)
+	case phaseWaiting:
+		s.queues.remove(e)
+		e.waiters = append(e.waiters, w)
+		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeCanceled, "canceled before it was started")))
+	default:
+		e.canceled = true
+		e.waiters = append(e.waiters, w)
+		s.stop(e)
+	}
+}
+
+func (s *Service) stop(e *entry) {
+	c := wire.CancelTask{Task: model.WithRun(e.base, e.run), Mode: "kill"}
+	if e.holder == s.env.Owner() {
+		s.ledger.Cancel(c)
+		return
+	}
+	if e.holder.Instance != "" {
+		s.env.Send(e.holder.Instance, c)
+	}
+}
+
+// OnTick ends requests whose callers' time is up and forgets old ones.
+func (s *Service) OnTick() {
+	now := s.env.Now()
+	for _, id := range s.due(now) {
+		s.expire(s.entries[id], now)
+	}
+	s.retryLocates(now)
+	s.moved = true
+}
+
+// due returns the entries that have something to do at now, sorted.
+func (s *Service) due(now time.Duration) []model.TaskID {
+	var ids []model.TaskID
+	for id, e := range s.entries {
+		old := e.phase == phaseFinished && now-e.finishedAt > s.env.Timing.Retention
+		if old || e.phase != phaseFinished && len(e.waiters) > 0 && now >= e.deadline {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *Service) expire(e *entry, now time.Duration) {
+	switch e.phase {
+	case phaseFinished:
+		delete(s.entries, e.base)
+	case phaseWaiting:
+		s.queues.remove(e)
+		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeDeadline, "no worker was free in time").After(retryAfter)))
+	default:
+		// It may run on: callers get the truth of this moment, and the entry goes
+		// on to learn the outcome.
+		a := model.Answer{
+			ID: e.id, Verdict: verdict.MayHaveRun, Code: verdict.CodeDeadline,
+			Message: "still " + e.phase.String() + " at the deadline", RetryAfter: retryAfter,
+		}
+		waiters := e.waiters
+		e.waiters = nil
+		for _, w := range waiters {
+			s.reply(w, a)
+		}
+	}
+}
+
+// Waiting returns how many tasks of a team wait here.
+func (s *Service) Waiting(team model.TeamID) int64 { return int64(s.queues.len(team)) }
+
+// Busy returns how many requests here have no final answer yet.
+func (s *Service) Busy() int {
+	busy := 0
+	for _, e := range s.entries {
+		if e.phase != phaseFinished {
+			busy++
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+type kind uint8
+
+// Kinds are part of the encoding: never renumber them.
+const (
+	kindClaim kind = iota + 1
+	kindHandover
+	kindConfigChange
+	kindJobAccepted
+	kindJobProgress
+	kindJobCanceled
+)
+
+const (
+	kindHeartbeat kind = iota + 64
+	kindCoverage
+	kindGrant
+	kindForward
+	kindReply
+	kindDispatch
+	kindTaskState
+	kindLocate
+	kindLocated
+	kindCancelTask
+	kindFetchLog
+	kindLogEntries
+	kindFetchCoverage
+)
+
+func (Claim) recordKind() kind        { return kindClaim }
+func (Handover) recordKind() kind     { return kindHandover }
+func (ConfigChange) recordKind() kind { return kindConfigChange }
+func (JobAccepted) recordKind() kind  { return kindJobAccepted }
+func (JobProgress) recordKind() kind  { return kindJobProgress }
+func (JobCanceled) recordKind() kind  { return kindJobCanceled }
+
+func (Heartbeat) messageKind() kind     { return kindHeartbeat }
+func (Coverage) messageKind() kind      { return kindCoverage }
+func (Grant) messageKind() kind         { return kindGrant }
+func (Forward) messageKind() kind       { return kindForward }
+func (Reply) messageKind() kind         { return kindReply }
+func (Dispatch) messageKind() kind      { return kindDispatch }
+func (TaskState) messageKind() kind     { return kindTaskState }
+func (Locate) messageKind() kind        { return kindLocate }
+func (Located) messageKind() kind       { return kindLocated }
+func (CancelTask) messageKind() kind    { return kindCancelTask }
+func (FetchLog) messageKind() kind      { return kindFetchLog }
+func (LogEntries) messageKind() kind    { return kindLogEntries }
+func (FetchCoverage) messageKind() kind { return kindFetchCoverage }
+
+var recordTypes = typesByKind([]Record{
+	Claim{}, Handover{}, ConfigChange{}, JobAccepted{}, JobProgress{}, JobCanceled{},
+}, Record.recordKind)
+
+var messageTypes = typesByKind([]Message{
+	Heartbeat{}, Coverage{}, Grant{}, Forward{}, Reply{}, Dispatch{}, TaskState{},
+	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{},
+}, Message.messageKind)
+
+func typesByKind[T any](samples []T, kindOf func(T) kind) map[kind]reflect.Type {
+	types := make(map[kind]reflect.Type, len(samples))
+	for _, s := range samples {
+		types[kindOf(s)] = reflect.TypeOf(s)
+	}
+	return types
+}
+
+// envelope is one encoded record or message.
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Kind kind
+	Body cbor.RawMessage
+}
+
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func seal(k kind, v any) (envelope, error) {
+	body, err := encMode.Marshal(v)
+	return envelope{Kind: k, Body: body}, errors.Wrap(err, "encode body")
+}
+
+func open[T any](e envelope, types map[kind]reflect.Type) (T, error) {
+	var zero T
+	typ, ok := types[e.Kind]
+	if !ok {
+		return zero, errors.Newf("unknown kind %d", e.Kind)
+	}
+	target := reflect.New(typ)
+	if err := cbor.Unmarshal(e.Body, target.Interface()); err != nil {
+		return zero, errors.Wrapf(err, "decode %s", typ.Name())
+	}
+	return target.Elem().Interface().(T), nil
+}
+
+// EncodeEntry encodes a batch of records as one log entry.
+func EncodeEntry(records []Record) ([]byte, error) {
+	list := make([]envelope, 0, len(records))
+	for _, r := range records {
+		e, err := seal(r.recordKind(), r)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, e)
+	}
+	return encMode.Marshal(list)
+}
+
+// DecodeEntry decodes a log entry. Records of an unknown kind, written by a newer
+// version, are left out; it returns an error when the entry itself is malformed.
+func DecodeEntry(data []byte) ([]Record, error) {
+	var list []envelope
+	if err := cbor.Unmarshal(data, &list); err != nil {
+		return nil, errors.Wrap(err, "decode log entry")
+	}
+	records := make([]Record, 0, len(list))
+	for _, e := range list {
+		if _, known := recordTypes[e.Kind]; !known {
+			continue
+		}
+		r, err := open[Record](e, recordTypes)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// EncodeMessage encodes a message.
+func EncodeMessage(m Message) ([]byte, error) {
+	e, err := seal(m.messageKind(), m)
+	if err != nil {
+		return nil, err
+	}
+	return encMode.Marshal(e)
+}
+
+// DecodeMessage decodes a message. It returns an error when data is malformed or
+// of an unknown kind.
+func DecodeMessage(data []byte) (Message, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	return open[Message](e, messageTypes)
+}
--- /dev/null
+++ b/internal/wire/message.go
@@ -0,0 +1,147 @@
+package wire
+
+import (
+	"time"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+)
+
+// Message is sent from one instance to another.
+type Message interface{ messageKind() kind }
+
+// TeamLoad is one team's part of a heartbeat.
+type TeamLoad struct {
+	Team    model.TeamID `cbor:"1,keyasint" json:"team"`
+	Running int64        `cbor:"2,keyasint,omitempty" json:"running,omitempty"` // running or starting on the sender's workers
+	Waiting int64        `cbor:"3,keyasint,omitempty" json:"waiting,omitempty"` // queued at the sender
+	// Ceiling is the most the sender allows itself; GrantTerm and GrantSeq name
+	// the last grant it applied.
+	Ceiling   int64           `cbor:"4,keyasint,omitempty" json:"ceiling,omitempty"`
+	GrantTerm uint64          `cbor:"5,keyasint,omitempty" json:"grant_term,omitempty"`
+	GrantSeq  uint64          `cbor:"6,keyasint,omitempty" json:"grant_seq,omitempty"`
+	Wanted    int64           `cbor:"7,keyasint,omitempty" json:"wanted,omitempty"` // ceiling the sender could use now
+	Usage     model.Resources `cbor:"8,keyasint,omitempty" json:"usage,omitempty"`
+}
+
+// Heartbeat tells that the sender lives, whom it hears and what it holds.
+type Heartbeat struct {
+	Seq      uint64            `cbor:"1,keyasint" json:"seq"`
+	Applied  uint64            `cbor:"2,keyasint" json:"applied"` // log offset applied last
+	Hears    []Owner           `cbor:"3,keyasint,omitempty" json:"hears,omitempty"`
+	Leaving  bool              `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
+	Free     model.Resources   `cbor:"5,keyasint" json:"free"` // on workers the sender leases
+	Teams    []TeamLoad        `cbor:"6,keyasint,omitempty" json:"teams,omitempty"`
+	Coverage uint64            `cbor:"7,keyasint" json:"coverage"` // version of the sender's Coverage
+	LogAge   time.Duration     `cbor:"8,keyasint" json:"log_age"`  // since the sender last reached the log
+	Self     platform.Instance `cbor:"9,keyasint" json:"self"`
+}
+
+// Coverage lists the workers that the sender leases and whose state it knows
+// completely. It replaces the sender's earlier one when Version is higher.
+type Coverage struct {
+	Version uint64           `cbor:"1,keyasint" json:"version"`
+	Workers []model.WorkerID `cbor:"2,keyasint" json:"workers"`
+}
+
+// FetchCoverage asks a peer for its Coverage.
+type FetchCoverage struct{}
+
+// Grant sets the ceiling of the receiver for a team. It applies only when
+// (Term, Seq) is above the last one applied.
+type Grant struct {
+	Team    model.TeamID `cbor:"1,keyasint" json:"team"`
+	Term    uint64       `cbor:"2,keyasint" json:"term"`
+	Seq     uint64       `cbor:"3,keyasint" json:"seq"`
+	Ceiling int64        `cbor:"4,keyasint" json:"ceiling"`
+}
+
+// Forward hands a caller's request to the owner of its shard. The key has been
+// checked: Team and Operator say for whom.
+type Forward struct {
+	Handle  uint64        `cbor:"1,keyasint" json:"handle"`
+	Team    model.TeamID  `cbor:"2,keyasint" json:"team"`
+	KeyName string        `cbor:"3,keyasint,omitempty" json:"key_name,omitempty"`
+	Request model.Request `cbor:"4,keyasint" json:"request"`
+}
+
+// Reply answers a Forward.
+type Reply struct {
+	Handle uint64       `cbor:"1,keyasint" json:"handle"`
+	Answer model.Answer `cbor:"2,keyasint" json:"answer"`
+}
+
+// Dispatch asks a worker holder to run a task. (Term, Attempt) orders the
+// dispatches of one task.
+type Dispatch struct {
+	Task    model.Task `cbor:"1,keyasint" json:"task"`
+	Term    uint64     `cbor:"2,keyasint" json:"term"`
+	Attempt uint32     `cbor:"3,keyasint" json:"attempt"`
+}
+
+// TaskPhase is what a worker holder knows of a task.
+type TaskPhase uint8
+
+// Task phases.
+const (
+	PhaseUnknown  TaskPhase = iota // never seen on the covered workers
+	PhaseRejected                  // not started and never will be by this dispatch
+	PhaseStarting
+	PhaseRunning
+	PhaseFinished
+)
+
+// TaskState tells a task's coordinator what became of it.
+type TaskState struct {
+	Task    model.TaskID   `cbor:"1,keyasint" json:"task"`
+	Term    uint64         `cbor:"2,keyasint,omitempty" json:"term,omitempty"`
+	Attempt uint32         `cbor:"3,keyasint,omitempty" json:"attempt,omitempty"`
+	Phase   TaskPhase      `cbor:"4,keyasint" json:"phase"`
+	Worker  model.WorkerID `cbor:"5,keyasint,omitempty" json:"worker,omitempty"`
+	Outcome model.Outcome  `cbor:"6,keyasint,omitempty" json:"outcome,omitempty"`
+	Reason  string         `cbor:"7,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Locate asks every instance what it knows of tasks. From then on the receiver
+// refuses dispatches of them at or below (Term, Attempt). The answer is a
+// Located.
+type Locate struct {
+	ID    uint64       `cbor:"1,keyasint" json:"id"`
+	Shard model.Shard  `cbor:"2,keyasint" json:"shard"`
+	Term  uint64       `cbor:"3,keyasint" json:"term"`
+	Tasks []LocateTask `cbor:"4,keyasint" json:"tasks"`
+}
+
+// LocateTask names a task to locate. Age is how long ago its first start may
+// have been.
+type LocateTask struct {
+	Task    model.TaskID  `cbor:"1,keyasint" json:"task"`
+	Attempt uint32        `cbor:"2,keyasint" json:"attempt"`
+	Age     time.Duration `cbor:"3,keyasint" json:"age"`
+}
+
+// Located answers a Locate: the tasks that were seen, and the workers for which
+// "not seen" is certain. Young are workers among them that restarted within the
+// asked age, so that they may have run a task and forgotten it.
+type Located struct {
+	ID      uint64           `cbor:"1,keyasint" json:"id"`
+	Seen    []TaskState      `cbor:"2,keyasint,omitempty" json:"seen,omitempty"`
+	Covered []model.WorkerID `cbor:"3,keyasint,omitempty" json:"covered,omitempty"`
+	Young   []model.WorkerID `cbor:"4,keyasint,omitempty" json:"young,omitempty"`
+}
+
+// CancelTask asks a worker holder to stop a task.
+type CancelTask struct {
+	Task model.TaskID      `cbor:"1,keyasint" json:"task"`
+	Mode platform.StopMode `cbor:"2,keyasint" json:"mode"`
+}
+
+// FetchLog asks a peer for log entries from an offset on.
+type FetchLog struct {
+	From uint64 `cbor:"1,keyasint" json:"from"`
+}
+
+// LogEntries carries log entries from a peer that has read them.
+type LogEntries struct {
+	Entries []platform.Entry `cbor:"1,keyasint" json:"entries"`
+}
--- /dev/null
+++ b/internal/wire/record.go
@@ -0,0 +1,62 @@
+// Package wire defines what the system's own processes write to the log and send
+// to each other, and its encoding.
+package wire
+
+import (
+	"pollenbend/internal/model"
+)
+
+// Record is one record in the log. A log entry holds a batch of records.
+type Record interface{ recordKind() kind }
+
+// ShardTerm names a shard at a term. In a claim it is the term that the claim
+// replaces.
+type ShardTerm struct {
+	Shard model.Shard `cbor:"1,keyasint" json:"shard"`
+	Term  uint64      `cbor:"2,keyasint" json:"term"`
+}
+
+// Owner is an instance in one of its lives.
+type Owner struct {
+	Instance    model.InstanceID  `cbor:"1,keyasint" json:"instance"`
+	Incarnation model.Incarnation `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// Claim takes every listed shard that is still at its listed term. The new term
+// is the offset of the entry that holds the claim.
+type Claim struct {
+	Owner  Owner       `cbor:"1,keyasint" json:"owner"`
+	Shards []ShardTerm `cbor:"2,keyasint" json:"shards"`
+}
+
+// Handover passes shards from their owner to another instance, which has already
+// received the owner's memory of requests.
+type Handover struct {
+	From   Owner       `cbor:"1,keyasint" json:"from"`
+	To     Owner       `cbor:"2,keyasint" json:"to"`
+	Shards []ShardTerm `cbor:"3,keyasint" json:"shards"`
+}
+
+// ConfigChange changes declarations.
+type ConfigChange struct {
+	Change model.Change `cbor:"1,keyasint" json:"change"`
+}
+
+// JobAccepted accepts a job for later.
+type JobAccepted struct {
+	Job model.Job `cbor:"1,keyasint" json:"job"`
+}
+
+// JobProgress lists tasks of a job that ended since the last such record.
+type JobProgress struct {
+	Team   model.TeamID `cbor:"1,keyasint" json:"team"`
+	Job    model.JobID  `cbor:"2,keyasint" json:"job"`
+	Done   []int        `cbor:"3,keyasint,omitempty" json:"done,omitempty"`
+	Failed []int        `cbor:"4,keyasint,omitempty" json:"failed,omitempty"`
+}
+
+// JobCanceled cancels a job.
+type JobCanceled struct {
+	Team model.TeamID `cbor:"1,keyasint" json:"team"`
+	Job  model.JobID  `cbor:"2,keyasint" json:"job"`
+}
