--- /dev/null
+++ b/internal/platform/httpclient/body.go
@@ -0,0 +1,68 @@
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+var errSealed = errors.New("request abandoned before it was sent")
+
+// States of a body.
+const (
+	bodyUnread int32 = iota
+	bodyRead         // some of it may have been sent
+	bodySealed       // nothing of it was sent or ever will be
+)
+
+// body is the body of a command. It decides, without a race against the
+// transport's writer, whether any of it may have been sent: the first read and
+// seal exclude each other. Without its body, a command has no effect.
+type body struct {
+	data  []byte
+	state atomic.Int32
+}
+
+func newBody(data []byte) *body { return &body{data: data} }
+
+// seal reports whether nothing was sent, and makes sure that nothing will be.
+func (b *body) seal() bool {
+	return b.state.CompareAndSwap(bodyUnread, bodySealed) || b.state.Load() == bodySealed
+}
+
+func (b *body) request(ctx context.Context, url string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, b.reader())
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(b.data))
+	// The transport asks for another reader only when nothing was written.
+	req.GetBody = func() (io.ReadCloser, error) { return b.reader(), nil }
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func (b *body) reader() io.ReadCloser {
+	return &bodyReader{body: b, rest: bytes.NewReader(b.data)}
+}
+
+type bodyReader struct {
+	body *body
+	rest *bytes.Reader
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	r.body.state.CompareAndSwap(bodyUnread, bodyRead)
+	if r.body.state.Load() == bodySealed {
+		return 0, errSealed
+	}
+	return r.rest.Read(p)
+}
+
+// Close implements io.Closer.
+func (r *bodyReader) Close() error { return nil }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -101,6 +101,9 @@
 	Lease LeaseRef   `json:"lease"`
 	Seq   uint64     `json:"seq"`
 	Task  model.Task `json:"task"`
+	// WorkerIncarnation, when set, is the only incarnation of the worker that
+	// may start the task.
+	WorkerIncarnation model.Incarnation `json:"worker_incarnation,omitempty"`
 }
 
 // StopMode says how a task is stopped.
