Refuse a renewal without duration in the worker's stand-in

Cause: the random test with 20,000 checks found that a holder that raised its term for no time lost its lease though the answer said it was not granted.

Change: such a renewal changes nothing; the random test also wants a reason for every refused start.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -179,7 +179,7 @@
 	if r.Lease.Term >= c.highest.Term {
 		c.highest = r.Lease
 	}
-	if !c.mayHold(now, r.Lease) {
+	if r.Duration <= 0 || !c.mayHold(now, r.Lease) {
 		return false
 	}
 	if c.lease.ref != r.Lease {
--- a/internal/standin/worker_property_test.go
+++ b/internal/standin/worker_property_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
+	"pollenbend/internal/verdict"
 )
 
 // propertySeed makes the random tests repeat; -rapid.seed overrides it.
@@ -123,9 +125,7 @@
 	before := starts(s.core.history)
 	err := s.core.Start(s.now, r)
 	if starts(s.core.history) == before {
-		if err == nil && !s.started[r.Task.ID] {
-			t.Fatalf("task %s was acknowledged and not started", r.Task.ID)
-		}
+		s.checkRefusal(t, r, err)
 		return
 	}
 	switch {
@@ -141,6 +141,23 @@
 	s.started[r.Task.ID] = true
 }
 
+// checkRefusal wants a reason for a task that did not start.
+func (s *shadow) checkRefusal(t *rapid.T, r platform.StartRequest, err error) {
+	var e *verdict.Error
+	switch {
+	case err == nil && !s.started[r.Task.ID]:
+		t.Fatalf("task %s was acknowledged and not started", r.Task.ID)
+	case err == nil:
+		return
+	case !errors.As(err, &e) || e.Verdict != verdict.NotRun:
+		t.Fatalf("refused without a verdict: %v", err)
+	case s.started[r.Task.ID]:
+		t.Fatalf("task %s was started and then said not to have run", r.Task.ID)
+	case e.Code == verdict.CodeStaleAuthority && r.Lease == s.holder && s.now.Before(s.until) && r.Seq > s.fence:
+		t.Fatalf("refused under the lease in force: %v", err)
+	}
+}
+
 func (s *shadow) stop(t *rapid.T) {
 	modes := []platform.StopMode{platform.StopKill, platform.StopCheckpoint, platform.StopThrottle}
 	_ = s.core.Stop(s.now, platform.StopRequest{
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -110,6 +110,15 @@
 	require.Equal(t, platform.RenewReply{Current: refA}, c.Renew(epoch, renewal(refB)))
 }
 
+// TestNoDurationChangesNothing has a holder raise its term for no time.
+func TestNoDurationChangesNothing(t *testing.T) {
+	c := newWorker(t)
+	mustRenew(t, c, 0, renewal(refA))
+	raised := platform.RenewRequest{Lease: platform.LeaseRef{Holder: "a", Incarnation: 1, Term: 2}}
+	require.Equal(t, refA, c.Renew(epoch, raised).Current)
+	require.NoError(t, c.Start(epoch, startOf(refA, 1, "t", 0)))
+}
+
 func TestStartRefusals(t *testing.T) {
 	cases := []struct {
 		name string
