Add the traffic edges: peer transport, HTTP API and metrics text

Cause: instances need a way to reach each other and callers a way in. Change: internal/transport carries payloads over QUIC with mutual TLS and replaces silent connections; internal/httpapi turns HTTP into requests to the core and answers back, with typed routes; internal/metrics renders a registry as text.

--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,73 @@
+// Package httpapi is the HTTP side of an instance. It turns HTTP requests into
+// model.Request values, hands them to the core, and writes the answers.
+// docs/API.md describes every route.
+package httpapi
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/model"
+)
+
+// Gateway carries requests to the core.
+type Gateway interface {
+	// Do returns the whole answer. It returns soon after ctx ends, with the
+	// verdict as far as it is known then.
+	Do(ctx context.Context, r model.Request) model.Answer
+}
+
+// Status tells how the instance is.
+type Status interface {
+	// Ready reports whether the instance takes work, and if not, why.
+	Ready() (ok bool, reason string)
+	// Draining reports whether a planned stop has begun.
+	Draining() bool
+}
+
+// Defaults for the zero values of Config.
+const (
+	DefaultMaxBody        = 1 << 20 // bytes
+	DefaultRequestTimeout = 60 * time.Second
+)
+
+// Config configures the API.
+type Config struct {
+	Gateway        Gateway
+	Status         Status
+	MaxBody        int64         // bytes of a request's body
+	RequestTimeout time.Duration // upper bound of what a caller may ask to wait
+	Metrics        gometrics.Registry
+	Logger         *slog.Logger
+	InstanceID     model.InstanceID
+}
+
+type api struct {
+	cfg Config
+	mux *http.ServeMux
+}
+
+// New returns the handler of all routes.
+func New(cfg Config) http.Handler {
+	if cfg.MaxBody <= 0 {
+		cfg.MaxBody = DefaultMaxBody
+	}
+	if cfg.RequestTimeout <= 0 {
+		cfg.RequestTimeout = DefaultRequestTimeout
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = gometrics.NewRegistry()
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
+	a := &api{cfg: cfg, mux: http.NewServeMux()}
+	for _, r := range Routes() {
+		a.mux.HandleFunc(r.Pattern(), r.handle(a))
+	}
+	return a
+}
--- /dev/null
+++ b/internal/httpapi/routes.go
@@ -0,0 +1,97 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+
+	"pollenbend/internal/metrics"
+	"pollenbend/internal/model"
+)
+
+// Route is one method and path of the API.
+type Route struct {
+	Method string
+	Path   string
+	// parse makes the core's request; nil for routes that the HTTP side answers.
+	parse func(*api, *http.Request) (model.Request, error)
+	serve func(*api, http.ResponseWriter, *http.Request)
+}
+
+// Pattern returns the route in the syntax of http.ServeMux.
+func (r Route) Pattern() string { return r.Method + " " + r.Path }
+
+// Routes returns every route of the API.
+func Routes() []Route {
+	return []Route{
+		{Method: http.MethodPost, Path: "/v1/requests", parse: (*api).parseCall},
+		{Method: http.MethodGet, Path: "/v1/requests/{id}", parse: (*api).parseStatus},
+		{Method: http.MethodDelete, Path: "/v1/requests/{id}", parse: (*api).parseCancel},
+		{Method: http.MethodPost, Path: "/v1/jobs", parse: (*api).parseSubmit},
+		{Method: http.MethodGet, Path: "/v1/jobs/{id}", parse: (*api).parseStatus},
+		{Method: http.MethodDelete, Path: "/v1/jobs/{id}", parse: (*api).parseCancel},
+		{Method: http.MethodPost, Path: "/v1/tickets", parse: (*api).parseTickets},
+		{Method: http.MethodGet, Path: "/v1/config", parse: only(model.OpConfig)},
+		{Method: http.MethodPost, Path: "/v1/config", parse: (*api).parseApply},
+		{Method: http.MethodGet, Path: "/v1/cell", parse: only(model.OpCell)},
+		{Method: http.MethodGet, Path: "/v1/timeline", parse: (*api).parseTimeline},
+		{Method: http.MethodPost, Path: "/v1/drain", parse: only(model.OpDrainSelf)},
+		{Method: http.MethodGet, Path: "/healthz", serve: (*api).serveHealth},
+		{Method: http.MethodGet, Path: "/readyz", serve: (*api).serveReady},
+		{Method: http.MethodGet, Path: "/metrics", serve: (*api).serveMetrics},
+	}
+}
+
+func (r Route) handle(a *api) http.HandlerFunc {
+	if r.serve != nil {
+		return func(w http.ResponseWriter, req *http.Request) { r.serve(a, w, req) }
+	}
+	return func(w http.ResponseWriter, req *http.Request) { a.forward(w, req, r.parse) }
+}
+
+// only returns a parser for an operation without parameters.
+func only(op model.Op) func(*api, *http.Request) (model.Request, error) {
+	return func(*api, *http.Request) (model.Request, error) {
+		return model.Request{Op: op}, nil
+	}
+}
+
+// forward parses the request, asks the core and writes its answer.
+func (a *api) forward(w http.ResponseWriter, r *http.Request, parse func(*api, *http.Request) (model.Request, error)) {
+	key, err := bearer(r)
+	if err != nil {
+		a.refuse(w, r, err)
+		return
+	}
+	req, err := parse(a, r)
+	if err != nil {
+		a.refuse(w, r, err)
+		return
+	}
+	req.Key = key
+	ctx, cancel := context.WithTimeout(r.Context(), a.patience(req)+answerGrace)
+	defer cancel()
+	a.answer(w, r, req, a.cfg.Gateway.Do(ctx, req))
+}
+
+func (a *api) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	writeText(w, http.StatusOK, "ok\n")
+}
+
+func (a *api) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if a.cfg.Status.Draining() {
+		writeText(w, http.StatusServiceUnavailable, "draining\n")
+		return
+	}
+	if ok, reason := a.cfg.Status.Ready(); !ok {
+		writeText(w, http.StatusServiceUnavailable, reason+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+func (a *api) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", metrics.ContentType)
+	if err := metrics.Render(w, a.cfg.Metrics); err != nil {
+		a.cfg.Logger.Debug("metrics not written", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/metrics/render.go
@@ -0,0 +1,127 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the media type of what Render writes.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+type sample struct {
+	family string // name without labels
+	labels string // labels without braces
+	kind   string // counter, gauge or summary
+	metric any
+}
+
+// Render writes every metric of r, ordered by name. Timers are written in
+// seconds. Summaries have no _sum, as the registry keeps sums of samples only.
+func Render(w io.Writer, r gometrics.Registry) error {
+	var b strings.Builder
+	family := ""
+	for _, s := range collect(r) {
+		if s.family != family {
+			family = s.family
+			fmt.Fprintf(&b, "# TYPE %s %s\n", family, s.kind)
+		}
+		s.write(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func collect(r gometrics.Registry) []sample {
+	var samples []sample
+	r.Each(func(name string, metric any) {
+		kind := kindOf(metric)
+		if kind == "" {
+			return
+		}
+		family, labels := split(name)
+		samples = append(samples, sample{family, labels, kind, metric})
+	})
+	sort.Slice(samples, func(i, j int) bool {
+		a, b := samples[i], samples[j]
+		if a.family != b.family {
+			return a.family < b.family
+		}
+		return a.labels < b.labels
+	})
+	return samples
+}
+
+func kindOf(metric any) string {
+	switch metric.(type) {
+	case gometrics.Counter, gometrics.Meter:
+		return "counter"
+	case gometrics.Gauge, gometrics.GaugeFloat64:
+		return "gauge"
+	case gometrics.Timer, gometrics.Histogram:
+		return "summary"
+	}
+	return ""
+}
+
+// split cuts a registry name into the family, with characters that the format
+// forbids replaced, and the labels.
+func split(name string) (family, labels string) {
+	family, labels, _ = strings.Cut(name, "{")
+	return strings.Map(legal, family), strings.TrimSuffix(labels, "}")
+}
+
+func legal(r rune) rune {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '_', r == ':':
+		return r
+	}
+	return '_'
+}
+
+func (s sample) write(b *strings.Builder) {
+	switch m := s.metric.(type) {
+	case gometrics.Counter:
+		s.line(b, "", "", float64(m.Count()))
+	case gometrics.Gauge:
+		s.line(b, "", "", float64(m.Value()))
+	case gometrics.GaugeFloat64:
+		s.line(b, "", "", m.Value())
+	case gometrics.Timer:
+		t := m.Snapshot()
+		s.summary(b, t.Percentiles(quantiles), t.Count(), float64(time.Second))
+	case gometrics.Histogram:
+		h := m.Snapshot()
+		s.summary(b, h.Percentiles(quantiles), h.Count(), 1)
+	case gometrics.Meter:
+		s.line(b, "", "", float64(m.Count()))
+	}
+}
+
+func (s sample) summary(b *strings.Builder, values []float64, count int64, unit float64) {
+	for i, q := range quantiles {
+		label := `quantile="` + strconv.FormatFloat(q, 'g', -1, 64) + `"`
+		s.line(b, "", label, values[i]/unit)
+	}
+	s.line(b, "_count", "", float64(count))
+}
+
+func (s sample) line(b *strings.Builder, suffix, extra string, value float64) {
+	labels := s.labels
+	if labels != "" && extra != "" {
+		labels += ","
+	}
+	labels += extra
+	b.WriteString(s.family + suffix)
+	if labels != "" {
+		b.WriteString("{" + labels + "}")
+	}
+	b.WriteString(" " + strconv.FormatFloat(value, 'g', -1, 64) + "\n")
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,255 @@
+// Package transport carries messages between the system's own instances over
+// QUIC with mutual TLS. Every instance dials every other one and sends on the
+// connection that it dialled; it receives on the connections that it accepted.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+)
+
+// Handler receives what arrives. Its methods are called from several goroutines
+// and must not block. Calls about one peer's outgoing connection alternate
+// between PeerUp and PeerDown.
+type Handler interface {
+	// PeerMessage delivers one payload, which the handler then owns.
+	PeerMessage(from model.InstanceID, inc model.Incarnation, payload []byte)
+	// PeerUp says that Send to id now has a connection to incarnation inc.
+	PeerUp(id model.InstanceID, inc model.Incarnation)
+	// PeerDown says that the connection is lost and with it every payload that
+	// was queued or under way; whether those arrived is unknown.
+	PeerDown(id model.InstanceID, inc model.Incarnation)
+}
+
+// Defaults for the zero values of Config.
+const (
+	DefaultHeartbeat = 500 * time.Millisecond
+	DefaultDeadAfter = 2 * time.Second
+)
+
+// Config configures a Transport.
+type Config struct {
+	Self        model.InstanceID
+	Incarnation model.Incarnation
+	Listen      string // UDP address, host:port
+	TLS         Identity
+	Handler     Handler
+	Heartbeat   time.Duration // between pings
+	DeadAfter   time.Duration // without a pong, after which a connection is replaced
+	Logger      *slog.Logger
+	Metrics     gometrics.Registry
+}
+
+func (c *Config) setDefaults() {
+	if c.Heartbeat <= 0 {
+		c.Heartbeat = DefaultHeartbeat
+	}
+	if c.DeadAfter <= 0 {
+		c.DeadAfter = DefaultDeadAfter
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.Metrics == nil {
+		c.Metrics = gometrics.NewRegistry()
+	}
+}
+
+// Transport is one instance's end of the connections to all its peers.
+type Transport struct {
+	cfg       Config
+	stats     stats
+	serverTLS *tls.Config
+	clientTLS *tls.Config
+	localIP   net.IP // of dialled connections
+	socket    *net.UDPConn
+	quic      *quic.Transport
+	listener  *quic.Listener
+	ctx       context.Context // ends when the transport is closed
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	serial    atomic.Uint64 // of the last dialled connection
+
+	mu      sync.Mutex
+	closed  bool
+	peers   map[model.InstanceID]*peer
+	ending  map[model.InstanceID]<-chan struct{} // ends with the peer's last goroutine
+	inbound map[model.InstanceID]*inbound
+}
+
+// Listen opens the UDP socket and starts accepting peers.
+func Listen(cfg Config) (*Transport, error) {
+	cfg.setDefaults()
+	server, client, err := cfg.TLS.configs()
+	if err != nil {
+		return nil, err
+	}
+	addr, err := net.ResolveUDPAddr("udp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "resolve %q", cfg.Listen)
+	}
+	socket, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %q", cfg.Listen)
+	}
+	t := &Transport{
+		cfg:       cfg,
+		stats:     newStats(cfg.Metrics),
+		serverTLS: server,
+		clientTLS: client,
+		localIP:   addr.IP,
+		socket:    socket,
+		quic:      &quic.Transport{Conn: socket},
+		peers:     make(map[model.InstanceID]*peer),
+		ending:    make(map[model.InstanceID]<-chan struct{}),
+		inbound:   make(map[model.InstanceID]*inbound),
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.listener, err = t.quic.Listen(server, t.quicConfig())
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Wrap(err, "listen for QUIC")
+	}
+	t.wg.Add(1)
+	go t.accept()
+	return t, nil
+}
+
+// idleFactor sets the idle timeout of QUIC in multiples of DeadAfter. The
+// heartbeat notices a silent connection first.
+const idleFactor = 2
+
+func (t *Transport) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  t.cfg.DeadAfter,
+		MaxIdleTimeout:        idleFactor * t.cfg.DeadAfter,
+		MaxIncomingStreams:    1 + bulkStreams,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+// Addr returns the UDP address that the transport listens on.
+func (t *Transport) Addr() string { return t.socket.LocalAddr().String() }
+
+// SetPeers dials the instances that are not yet connected and drops the
+// connections to those that are gone. The transport's own entry is ignored.
+func (t *Transport) SetPeers(list []platform.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	wanted := make(map[model.InstanceID]string, len(list))
+	for _, in := range list {
+		if in.ID != t.cfg.Self && in.PeerAddr != "" {
+			wanted[in.ID] = in.PeerAddr
+		}
+	}
+	for id, p := range t.peers {
+		if wanted[id] != p.addr {
+			p.cancel()
+			delete(t.peers, id)
+		}
+	}
+	for id, addr := range wanted {
+		if t.peers[id] == nil {
+			t.startPeer(id, addr)
+		}
+	}
+}
+
+// startPeer is called with t.mu held.
+func (t *Transport) startPeer(id model.InstanceID, addr string) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	p := &peer{t: t, id: id, addr: addr, cancel: cancel}
+	previous := t.ending[id]
+	done := make(chan struct{})
+	t.peers[id] = p
+	t.ending[id] = done
+	t.wg.Add(1)
+	go func() {
+		defer t.wg.Done()
+		defer close(done)
+		defer cancel()
+		if previous != nil {
+			<-previous
+		}
+		p.run(ctx)
+	}()
+}
+
+// Send queues a payload for a peer, and the transport then owns it. It reports
+// false when there is no connection, when the connection's queue is full, or
+// when the payload is longer than MaxPayload. It never blocks. Payloads of up to
+// MaxOrdered bytes arrive in the order in which they were sent.
+func (t *Transport) Send(to model.InstanceID, payload []byte) bool {
+	t.mu.Lock()
+	p, closed := t.peers[to], t.closed
+	t.mu.Unlock()
+	if p == nil || closed {
+		t.stats.refused.Inc(1)
+		return false
+	}
+	l := p.link.Load()
+	if l == nil || !l.enqueue(payload) {
+		t.stats.refused.Inc(1)
+		return false
+	}
+	t.stats.sent.Inc(1)
+	t.stats.sentBytes.Inc(int64(len(payload)))
+	return true
+}
+
+// Close refuses further sends, waits until every peer has read what is queued or
+// ctx ends, and closes all connections. It returns ctx's error when queues were
+// cut off.
+func (t *Transport) Close(ctx context.Context) error {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil
+	}
+	t.closed = true
+	links := t.links()
+	t.mu.Unlock()
+
+	var result error
+	for _, l := range links {
+		l.stopSends()
+	}
+	for _, l := range links {
+		if err := l.waitDrained(ctx); err != nil {
+			result = err
+		}
+	}
+	t.cancel()
+	_ = t.listener.Close()
+	t.closeInbound()
+	t.wg.Wait()
+	_ = t.quic.Close()
+	_ = t.socket.Close()
+	return result
+}
+
+// links is called with t.mu held.
+func (t *Transport) links() []*link {
+	var links []*link
+	for _, p := range t.peers {
+		if l := p.link.Load(); l != nil {
+			links = append(links, l)
+		}
+	}
+	return links
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,282 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+)
+
+type message struct {
+	from    model.InstanceID
+	inc     model.Incarnation
+	payload []byte
+}
+
+// recorder is a Handler that passes everything on by channels.
+type recorder struct {
+	messages chan message
+	up       chan model.Incarnation
+	down     chan model.Incarnation
+}
+
+func newRecorder() *recorder {
+	const room = 1 << 16
+	return &recorder{make(chan message, room), make(chan model.Incarnation, room), make(chan model.Incarnation, room)}
+}
+
+func (r *recorder) PeerMessage(from model.InstanceID, inc model.Incarnation, payload []byte) {
+	r.messages <- message{from, inc, payload}
+}
+func (r *recorder) PeerUp(_ model.InstanceID, inc model.Incarnation)   { r.up <- inc }
+func (r *recorder) PeerDown(_ model.InstanceID, inc model.Incarnation) { r.down <- inc }
+
+func devCA(t *testing.T, seed string) *DevCA {
+	t.Helper()
+	ca, err := NewDevCA(bytes.NewReader(bytes.Repeat([]byte(seed), 32)))
+	require.NoError(t, err)
+	return ca
+}
+
+func listen(t *testing.T, ca *DevCA, id model.InstanceID, change func(*Config)) (*Transport, *recorder) {
+	t.Helper()
+	identity, err := ca.Issue(id)
+	require.NoError(t, err)
+	r := newRecorder()
+	cfg := Config{Self: id, Incarnation: 7, Listen: "127.0.0.1:0", TLS: identity, Handler: r}
+	if change != nil {
+		change(&cfg)
+	}
+	tr, err := Listen(cfg)
+	require.NoError(t, err)
+	t.Cleanup(func() { closeNow(tr) })
+	return tr, r
+}
+
+// closeNow closes without waiting for queues.
+func closeNow(tr *Transport) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = tr.Close(ctx)
+}
+
+func at(id model.InstanceID, addr string) []platform.Instance {
+	return []platform.Instance{{ID: id, PeerAddr: addr}}
+}
+
+func TestOrderedAndBulk(t *testing.T) {
+	ca := devCA(t, "a")
+	a, ra := listen(t, ca, "entry-1", nil)
+	b, rb := listen(t, ca, "entry-2", func(c *Config) { c.Incarnation = 9 })
+	require.False(t, a.Send("entry-2", []byte("early")))
+	a.SetPeers(at("entry-2", b.Addr()))
+	require.Equal(t, model.Incarnation(9), <-ra.up)
+
+	const count = 2000
+	for i := range count {
+		require.True(t, a.Send("entry-2", fmt.Appendf(nil, "%d", i)))
+	}
+	for i := range count {
+		require.Equal(t, message{"entry-1", 7, fmt.Appendf(nil, "%d", i)}, <-rb.messages)
+	}
+
+	large := bytes.Repeat([]byte("x"), MaxPayload)
+	require.True(t, a.Send("entry-2", large))
+	require.Equal(t, large, (<-rb.messages).payload)
+	require.False(t, a.Send("entry-2", append(large, 'x')))
+}
+
+func TestCloseDrains(t *testing.T) {
+	ca := devCA(t, "a")
+	a, ra := listen(t, ca, "entry-1", nil)
+	b, rb := listen(t, ca, "entry-2", nil)
+	a.SetPeers(at("entry-2", b.Addr()))
+	<-ra.up
+
+	const count = 500
+	for range count {
+		require.True(t, a.Send("entry-2", bytes.Repeat([]byte("y"), MaxOrdered)))
+	}
+	require.True(t, a.Send("entry-2", bytes.Repeat([]byte("z"), 1<<20)))
+	require.NoError(t, a.Close(context.Background()))
+	require.False(t, a.Send("entry-2", nil))
+	require.Len(t, rb.messages, count+1)
+	<-ra.down
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	l := newLink(&Transport{}, nil, nil)
+	for range queueBytes / MaxOrdered {
+		require.True(t, l.enqueue(make([]byte, MaxOrdered)))
+	}
+	require.False(t, l.enqueue([]byte("x")))
+	l.stopSends()
+	require.False(t, l.enqueue(nil))
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	ca := devCA(t, "a")
+	counted := func(name string, tr *Transport) int64 { return map[string]int64{"dial": tr.stats.dialFailures.Count()}[name] }
+	tests := []struct {
+		name string
+		ca   *DevCA
+		cert model.InstanceID // of the dialling side
+		self model.InstanceID // in its hello
+		peer model.InstanceID // that it means to reach
+	}{
+		{"wrong authority", devCA(t, "b"), "entry-1", "entry-1", "entry-2"},
+		{"wrong name in hello", ca, "entry-3", "entry-1", "entry-2"},
+		{"wrong name of the accepting side", ca, "entry-1", "entry-1", "entry-4"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, rb := listen(t, ca, "entry-2", nil)
+			a, ra := listen(t, tt.ca, tt.cert, func(c *Config) { c.Self = tt.self })
+			a.SetPeers(at(tt.peer, b.Addr()))
+			for counted("dial", a) < 2 {
+				select {
+				case <-ra.up:
+					t.Fatal("connected")
+				case <-rb.messages:
+					t.Fatal("message taken")
+				default:
+				}
+			}
+		})
+	}
+}
+
+func TestRestartedPeer(t *testing.T) {
+	ca := devCA(t, "a")
+	a, ra := listen(t, ca, "entry-1", nil)
+	b, _ := listen(t, ca, "entry-2", nil)
+	addr := b.Addr()
+	a.SetPeers(at("entry-2", addr))
+	require.Equal(t, model.Incarnation(7), <-ra.up)
+	closeNow(b)
+	require.Equal(t, model.Incarnation(7), <-ra.down)
+	_, rb := listen(t, ca, "entry-2", func(c *Config) { c.Incarnation, c.Listen = 8, addr })
+	require.Equal(t, model.Incarnation(8), <-ra.up)
+	require.True(t, a.Send("entry-2", []byte("again")))
+	require.Equal(t, "again", string((<-rb.messages).payload))
+	a.SetPeers(nil)
+	require.Equal(t, model.Incarnation(8), <-ra.down)
+}
+
+// relay forwards datagrams between callers and one target. It can stop
+// forwarding the flows that it knows while it lets new ones pass.
+type relay struct {
+	front  *net.UDPConn
+	target *net.UDPAddr
+	mu     sync.Mutex
+	flows  map[string]*net.UDPConn
+	silent map[string]bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	addr, err := net.ResolveUDPAddr("udp", target)
+	require.NoError(t, err)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	r := &relay{front: front, target: addr, flows: make(map[string]*net.UDPConn), silent: make(map[string]bool)}
+	go r.run()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) close() {
+	_ = r.front.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, back := range r.flows {
+		_ = back.Close()
+	}
+}
+
+func (r *relay) run() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := r.front.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if back := r.flow(from); back != nil {
+			_, _ = back.Write(buf[:n])
+		}
+	}
+}
+
+// flow returns the socket towards the target, nil for a silent flow.
+func (r *relay) flow(from *net.UDPAddr) *net.UDPConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := from.String()
+	if r.silent[key] {
+		return nil
+	}
+	if r.flows[key] == nil {
+		back, err := net.DialUDP("udp", nil, r.target)
+		if err != nil {
+			return nil
+		}
+		r.flows[key] = back
+		go r.backwards(back, from)
+	}
+	return r.flows[key]
+}
+
+func (r *relay) backwards(back *net.UDPConn, to *net.UDPAddr) {
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := back.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		drop := r.silent[to.String()]
+		r.mu.Unlock()
+		if !drop {
+			_, _ = r.front.WriteToUDP(buf[:n], to)
+		}
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key := range r.flows {
+		r.silent[key] = true
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	ca := devCA(t, "a")
+	b, rb := listen(t, ca, "entry-2", nil)
+	between := newRelay(t, b.Addr())
+	a, ra := listen(t, ca, "entry-1", func(c *Config) {
+		c.Heartbeat, c.DeadAfter = 50*time.Millisecond, 500*time.Millisecond
+	})
+	a.SetPeers(at("entry-2", between.front.LocalAddr().String()))
+	<-ra.up
+	require.True(t, a.Send("entry-2", []byte("before")))
+	require.Equal(t, "before", string((<-rb.messages).payload))
+
+	between.silence()
+	require.True(t, a.Send("entry-2", []byte("lost")))
+	<-ra.down
+	<-ra.up
+	for !a.Send("entry-2", []byte("after")) {
+		<-ra.up
+	}
+	require.Equal(t, "after", string((<-rb.messages).payload))
+	require.Positive(t, a.stats.silent.Count())
+}
