--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -124,7 +124,9 @@
 
 func TestStrangersAreRefused(t *testing.T) {
 	ca := devCA(t, "a")
-	counted := func(name string, tr *Transport) int64 { return map[string]int64{"dial": tr.stats.dialFailures.Count()}[name] }
+	counted := func(name string, tr *Transport) int64 {
+		return map[string]int64{"dial": tr.stats.dialFailures.Count()}[name]
+	}
 	tests := []struct {
 		name string
 		ca   *DevCA
