Record in the stand-ins' history when a worker is leaving

Cause: a checker that wants no new work at a leaving worker needs the time of the mark.

Change: Platform.MarkWorkerLeaving records it; the HTTP interface uses it.

--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -109,7 +109,7 @@
 
 func (p *Platform) handleWorkerLeaving(w http.ResponseWriter, r *http.Request) {
 	id := model.WorkerID(r.PathValue("id"))
-	p.List.Do(func(now time.Time, c *ListCore) { c.MarkWorkerLeaving(now, id) })
+	p.MarkWorkerLeaving(id)
 	respond(w, wire.Ack{OK: true}, nil)
 }
 
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -18,6 +18,7 @@
 	EventStale      EventKind = "stale"      // a start was refused because its lease was not in force
 	EventGrant      EventKind = "grant"      // a lease went to another holder or term
 	EventRestart    EventKind = "restart"    // a worker began a new incarnation
+	EventLeaving    EventKind = "leaving"    // a worker was marked as leaving
 )
 
 // Event is one entry of the history: what a worker really did.
--- a/internal/standin/services_test.go
+++ b/internal/standin/services_test.go
@@ -190,6 +190,8 @@
 		require.Zero(t, starts(p.History))
 		fault(WorkerFaults{})
 		require.Equal(t, 1, starts(p.History))
+		p.MarkWorkerLeaving("w")
+		require.Equal(t, 1, count(p.History, EventLeaving))
 		require.False(t, p.Inject(Fault{Worker: &WorkerFault{ID: "none"}}))
 	})
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -62,6 +62,15 @@
 	p.List.Do(func(now time.Time, c *ListCore) { c.PutWorker(now, w) })
 }
 
+// MarkWorkerLeaving marks a worker as leaving in the list. The worker itself
+// goes on taking starts, so that the history shows those that came too late.
+func (p *Platform) MarkWorkerLeaving(id model.WorkerID) {
+	p.List.Do(func(now time.Time, c *ListCore) { c.MarkWorkerLeaving(now, id) })
+	p.Workers.Do(id, func(now time.Time, c *WorkerCore) {
+		c.record(now, EventLeaving, model.Task{}, platform.LeaseRef{})
+	})
+}
+
 // Fault scripts faults. Nil and zero fields change nothing.
 type Fault struct {
 	Worker *WorkerFault `json:"worker,omitempty"`
