Serve a request end to end by separate processes

Cause: the core had no command line and no proof that a request goes the whole way: HTTP, key, team queue, lease, worker, whole answer.

--- a/cmd/pollenbend/main.go
+++ b/cmd/pollenbend/main.go
@@ -1,4 +1,18 @@
 // Command pollenbend is a cluster scheduler for unlike workloads.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"pollenbend/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/cli/dev.go
@@ -0,0 +1,194 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/examples"
+	"pollenbend/internal/client"
+	"pollenbend/internal/declare"
+	"pollenbend/internal/example"
+	"pollenbend/internal/instance"
+	"pollenbend/internal/model"
+	"pollenbend/internal/settings"
+	"pollenbend/internal/standin"
+	"pollenbend/internal/transport"
+)
+
+const (
+	devInstances = 3
+	devReadyWait = 30 * time.Second
+	devPoll      = 50 * time.Millisecond
+)
+
+func devCommand() command {
+	var name string
+	var verbose bool
+	sub := subcommand("dev", "Run the stand-ins and three instances in one process on loopback.")
+	sub.String(&name, "e", "example", "apply this example's declarations, send its requests and end: guild or styrkeled")
+	sub.Bool(&verbose, "v", "verbose", "write log lines to standard error")
+	return command{sub: sub, run: func(ctx context.Context, out, errOut io.Writer) int {
+		logger := slog.New(slog.DiscardHandler)
+		if verbose {
+			logger = newLogger(errOut, slog.LevelInfo)
+		}
+		code, err := runDev(ctx, name, out, logger)
+		if err != nil {
+			fmt.Fprintln(errOut, "dev:", err)
+		}
+		return code
+	}}
+}
+
+// devCell is a whole cell in one process.
+type devCell struct {
+	example   example.Example
+	platform  *standin.Platform
+	instances []*instance.Instance
+}
+
+func runDev(ctx context.Context, name string, out io.Writer, logger *slog.Logger) (int, error) {
+	load := name
+	if load == "" {
+		load = examples.Names()[0]
+	}
+	ex, err := examples.Load(load)
+	if err != nil {
+		return ExitUsage, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	cell, err := startCell(ctx, ex, logger)
+	defer cell.shutdown()
+	if err != nil {
+		return ExitNotRun, err
+	}
+	fmt.Fprintf(out, "%d workers, %d instances:\n", len(ex.Platform.Workers()), len(cell.instances))
+	for _, i := range cell.instances {
+		fmt.Fprintf(out, "  %s  http://%s\n", i.Info().ID, i.Info().HTTPAddr)
+	}
+	if err := cell.awaitReady(ctx); err != nil {
+		return ExitNotRun, err
+	}
+	version, err := cell.apply(ctx)
+	if err != nil {
+		return ExitNotRun, err
+	}
+	fmt.Fprintf(out, "declarations of %q applied, version %d\n", ex.Name, version)
+	if name == "" {
+		fmt.Fprintln(out, "running until interrupted")
+		<-ctx.Done()
+		return ExitDone, nil
+	}
+	return cell.runExample(ctx, out)
+}
+
+func startCell(ctx context.Context, ex example.Example, logger *slog.Logger) (*devCell, error) {
+	cell := &devCell{example: ex}
+	p, url, err := standin.Start(ctx, "127.0.0.1:0", standin.Config{Workers: ex.Platform.Workers()})
+	if err != nil {
+		return cell, err
+	}
+	cell.platform = p
+	ca, err := newCA()
+	if err != nil {
+		return cell, err
+	}
+	for i := range devInstances {
+		s, err := instanceSettings(ca, ex.Platform, i, url)
+		if err != nil {
+			return cell, err
+		}
+		s.Timing.DeadAfter.Duration = devDeadAfter
+		s.Timing.Heartbeat.Duration = devHeartbeat
+		s.Listen.HTTP, s.Listen.Peer = "127.0.0.1:0", "127.0.0.1:0"
+		inst, err := instance.Start(s, logger)
+		if err != nil {
+			return cell, err
+		}
+		cell.instances = append(cell.instances, inst)
+		p.List.Do(func(now time.Time, c *standin.ListCore) { c.PutInstance(now, inst.Info()) })
+	}
+	return cell, nil
+}
+
+// Timing of the dev command, shorter than the default so that it starts quickly.
+const (
+	devHeartbeat = 200 * time.Millisecond
+	devDeadAfter = time.Second
+)
+
+func newCA() (*transport.DevCA, error) { return transport.NewDevCA(rand.Reader) }
+
+// instanceSettings returns the settings of instance number i of an example.
+func instanceSettings(ca *transport.DevCA, p example.Platform, i int, url string) (settings.Settings, error) {
+	s := settings.Default()
+	zone := p.Zones[i%len(p.Zones)]
+	s.Instance = settings.Instance{
+		ID: fmt.Sprintf("entry-%d", i+1), Region: p.Region, Zone: zone, Rack: fmt.Sprintf("%s-entry", zone),
+	}
+	s.Platform.LogURL, s.Platform.ListURL = url, url
+	identity, err := ca.Issue(model.InstanceID(s.Instance.ID))
+	if err != nil {
+		return s, err
+	}
+	s.TLS = settings.TLS{
+		CAPEM: string(identity.CAPEM), CertPEM: string(identity.CertPEM), KeyPEM: string(identity.KeyPEM),
+	}
+	return s, nil
+}
+
+func (c *devCell) shutdown() {
+	for _, i := range c.instances {
+		i.Kill()
+	}
+}
+
+func (c *devCell) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devReadyWait)
+	defer cancel()
+	ticker := time.NewTicker(devPoll)
+	defer ticker.Stop()
+	for {
+		waiting := ""
+		for _, i := range c.instances {
+			if ok, reason := i.Ready(); !ok {
+				waiting = fmt.Sprintf("%s: %s", i.Info().ID, reason)
+			}
+		}
+		if waiting == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("not ready in %s: %s", devReadyWait, waiting)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *devCell) client(key string) (*client.Client, error) {
+	var servers []string
+	for _, i := range c.instances {
+		servers = append(servers, i.Info().HTTPAddr)
+	}
+	return client.New(client.Config{Servers: servers, Key: key})
+}
+
+func (c *devCell) apply(ctx context.Context) (uint64, error) {
+	cl, err := c.client(c.example.OperatorSecret())
+	if err != nil {
+		return 0, err
+	}
+	answer, err := cl.Apply(ctx, declare.Diff(model.Declarations{}, c.example.Declarations))
+	if err != nil {
+		return 0, errors.Wrap(err, "apply declarations")
+	}
+	return answer.Version, nil
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,149 @@
+// Package instance runs one instance of the system from its settings: the node,
+// its connections to the platform and its HTTP server.
+package instance
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/httpapi"
+	"pollenbend/internal/model"
+	"pollenbend/internal/node"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/platform/httpclient"
+	"pollenbend/internal/settings"
+	"pollenbend/internal/transport"
+)
+
+// Instance is a running instance.
+type Instance struct {
+	node   *node.Node
+	server *http.Server
+	info   platform.Instance
+	logger *slog.Logger
+	failed chan error
+}
+
+const (
+	// drainTimeout bounds a graceful shutdown.
+	drainTimeout = 30 * time.Second
+	// closeTimeout bounds the wait for open HTTP answers after a drain.
+	closeTimeout = 5 * time.Second
+)
+
+// Start starts an instance. Its addresses may end in port 0; Info tells the ones
+// in use.
+func Start(s settings.Settings, logger *slog.Logger) (*Instance, error) {
+	identity, err := loadIdentity(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.Listen.HTTP)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %q", s.Listen.HTTP)
+	}
+	logger = logger.With("instance", s.Instance.ID)
+	registry := gometrics.NewRegistry()
+	self := selfOf(s)
+	n, err := node.Start(node.Config{
+		Self: self, Timing: timingOf(s), Listen: s.Listen.Peer, Identity: identity,
+		Log: httpclient.NewLog(s.Platform.LogURL), Stream: s.Platform.Stream,
+		List: httpclient.NewInstanceList(s.Platform.ListURL), Workers: httpclient.NewWorkers(),
+		Logger: logger, Metrics: registry,
+	})
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	i := &Instance{node: n, info: self, logger: logger, failed: make(chan error, 1)}
+	i.info.HTTPAddr, i.info.PeerAddr = listener.Addr().String(), n.PeerAddr()
+	i.server = httpapi.NewServer(
+		httpapi.ServerConfig{RequestTimeout: s.Limits.RequestTimeout.Duration, Logger: logger},
+		httpapi.New(httpapi.Config{
+			Gateway: n, Status: n, MaxBody: s.Limits.MaxBody.Bytes,
+			RequestTimeout: s.Limits.RequestTimeout.Duration,
+			Metrics:        registry, Logger: logger, InstanceID: self.ID,
+		}))
+	go i.serve(listener)
+	logger.Info("instance started", "http", i.info.HTTPAddr, "peer", i.info.PeerAddr)
+	return i, nil
+}
+
+func (i *Instance) serve(l net.Listener) {
+	if err := i.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		i.failed <- err
+	}
+}
+
+// Info describes the instance with the addresses in use.
+func (i *Instance) Info() platform.Instance { return i.info }
+
+// Failed delivers the error that ended the HTTP server, if one did.
+func (i *Instance) Failed() <-chan error { return i.failed }
+
+// Ready reports whether the instance takes work, and if not, why.
+func (i *Instance) Ready() (bool, string) { return i.node.Ready() }
+
+// Shutdown drains the instance, closes its HTTP server and stops its node.
+func (i *Instance) Shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	i.node.Drain(ctx)
+	cancel()
+	ctx, cancel = context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := i.server.Shutdown(ctx); err != nil {
+		i.logger.Warn("close HTTP server", "error", err)
+	}
+	i.node.Stop()
+	i.logger.Info("instance stopped")
+}
+
+// Kill stops the instance at once.
+func (i *Instance) Kill() {
+	_ = i.server.Close()
+	i.node.Stop()
+}
+
+func selfOf(s settings.Settings) platform.Instance {
+	return platform.Instance{
+		ID:          model.InstanceID(s.Instance.ID),
+		Incarnation: model.Incarnation(time.Now().UnixNano()),
+		HTTPAddr:    s.Listen.HTTP, PeerAddr: s.Listen.Peer,
+		Location: model.Location{Region: s.Instance.Region, Zone: s.Instance.Zone, Rack: s.Instance.Rack},
+	}
+}
+
+func timingOf(s settings.Settings) event.Timing {
+	return event.Timing{
+		Heartbeat:       s.Timing.Heartbeat.Duration,
+		DeadAfter:       s.Timing.DeadAfter.Duration,
+		WorkerLease:     s.Timing.WorkerLease.Duration,
+		TaskLease:       s.Timing.TaskLease.Duration,
+		ConfigFreshness: s.Timing.ConfigFreshness.Duration,
+		Retention:       s.Limits.Retention.Duration,
+		RequestTimeout:  s.Limits.RequestTimeout.Duration,
+	}
+}
+
+func loadIdentity(t settings.TLS) (transport.Identity, error) {
+	if t.CAPEM != "" {
+		return transport.Identity{CAPEM: []byte(t.CAPEM), CertPEM: []byte(t.CertPEM), KeyPEM: []byte(t.KeyPEM)}, nil
+	}
+	var id transport.Identity
+	for path, target := range map[string]*[]byte{t.CA: &id.CAPEM, t.Cert: &id.CertPEM, t.Key: &id.KeyPEM} {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return id, errors.Wrap(err, "read TLS file")
+		}
+		*target = data
+	}
+	return id, nil
+}
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -175,4 +175,3 @@
 		n.cfg.Logger.Warn("stop task", "worker", a.Worker.ID, "task", a.Request.Task, "error", err)
 	}
 }
-
--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -90,7 +90,7 @@
 	s.tasks[d.Task.ID] = t
 	s.count(w, d.Task, 1)
 	s.env.Emit(event.Start{Worker: w.info, Request: platform.StartRequest{
-		Lease: s.leaseRef(w), Seq: w.seq, Task: d.Task,
+		Lease: s.leaseRef(w), WorkerIncarnation: w.incarnation, Seq: w.seq, Task: d.Task,
 	}})
 	return true
 }
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -64,6 +64,7 @@
 	held     map[model.TeamID]ceiling
 	blocked  map[model.TeamID]int64 // starts refused since the last heartbeat
 	escrows  map[model.TeamID]*escrow
+	readyAt  [model.Shards]time.Duration // when a gained shard's owner may grant
 	nextPlan time.Duration
 }
 
@@ -76,9 +77,8 @@
 
 // escrow is the owner's account of one team's ceilings, for one term of its shard.
 type escrow struct {
-	term    uint64
-	readyAt time.Duration
-	grants  map[wire.Owner]grant
+	term   uint64
+	grants map[wire.Owner]grant
 }
 
 // grant is the last ceiling sent to a holder. Peak is the highest ceiling among
@@ -212,10 +212,10 @@
 }
 
 func (s *Service) plan(team model.TeamID, term uint64) {
-	e := s.escrowOf(team, term)
-	if s.env.Now() < e.readyAt {
+	if s.env.Now() < s.readyAt[model.ShardOfTeam(team)] {
 		return
 	}
+	e := s.escrowOf(team, term)
 	holdings, ok := s.holdings(team, e)
 	if !ok {
 		return
@@ -237,14 +237,20 @@
 	}
 }
 
-// escrowOf returns the account for the term. A new owner waits one worker lease
-// before its first grant, so that every holder that it does not hear has lost the
-// leases under which it could still start tasks.
+// OnShardMoved makes the new owner of a shard wait one worker lease before its
+// first grant, so that every holder that it does not hear has lost the leases
+// under which it could still start tasks.
+func (s *Service) OnShardMoved(m service.ShardMove) {
+	if m.OldTerm != 0 {
+		s.readyAt[m.Shard] = s.env.Now() + s.env.Timing.WorkerLease
+	}
+}
+
+// escrowOf returns the account for the term.
 func (s *Service) escrowOf(team model.TeamID, term uint64) *escrow {
 	e, ok := s.escrows[team]
 	if !ok || e.term != term {
 		e = &escrow{term: term, grants: make(map[wire.Owner]grant)}
-		e.readyAt = s.env.Now() + s.env.Timing.WorkerLease
 		s.escrows[team] = e
 	}
 	return e
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -122,10 +122,7 @@
 
 func (s *Service) sendHeartbeats() {
 	s.beatSeq++
-	beat := wire.Heartbeat{Seq: s.beatSeq, Self: s.env.Self, Leaving: s.leaving}
-	for _, o := range s.heard() {
-		beat.Hears = append(beat.Hears, o)
-	}
+	beat := wire.Heartbeat{Seq: s.beatSeq, Self: s.env.Self, Leaving: s.leaving, Hears: s.heard()}
 	for _, c := range s.contributors {
 		c.FillBeat(&beat)
 	}
