Read settings, declarations and examples strictly

Cause: an instance and its operators need files whose every fault is named at once, with file, line, key and what was expected.

--- /dev/null
+++ b/internal/declare/keys.go
@@ -0,0 +1,152 @@
+package declare
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/model"
+)
+
+const (
+	secretPrefix = "pb_"
+	secretBytes  = 32
+	changeBytes  = 16
+)
+
+// NewSecret draws a secret of 256 bits from random and returns it with its
+// SHA-256 hash in hex. It returns an error if random fails.
+func NewSecret(random io.Reader) (secret, hash string, err error) {
+	raw := make([]byte, secretBytes)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return "", "", errors.Wrap(err, "draw a secret")
+	}
+	secret = secretPrefix + base64.RawURLEncoding.EncodeToString(raw)
+	return secret, HashSecret(secret), nil
+}
+
+// HashSecret returns the SHA-256 hash of a secret in hex, as a key declares it.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// NewChangeID draws a change id from random. It returns an error if random
+// fails.
+func NewChangeID(random io.Reader) (string, error) {
+	raw := make([]byte, changeBytes)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return "", errors.Wrap(err, "draw a change id")
+	}
+	return hex.EncodeToString(raw), nil
+}
+
+// Withdrawal says that the key with a hash stopped working in its old form at
+// an offset of the log.
+type Withdrawal struct {
+	SHA256 string `cbor:"1,keyasint"`
+	Offset uint64 `cbor:"2,keyasint"`
+}
+
+// Authenticate returns the key that belongs to a secret. Hashes are compared in
+// constant time.
+func (s *State) Authenticate(secret string) (model.Key, bool) {
+	hash := HashSecret(secret)
+	name, ok := s.secrets.find(hash)
+	if !ok {
+		return model.Key{}, false
+	}
+	k, ok := s.keys[name]
+	return k, ok
+}
+
+// Withdraw refuses the key with the hash of w until the state has folded the
+// log up to w.Offset. It is for withdrawals heard from a peer.
+func (s *State) Withdraw(w Withdrawal) {
+	if w.Offset > s.applied {
+		s.secrets.withdrawn[w.SHA256] = max(s.secrets.withdrawn[w.SHA256], w.Offset)
+	}
+}
+
+// withdrawnBy lists the keys that a change deletes or alters.
+func (s *State) withdrawnBy(offset uint64, c model.Change) []Withdrawal {
+	var list []Withdrawal
+	for _, ref := range c.Delete {
+		if ref.Kind == model.ObjectKey {
+			list = append(list, Withdrawal{SHA256: s.keys[ref.Name].SHA256, Offset: offset})
+		}
+	}
+	for _, k := range c.Put.Keys {
+		if old, ok := s.keys[k.Name]; ok && old != k {
+			list = append(list, Withdrawal{SHA256: old.SHA256, Offset: offset})
+		}
+	}
+	return list
+}
+
+// prefixHexSize is the length of the part of a hash that the index is by.
+const prefixHexSize = 16
+
+// secretIndex finds keys by the hash of their secret.
+type secretIndex struct {
+	byPrefix  map[string][]hashedKey
+	withdrawn map[string]uint64 // hash to the offset that withdraws it
+}
+
+type hashedKey struct {
+	hash string
+	name string
+}
+
+func newSecretIndex() secretIndex {
+	return secretIndex{byPrefix: map[string][]hashedKey{}, withdrawn: map[string]uint64{}}
+}
+
+func (x *secretIndex) find(hash string) (name string, ok bool) {
+	if _, gone := x.withdrawn[hash]; gone {
+		return "", false
+	}
+	for _, k := range x.byPrefix[hash[:prefixHexSize]] {
+		if subtle.ConstantTimeCompare([]byte(k.hash), []byte(hash)) == 1 {
+			return k.name, true
+		}
+	}
+	return "", false
+}
+
+func (x *secretIndex) add(k model.Key) {
+	prefix := k.SHA256[:prefixHexSize]
+	x.byPrefix[prefix] = append(x.byPrefix[prefix], hashedKey{hash: k.SHA256, name: k.Name})
+}
+
+// remove drops a key; the zero key is no key.
+func (x *secretIndex) remove(k model.Key) {
+	if k.SHA256 == "" {
+		return
+	}
+	prefix := k.SHA256[:prefixHexSize]
+	var rest []hashedKey
+	for _, h := range x.byPrefix[prefix] {
+		if h.name != k.Name {
+			rest = append(rest, h)
+		}
+	}
+	if len(rest) == 0 {
+		delete(x.byPrefix, prefix)
+		return
+	}
+	x.byPrefix[prefix] = rest
+}
+
+// passed drops the withdrawals that the fold has reached.
+func (x *secretIndex) passed(applied uint64) {
+	for hash, offset := range x.withdrawn {
+		if offset <= applied {
+			delete(x.withdrawn, hash)
+		}
+	}
+}
--- /dev/null
+++ b/internal/declare/state.go
@@ -0,0 +1,149 @@
+package declare
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"pollenbend/internal/model"
+)
+
+// State is the declarations in force: the fold of all changes in the log. Two
+// states that folded the same entries are equal. It is not safe for concurrent
+// use.
+type State struct {
+	version uint64 // offset of the last accepted change
+	applied uint64 // offset of the last folded change
+
+	teams    map[model.TeamID]model.Team
+	keys     map[string]model.Key
+	queues   map[string]model.Queue
+	services map[string]model.Service
+	policies map[string]model.Policy
+
+	// modified is the version of the last change to each object, deleted ones
+	// included. Deleted ones are dropped beyond maxDeleted; floor is the
+	// newest version dropped so far.
+	modified map[model.ObjectRef]uint64
+	deleted  []model.ObjectRef // oldest first
+	floor    uint64
+
+	settled settledChanges
+	secrets secretIndex
+}
+
+// NewState returns a state with nothing declared, at version 0.
+func NewState() *State {
+	return &State{
+		teams:    map[model.TeamID]model.Team{},
+		keys:     map[string]model.Key{},
+		queues:   map[string]model.Queue{},
+		services: map[string]model.Service{},
+		policies: map[string]model.Policy{},
+		modified: map[model.ObjectRef]uint64{},
+		settled:  newSettledChanges(),
+		secrets:  newSecretIndex(),
+	}
+}
+
+// Version returns the offset of the last accepted change. It never falls.
+func (s *State) Version() uint64 { return s.version }
+
+// Applied returns the offset of the last folded change, accepted or not.
+func (s *State) Applied() uint64 { return s.applied }
+
+// Team returns the declared team of that name.
+func (s *State) Team(id model.TeamID) (model.Team, bool) {
+	t, ok := s.teams[id]
+	return t, ok
+}
+
+// Queue returns the declared queue of that name.
+func (s *State) Queue(name string) (model.Queue, bool) {
+	q, ok := s.queues[name]
+	return q, ok
+}
+
+// Service returns the declared service of that name.
+func (s *State) Service(name string) (model.Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// Modified returns the version of the last change to an object, or 0.
+func (s *State) Modified(ref model.ObjectRef) uint64 { return s.modified[ref] }
+
+// Declarations returns everything declared, in the order of the names.
+func (s *State) Declarations() model.Declarations {
+	return model.Declarations{
+		Teams:    sorted(s.teams, func(t model.Team) string { return string(t.Name) }),
+		Keys:     sorted(s.keys, func(k model.Key) string { return k.Name }),
+		Queues:   sorted(s.queues, func(q model.Queue) string { return q.Name }),
+		Services: sorted(s.services, func(v model.Service) string { return v.Name }),
+		Policies: sorted(s.policies, func(p model.Policy) string { return p.Name }),
+	}
+}
+
+func sorted[K comparable, V any](m map[K]V, name func(V) string) []V {
+	return slices.SortedFunc(maps.Values(m), func(a, b V) int {
+		return strings.Compare(name(a), name(b))
+	})
+}
+
+// put stores every object of d.
+func (s *State) put(d model.Declarations) {
+	for _, t := range d.Teams {
+		s.teams[t.Name] = t
+	}
+	for _, k := range d.Keys {
+		s.secrets.remove(s.keys[k.Name])
+		s.keys[k.Name] = k
+	}
+	for _, k := range d.Keys {
+		s.secrets.add(k)
+	}
+	for _, q := range d.Queues {
+		s.queues[q.Name] = q
+	}
+	for _, v := range d.Services {
+		s.services[v.Name] = v
+	}
+	for _, p := range d.Policies {
+		s.policies[p.Name] = p
+	}
+}
+
+// remove drops the named object.
+func (s *State) remove(ref model.ObjectRef) {
+	switch ref.Kind {
+	case model.ObjectTeam:
+		delete(s.teams, model.TeamID(ref.Name))
+	case model.ObjectKey:
+		s.secrets.remove(s.keys[ref.Name])
+		delete(s.keys, ref.Name)
+	case model.ObjectQueue:
+		delete(s.queues, ref.Name)
+	case model.ObjectService:
+		delete(s.services, ref.Name)
+	case model.ObjectPolicy:
+		delete(s.policies, ref.Name)
+	}
+}
+
+// declared reports whether the named object exists.
+func (s *State) declared(ref model.ObjectRef) bool {
+	ok := false
+	switch ref.Kind {
+	case model.ObjectTeam:
+		_, ok = s.teams[model.TeamID(ref.Name)]
+	case model.ObjectKey:
+		_, ok = s.keys[ref.Name]
+	case model.ObjectQueue:
+		_, ok = s.queues[ref.Name]
+	case model.ObjectService:
+		_, ok = s.services[ref.Name]
+	case model.ObjectPolicy:
+		_, ok = s.policies[ref.Name]
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"pollenbend/internal/tomlfile"
+)
+
+// Bounds of the settings.
+const (
+	maxBodyBytes  = 1 << 30
+	maxQueue      = 1 << 20
+	maxPeriod     = 24 * time.Hour
+	beatsToDeath  = 3 // heartbeats that must be missed before an instance counts as dead
+	leaseRenewals = 2 // heartbeats that fit into a worker lease
+)
+
+func check(c *tomlfile.Checker, s Settings) {
+	checkInstance(c, s.Instance)
+	checkAddress(c, "listen.http", s.Listen.HTTP)
+	checkAddress(c, "listen.peer", s.Listen.Peer)
+	if s.Listen.HTTP == s.Listen.Peer && s.Listen.Peer != "" {
+		checkSamePort(c, s.Listen.Peer)
+	}
+	checkURL(c, "platform.log_url", s.Platform.LogURL)
+	checkURL(c, "platform.list_url", s.Platform.ListURL)
+	c.Require(s.Platform.Stream != "", "platform.stream", "expected the name of a log stream")
+	checkTLS(c, s.TLS)
+	checkLimits(c, s.Limits)
+	checkTiming(c, s.Timing)
+	checkLevel(c, s.Log.Level)
+}
+
+func checkInstance(c *tomlfile.Checker, i Instance) {
+	c.Require(i.ID != "", "instance.id", "expected the name of this instance")
+	c.Require(i.Region != "", "instance.region", "expected the name of its region")
+	c.Require(i.Zone != "", "instance.zone", "expected the name of its availability zone")
+}
+
+func checkAddress(c *tomlfile.Checker, key, addr string) {
+	if addr == "" {
+		c.Require(false, key, `expected an address IP:port, such as "10.0.0.1:8080"`)
+		return
+	}
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		c.Add(key, `expected an address IP:port, such as "10.0.0.1:8080", got %q`, addr)
+	}
+}
+
+// checkSamePort reports two listeners on one fixed port; port 0 is any free one.
+func checkSamePort(c *tomlfile.Checker, addr string) {
+	if ap, err := netip.ParseAddrPort(addr); err == nil && ap.Port() != 0 {
+		c.Add("listen.peer", "expected an address other than listen.http, got %q", addr)
+	}
+}
+
+func checkURL(c *tomlfile.Checker, key, raw string) {
+	if raw == "" {
+		c.Require(false, key, `expected an http or https URL, such as "http://10.0.0.9:7000"`)
+		return
+	}
+	u, err := url.Parse(raw)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.Add(key, `expected an http or https URL, such as "http://10.0.0.9:7000", got %q`, raw)
+	}
+}
+
+// checkTLS wants either three files or three PEM texts.
+func checkTLS(c *tomlfile.Checker, t TLS) {
+	files := t.CA != "" || t.Cert != "" || t.Key != ""
+	inline := t.CAPEM != "" || t.CertPEM != "" || t.KeyPEM != ""
+	switch {
+	case files && inline:
+		c.Add("tls", "expected either ca, cert and key or ca_pem, cert_pem and key_pem, got both")
+	case inline:
+		c.Require(t.CAPEM != "", "tls.ca_pem", "expected the certificate authority as PEM text")
+		c.Require(t.CertPEM != "", "tls.cert_pem", "expected this instance's certificate as PEM text")
+		c.Require(t.KeyPEM != "", "tls.key_pem", "expected this instance's private key as PEM text")
+	default:
+		c.Require(t.CA != "", "tls.ca", "expected the path of the certificate authority's PEM file")
+		c.Require(t.Cert != "", "tls.cert", "expected the path of this instance's certificate")
+		c.Require(t.Key != "", "tls.key", "expected the path of this instance's private key")
+	}
+}
+
+func checkLimits(c *tomlfile.Checker, l Limits) {
+	if l.MaxBody.Bytes < 1 || l.MaxBody.Bytes > maxBodyBytes {
+		c.Add("limits.max_body", "expected a size from 1B to 1GiB, got %s", l.MaxBody)
+	}
+	if l.MaxQueuePerTeam < 1 || l.MaxQueuePerTeam > maxQueue {
+		c.Add("limits.max_queue_per_team", "expected a number from 1 to %d, got %d", maxQueue, l.MaxQueuePerTeam)
+	}
+	checkPeriod(c, "limits.request_timeout", l.RequestTimeout.Duration)
+	checkPeriod(c, "limits.retention", l.Retention.Duration)
+	atLeast(c, period{"limits.retention", l.Retention.Duration}, 1, period{"limits.request_timeout", l.RequestTimeout.Duration})
+}
+
+func checkTiming(c *tomlfile.Checker, t Timing) {
+	heartbeat := period{"timing.heartbeat", t.Heartbeat.Duration}
+	dead := period{"timing.dead_after", t.DeadAfter.Duration}
+	worker := period{"timing.worker_lease", t.WorkerLease.Duration}
+	task := period{"timing.task_lease", t.TaskLease.Duration}
+	fresh := period{"timing.config_freshness", t.ConfigFreshness.Duration}
+	for _, p := range []period{heartbeat, dead, worker, task, fresh} {
+		checkPeriod(c, p.key, p.length)
+	}
+	atLeast(c, dead, beatsToDeath, heartbeat)
+	atLeast(c, worker, leaseRenewals, heartbeat)
+	atLeast(c, task, 1, worker)
+	atLeast(c, fresh, leaseRenewals, heartbeat)
+}
+
+// period is one duration setting.
+type period struct {
+	key    string
+	length time.Duration
+}
+
+func checkPeriod(c *tomlfile.Checker, key string, d time.Duration) {
+	if d <= 0 || d > maxPeriod {
+		c.Add(key, "expected a duration over 0s and at most 24h, got %s", d)
+	}
+}
+
+// atLeast wants long to be no shorter than times short.
+func atLeast(c *tomlfile.Checker, long period, times int, short period) {
+	if !c.Sound(long.key, short.key) || long.length >= time.Duration(times)*short.length {
+		return
+	}
+	if times == 1 {
+		c.Add(long.key, "expected at least %s, which is %s, got %s", short.key, short.length, long.length)
+		return
+	}
+	c.Add(long.key, "expected at least %d times %s, which is %s, got %s", times, short.key, short.length, long.length)
+}
+
+func checkLevel(c *tomlfile.Checker, level string) {
+	switch level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.Add("log.level", "expected debug, info, warn or error, got %q", level)
+	}
+}
+
+// SlogLevel returns the level as log/slog has it.
+func (l Log) SlogLevel() slog.Level {
+	level := slog.LevelInfo
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
--- /dev/null
+++ b/internal/tomlfile/scan.go
@@ -0,0 +1,179 @@
+package tomlfile
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Lines maps the paths of a file, such as "team[1].share", to their lines.
+type Lines map[string]int
+
+// Of returns the line of path, or of its nearest parent in the file, or 0.
+func (l Lines) Of(path string) int {
+	for path != "" {
+		if line, ok := l[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexByte(path, '.'), 0)]
+	}
+	return 0
+}
+
+// Has reports whether path stands in the file.
+func (l Lines) Has(path string) bool {
+	_, ok := l[path]
+	return ok
+}
+
+var indexPattern = regexp.MustCompile(`\[\d+\]`)
+
+func withoutIndexes(path string) string { return indexPattern.ReplaceAllString(path, "") }
+
+// entry is one key of a file.
+type entry struct {
+	path   string
+	offset int // of the key
+	line   int
+	table  bool // a header such as [tls] or [[team]]
+	inner  bool // inside an inline table or array
+	kind   unstable.Kind
+	text   string // of a scalar value
+}
+
+// scanner walks the expressions of a document.
+type scanner struct {
+	parser  unstable.Parser
+	prefix  string         // path of the current table
+	counts  map[string]int // elements of each array of tables so far
+	entries []entry
+}
+
+// scan returns the keys of data in order. On a syntax error it also returns the
+// error's offset and message.
+func scan(data []byte) ([]entry, *syntaxError) {
+	s := scanner{counts: map[string]int{}}
+	s.parser.Reset(data)
+	for s.parser.NextExpression() {
+		s.expression(s.parser.Expression())
+	}
+	err := s.parser.Error()
+	if err == nil {
+		return s.entries, nil
+	}
+	bad := &syntaxError{offset: len(data), table: s.prefix, message: err.Error()}
+	var pe *unstable.ParserError
+	if errors.As(err, &pe) {
+		bad.offset = int(s.parser.Range(pe.Highlight).Offset)
+	}
+	return s.entries, bad
+}
+
+// syntaxError is a place where a document is not TOML.
+type syntaxError struct {
+	offset  int
+	table   string // path of the table that it stands in
+	message string
+}
+
+func (s *scanner) expression(e *unstable.Node) {
+	switch e.Kind {
+	case unstable.KeyValue:
+		s.keyValue(e, s.prefix, false)
+	case unstable.Table:
+		s.prefix = s.header(e, false)
+	case unstable.ArrayTable:
+		s.prefix = s.header(e, true)
+	}
+}
+
+// header records a table header and returns its path. Every part that names an
+// array of tables gets the index of its last element.
+func (s *scanner) header(e *unstable.Node, array bool) string {
+	path := ""
+	it := e.Key()
+	first := unstable.Range{}
+	for it.Next() {
+		if path == "" {
+			first = it.Node().Raw
+		}
+		path = join(path, string(it.Node().Data))
+		if array && it.IsLast() {
+			s.counts[path]++
+		}
+		if n := s.counts[path]; n > 0 {
+			path = fmt.Sprintf("%s[%d]", path, n-1)
+		}
+	}
+	s.add(entry{path: path, offset: int(first.Offset), table: true, kind: e.Kind})
+	return path
+}
+
+func (s *scanner) keyValue(e *unstable.Node, prefix string, inner bool) {
+	path := prefix
+	first := unstable.Range{}
+	it := e.Key()
+	for it.Next() {
+		if path == prefix {
+			first = it.Node().Raw
+		}
+		path = join(path, string(it.Node().Data))
+	}
+	s.value(e.Value(), entry{path: path, offset: int(first.Offset), inner: inner})
+}
+
+// value records the value v of e and the values inside it.
+func (s *scanner) value(v *unstable.Node, e entry) {
+	e.kind = v.Kind
+	e.text = string(v.Data)
+	s.add(e)
+	it := v.Children()
+	switch v.Kind {
+	case unstable.InlineTable:
+		for it.Next() {
+			s.keyValue(it.Node(), e.path, true)
+		}
+	case unstable.Array:
+		for i := 0; it.Next(); i++ {
+			element := entry{path: fmt.Sprintf("%s[%d]", e.path, i), offset: e.offset, inner: true}
+			if raw := it.Node().Raw; raw.Length > 0 {
+				element.offset = int(raw.Offset)
+			}
+			s.value(it.Node(), element)
+		}
+	}
+}
+
+func (s *scanner) add(e entry) {
+	e.line = lineAt(s.parser.Data(), e.offset)
+	s.entries = append(s.entries, e)
+}
+
+func join(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+func lineAt(data []byte, offset int) int {
+	return 1 + bytes.Count(data[:offset], []byte{'\n'})
+}
+
+// lineStart returns the offset at which the line of offset starts.
+func lineStart(data []byte, offset int) int {
+	return 1 + bytes.LastIndexByte(data[:offset], '\n')
+}
+
+// blank replaces data[from:until] by spaces and keeps the line breaks.
+func blank(data []byte, from, until int) {
+	for i := from; i < until; i++ {
+		if data[i] != '\n' {
+			data[i] = ' '
+		}
+	}
+}
--- /dev/null
+++ b/internal/units/units.go
@@ -0,0 +1,199 @@
+// Package units holds amounts that people write with a unit: durations, sizes,
+// processor shares and hours of the day. Every type reads and writes text, so
+// that it can stand in a TOML file.
+package units
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Duration is a length of time written as "500ms", "3s" or "1h30m".
+type Duration struct {
+	time.Duration `toml:"-"`
+}
+
+// Expected says how a duration is written.
+func (Duration) Expected() string { return `a duration with a unit, such as "500ms", "3s" or "10m"` }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error if the
+// unit is missing or the duration is negative.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil || v < 0 || !hasUnit(text) {
+		return errors.Newf("expected %s, got %q", d.Expected(), text)
+	}
+	d.Duration = v
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(FormatDuration(d.Duration)), nil }
+
+// FormatDuration writes d without zero parts: "10m" rather than "10m0s".
+func FormatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// hasUnit reports whether text ends in a letter; a bare "0" does not.
+func hasUnit(text []byte) bool {
+	return len(text) > 0 && (text[len(text)-1] < '0' || text[len(text)-1] > '9')
+}
+
+// sizeUnits are the binary units of a Size, largest first.
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{
+	{"TiB", 1 << 40},
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+	{"B", 1},
+}
+
+// Size is a number of bytes written as "512KiB" or "16MiB".
+type Size struct {
+	Bytes int64 `toml:"-"`
+}
+
+// Expected says how a size is written.
+func (Size) Expected() string { return `a size with a unit, such as "512KiB", "16MiB" or "64GiB"` }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error if the
+// unit is missing or unknown, or if the number is not a whole one.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range sizeUnits {
+		number, ok := strings.CutSuffix(string(text), u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/u.bytes {
+			break
+		}
+		s.Bytes = n * u.bytes
+		return nil
+	}
+	return errors.Newf("expected %s, got %q", s.Expected(), text)
+}
+
+// String returns the size in its largest unit without remainder.
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if s.Bytes != 0 && s.Bytes%u.bytes == 0 {
+			return strconv.FormatInt(s.Bytes/u.bytes, 10) + u.name
+		}
+	}
+	return "0B"
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// milliPerCore is the number of thousandths in one processor core.
+const milliPerCore = 1000
+
+// maxCores bounds a processor amount, so that sums over a fleet do not overflow.
+const maxCores = 1_000_000
+
+// CPU is an amount of processor written in cores (2, 0.5) or thousandths of a
+// core ("500m").
+type CPU struct {
+	Milli int64 `toml:"-"`
+}
+
+// Expected says how a processor amount is written.
+func (CPU) Expected() string { return `cores as a number, such as 2 or 0.5, or thousandths as "500m"` }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error if the
+// amount is negative or finer than a thousandth of a core.
+func (c *CPU) UnmarshalText(text []byte) error {
+	milli, err := parseMilli(string(text))
+	if err != nil {
+		return errors.Newf("expected %s, got %q", c.Expected(), text)
+	}
+	c.Milli = milli
+	return nil
+}
+
+func parseMilli(s string) (int64, error) {
+	if number, ok := strings.CutSuffix(s, "m"); ok {
+		n, err := strconv.ParseInt(number, 10, 64)
+		if err != nil || n < 0 || n > maxCores*milliPerCore {
+			return 0, errors.New("out of range")
+		}
+		return n, nil
+	}
+	cores, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(cores >= 0 && cores <= maxCores) {
+		return 0, errors.New("out of range")
+	}
+	milli := math.Round(cores * milliPerCore)
+	if math.Abs(milli-cores*milliPerCore) > 1e-6 {
+		return 0, errors.New("finer than a thousandth")
+	}
+	return int64(milli), nil
+}
+
+// String returns the amount in cores, or in thousandths if it is not whole.
+func (c CPU) String() string {
+	if c.Milli%milliPerCore == 0 {
+		return strconv.FormatInt(c.Milli/milliPerCore, 10)
+	}
+	return strconv.FormatInt(c.Milli, 10) + "m"
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (c CPU) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// TimeOfDay is a time since local midnight written as "17:30". The end of the
+// day is "24:00".
+type TimeOfDay struct {
+	time.Duration `toml:"-"`
+}
+
+// Expected says how a time of day is written.
+func (TimeOfDay) Expected() string { return `a time of day from "00:00" to "24:00"` }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error unless
+// text is hours and minutes.
+func (t *TimeOfDay) UnmarshalText(text []byte) error {
+	if string(text) == "24:00" {
+		t.Duration = 24 * time.Hour
+		return nil
+	}
+	v, err := time.Parse("15:04", string(text))
+	if err != nil {
+		return errors.Newf("expected %s, got %q", t.Expected(), text)
+	}
+	t.Duration = time.Duration(v.Hour())*time.Hour + time.Duration(v.Minute())*time.Minute
+	return nil
+}
+
+// String returns the time of day as hours and minutes.
+func (t TimeOfDay) String() string {
+	hours, minutes := t.Duration/time.Hour, t.Duration%time.Hour/time.Minute
+	return pad(int64(hours)) + ":" + pad(int64(minutes))
+}
+
+func pad(n int64) string {
+	if n < 10 {
+		return "0" + strconv.FormatInt(n, 10)
+	}
+	return strconv.FormatInt(n, 10)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (t TimeOfDay) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
