--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -32,7 +32,7 @@
 	kind    Kind
 	pattern *regexp.Regexp
 }{
-	{KindSettings, regexp.MustCompile(`(?m)^[ \t]*\[(instance|listen|platform|tls|limits|timing|log|record)[].]`)},
+	{KindSettings, regexp.MustCompile(`(?m)^[ \t]*\[\[?(instance|listen|platform|tls|limits|timing|log|record)[].]`)},
 	{KindPlatform, regexp.MustCompile(`(?m)^[ \t]*\[\[workers\]\]`)},
 	{KindRequests, regexp.MustCompile(`(?m)^[ \t]*\[\[request\]\]`)},
 }
--- a/internal/declare/state.go
+++ b/internal/declare/state.go
@@ -20,6 +20,7 @@
 	queues   map[string]model.Queue
 	services map[string]model.Service
 	policies map[string]model.Policy
+	byTeam   map[model.TeamID][]policy // in the order of names
 
 	// modified is the version of the last change to each object, deleted ones
 	// included. Deleted ones are dropped beyond maxDeleted; floor is the
@@ -111,6 +112,7 @@
 	for _, p := range d.Policies {
 		s.policies[p.Name] = p
 	}
+	s.indexPolicies()
 }
 
 // remove drops the named object.
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -125,7 +125,7 @@
 func (d *decoder) checkEntries() {
 	inside := "" // path of an unknown table or of a value with a fault, reported once
 	for i, e := range d.entries {
-		if inside != "" && strings.HasPrefix(e.path, inside) {
+		if isInside(e.path, inside) {
 			continue
 		}
 		fault := d.fault(e)
@@ -133,12 +133,18 @@
 			continue
 		}
 		d.add(e.line, withoutIndexes(e.path), fault)
-		inside = e.path + "."
+		inside = e.path
 		d.blankExpression(i)
 	}
 	d.entries, _ = scan(d.data)
 }
 
+// isInside reports whether path lies below parent.
+func isInside(path, parent string) bool {
+	rest, below := strings.CutPrefix(path, parent)
+	return parent != "" && below && rest != "" && (rest[0] == '.' || rest[0] == '[')
+}
+
 // fault says what is wrong with the key or the value of e, or nothing.
 func (d *decoder) fault(e entry) string {
 	key := withoutIndexes(e.path)
@@ -162,7 +168,8 @@
 	}
 	i := d.locate(de)
 	e := d.entries[i]
-	d.add(e.line, withoutIndexes(e.path), strings.TrimPrefix(err.Error(), "toml: "))
+	message := "expected TOML: " + strings.TrimPrefix(err.Error(), "toml: ")
+	d.add(e.line, withoutIndexes(e.path), message)
 	d.blankExpression(i)
 	d.entries, _ = scan(d.data)
 	return true
@@ -186,7 +193,7 @@
 // endOf returns where the expression of entry i ends: at the next expression.
 func (d *decoder) endOf(i int) int {
 	for _, e := range d.entries[i+1:] {
-		if !e.inner {
+		if e.depth == 0 {
 			return lineStart(d.data, e.offset)
 		}
 	}
@@ -196,7 +203,7 @@
 // blankExpression blanks the expression of entry i; a header takes its table
 // with it.
 func (d *decoder) blankExpression(i int) {
-	for i > 0 && d.entries[i].inner {
+	for i > 0 && d.entries[i].depth > 0 {
 		i--
 	}
 	until := d.endOf(i)
--- a/internal/tomlfile/scan.go
+++ b/internal/tomlfile/scan.go
@@ -40,23 +40,29 @@
 	offset int // of the key
 	line   int
 	table  bool // a header such as [tls] or [[team]]
-	inner  bool // inside an inline table or array
+	depth  int  // of inline tables and arrays around it
 	kind   unstable.Kind
 	text   string // of a scalar value
 }
 
+// maxDepth is the depth of inline tables and arrays down to which keys are
+// looked at. No file that is read here goes so deep.
+const maxDepth = 8
+
 // scanner walks the expressions of a document.
 type scanner struct {
 	parser  unstable.Parser
 	prefix  string         // path of the current table
 	counts  map[string]int // elements of each array of tables so far
 	entries []entry
+	line    int // of offset at
+	at      int
 }
 
 // scan returns the keys of data in order. On a syntax error it also returns the
 // error's offset and message.
 func scan(data []byte) ([]entry, *syntaxError) {
-	s := scanner{counts: map[string]int{}}
+	s := scanner{counts: map[string]int{}, line: 1}
 	s.parser.Reset(data)
 	for s.parser.NextExpression() {
 		s.expression(s.parser.Expression())
@@ -83,7 +89,7 @@
 func (s *scanner) expression(e *unstable.Node) {
 	switch e.Kind {
 	case unstable.KeyValue:
-		s.keyValue(e, s.prefix, false)
+		s.keyValue(e, s.prefix, 0)
 	case unstable.Table:
 		s.prefix = s.header(e, false)
 	case unstable.ArrayTable:
@@ -113,7 +119,7 @@
 	return path
 }
 
-func (s *scanner) keyValue(e *unstable.Node, prefix string, inner bool) {
+func (s *scanner) keyValue(e *unstable.Node, prefix string, depth int) {
 	path := prefix
 	first := unstable.Range{}
 	it := e.Key()
@@ -123,7 +129,7 @@
 		}
 		path = join(path, string(it.Node().Data))
 	}
-	s.value(e.Value(), entry{path: path, offset: int(first.Offset), inner: inner})
+	s.value(e.Value(), entry{path: path, offset: int(first.Offset), depth: depth})
 }
 
 // value records the value v of e and the values inside it.
@@ -131,15 +137,18 @@
 	e.kind = v.Kind
 	e.text = string(v.Data)
 	s.add(e)
+	if e.depth == maxDepth {
+		return
+	}
 	it := v.Children()
 	switch v.Kind {
 	case unstable.InlineTable:
 		for it.Next() {
-			s.keyValue(it.Node(), e.path, true)
+			s.keyValue(it.Node(), e.path, e.depth+1)
 		}
 	case unstable.Array:
 		for i := 0; it.Next(); i++ {
-			element := entry{path: fmt.Sprintf("%s[%d]", e.path, i), offset: e.offset, inner: true}
+			element := entry{path: fmt.Sprintf("%s[%d]", e.path, i), offset: e.offset, depth: e.depth + 1}
 			if raw := it.Node().Raw; raw.Length > 0 {
 				element.offset = int(raw.Offset)
 			}
@@ -149,10 +158,22 @@
 }
 
 func (s *scanner) add(e entry) {
-	e.line = lineAt(s.parser.Data(), e.offset)
+	e.line = s.lineOf(e.offset)
 	s.entries = append(s.entries, e)
 }
 
+// lineOf counts lines from the last place asked for, since offsets rise but for
+// rare steps back.
+func (s *scanner) lineOf(offset int) int {
+	data := s.parser.Data()
+	if offset < s.at {
+		return lineAt(data, offset)
+	}
+	s.line += bytes.Count(data[s.at:offset], []byte{'\n'})
+	s.at = offset
+	return s.line
+}
+
 func join(prefix, name string) string {
 	if prefix == "" {
 		return name
