Keep an operator key and take IP numbers only

Cause: a change that withdrew the last operator key locked all operators out; processes reach the platform by IP number, yet a host name was taken in its URLs.

--- a/internal/declare/apply.go
+++ b/internal/declare/apply.go
@@ -84,9 +84,13 @@
 	if message := s.conflict(c); message != "" {
 		return Result{Outcome: Conflict, Message: message}
 	}
-	if problems := Validate(s.after(c)); len(problems) > 0 {
+	after := s.after(c)
+	if problems := Validate(after); len(problems) > 0 {
 		return Result{Outcome: Invalid, Message: problems[0].String()}
 	}
+	if s.HasOperator() && !slices.ContainsFunc(after.Keys, isOperator) {
+		return Result{Outcome: Invalid, Message: "expected a key of scope operator to remain"}
+	}
 	return Result{Outcome: Accepted}
 }
 
--- a/internal/declare/keys.go
+++ b/internal/declare/keys.go
@@ -64,6 +64,19 @@
 	return k, ok
 }
 
+// HasOperator reports whether a key of scope operator is declared. Once there is
+// one, no change takes effect that leaves none.
+func (s *State) HasOperator() bool {
+	for _, k := range s.keys {
+		if isOperator(k) {
+			return true
+		}
+	}
+	return false
+}
+
+func isOperator(k model.Key) bool { return k.Scope == model.ScopeOperator }
+
 // Withdraw refuses the key with the hash of w until the state has folded the
 // log up to w.Offset. It is for withdrawals heard from a peer.
 func (s *State) Withdraw(w Withdrawal) {
--- a/internal/declare/state_test.go
+++ b/internal/declare/state_test.go
@@ -71,6 +71,42 @@
 	require.Equal(t, Accepted, s.Apply(7, change("g", 5, team("north", 9))).Outcome)
 }
 
+func TestDeclaredAgainIsNotDropped(t *testing.T) {
+	s := NewState()
+	north := model.ObjectRef{Kind: model.ObjectTeam, Name: "north"}
+	s.Apply(1, change("a", 0, team("north", 1)))
+	s.Apply(2, change("b", 1, model.Declarations{}, north))
+	s.Apply(3, change("c", 2, team("north", 2)))
+	var many model.Declarations
+	for i := range maxDeleted {
+		many.Teams = append(many.Teams, model.Team{Name: model.TeamID(fmt.Sprintf("t%d", i)), Share: 1})
+	}
+	s.Apply(4, change("d", 3, many))
+	s.Apply(5, model.Change{ID: "e", Base: 4, Delete: Touched(model.Change{Put: many})})
+	require.Equal(t, uint64(3), s.Modified(north))
+}
+
+func TestReplacedSecretIsRefused(t *testing.T) {
+	s := NewState()
+	k := model.Key{Name: "k", Team: "north", Scope: model.ScopeTeam, SHA256: HashSecret("first")}
+	put := team("north", 1)
+	put.Keys = []model.Key{k}
+	s.Apply(1, change("a", 0, put))
+	works := func(secret string) bool { _, ok := s.Authenticate(secret); return ok }
+	replace := func(offset uint64, secret string) {
+		k.SHA256 = HashSecret(secret)
+		r := s.Apply(offset, change(secret, offset-1, model.Declarations{Keys: []model.Key{k}}))
+		require.Equal(t, Accepted, r.Outcome, r.Message)
+	}
+	replace(2, "second")
+	require.False(t, works("first"))
+	require.True(t, works("second"))
+	s.Apply(3, change("gone", 2, model.Declarations{}, model.ObjectRef{Kind: model.ObjectKey, Name: "k"}))
+	replace(4, "third")
+	require.False(t, works("second"), "the name is back, the secret is not")
+	require.True(t, works("third"))
+}
+
 func TestForgottenChangeHasNoSecondEffect(t *testing.T) {
 	s := NewState()
 	first := change("first", 0, team("north", 1))
@@ -120,6 +156,19 @@
 	require.True(t, ok, "a late withdrawal has no effect")
 }
 
+func TestAnOperatorKeyRemains(t *testing.T) {
+	s := NewState()
+	operator := func(name, hash string) model.Declarations {
+		return model.Declarations{Keys: []model.Key{{Name: name, Scope: model.ScopeOperator, SHA256: hash}}}
+	}
+	old := model.ObjectRef{Kind: model.ObjectKey, Name: "old"}
+	require.False(t, s.HasOperator())
+	require.Equal(t, Accepted, s.Apply(1, change("a", 0, operator("old", hashA))).Outcome)
+	require.Equal(t, Invalid, s.Apply(2, change("b", 1, model.Declarations{}, old)).Outcome)
+	require.True(t, s.HasOperator())
+	require.Equal(t, Accepted, s.Apply(3, change("c", 1, operator("new", hashB), old)).Outcome)
+}
+
 func TestAdoptOnlyNewer(t *testing.T) {
 	old, recent := NewState(), NewState()
 	old.Apply(1, change("a", 0, team("north", 1)))
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,8 @@
 	leaseRenewals = 2 // heartbeats that fit into a worker lease
 )
 
+const urlForm = `an http or https URL with an IP number, such as "http://10.0.0.9:7000"`
+
 func check(c *tomlfile.Checker, s Settings) {
 	checkInstance(c, s.Instance)
 	checkAddress(c, "listen.http", s.Listen.HTTP)
@@ -59,15 +61,20 @@
 
 func checkURL(c *tomlfile.Checker, key, raw string) {
 	if raw == "" {
-		c.Require(false, key, `expected an http or https URL, such as "http://10.0.0.9:7000"`)
+		c.Require(false, key, "expected "+urlForm)
 		return
 	}
 	u, err := url.Parse(raw)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.Add(key, `expected an http or https URL, such as "http://10.0.0.9:7000", got %q`, raw)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || !isIP(u.Hostname()) {
+		c.Add(key, "expected %s, got %q", urlForm, raw)
 	}
 }
 
+func isIP(host string) bool {
+	_, err := netip.ParseAddr(host)
+	return err == nil
+}
+
 // checkTLS wants either three files or three PEM texts.
 func checkTLS(c *tomlfile.Checker, t TLS) {
 	files := t.CA != "" || t.Cert != "" || t.Key != ""
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -97,6 +98,20 @@
 	}, got, "%v", faults)
 }
 
+func TestPlatformURLs(t *testing.T) {
+	for raw, sound := range map[string]bool{
+		"https://10.0.0.9":         true,
+		"http://[::1]:7000/base":   true,
+		"http://log.example:7000":  false,
+		"ftp://10.0.0.9":           false,
+		"10.0.0.9:7000":            false,
+		"http://10.0.0.9:7000:1/x": false,
+	} {
+		_, faults := Parse("s.toml", []byte(strings.Replace(whole, `log_url = "http://127.0.0.1:7000"`, `log_url = "`+raw+`"`, 1)))
+		require.Equal(t, sound, len(faults) == 0, "%s: %v", raw, faults)
+	}
+}
+
 func TestLoadMissingFile(t *testing.T) {
 	_, faults := Load("/nonexistent/s.toml")
 	require.Len(t, faults, 1)
