Bound held bodies and idle heartbeats

Cause: bodies of slow callers could add up, and pings to many idle peers cost a fixed rate each. Change: bodies count against a bound while they are held; pings come at the idle interval while nothing is sent, and a pause of the process itself does not count against a peer. Tests for unfinished bodies, callers that leave, keys in logs, panics and the metrics text.

--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -109,7 +109,7 @@
 	if refusal == errSlowBody {
 		status = http.StatusRequestTimeout
 	}
-	if r.ContentLength != 0 {
+	if exchangeOf(r).unread {
 		w.Header().Set("Connection", "close")
 	}
 	a.write(w, r, status, ans)
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -16,13 +16,39 @@
 // errSlowBody marks a body that did not arrive within the read timeout.
 var errSlowBody = verdict.Refuse(verdict.CodeBadRequest, "body: not received in time")
 
-// readBody reads the whole body, up to the limit.
+// errCrowded is the refusal of a body when too many bytes of others are held.
+var errCrowded = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
+
+// heldBody counts the bytes that it reads against what the instance holds.
+type heldBody struct {
+	io.Reader
+	a *api
+	e *exchange
+}
+
+// Read implements io.Reader.
+func (b *heldBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.e.held += int64(n)
+	if b.a.held.Add(int64(n)) > b.a.cfg.MaxHeld {
+		return n, errCrowded
+	}
+	return n, err
+}
+
+// readBody reads the whole body, up to the limit. What it reads counts as held
+// until the request is answered.
 func (a *api) readBody(r *http.Request) ([]byte, error) {
+	e := exchangeOf(r)
+	e.unread = true
 	if r.ContentLength > a.cfg.MaxBody {
 		return nil, a.tooLarge()
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, a.cfg.MaxBody+1))
+	body := &heldBody{Reader: r.Body, a: a, e: e}
+	data, err := io.ReadAll(io.LimitReader(body, a.cfg.MaxBody+1))
 	switch {
+	case errors.Is(err, errCrowded):
+		return nil, errCrowded
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errSlowBody
 	case err != nil:
@@ -30,6 +56,7 @@
 	case int64(len(data)) > a.cfg.MaxBody:
 		return nil, a.tooLarge()
 	}
+	e.unread = false
 	return data, nil
 }
 
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -31,7 +32,8 @@
 
 // Defaults for the zero values of Config.
 const (
-	DefaultMaxBody        = 1 << 20 // bytes
+	DefaultMaxBody        = 1 << 20  // bytes
+	DefaultMaxHeld        = 64 << 20 // bytes
 	DefaultRequestTimeout = 60 * time.Second
 )
 
@@ -40,6 +42,7 @@
 	Gateway        Gateway
 	Status         Status
 	MaxBody        int64         // bytes of a request's body
+	MaxHeld        int64         // bytes of all bodies held at once
 	RequestTimeout time.Duration // upper bound of what a caller may ask to wait
 	Metrics        gometrics.Registry
 	Logger         *slog.Logger
@@ -47,8 +50,9 @@
 }
 
 type api struct {
-	cfg Config
-	mux *http.ServeMux
+	cfg  Config
+	mux  *http.ServeMux
+	held atomic.Int64 // bytes of bodies that wait for an answer
 }
 
 // New returns the handler of all routes.
@@ -56,6 +60,9 @@
 	if cfg.MaxBody <= 0 {
 		cfg.MaxBody = DefaultMaxBody
 	}
+	if cfg.MaxHeld <= 0 {
+		cfg.MaxHeld = DefaultMaxHeld
+	}
 	if cfg.RequestTimeout <= 0 {
 		cfg.RequestTimeout = DefaultRequestTimeout
 	}
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -1,20 +1,14 @@
 package httpapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/httpapi/wire"
@@ -180,10 +174,3 @@
 		})
 	}
 }
-
-var _ = bytes.NewReader
-var _ = io.EOF
-var _ = slog.LevelInfo
-var _ net.Conn
-var _ = os.Args
-var _ gometrics.Registry
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -22,6 +22,8 @@
 	http.ResponseWriter
 	status  int
 	bytes   int
+	held    int64 // bytes of the body that count as held
+	unread  bool  // a part of the body was not read
 	id      string
 	verdict verdict.Verdict
 	code    verdict.Code
@@ -48,11 +50,16 @@
 
 type exchangeKey struct{}
 
+// exchangeOf returns the exchange that ServeHTTP made for r.
+func exchangeOf(r *http.Request) *exchange {
+	e, _ := r.Context().Value(exchangeKey{}).(*exchange)
+	return e
+}
+
 // note records an answer for the log line of r.
 func note(r *http.Request, ans model.Answer) {
-	if e, ok := r.Context().Value(exchangeKey{}).(*exchange); ok {
-		e.id, e.verdict, e.code = ans.ID, ans.Verdict, ans.Code
-	}
+	e := exchangeOf(r)
+	e.id, e.verdict, e.code = ans.ID, ans.Verdict, ans.Code
 }
 
 // serial numbers the HTTP requests of this process in its log.
@@ -110,6 +117,7 @@
 // that the request may have run.
 func (a *api) finish(e *exchange, r *http.Request, pattern string, number uint64, started time.Time) {
 	failure := recover()
+	a.held.Add(-e.held)
 	if failure != nil && failure != http.ErrAbortHandler && e.status == 0 {
 		a.cfg.Logger.Error("handler panicked", "request", number, "route", pattern, "panic", failure)
 		ans := model.Answer{Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt, Message: "internal error"}
--- /dev/null
+++ b/internal/httpapi/server_test.go
@@ -0,0 +1,170 @@
+package httpapi
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/httpapi/wire"
+	"pollenbend/internal/model"
+	"pollenbend/internal/verdict"
+)
+
+// start serves c over TCP with a short read timeout.
+func start(t *testing.T, c *core) net.Conn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(ServerConfig{ReadTimeout: 100 * time.Millisecond}, newAPI(c))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func TestUnfinishedBodies(t *testing.T) {
+	tests := []struct {
+		name   string
+		length string
+		finish bool // the caller ends its side
+		status int
+		code   verdict.Code
+	}{
+		{"ends early", "100", true, 400, verdict.CodeBadRequest},
+		{"stalls", "100", false, 408, verdict.CodeBadRequest},
+		{"announced too long", "5000", false, 413, verdict.CodeTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &core{}
+			conn := start(t, c)
+			_, err := io.WriteString(conn, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: "+tt.length+"\r\n\r\n{\"queue\":")
+			require.NoError(t, err)
+			if tt.finish {
+				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			var doc wire.Answer
+			require.NoError(t, json.NewDecoder(resp.Body).Decode(&doc))
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, tt.code, doc.Code)
+			require.Equal(t, verdict.NotRun, doc.Verdict)
+			require.True(t, resp.Close)
+			require.Zero(t, c.calls)
+		})
+	}
+}
+
+func TestCallerGoesAway(t *testing.T) {
+	entered, left := make(chan struct{}), make(chan error, 1)
+	c := &core{do: func(ctx context.Context, r model.Request) model.Answer {
+		close(entered)
+		<-ctx.Done()
+		left <- ctx.Err()
+		return model.Answer{ID: r.ID}
+	}}
+	conn := start(t, c)
+	_, err := io.WriteString(conn, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}")
+	require.NoError(t, err)
+	<-entered
+	require.NoError(t, conn.Close())
+	require.ErrorIs(t, <-left, context.Canceled)
+}
+
+// lines is a log that tests read.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func TestLogHasNoKeys(t *testing.T) {
+	log := &lines{}
+	logger := slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	c := &core{do: func(context.Context, model.Request) model.Answer { panic("broken") }}
+	h := New(Config{Gateway: c, Status: c, Logger: logger})
+	for _, header := range []string{"Bearer top-secret", "Basic top-secret"} {
+		w, doc := exchangeWith(t, h, "POST", "/v1/requests?key=top-secret", `{}`, "Authorization", header)
+		require.Contains(t, []int{401, 500}, w.Code)
+		require.NotEqual(t, verdict.Done, doc.Verdict)
+	}
+	text := strings.TrimSpace(log.b.String())
+	require.NotContains(t, text, "top-secret")
+	for _, line := range strings.Split(text, "\n") {
+		require.Contains(t, line, `"request":`)
+	}
+}
+
+func TestPanicMayHaveRun(t *testing.T) {
+	c := &core{do: func(context.Context, model.Request) model.Answer { panic("broken") }}
+	w, doc := exchangeWith(t, newAPI(c), "POST", "/v1/requests", `{}`)
+	require.Equal(t, 500, w.Code)
+	require.Equal(t, verdict.MayHaveRun, doc.Verdict)
+}
+
+func TestHeldBodiesAreBounded(t *testing.T) {
+	c := &core{}
+	h := New(Config{Gateway: c, Status: c, MaxHeld: 100})
+	full := `{"payload":"` + strings.Repeat("x", 80) + `"}`
+	for range 3 {
+		w, _ := exchangeWith(t, h, "POST", "/v1/requests", full)
+		require.Equal(t, 200, w.Code)
+	}
+	c.do = func(_ context.Context, r model.Request) model.Answer {
+		w, doc := exchangeWith(t, h, "POST", "/v1/requests", full)
+		require.Equal(t, 429, w.Code)
+		require.Equal(t, verdict.CodeOverloaded, doc.Code)
+		return model.Answer{Verdict: verdict.Done}
+	}
+	w, _ := exchangeWith(t, h, "POST", "/v1/requests", full)
+	require.Equal(t, 200, w.Code)
+}
+
+func TestProbesAndMetrics(t *testing.T) {
+	c := &core{notReady: "log not read"}
+	registry := gometrics.NewRegistry()
+	h := New(Config{Gateway: c, Status: c, Metrics: registry})
+	get := func(path string) (int, string) {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+		return w.Code, w.Body.String()
+	}
+	status, body := get("/readyz")
+	require.Equal(t, 503, status)
+	require.Equal(t, "log not read\n", body)
+	c.notReady = ""
+	status, _ = get("/readyz")
+	require.Equal(t, 200, status)
+	c.draining = true
+	status, body = get("/readyz")
+	require.Equal(t, 503, status)
+	require.Equal(t, "draining\n", body)
+	status, _ = get("/healthz")
+	require.Equal(t, 200, status)
+	w, _ := exchangeWith(t, h, "POST", "/v1/requests", `{}`)
+	require.Equal(t, "close", w.Header().Get("Connection"))
+	_, body = get("/metrics")
+	require.Contains(t, body, `pollenbend_requests_total{code="",op="call",verdict="done"} 1`)
+	require.Contains(t, body, `pollenbend_http_requests_total{route="GET /readyz",status="503"} 2`)
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -45,8 +45,8 @@
 	closeSocket func()
 
 	ping     chan struct{}
-	lastPong atomic.Int64 // time since opened
-	opened   time.Time
+	pongs    atomic.Uint64
+	active   atomic.Bool   // payloads were queued since the last ping
 	bye      chan struct{} // closed when the peer has read every ordered payload
 	byeOnce  sync.Once
 	bulkDone chan struct{} // closed when the peer has read every bulk payload
@@ -66,7 +66,6 @@
 		in:       bufio.NewReaderSize(stream, bufferBytes),
 		out:      bufio.NewWriterSize(stream, bufferBytes),
 		ping:     make(chan struct{}, 1),
-		opened:   time.Now(),
 		bye:      make(chan struct{}),
 		bulkDone: make(chan struct{}),
 		ordered:  make(chan []byte, orderedQueue),
@@ -91,6 +90,7 @@
 	select {
 	case queue <- payload:
 		l.queued += int64(len(payload))
+		l.active.Store(true)
 		return true
 	default:
 		return false
@@ -156,25 +156,35 @@
 func (l *link) watch() {
 	ticker := time.NewTicker(l.t.cfg.Heartbeat)
 	defer ticker.Stop()
-	l.lastPong.Store(int64(time.Since(l.opened)))
+	h := newHeartbeat(l.t.cfg, time.Now())
 	for {
 		select {
 		case <-l.conn.Context().Done():
 			return
 		case <-ticker.C:
 		}
-		if time.Since(l.opened)-time.Duration(l.lastPong.Load()) > l.t.cfg.DeadAfter {
+		now := time.Now()
+		if h.silent(now, l.pongs.Load()) {
 			l.t.stats.silent.Inc(1)
 			_ = l.conn.CloseWithError(codeSilent, errSilent.Error())
 			return
 		}
-		select {
-		case l.ping <- struct{}{}:
-		default:
+		if h.due(now, l.active.Load()) {
+			l.askPing(&h, now)
 		}
 	}
 }
 
+// askPing has the writer send a ping, unless one still waits to be written.
+func (l *link) askPing(h *heartbeat, now time.Time) {
+	l.active.Store(false)
+	select {
+	case l.ping <- struct{}{}:
+		h.asked(now)
+	default:
+	}
+}
+
 // writeOrdered writes the ordered queue and the pings to the first stream, and a
 // bye once the queue is closed and empty.
 func (l *link) writeOrdered() {
@@ -215,7 +225,7 @@
 		}
 		switch kind {
 		case framePong:
-			l.lastPong.Store(int64(time.Since(l.opened)))
+			l.pongs.Add(1)
 		case frameBye:
 			l.byeOnce.Do(func() { close(l.bye) })
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -47,15 +47,19 @@
 	TLS         Identity
 	Handler     Handler
 	Heartbeat   time.Duration // between pings
-	DeadAfter   time.Duration // without a pong, after which a connection is replaced
-	Logger      *slog.Logger
-	Metrics     gometrics.Registry
+	// IdleHeartbeat is the time between pings while nothing is sent; zero for
+	// Heartbeat. It keeps the cost of many idle peers down.
+	IdleHeartbeat time.Duration
+	DeadAfter     time.Duration // without a pong, after which a connection is replaced
+	Logger        *slog.Logger
+	Metrics       gometrics.Registry
 }
 
 func (c *Config) setDefaults() {
 	if c.Heartbeat <= 0 {
 		c.Heartbeat = DefaultHeartbeat
 	}
+	c.IdleHeartbeat = max(c.IdleHeartbeat, c.Heartbeat)
 	if c.DeadAfter <= 0 {
 		c.DeadAfter = DefaultDeadAfter
 	}
@@ -127,14 +131,14 @@
 	return t, nil
 }
 
-// idleFactor sets the idle timeout of QUIC in multiples of DeadAfter. The
-// heartbeat notices a silent connection first.
+// idleFactor sets the idle timeout of QUIC in multiples of the time in which the
+// heartbeat notices a silent connection.
 const idleFactor = 2
 
 func (t *Transport) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  t.cfg.DeadAfter,
-		MaxIdleTimeout:        idleFactor * t.cfg.DeadAfter,
+		MaxIdleTimeout:        idleFactor * (t.cfg.IdleHeartbeat + t.cfg.DeadAfter),
 		MaxIncomingStreams:    1 + bulkStreams,
 		MaxIncomingUniStreams: -1,
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,14 +41,14 @@
 func (r *recorder) PeerUp(_ model.InstanceID, inc model.Incarnation)   { r.up <- inc }
 func (r *recorder) PeerDown(_ model.InstanceID, inc model.Incarnation) { r.down <- inc }
 
-func devCA(t *testing.T, seed string) *DevCA {
+func devCA(t testing.TB, seed string) *DevCA {
 	t.Helper()
 	ca, err := NewDevCA(bytes.NewReader(bytes.Repeat([]byte(seed), 32)))
 	require.NoError(t, err)
 	return ca
 }
 
-func listen(t *testing.T, ca *DevCA, id model.InstanceID, change func(*Config)) (*Transport, *recorder) {
+func listen(t testing.TB, ca *DevCA, id model.InstanceID, change func(*Config)) (*Transport, *recorder) {
 	t.Helper()
 	identity, err := ca.Issue(id)
 	require.NoError(t, err)
@@ -122,36 +124,56 @@
 	require.False(t, l.enqueue(nil))
 }
 
+// failures is a slog.Handler that passes the messages of failed dials on.
+type failures chan string
+
+func (f failures) Enabled(context.Context, slog.Level) bool { return true }
+func (f failures) WithAttrs([]slog.Attr) slog.Handler       { return f }
+func (f failures) WithGroup(string) slog.Handler            { return f }
+func (f failures) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "peer not reached" {
+		f <- r.Message
+	}
+	return nil
+}
+
 func TestStrangersAreRefused(t *testing.T) {
-	ca := devCA(t, "a")
-	counted := func(name string, tr *Transport) int64 {
-		return map[string]int64{"dial": tr.stats.dialFailures.Count()}[name]
+	ca, other := devCA(t, "a"), devCA(t, "b")
+	mixed := func(id model.InstanceID) Identity {
+		own, err := other.Issue(id)
+		require.NoError(t, err)
+		own.CAPEM = ca.pem
+		return own
+	}
+	issued := func(ca *DevCA, id model.InstanceID) Identity {
+		identity, err := ca.Issue(id)
+		require.NoError(t, err)
+		return identity
 	}
 	tests := []struct {
-		name string
-		ca   *DevCA
-		cert model.InstanceID // of the dialling side
-		self model.InstanceID // in its hello
-		peer model.InstanceID // that it means to reach
+		name     string
+		identity Identity         // of the dialling side
+		self     model.InstanceID // in its hello
+		peer     model.InstanceID // that it means to reach
 	}{
-		{"wrong authority", devCA(t, "b"), "entry-1", "entry-1", "entry-2"},
-		{"wrong name in hello", ca, "entry-3", "entry-1", "entry-2"},
-		{"wrong name of the accepting side", ca, "entry-1", "entry-1", "entry-4"},
+		{"wrong authority on both sides", issued(other, "entry-1"), "entry-1", "entry-2"},
+		{"wrong authority of the dialling side", mixed("entry-1"), "entry-1", "entry-2"},
+		{"wrong name in hello", issued(ca, "entry-3"), "entry-1", "entry-2"},
+		{"wrong name of the accepting side", issued(ca, "entry-1"), "entry-1", "entry-4"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			failed := make(failures, 1<<10)
 			b, rb := listen(t, ca, "entry-2", nil)
-			a, ra := listen(t, tt.ca, tt.cert, func(c *Config) { c.Self = tt.self })
+			a, ra := listen(t, ca, "entry-1", func(c *Config) {
+				c.Self, c.TLS, c.Logger = tt.self, tt.identity, slog.New(failed)
+			})
 			a.SetPeers(at(tt.peer, b.Addr()))
-			for counted("dial", a) < 2 {
-				select {
-				case <-ra.up:
-					t.Fatal("connected")
-				case <-rb.messages:
-					t.Fatal("message taken")
-				default:
-				}
-			}
+			<-failed
+			<-failed
+			require.Empty(t, ra.up)
+			require.Empty(t, rb.messages)
+			require.False(t, a.Send(tt.peer, nil))
 		})
 	}
 }
@@ -181,9 +203,16 @@
 	mu     sync.Mutex
 	flows  map[string]*net.UDPConn
 	silent map[string]bool
+	bytes  atomic.Int64 // forwarded both ways, without headers of UDP and IP
+	count  atomic.Int64 // datagrams
 }
 
-func newRelay(t *testing.T, target string) *relay {
+func (r *relay) passed(n int) {
+	r.bytes.Add(int64(n))
+	r.count.Add(1)
+}
+
+func newRelay(t testing.TB, target string) *relay {
 	t.Helper()
 	addr, err := net.ResolveUDPAddr("udp", target)
 	require.NoError(t, err)
@@ -212,6 +241,7 @@
 			return
 		}
 		if back := r.flow(from); back != nil {
+			r.passed(n)
 			_, _ = back.Write(buf[:n])
 		}
 	}
@@ -247,6 +277,7 @@
 		drop := r.silent[to.String()]
 		r.mu.Unlock()
 		if !drop {
+			r.passed(n)
 			_, _ = r.front.WriteToUDP(buf[:n], to)
 		}
 	}
@@ -282,3 +313,23 @@
 	require.Equal(t, "after", string((<-rb.messages).payload))
 	require.Positive(t, a.stats.silent.Count())
 }
+
+func TestHeartbeat(t *testing.T) {
+	start := time.Unix(0, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	h := newHeartbeat(Config{IdleHeartbeat: 10 * time.Second, DeadAfter: 4 * time.Second}, start)
+	require.True(t, h.due(at(1), false), "first ping")
+	h.asked(at(1))
+	require.False(t, h.silent(at(2), 1))
+	require.False(t, h.due(at(2), false))
+	require.True(t, h.due(at(2), true), "payloads are under way")
+	h.asked(at(2))
+	for s := 3; s <= 6; s++ {
+		require.False(t, h.silent(at(s), 1), s)
+	}
+	require.False(t, h.silent(at(12), 1), "own pause")
+	for s := 13; s <= 16; s++ {
+		require.False(t, h.silent(at(s), 1), s)
+	}
+	require.True(t, h.silent(at(17), 1))
+}
