--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -77,13 +77,24 @@
 	return nil
 }
 
+// unknownField starts the message of encoding/json about an unknown field, whose
+// error has no type of its own.
+const unknownField = "json: unknown field "
+
 func describe(err error) string {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return wrongType.Field + ": want " + wrongType.Type.String() + ", got " + wrongType.Value
+		field := wrongType.Field
+		if field == "" {
+			field = "body"
+		}
+		return field + ": want " + wrongType.Type.String() + ", got " + wrongType.Value
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return "body: incomplete JSON"
 	}
+	if name, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		return strings.Trim(name, `"`) + ": unknown field"
+	}
 	return "body: " + strings.TrimPrefix(err.Error(), "json: ")
 }
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -104,8 +104,10 @@
 		status               int
 		message              string
 	}{
-		{"POST", "/v1/requests", `{"servcie":"x"}`, nil, 400, `servcie`},
-		{"POST", "/v1/requests", `{"queue":3}`, nil, 400, "queue"},
+		{"POST", "/v1/requests", `{"servcie":"x"}`, nil, 400, `servcie: unknown field`},
+		{"POST", "/v1/requests", `{"queue":3}`, nil, 400, "queue: want string"},
+		{"POST", "/v1/requests", `[]`, nil, 400, "body: want"},
+		{"POST", "/v1/requests", `{"demand":{"slots":"x"}}`, nil, 400, "demand.slots: want int64"},
 		{"POST", "/v1/requests", `{"timeout":"soon"}`, nil, 400, "timeout"},
 		{"POST", "/v1/requests", `{"class":"gold"}`, nil, 400, "class"},
 		{"POST", "/v1/requests", `{"demand":{"slots":-1}}`, nil, 400, "demand"},
--- a/internal/transport/heartbeat.go
+++ b/internal/transport/heartbeat.go
@@ -15,7 +15,8 @@
 }
 
 func newHeartbeat(cfg Config, now time.Time) heartbeat {
-	return heartbeat{idle: cfg.IdleHeartbeat, deadAfter: cfg.DeadAfter, progress: now, checked: now}
+	idle := cfg.IdleHeartbeat - cfg.Heartbeat/2 // checks come a little early or late
+	return heartbeat{idle: idle, deadAfter: cfg.DeadAfter, progress: now, checked: now}
 }
 
 // silent reports whether a ping has waited too long for its pong. A pause of this
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -317,7 +317,7 @@
 func TestHeartbeat(t *testing.T) {
 	start := time.Unix(0, 0)
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
-	h := newHeartbeat(Config{IdleHeartbeat: 10 * time.Second, DeadAfter: 4 * time.Second}, start)
+	h := newHeartbeat(Config{Heartbeat: time.Second, IdleHeartbeat: 10 * time.Second, DeadAfter: 4 * time.Second}, start)
 	require.True(t, h.due(at(1), false), "first ping")
 	h.asked(at(1))
 	require.False(t, h.silent(at(2), 1))
