--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -12,6 +12,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"pollenbend/internal/metrics"
 	"pollenbend/internal/model"
 )
 
@@ -50,9 +51,10 @@
 }
 
 type api struct {
-	cfg  Config
-	mux  *http.ServeMux
-	held atomic.Int64 // bytes of bodies that wait for an answer
+	cfg    Config
+	mux    *http.ServeMux
+	held   atomic.Int64 // bytes of bodies that wait for an answer
+	active atomic.Int64 // HTTP requests under way
 }
 
 // New returns the handler of all routes.
@@ -76,5 +78,7 @@
 	for _, r := range Routes() {
 		a.mux.HandleFunc(r.Pattern(), r.handle(a))
 	}
+	_ = cfg.Metrics.Register(metrics.Name("http_requests_active"), gometrics.NewFunctionalGauge(a.active.Load))
+	_ = cfg.Metrics.Register(metrics.Name("http_body_bytes_held"), gometrics.NewFunctionalGauge(a.held.Load))
 	return a
 }
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -194,6 +194,11 @@
 
 // callerID returns the ticket or the idempotency key, empty when there is none.
 func callerID(r *http.Request) (string, error) {
+	for _, name := range []string{wire.HeaderIdempotencyKey, wire.HeaderTicket} {
+		if len(r.Header.Values(name)) > 1 {
+			return "", badField(name, "want it once")
+		}
+	}
 	key := r.Header.Get(wire.HeaderIdempotencyKey)
 	ticket := r.Header.Get(wire.HeaderTicket)
 	switch {
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"path"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -71,6 +72,7 @@
 	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, e))
 	pattern := a.pattern(r)
 	started := time.Now()
+	a.active.Add(1)
 	defer a.finish(e, r, pattern, serial.Add(1), started)
 	if pattern == "" {
 		a.serveUnknown(e, r)
@@ -118,8 +120,9 @@
 func (a *api) finish(e *exchange, r *http.Request, pattern string, number uint64, started time.Time) {
 	failure := recover()
 	a.held.Add(-e.held)
+	a.active.Add(-1)
 	if failure != nil && failure != http.ErrAbortHandler && e.status == 0 {
-		a.cfg.Logger.Error("handler panicked", "request", number, "route", pattern, "panic", failure)
+		a.cfg.Logger.Error("handler panicked", "request", number, "route", pattern, "panic", failure, "stack", string(debug.Stack()))
 		ans := model.Answer{Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt, Message: "internal error"}
 		a.write(e, r, http.StatusInternalServerError, ans)
 		failure = nil
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -1,10 +1,14 @@
 package transport
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/model"
 )
 
 // BenchmarkSend measures payloads of 256 bytes from Send to the peer's handler.
@@ -51,3 +55,27 @@
 	b.ReportMetric(float64(between.bytes.Load()-bytes)/float64(b.N), "bytes/heartbeat")
 	b.ReportMetric(float64(between.count.Load()-count)/float64(b.N), "datagrams/heartbeat")
 }
+
+// BenchmarkIdlePeers measures the memory of one dialled connection that carries
+// nothing, both ends together.
+func BenchmarkIdlePeers(b *testing.B) {
+	ca := devCA(b, "a")
+	to, _ := listen(b, ca, "entry-0", nil)
+	before := memory()
+	for i := range b.N {
+		id := model.InstanceID("entry-" + strconv.Itoa(i+1))
+		up := newRecorder(1)
+		from, _ := listen(b, ca, id, func(c *Config) { c.Handler = up })
+		from.SetPeers(at("entry-0", to.Addr()))
+		<-up.up
+	}
+	b.ReportMetric(float64(memory()-before)/float64(b.N), "bytes/connection")
+}
+
+// memory returns the bytes of live heap and of stacks.
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -16,11 +16,11 @@
 
 // Bounds of one connection's queues.
 const (
-	orderedQueue = 8192     // payloads of up to MaxOrdered bytes
+	orderedQueue = 2048     // payloads of up to MaxOrdered bytes
 	bulkQueue    = 64       // longer payloads
 	queueBytes   = 16 << 20 // both together
 	bulkStreams  = 2        // longer payloads under way at once
-	bufferBytes  = 32 << 10 // of the first stream, in each direction
+	bufferBytes  = 16 << 10 // of the first stream, in each direction
 )
 
 // Application error codes of closed connections.
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -62,7 +62,7 @@
 		return
 	}
 	defer l.release()
-	p.t.stats.connections.Update(p.t.stats.open.Add(1))
+	p.t.stats.open.Add(1)
 	p.link.Store(l)
 	p.t.cfg.Handler.PeerUp(p.id, l.incarnation)
 	log.Info("peer up", "incarnation", l.incarnation)
@@ -70,7 +70,7 @@
 	cause := l.serve(ctx)
 
 	p.link.Store(nil)
-	p.t.stats.connections.Update(p.t.stats.open.Add(-1))
+	p.t.stats.open.Add(-1)
 	p.t.cfg.Handler.PeerDown(p.id, l.incarnation)
 	log.Info("peer down", "incarnation", l.incarnation, "cause", cause)
 }
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -18,14 +18,15 @@
 	refusedPeers  gometrics.Counter
 	dialFailures  gometrics.Counter
 	silent        gometrics.Counter
-	connections   gometrics.Gauge
-	open          *atomic.Int64
+	open          *atomic.Int64 // dialled connections
 }
 
 func newStats(r gometrics.Registry) stats {
 	counter := func(base string) gometrics.Counter {
 		return gometrics.GetOrRegisterCounter(metrics.Name(base), r)
 	}
+	open := new(atomic.Int64)
+	_ = r.Register(metrics.Name("peer_connections"), gometrics.NewFunctionalGauge(open.Load))
 	return stats{
 		sent:          counter("peer_messages_sent_total"),
 		sentBytes:     counter("peer_bytes_sent_total"),
@@ -35,7 +36,6 @@
 		refusedPeers:  counter("peer_connections_refused_total"),
 		dialFailures:  counter("peer_dial_failures_total"),
 		silent:        counter("peer_connections_silent_total"),
-		connections:   gometrics.GetOrRegisterGauge(metrics.Name("peer_connections"), r),
-		open:          new(atomic.Int64),
+		open:          open,
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -26,7 +26,8 @@
 type Handler interface {
 	// PeerMessage delivers one payload, which the handler then owns.
 	PeerMessage(from model.InstanceID, inc model.Incarnation, payload []byte)
-	// PeerUp says that Send to id now has a connection to incarnation inc.
+	// PeerUp says that Send to id now has a connection to incarnation inc. Send
+	// may use the connection a moment before this call.
 	PeerUp(id model.InstanceID, inc model.Incarnation)
 	// PeerDown says that the connection is lost and with it every payload that
 	// was queued or under way; whether those arrived is unknown.
