--- a/internal/client/attempt.go
+++ b/internal/client/attempt.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return lost("answer cut", err)
 	}
-	return x.judge(resp.StatusCode, data)
+	return x.interpret(resp.StatusCode, data)
 }
 
 func (c *Client) request(ctx context.Context, x exchange) (*http.Request, error) {
@@ -114,8 +114,8 @@
 	return lost("no answer", err)
 }
 
-// judge reads a complete HTTP answer.
-func (x exchange) judge(status int, data []byte) outcome {
+// interpret reads a complete HTTP answer.
+func (x exchange) interpret(status int, data []byte) outcome {
 	answer := new(wire.Answer)
 	if err := json.Unmarshal(data, answer); err != nil {
 		return lost("answer not understood", errors.Newf("status %d, not from the API", status))
--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -139,7 +139,7 @@
 	if a.cfg.Status.Draining() {
 		h.Set("Connection", "close")
 	}
-	note(r, ans)
+	record(r, ans)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -16,8 +16,8 @@
 // errSlowBody marks a body that did not arrive within the read timeout.
 var errSlowBody = verdict.Refuse(verdict.CodeBadRequest, "body: not received in time")
 
-// errCrowded is the refusal of a body when too many bytes of others are held.
-var errCrowded = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
+// errBodiesFull is the refusal of a body when too many bytes of others are held.
+var errBodiesFull = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
 
 // heldBody counts the bytes that it reads against what the instance holds.
 type heldBody struct {
@@ -31,7 +31,7 @@
 	n, err := b.Reader.Read(p)
 	b.e.held += int64(n)
 	if b.a.held.Add(int64(n)) > b.a.cfg.MaxHeld {
-		return n, errCrowded
+		return n, errBodiesFull
 	}
 	return n, err
 }
@@ -47,8 +47,8 @@
 	body := &heldBody{Reader: r.Body, a: a, e: e}
 	data, err := io.ReadAll(io.LimitReader(body, a.cfg.MaxBody+1))
 	switch {
-	case errors.Is(err, errCrowded):
-		return nil, errCrowded
+	case errors.Is(err, errBodiesFull):
+		return nil, errBodiesFull
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errSlowBody
 	case err != nil:
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -34,8 +34,8 @@
 	return strings.TrimSpace(key), nil
 }
 
-// patience is how long the caller of req waits for the answer.
-func (a *api) patience(req model.Request) time.Duration {
+// waitLimit is how long the caller of req waits for the answer.
+func (a *api) waitLimit(req model.Request) time.Duration {
 	if req.Timeout > 0 {
 		return req.Timeout
 	}
--- a/internal/httpapi/routes.go
+++ b/internal/httpapi/routes.go
@@ -30,11 +30,11 @@
 		{Method: http.MethodGet, Path: "/v1/jobs/{id}", parse: (*api).parseStatus},
 		{Method: http.MethodDelete, Path: "/v1/jobs/{id}", parse: (*api).parseCancel},
 		{Method: http.MethodPost, Path: "/v1/tickets", parse: (*api).parseTickets},
-		{Method: http.MethodGet, Path: "/v1/config", parse: only(model.OpConfig)},
+		{Method: http.MethodGet, Path: "/v1/config", parse: noParams(model.OpConfig)},
 		{Method: http.MethodPost, Path: "/v1/config", parse: (*api).parseApply},
-		{Method: http.MethodGet, Path: "/v1/cell", parse: only(model.OpCell)},
+		{Method: http.MethodGet, Path: "/v1/cell", parse: noParams(model.OpCell)},
 		{Method: http.MethodGet, Path: "/v1/timeline", parse: (*api).parseTimeline},
-		{Method: http.MethodPost, Path: "/v1/drain", parse: only(model.OpDrainSelf)},
+		{Method: http.MethodPost, Path: "/v1/drain", parse: noParams(model.OpDrainSelf)},
 		{Method: http.MethodGet, Path: "/healthz", serve: (*api).serveHealth},
 		{Method: http.MethodGet, Path: "/readyz", serve: (*api).serveReady},
 		{Method: http.MethodGet, Path: "/metrics", serve: (*api).serveMetrics},
@@ -48,8 +48,8 @@
 	return func(w http.ResponseWriter, req *http.Request) { a.forward(w, req, r.parse) }
 }
 
-// only returns a parser for an operation without parameters.
-func only(op model.Op) func(*api, *http.Request) (model.Request, error) {
+// noParams returns a parser for an operation without parameters.
+func noParams(op model.Op) func(*api, *http.Request) (model.Request, error) {
 	return func(*api, *http.Request) (model.Request, error) {
 		return model.Request{Op: op}, nil
 	}
@@ -68,7 +68,7 @@
 		return
 	}
 	req.Key = key
-	ctx, cancel := context.WithTimeout(r.Context(), a.patience(req)+answerGrace)
+	ctx, cancel := context.WithTimeout(r.Context(), a.waitLimit(req)+answerGrace)
 	defer cancel()
 	a.answer(w, r, req, a.cfg.Gateway.Do(ctx, req))
 }
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -57,8 +57,8 @@
 	return e
 }
 
-// note records an answer for the log line of r.
-func note(r *http.Request, ans model.Answer) {
+// record keeps an answer for the log line of r.
+func record(r *http.Request, ans model.Answer) {
 	e := exchangeOf(r)
 	e.id, e.verdict, e.code = ans.ID, ans.Verdict, ans.Code
 }
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -37,7 +37,7 @@
 }
 
 func (t *Transport) serveInbound(conn *quic.Conn) error {
-	in, err := t.welcome(conn)
+	in, err := t.receiveHello(conn)
 	if err != nil {
 		t.stats.refusedPeers.Inc(1)
 		_ = conn.CloseWithError(codeRefused, "hello")
@@ -56,8 +56,8 @@
 	return in.serve()
 }
 
-// welcome reads the hello and checks it against the certificate.
-func (t *Transport) welcome(conn *quic.Conn) (*inbound, error) {
+// receiveHello reads the hello and checks it against the certificate.
+func (t *Transport) receiveHello(conn *quic.Conn) (*inbound, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.DeadAfter)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(codeRefused, "hello timed out") })
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -98,7 +98,7 @@
 		closeSocket()
 		return nil, errors.Wrap(err, "dial")
 	}
-	l, err := p.greet(ctx, conn)
+	l, err := p.exchangeHellos(ctx, conn)
 	if err != nil {
 		_ = conn.CloseWithError(codeRefused, "hello")
 		closeSocket()
@@ -108,8 +108,8 @@
 	return l, nil
 }
 
-// greet exchanges hellos on the first stream of conn.
-func (p *peer) greet(ctx context.Context, conn *quic.Conn) (*link, error) {
+// exchangeHellos exchanges hellos on the first stream of conn.
+func (p *peer) exchangeHellos(ctx context.Context, conn *quic.Conn) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.t.cfg.DeadAfter)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseWithError(codeRefused, "hello timed out") })
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -136,7 +136,7 @@
 	return nil
 }
 
-func TestStrangersAreRefused(t *testing.T) {
+func TestUnauthenticatedPeersAreRefused(t *testing.T) {
 	ca, other := devCA(t, "a"), devCA(t, "b")
 	mixed := func(id model.InstanceID) Identity {
 		own, err := other.Issue(id)
@@ -332,3 +332,34 @@
 	}
 	require.True(t, h.silent(at(17), 1))
 }
+
+func TestNewerConnectionReplacesOlder(t *testing.T) {
+	ca := devCA(t, "a")
+	b, rb := listen(t, ca, "entry-2", nil)
+	older, up := listen(t, ca, "entry-1", nil)
+	older.SetPeers(at("entry-2", b.Addr()))
+	<-up.up
+	newer, newerUp := listen(t, ca, "entry-1", func(c *Config) { c.Incarnation = 8 })
+	newer.SetPeers(at("entry-2", b.Addr()))
+	<-newerUp.up
+	<-up.down
+	older.SetPeers(nil) // it may have replaced the newer one again by now
+	for {
+		newer.Send("entry-2", []byte("x"))
+		select {
+		case m := <-rb.messages:
+			require.Equal(t, model.Incarnation(8), m.inc)
+			return
+		case <-newerUp.up:
+		}
+	}
+}
+
+func TestDelayedHelloIsRefused(t *testing.T) {
+	b, _ := listen(t, devCA(t, "a"), "entry-2", nil)
+	current := &inbound{t: b, peer: hello{Instance: "entry-1", Incarnation: 7, Serial: 5}}
+	require.NoError(t, b.admit(current))
+	require.Error(t, b.admit(&inbound{t: b, peer: hello{Instance: "entry-1", Incarnation: 7, Serial: 4}}))
+	b.forget(current)
+	require.Empty(t, b.inbound)
+}
