--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -109,7 +109,7 @@
 	if refusal == errSlowBody {
 		status = http.StatusRequestTimeout
 	}
-	if r.ContentLength != 0 {
+	if exchangeOf(r).unread {
 		w.Header().Set("Connection", "close")
 	}
 	a.write(w, r, status, ans)
@@ -139,7 +139,7 @@
 	if a.cfg.Status.Draining() {
 		h.Set("Connection", "close")
 	}
-	note(r, ans)
+	record(r, ans)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -1,20 +1,14 @@
 package httpapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/httpapi/wire"
@@ -110,8 +104,10 @@
 		status               int
 		message              string
 	}{
-		{"POST", "/v1/requests", `{"servcie":"x"}`, nil, 400, `servcie`},
-		{"POST", "/v1/requests", `{"queue":3}`, nil, 400, "queue"},
+		{"POST", "/v1/requests", `{"servcie":"x"}`, nil, 400, `servcie: unknown field`},
+		{"POST", "/v1/requests", `{"queue":3}`, nil, 400, "queue: want string"},
+		{"POST", "/v1/requests", `[]`, nil, 400, "body: want"},
+		{"POST", "/v1/requests", `{"demand":{"slots":"x"}}`, nil, 400, "demand.slots: want int64"},
 		{"POST", "/v1/requests", `{"timeout":"soon"}`, nil, 400, "timeout"},
 		{"POST", "/v1/requests", `{"class":"gold"}`, nil, 400, "class"},
 		{"POST", "/v1/requests", `{"demand":{"slots":-1}}`, nil, 400, "demand"},
@@ -180,10 +176,3 @@
 		})
 	}
 }
-
-var _ = bytes.NewReader
-var _ = io.EOF
-var _ = slog.LevelInfo
-var _ net.Conn
-var _ = os.Args
-var _ gometrics.Registry
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -34,8 +34,8 @@
 	return strings.TrimSpace(key), nil
 }
 
-// patience is how long the caller of req waits for the answer.
-func (a *api) patience(req model.Request) time.Duration {
+// waitLimit is how long the caller of req waits for the answer.
+func (a *api) waitLimit(req model.Request) time.Duration {
 	if req.Timeout > 0 {
 		return req.Timeout
 	}
@@ -194,6 +194,11 @@
 
 // callerID returns the ticket or the idempotency key, empty when there is none.
 func callerID(r *http.Request) (string, error) {
+	for _, name := range []string{wire.HeaderIdempotencyKey, wire.HeaderTicket} {
+		if len(r.Header.Values(name)) > 1 {
+			return "", badField(name, "want it once")
+		}
+	}
 	key := r.Header.Get(wire.HeaderIdempotencyKey)
 	ticket := r.Header.Get(wire.HeaderTicket)
 	switch {
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"path"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	http.ResponseWriter
 	status  int
 	bytes   int
+	held    int64 // bytes of the body that count as held
+	unread  bool  // a part of the body was not read
 	id      string
 	verdict verdict.Verdict
 	code    verdict.Code
@@ -48,11 +51,16 @@
 
 type exchangeKey struct{}
 
-// note records an answer for the log line of r.
-func note(r *http.Request, ans model.Answer) {
-	if e, ok := r.Context().Value(exchangeKey{}).(*exchange); ok {
-		e.id, e.verdict, e.code = ans.ID, ans.Verdict, ans.Code
-	}
+// exchangeOf returns the exchange that ServeHTTP made for r.
+func exchangeOf(r *http.Request) *exchange {
+	e, _ := r.Context().Value(exchangeKey{}).(*exchange)
+	return e
+}
+
+// record keeps an answer for the log line of r.
+func record(r *http.Request, ans model.Answer) {
+	e := exchangeOf(r)
+	e.id, e.verdict, e.code = ans.ID, ans.Verdict, ans.Code
 }
 
 // serial numbers the HTTP requests of this process in its log.
@@ -64,6 +72,7 @@
 	r = r.WithContext(context.WithValue(r.Context(), exchangeKey{}, e))
 	pattern := a.pattern(r)
 	started := time.Now()
+	a.active.Add(1)
 	defer a.finish(e, r, pattern, serial.Add(1), started)
 	if pattern == "" {
 		a.serveUnknown(e, r)
@@ -110,8 +119,10 @@
 // that the request may have run.
 func (a *api) finish(e *exchange, r *http.Request, pattern string, number uint64, started time.Time) {
 	failure := recover()
+	a.held.Add(-e.held)
+	a.active.Add(-1)
 	if failure != nil && failure != http.ErrAbortHandler && e.status == 0 {
-		a.cfg.Logger.Error("handler panicked", "request", number, "route", pattern, "panic", failure)
+		a.cfg.Logger.Error("handler panicked", "request", number, "route", pattern, "panic", failure, "stack", string(debug.Stack()))
 		ans := model.Answer{Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt, Message: "internal error"}
 		a.write(e, r, http.StatusInternalServerError, ans)
 		failure = nil
