--- /dev/null
+++ b/internal/scheduler/doc.go
@@ -0,0 +1,9 @@
+// Package scheduler decides where tasks run. It is pure: time and randomness are
+// passed in, and it does no I/O. One goroutine owns a Scheduler and all that
+// belongs to it.
+//
+// A decision runs a chain of filters and scorers (package plugin and below) over
+// a bounded sample of workers that package fleet finds by label class and free
+// capacity. Place decides, Fleet.Assume commits after a recheck of the worker's
+// ledger, Fleet.Release ends the commitment.
+package scheduler
--- /dev/null
+++ b/internal/scheduler/plugin/resources/resources.go
@@ -0,0 +1,39 @@
+// Package resources filters workers by free capacity.
+package resources
+
+import (
+	"pollenbend/internal/model"
+	"pollenbend/internal/scheduler/fleet"
+	"pollenbend/internal/scheduler/plugin"
+)
+
+// Name is the plugin's name in statuses.
+const Name = "resources"
+
+// Filter refuses workers without room for the task's demand.
+type Filter struct{}
+
+// Name implements plugin.Filter.
+func (Filter) Name() string { return Name }
+
+// Filter implements plugin.Filter.
+func (Filter) Filter(_ *plugin.State, t *model.Task, n *fleet.Node) plugin.Status {
+	free := n.Free()
+	if t.Demand.Fits(free) {
+		return plugin.Status{}
+	}
+	return plugin.Status{Code: plugin.Unfit, Plugin: Name, Reason: short(t.Demand, free)}
+}
+
+// short names the first dimension that is missing.
+func short(demand, free model.Resources) string {
+	switch {
+	case demand.Accelerators > free.Accelerators:
+		return "too few free accelerators"
+	case demand.MilliCPU > free.MilliCPU:
+		return "too little free processor time"
+	case demand.MemoryMiB > free.MemoryMiB:
+		return "too little free memory"
+	}
+	return "no free slot"
+}
