Order waiting work by weighted max-min over the dominant resource

Cause: a full fleet must serve each team by its share, in the order received. Change: queue keeps bounded FIFOs by team, class and lane, and hands out the task of the team furthest below its share; shares keeps usage and works out fair targets. Permits of upper limits come from outside by a Limiter. Conclusion: go test -race ./internal/scheduler/... passes; the example shows how the parts are called.

--- a/internal/scheduler/example_test.go
+++ b/internal/scheduler/example_test.go
@@ -2,28 +2,49 @@
 
 import (
 	"fmt"
+	"time"
 
 	"pollenbend/internal/model"
 	"pollenbend/internal/scheduler"
+	"pollenbend/internal/scheduler/queue"
 )
 
 func Example() {
+	const now = 5 * time.Second // since the instance began
 	s := scheduler.New(scheduler.Config{Seed: 1})
+	q := queue.New(queue.Config{})
 	s.Fleet.Upsert(model.Worker{ID: "w1", Capacity: model.Resources{MilliCPU: 4000}})
+	q.SetCapacity(s.Fleet.Capacity())
+	q.SetShare("aftercare", 3)
 
-	task := &model.Task{ID: "t1", Team: "aftercare", Demand: model.Resources{MilliCPU: 3000}}
-	if status := s.Feasible(task); !status.Success() {
-		fmt.Println("refuse:", status)
+	for _, id := range []model.TaskID{"t1", "t2"} {
+		task := &model.Task{ID: id, Team: "aftercare", Demand: model.Resources{MilliCPU: 3000}}
+		if status := s.Feasible(task); !status.Success() {
+			fmt.Println("refuse:", status)
+			continue
+		}
+		if err := q.Push(task); err != nil {
+			fmt.Println("refuse:", err)
+		}
+	}
+	for task := q.Pop(); task != nil; task = q.Pop() {
+		decision, status := s.Place(now, task)
+		if !status.Success() || s.Fleet.Assume(now, task, decision.Worker) != nil {
+			fmt.Println(task.ID, status)
+			q.Defer(task)
+			continue
+		}
+		q.Started(task)
+		fmt.Println(task.ID, "on", decision.Worker)
 	}
-	decision, status := s.Place(0, task)
-	fmt.Println(decision.Worker, status)
-	fmt.Println("committed:", s.Fleet.Assume(0, task, decision.Worker) == nil)
 
-	_, status = s.Place(0, &model.Task{ID: "t2", Demand: model.Resources{MilliCPU: 3000}})
-	fmt.Println(status)
-	s.Fleet.Release("t1")
+	_ = s.Fleet.Confirm(now, "t1") // the worker runs it
+	ended := s.Fleet.Release("t1") // the worker has confirmed its end
+	q.Ended(ended.Task)
+	q.Wake(ended.Node.Free())
+	fmt.Println("next:", q.Pop().ID)
 	// Output:
-	// w1 ok
-	// committed: true
-	// resources: no matching worker has room
+	// t1 on w1
+	// t2 resources: no matching worker has room
+	// next: t2
 }
--- /dev/null
+++ b/internal/scheduler/queue/queue_test.go
@@ -0,0 +1,181 @@
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/verdict"
+)
+
+var one = model.Resources{MilliCPU: 1}
+
+func task(team, id string) *model.Task {
+	return &model.Task{ID: model.TaskID(id), Team: model.TeamID(team), Demand: one}
+}
+
+func ids(q *Queue, n int) []model.TaskID {
+	var out []model.TaskID
+	for range n {
+		t := q.Pop()
+		if t == nil {
+			break
+		}
+		q.Started(t)
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+func TestShareOrderIsWeighted(t *testing.T) {
+	q := New(Config{})
+	q.SetCapacity(model.Resources{MilliCPU: 100})
+	q.SetShare("b", 3)
+	for i := range 8 {
+		require.NoError(t, q.Push(task("a", fmt.Sprint("a", i))))
+		require.NoError(t, q.Push(task("b", fmt.Sprint("b", i))))
+	}
+	require.Equal(t, []model.TaskID{"a0", "b0", "b1", "b2", "a1", "b3", "b4", "b5"}, ids(q, 8))
+	q.SetUsage("b", model.Resources{MilliCPU: 50})
+	require.Equal(t, []model.TaskID{"a2", "a3", "a4"}, ids(q, 3))
+}
+
+func TestUrgentGoesFirstInOrderReceived(t *testing.T) {
+	q := New(Config{})
+	urgent := task("a", "u")
+	urgent.Class = model.ClassUrgent
+	low := task("a", "low")
+	low.Class = model.ClassLow
+	for _, w := range []*model.Task{low, task("a", "1"), task("a", "2"), urgent} {
+		require.NoError(t, q.Push(w))
+	}
+	require.Equal(t, []model.TaskID{"u", "1", "2", "low"}, ids(q, 9))
+}
+
+func TestFullQueueRefusesWithVerdict(t *testing.T) {
+	q := New(Config{MaxWaiting: 1})
+	require.NoError(t, q.Push(task("a", "1")))
+	err := q.Push(task("a", "2"))
+	var refusal *verdict.Error
+	require.True(t, errors.As(err, &refusal))
+	require.Equal(t, verdict.CodeOverloaded, refusal.Code)
+	require.Equal(t, verdict.NotRun, refusal.Verdict)
+	require.Positive(t, refusal.RetryAfter)
+	require.NoError(t, q.Push(task("b", "2")))
+	require.Equal(t, verdict.NotRun, verdict.Of(q.Push(task("b", "2"))))
+}
+
+func TestDeferKeepsOrderAndBlocksOneLaneOnly(t *testing.T) {
+	q := New(Config{})
+	large := task("a", "large")
+	large.Demand = model.Resources{MilliCPU: 10}
+	other := task("a", "other")
+	other.Kind = model.KindBatch
+	for _, w := range []*model.Task{large, task("a", "behind"), other} {
+		require.NoError(t, q.Push(w))
+	}
+	require.Equal(t, large, q.Pop())
+	q.Defer(large)
+	require.Equal(t, []model.TaskID{"other"}, ids(q, 9))
+	q.Wake(model.Resources{MilliCPU: 9})
+	require.Empty(t, ids(q, 9))
+	q.Wake(model.Resources{MilliCPU: 10})
+	require.Equal(t, []model.TaskID{"large", "behind"}, ids(q, 9))
+}
+
+// limiter allows a number of tasks for each team.
+type limiter map[model.TeamID]int
+
+func (l limiter) Acquire(team model.TeamID) bool {
+	if l[team] == 0 {
+		return false
+	}
+	l[team]--
+	return true
+}
+
+func (l limiter) Release(team model.TeamID) { l[team]++ }
+
+func TestUpperLimitPassesTeamOver(t *testing.T) {
+	l := limiter{"a": 1, "b": 5}
+	q := New(Config{Limiter: l})
+	first := task("a", "a1")
+	for _, w := range []*model.Task{first, task("a", "a2"), task("b", "b1")} {
+		require.NoError(t, q.Push(w))
+	}
+	require.Equal(t, []model.TaskID{"a1", "b1"}, ids(q, 9))
+	q.Ended(first)
+	require.Equal(t, []model.TaskID{"a2"}, ids(q, 9))
+	require.NoError(t, q.Push(task("a", "a3")))
+	require.Empty(t, ids(q, 9))
+	l["a"]++
+	q.LimitChanged("a")
+	got := q.Pop()
+	q.Drop(got)
+	require.Equal(t, limiter{"a": 1, "b": 4}, l)
+}
+
+func TestCancelWaves(t *testing.T) {
+	q := New(Config{})
+	for i := range 1000 {
+		w := task("a", fmt.Sprint(i))
+		w.Job = model.JobID(fmt.Sprint("j", i%2))
+		require.NoError(t, q.Push(w))
+	}
+	require.Len(t, q.CancelJob("a", "j0"), 500)
+	require.Empty(t, q.CancelJob("a", "j0"))
+	require.NotNil(t, q.Cancel("1"))
+	require.Nil(t, q.Cancel("1"))
+	require.Equal(t, 499, q.Len())
+	require.Equal(t, []model.TaskID{"3", "5", "7"}, ids(q, 3))
+}
+
+func TestCancelOfBlockedTaskUnblocksItsLane(t *testing.T) {
+	q := New(Config{})
+	require.NoError(t, q.Push(task("a", "1")))
+	require.NoError(t, q.Push(task("a", "2")))
+	q.Defer(q.Pop())
+	require.Nil(t, q.Pop())
+	q.Cancel("1")
+	require.Equal(t, []model.TaskID{"2"}, ids(q, 9))
+}
+
+// TestOrderWithinTeam pops, defers and wakes at random and checks that each lane
+// keeps its order and nothing is lost or doubled.
+func TestOrderWithinTeam(t *testing.T) {
+	const seed = 7
+	t.Log("seed", seed)
+	rng := rand.New(rand.NewPCG(seed, seed))
+	q := New(Config{})
+	last := map[model.TeamID]int{}
+	pushed, started := 0, 0
+	for started < 2000 {
+		switch rng.IntN(4) {
+		case 0, 1:
+			w := task(fmt.Sprint("team", rng.IntN(5)), fmt.Sprint(pushed))
+			w.Index = pushed + 1
+			pushed++
+			require.NoError(t, q.Push(w))
+		case 2:
+			w := q.Pop()
+			if w == nil {
+				continue
+			}
+			if rng.IntN(3) == 0 {
+				q.Defer(w)
+				continue
+			}
+			require.Greater(t, w.Index, last[w.Team])
+			last[w.Team] = w.Index
+			q.Started(w)
+			started++
+		case 3:
+			q.Wake(one)
+		}
+	}
+	require.Equal(t, pushed-started, q.Len())
+}
--- /dev/null
+++ b/internal/scheduler/shares/shares_test.go
@@ -0,0 +1,46 @@
+package shares
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/model"
+)
+
+func TestShareTargets(t *testing.T) {
+	tests := []struct {
+		name   string
+		claims []Claim
+		want   []float64
+	}{
+		{"all want more", []Claim{{"a", 1, 1}, {"b", 3, 1}}, []float64{0.25, 0.75}},
+		{"idle part is borrowed", []Claim{{"a", 1, 1}, {"b", 3, 0.15}}, []float64{0.85, 0.15}},
+		{"borrowed by weight", []Claim{{"a", 1, 1}, {"b", 2, 0.1}, {"c", 2, 1}}, []float64{0.3, 0.1, 0.6}},
+		{"everybody is content", []Claim{{"a", 1, 0.1}, {"b", 1, 0.2}}, []float64{0.1, 0.2}},
+		{"nobody", nil, []float64{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := make([]float64, 0, len(tt.claims))
+			for _, target := range Targets(tt.claims, 1) {
+				got = append(got, target.Part)
+			}
+			require.InDeltaSlice(t, tt.want, got, 1e-9)
+		})
+	}
+}
+
+func TestShareLevelFollowsDominantResource(t *testing.T) {
+	b := NewBook()
+	b.SetCapacity(model.Resources{MilliCPU: 1000, MemoryMiB: 1000})
+	b.SetShare("a", 2)
+	b.SetElsewhere("a", model.Resources{MilliCPU: 100})
+	b.Charge("a", model.Resources{MemoryMiB: 400})
+	require.InDelta(t, 0.4, b.Account("a").Dominant(), 1e-9)
+	require.InDelta(t, 0.2, b.Account("a").Level(), 1e-9)
+	b.Refund("a", model.Resources{MemoryMiB: 350})
+	require.InDelta(t, 0.1, b.Account("a").Dominant(), 1e-9)
+	b.SetCapacity(model.Resources{MilliCPU: 200, MemoryMiB: 1000})
+	require.InDelta(t, 0.5, b.Account("a").Dominant(), 1e-9)
+}
