--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -55,8 +55,7 @@
 // Explain counts, over all workers, which filter refuses the task first. It
 // looks at every worker and is meant for status calls, not for decisions.
 func (s *Scheduler) Explain(now time.Duration, t *model.Task) Explanation {
-	s.search.Start(s.Fleet, s.Fleet.Select(t.Require), t.Demand)
-	s.state = plugin.State{Now: now, Fleet: s.Fleet, Search: &s.search}
+	s.start(now, t)
 	out := Explanation{Workers: len(s.Fleet.Nodes())}
 	for _, n := range s.Fleet.Nodes() {
 		out.add(s.filter(t, n))
--- a/internal/scheduler/fleet/fleet.go
+++ b/internal/scheduler/fleet/fleet.go
@@ -40,6 +40,7 @@
 	zones   map[string]int // workers by availability zone
 	journal []journalEntry
 	inTx    bool
+	holds   map[model.TaskID]Hold
 }
 
 // New returns an empty fleet.
@@ -52,6 +53,7 @@
 		spread:     make(map[spreadKey]*Spread),
 		racks:      make(map[string]int),
 		zones:      make(map[string]int),
+		holds:      make(map[model.TaskID]Hold),
 	}
 }
 
@@ -108,6 +110,7 @@
 	for len(n.allocs) > 0 {
 		f.release(n.allocs[len(n.allocs)-1])
 	}
+	f.dropHolds(func(h Hold) bool { return h.Node == n })
 	f.detach(n)
 	n.removed = true
 	last := f.nodes[len(f.nodes)-1]
@@ -144,7 +147,7 @@
 		return
 	}
 	f.capacity = f.capacity.Add(n.Worker.Capacity)
-	n.class.insert(n, spotOf(n.Free()))
+	n.class.insert(n, spotOf(n.Available()))
 	f.freed.add(n)
 }
 
@@ -164,7 +167,7 @@
 	if !n.indexed {
 		return
 	}
-	at := spotOf(n.Free())
+	at := spotOf(n.Available())
 	if at == n.spot {
 		return
 	}
@@ -173,7 +176,8 @@
 }
 
 // Assume commits a task to a worker before the worker has confirmed it. It
-// rechecks the worker's ledger whatever the caller planned.
+// rechecks the worker's ledger whatever the caller planned. The task's own hold
+// is used up.
 func (f *Fleet) Assume(now time.Duration, t *model.Task, id model.WorkerID) error {
 	n := f.byID[id]
 	if n == nil {
@@ -185,7 +189,11 @@
 	if !n.Schedulable() {
 		return ErrUnschedulable
 	}
-	if !t.Demand.Fits(n.Free()) {
+	own, held := f.Unhold(t.ID)
+	if !t.Demand.Fits(n.Available()) {
+		if held {
+			f.restore(own)
+		}
 		return ErrNoRoom
 	}
 	f.commit(&Allocation{Task: t, Node: n, Since: now})
--- a/internal/scheduler/fleet/fleet_test.go
+++ b/internal/scheduler/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 		require.Equal(t, n.Schedulable(), n.indexed)
 		if n.Schedulable() {
 			capacity = capacity.Add(n.Worker.Capacity)
-			require.Equal(t, spotOf(n.Free()), n.spot)
+			require.Equal(t, spotOf(n.Available()), n.spot)
 		}
 		if !adopted {
 			require.True(t, sum.Fits(n.Worker.Capacity), "committed %v of %v", sum, n.Worker.Capacity)
@@ -111,6 +111,8 @@
 					adopted = f.Adopt(0, task(), worker()) == nil || adopted
 				}
 			},
+			"hold":   func(*rapid.T) { _ = f.Hold(task(), worker(), time.Duration(next)) },
+			"expire": func(*rapid.T) { f.ExpireHolds(time.Duration(next - 3)) },
 			"release": func(t *rapid.T) {
 				f.Release(model.TaskID(fmt.Sprint("t", rapid.IntRange(0, next+1).Draw(t, "task"))))
 			},
--- a/internal/scheduler/fleet/index.go
+++ b/internal/scheduler/fleet/index.go
@@ -80,11 +80,14 @@
 	size    int // workers, whether schedulable or not
 	open    int // workers in the index
 	pool    *cellPool
+	members []*Node
 	shapes  map[model.Resources]int // workers that stay, by capacity
 }
 
 // join counts a worker as a member of the class.
 func (c *Class) join(n *Node) {
+	n.member = len(c.members)
+	c.members = append(c.members, n)
 	c.size++
 	if n.reasons&ReasonLeaving == 0 {
 		c.shapes[n.Worker.Capacity]++
@@ -93,6 +96,11 @@
 
 // leave ends a worker's membership.
 func (c *Class) leave(n *Node) {
+	last := len(c.members) - 1
+	c.members[n.member] = c.members[last]
+	c.members[n.member].member = n.member
+	c.members[last] = nil
+	c.members = c.members[:last]
 	c.size--
 	if n.reasons&ReasonLeaving != 0 {
 		return
--- a/internal/scheduler/fleet/node.go
+++ b/internal/scheduler/fleet/node.go
@@ -64,6 +64,8 @@
 	removed  bool
 	rackKey  string
 	stopping model.Resources
+	held     model.Resources
+	member   int // in Class.members
 }
 
 // Used returns what is committed on the worker.
@@ -73,6 +75,9 @@
 // capacity was lowered below what it runs.
 func (n *Node) Free() model.Resources { return n.Worker.Capacity.Sub(n.used) }
 
+// Available returns what is neither committed nor held for a task.
+func (n *Node) Available() model.Resources { return n.Free().Sub(n.held) }
+
 // Stopping returns the part of Used that was told to stop.
 func (n *Node) Stopping() model.Resources { return n.stopping }
 
@@ -126,7 +131,7 @@
 // that needs no accelerator can't use what is reserved for them, unless
 // dedicated says that its selector allows only workers with accelerators.
 func (n *Node) Room(demand model.Resources, dedicated bool) model.Resources {
-	free := n.Free()
+	free := n.Available()
 	if demand.Accelerators > 0 || dedicated || n.Worker.Capacity.Accelerators == 0 {
 		return free
 	}
--- a/internal/scheduler/fleet/search.go
+++ b/internal/scheduler/fleet/search.go
@@ -129,6 +129,30 @@
 	return into
 }
 
+// Probe returns a worker of the selection at random, whether it has room or not,
+// or nil when the selection is empty. draw returns a number below its argument.
+func (s *Search) Probe(draw func(int) int) *Node {
+	total := 0
+	for _, classes := range [...][]*Class{s.Selection.plain, s.Selection.accel} {
+		for _, c := range classes {
+			total += len(c.members)
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	at := draw(total)
+	for _, classes := range [...][]*Class{s.Selection.plain, s.Selection.accel} {
+		for _, c := range classes {
+			if at < len(c.members) {
+				return c.members[at]
+			}
+			at -= len(c.members)
+		}
+	}
+	return nil
+}
+
 // Exhaustive returns some worker that fits and that accept takes, or nil when
 // there is none. That none fits is remembered: as long as it holds, only workers
 // that changed since are looked at.
--- a/internal/scheduler/fleet/selection.go
+++ b/internal/scheduler/fleet/selection.go
@@ -138,7 +138,7 @@
 		n.class = f.classOf(n)
 		n.class.join(n)
 		if n.indexed {
-			n.class.insert(n, spotOf(n.Free()))
+			n.class.insert(n, spotOf(n.Available()))
 		}
 	}
 	for _, s := range f.selections {
--- a/internal/scheduler/plugin/resources/resources.go
+++ b/internal/scheduler/plugin/resources/resources.go
@@ -18,7 +18,7 @@
 
 // Filter implements plugin.Filter.
 func (Filter) Filter(_ *plugin.State, t *model.Task, n *fleet.Node) plugin.Status {
-	free := n.Free()
+	free := n.Available()
 	if t.Demand.Fits(free) {
 		return plugin.Status{}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -110,8 +110,28 @@
 }
 
 func (s *Scheduler) place(now time.Duration, t *model.Task) (*fleet.Node, Decision, plugin.Status) {
+	var chosen *fleet.Node
+	var d Decision
+	var status plugin.Status
+	s.start(now, t)
+	s.Fleet.WithoutHold(t.ID, func(held *fleet.Node) {
+		if held != nil && s.search.Fits(held) {
+			chosen = held
+			d = Decision{Candidates: 1}
+			return
+		}
+		chosen, d, status = s.find(t)
+	})
+	return chosen, d, status
+}
+
+// start prepares the state of a decision.
+func (s *Scheduler) start(now time.Duration, t *model.Task) {
 	s.search.Start(s.Fleet, s.Fleet.Select(t.Require), t.Demand)
 	s.state = plugin.State{Now: now, Fleet: s.Fleet, Search: &s.search}
+}
+
+func (s *Scheduler) find(t *model.Task) (*fleet.Node, Decision, plugin.Status) {
 	if s.search.Selection.Empty() {
 		return nil, Decision{}, noMatch
 	}
