--- /dev/null
+++ b/internal/scheduler/quarantine/quarantine_test.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/scheduler/fleet"
+)
+
+func newFleet(workers int) *fleet.Fleet {
+	f := fleet.New()
+	for i := range workers {
+		f.Upsert(model.Worker{ID: workerID(i), Capacity: model.Resources{MilliCPU: 1000}})
+	}
+	return f
+}
+
+func workerID(i int) model.WorkerID { return model.WorkerID(fmt.Sprint("w", i)) }
+
+func aside(f *fleet.Fleet) map[model.WorkerID]bool {
+	out := map[model.WorkerID]bool{}
+	for _, n := range f.Nodes() {
+		if n.Reasons()&fleet.ReasonQuarantined != 0 {
+			out[n.Worker.ID] = true
+		}
+	}
+	return out
+}
+
+// run plays outcomes at random: bad workers fail everything, job 0 fails
+// everywhere, other jobs fail one time in twenty.
+func run(f *fleet.Fleet, bad map[model.WorkerID]bool, outcomes int) *Keeper {
+	const seed = 11
+	rng := rand.New(rand.NewPCG(seed, seed))
+	k := New(f)
+	for i := range outcomes {
+		nodes := f.Nodes()
+		n := nodes[rng.IntN(len(nodes))]
+		if !n.Schedulable() {
+			continue
+		}
+		job := rng.IntN(20)
+		failed := bad[n.Worker.ID] || job == 0 || rng.IntN(20) == 0
+		k.Observe(time.Duration(i)*time.Millisecond, n.Worker.ID, &model.Task{Job: model.JobID(fmt.Sprint(job))}, failed)
+	}
+	return k
+}
+
+func TestQuarantineFindsWorkersThatFailEverything(t *testing.T) {
+	f := newFleet(200)
+	bad := map[model.WorkerID]bool{"w3": true, "w77": true, "w120": true, "w199": true}
+	run(f, bad, 10_000)
+	require.Equal(t, bad, aside(f))
+}
+
+func TestQuarantineSparesWorkersFromAJobThatFailsEverywhere(t *testing.T) {
+	f := newFleet(100)
+	k := New(f)
+	for i := range 5000 {
+		k.Observe(0, workerID(i%100), &model.Task{Job: "broken"}, true)
+	}
+	require.Zero(t, k.Aside())
+	k.Observe(0, "w1", &model.Task{Job: "also broken"}, true)
+	require.Zero(t, k.Aside())
+}
+
+func TestQuarantineIsBounded(t *testing.T) {
+	f := newFleet(100)
+	bad := map[model.WorkerID]bool{}
+	for i := range 30 {
+		bad[workerID(i)] = true
+	}
+	k := run(f, bad, 20_000)
+	require.Equal(t, 5, k.Aside())
+}
+
+func TestQuarantineProbation(t *testing.T) {
+	f := newFleet(40)
+	k := New(f)
+	good := &model.Task{Job: "good"}
+	for i := 1; i < 10; i++ {
+		k.Observe(0, workerID(i), good, false)
+	}
+	condemn := func(now time.Duration) {
+		for i := 0; i < 10 && !k.Observe(now, "w0", good, true); i++ {
+		}
+		require.NotZero(t, f.Node("w0").Reasons()&fleet.ReasonQuarantined)
+	}
+	condemn(0)
+	k.Tick(firstStay - 1)
+	require.False(t, f.Node("w0").Schedulable())
+	k.Tick(firstStay)
+	require.Equal(t, fleet.ReasonProbation, f.Node("w0").Reasons())
+	condemn(firstStay)
+	k.Tick(2 * firstStay)
+	require.False(t, f.Node("w0").Schedulable(), "the second stay is twice as long")
+	k.Tick(3 * firstStay)
+	for range probationSuccesses {
+		k.Observe(3*firstStay, "w0", good, false)
+	}
+	require.Zero(t, f.Node("w0").Reasons())
+}
