--- /dev/null
+++ b/internal/capacity/appends.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"math"
+
+	"pollenbend/internal/model"
+)
+
+// Appends is what the whole cell appends to the log, in entries a second at the
+// peak.
+type Appends struct {
+	Changes  float64
+	Claims   float64
+	Jobs     float64
+	Progress float64
+
+	changeBytes   float64
+	claimBytes    float64
+	jobBytes      float64
+	progressBytes float64 // a second
+}
+
+const (
+	objectsPerChange = 4
+	// progressPerSecond is how often one instance appends the ends of its jobs'
+	// tasks, all in one entry.
+	progressPerSecond = 1
+	// progressBytes is the encoding of one task's index in such a record.
+	progressBytes = 5
+)
+
+// movesPerSecond returns how many shards change hands, over a day.
+func (m Model) movesPerSecond() float64 {
+	return m.losses() * model.Shards / m.n()
+}
+
+// losses returns how many lives of instances end, a second over a day.
+func (m Model) losses() float64 {
+	return (m.Size.FailuresPerDay + m.Size.ReplacementsPerDay) / secondsPerDay
+}
+
+// claimants returns how many instances claim the shards of a lost one, each with
+// an entry of its own.
+func (m Model) claimants() float64 {
+	return min(m.n()-1, math.Ceil(model.Shards/m.n()))
+}
+
+// Appends returns the entries of the busiest hour.
+func (m Model) Appends() Appends {
+	l := m.Slopes.Lines
+	return Appends{
+		Changes:  m.Size.ChangesPerDay / secondsPerDay * peakToMean,
+		Claims:   m.losses() * peakToMean * m.claimants(),
+		Jobs:     m.Size.JobsPerDay / secondsPerDay * peakToMean,
+		Progress: min(m.n()*progressPerSecond, m.Size.StartsPerSecond),
+
+		changeBytes:   l.ChangeBytes.At(objectsPerChange),
+		claimBytes:    l.ClaimBytes.At(model.Shards / m.n() / max(m.claimants(), 1)),
+		jobBytes:      l.JobEntryBytes.At(1),
+		progressBytes: m.Size.StartsPerSecond * progressBytes,
+	}
+}
+
+// Total returns the entries a second.
+func (a Appends) Total() float64 { return a.Changes + a.Claims + a.Jobs + a.Progress }
+
+// Bytes returns the bytes of the entries a second.
+func (a Appends) Bytes() float64 {
+	return a.Changes*a.changeBytes + a.Claims*a.claimBytes + a.Jobs*a.jobBytes + a.progressBytes
+}
+
+// CatchUp is what follows an outage of the log of an hour: what has to be
+// appended then, how long that takes beside the peak's own entries, and how long
+// each instance reads it.
+type CatchUp struct {
+	ClaimEntries    float64
+	ProgressBytes   float64
+	ProgressEntries float64
+	AppendSeconds   float64 // at the limit of appends
+	ReadBytes       float64 // by each instance
+	ReadSeconds     float64 // at the limit of bytes a second for control
+}
+
+// progressEntryBytes bounds one entry with progress of jobs.
+const progressEntryBytes = 256 << 10
+
+// CatchUp works out the end of an outage of an hour at the peak.
+func (m Model) CatchUp(limits Limits) CatchUp {
+	l, a := m.Slopes.Lines, m.Appends()
+	c := CatchUp{
+		ClaimEntries:  m.losses() * secondsPerHour * m.claimants(),
+		ProgressBytes: a.progressBytes * secondsPerHour,
+	}
+	c.ProgressEntries = max(math.Ceil(c.ProgressBytes/progressEntryBytes), m.n())
+	spare := max(limits.Append-a.Total(), 1)
+	c.AppendSeconds = (c.ClaimEntries + c.ProgressEntries) / spare
+	c.ReadBytes = (c.ProgressBytes + c.ClaimEntries*a.claimBytes) * l.LogReadBytes.Each()
+	if !m.Design.FoldAll {
+		c.ReadBytes /= m.n()
+	}
+	c.ReadSeconds = c.ReadBytes / limits.Bytes
+	return c
+}
--- /dev/null
+++ b/internal/capacity/cell_test.go
@@ -0,0 +1,287 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/core"
+	"pollenbend/internal/declare"
+	"pollenbend/internal/event"
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// payloadBytes is the length of the payloads and answers in all measurements.
+const payloadBytes = 256
+
+var timing = event.Timing{
+	Heartbeat: 500 * time.Millisecond, DeadAfter: 3 * time.Second, WorkerLease: 4 * time.Second,
+	TaskLease: 5 * time.Minute, ConfigFreshness: 5 * time.Second, Retention: 10 * time.Minute,
+	RequestTimeout: 30 * time.Second,
+}
+
+// cellSize sizes a measured cell. The core under measurement is instance 0.
+// With spare set it owns no shard.
+type cellSize struct {
+	instances, workers, teams, slots int
+	spare                            bool
+}
+
+// deal returns the instance that owns a shard.
+func (z cellSize) deal(s model.Shard) int {
+	if z.spare {
+		return 1 + int(s)%(z.instances-1)
+	}
+	return int(s) % z.instances
+}
+
+// cell drives one real core; everything around it is answered here.
+type cell struct {
+	tb      testing.TB
+	size    cellSize
+	core    *core.Core
+	now     time.Duration
+	offset  uint64
+	beat    uint64
+	event   map[model.WorkerID]uint64
+	handle  uint64
+	answers int
+}
+
+func ownerOf(i int) wire.Owner {
+	return wire.Owner{Instance: model.InstanceID(fmt.Sprintf("entry-%04d", i)), Incarnation: 1764800000000000000}
+}
+
+func teamOf(i int) model.TeamID { return model.TeamID(fmt.Sprintf("team-%04d", i)) }
+
+func instanceOf(i int) platform.Instance {
+	return platform.Instance{
+		ID: ownerOf(i).Instance, Incarnation: ownerOf(i).Incarnation,
+		PeerAddr: "10.20.30.40:7400", HTTPAddr: "10.20.30.40:7480",
+		Location: model.Location{Region: "region-1", Zone: fmt.Sprintf("zone-%d", i%9), Rack: fmt.Sprintf("rack-%04d", i/6)},
+	}
+}
+
+func workerOf(i, slots int) model.Worker {
+	return model.Worker{
+		ID: model.WorkerID(fmt.Sprintf("worker-%05d", i)), Addr: "http://10.20.30.40:7500",
+		Location: model.Location{Region: "region-1", Zone: fmt.Sprintf("zone-%d", i%9), Rack: fmt.Sprintf("rack-%04d", i/6)},
+		Labels:   map[string]string{"pool": "general", "generation": "g4", "zone": fmt.Sprintf("zone-%d", i%9)},
+		Capacity: model.Resources{MilliCPU: 32000, MemoryMiB: 65536, Slots: int64(slots)},
+	}
+}
+
+func taskOf(id model.TaskID, team model.TeamID) model.Task {
+	return model.Task{
+		ID: id, Team: team, Kind: model.KindRequest, Class: model.ClassNormal, Service: "service-0",
+		Demand: model.Resources{MilliCPU: 100, MemoryMiB: 128, Slots: 1}, Payload: make([]byte, payloadBytes),
+	}
+}
+
+func outcomeOf(id model.TaskID) model.Outcome {
+	return model.Outcome{
+		Task: id, Answer: make([]byte, payloadBytes), Complete: true, Ran: 1234 * time.Millisecond,
+		Usage: model.Resources{MilliCPU: 80, MemoryMiB: 100},
+	}
+}
+
+// declarationsOf declares n teams, each with a limit, a key, a queue and a service.
+func declarationsOf(n int) model.Declarations {
+	var d model.Declarations
+	for i := range n {
+		id := teamOf(i)
+		d.Teams = append(d.Teams, model.Team{Name: id, Share: 10, Limit: 1 << 20})
+		d.Keys = append(d.Keys, model.Key{Name: string(id), Team: id, Scope: model.ScopeTeam, SHA256: declare.HashSecret(string(id))})
+		d.Queues = append(d.Queues, model.Queue{Name: string(id), Team: id, Open: true})
+		d.Services = append(d.Services, model.Service{
+			Name: fmt.Sprintf("service-%d", i), Repeatable: true, Class: model.ClassNormal,
+			Demand: model.Resources{MilliCPU: 100, MemoryMiB: 128, Slots: 1},
+		})
+	}
+	return d
+}
+
+// newCell returns a cell that has settled: shards are dealt out in turn, all
+// members are heard and every worker held here is leased.
+func newCell(tb testing.TB, size cellSize) *cell {
+	size.slots = max(size.slots, 64)
+	c := &cell{
+		tb: tb, size: size, now: time.Hour,
+		event: make(map[model.WorkerID]uint64),
+	}
+	var err error
+	c.core, err = core.New(core.Options{Self: instanceOf(0), Timing: timing, Seed: 1})
+	require.NoError(tb, err)
+	c.step(event.Tick{})
+	c.now += 5 * time.Second
+	c.listed()
+	c.beats()
+	var records []wire.Record
+	if size.teams > 0 {
+		records = append(records, wire.ConfigChange{Change: model.Change{ID: "all", Put: declarationsOf(size.teams)}})
+	}
+	c.entry(append(records, size.claims()...)...)
+	c.settle()
+	c.settle()
+	return c
+}
+
+func (z cellSize) claims() []wire.Record {
+	shards := make([][]wire.ShardTerm, z.instances)
+	for i := range model.Shards {
+		s := model.Shard(i)
+		shards[z.deal(s)] = append(shards[z.deal(s)], wire.ShardTerm{Shard: s})
+	}
+	var records []wire.Record
+	for i, list := range shards {
+		if len(list) > 0 {
+			records = append(records, wire.Claim{Owner: ownerOf(i), Shards: list})
+		}
+	}
+	return records
+}
+
+func (c *cell) listing() platform.Listing {
+	l := platform.Listing{Version: 1}
+	for i := range c.size.instances {
+		l.Instances = append(l.Instances, instanceOf(i))
+	}
+	for i := range c.size.workers {
+		l.Workers = append(l.Workers, workerOf(i, c.size.slots))
+	}
+	return l
+}
+
+func (c *cell) listed() { c.step(event.Listed{Listing: c.listing()}) }
+
+func (c *cell) step(e event.Event) []event.Action { return c.core.Step(c.now, e) }
+
+// entry appends records and lets the core read them.
+func (c *cell) entry(records ...wire.Record) []event.Action {
+	return c.step(c.nextEntry(records...))
+}
+
+func (c *cell) nextEntry(records ...wire.Record) event.LogRead {
+	data, err := wire.EncodeEntry(records)
+	require.NoError(c.tb, err)
+	c.offset++
+	return event.LogRead{Entries: []platform.Entry{{Offset: c.offset, Data: data}}, Oldest: 1, Next: c.offset + 1}
+}
+
+// heartbeat returns the heartbeat of instance i with one line for each team.
+func (c *cell) heartbeat(i int) wire.Heartbeat {
+	h := wire.Heartbeat{
+		Seq: c.beat, Applied: c.offset, Self: instanceOf(i), Coverage: 1, LogAge: 250 * time.Millisecond,
+		Free: model.Resources{MilliCPU: 3200000, MemoryMiB: 6553600, Slots: 12800},
+	}
+	for j := range c.size.instances {
+		if j != i {
+			h.Hears = append(h.Hears, ownerOf(j))
+		}
+	}
+	for t := range c.size.teams {
+		h.Teams = append(h.Teams, wire.TeamLoad{
+			Team: teamOf(t), Running: 1234, Waiting: 12, Ceiling: 1300, GrantTerm: c.offset, GrantSeq: 123456, Wanted: 1246,
+			Usage: model.Resources{MilliCPU: 123400, MemoryMiB: 157952, Slots: 1234},
+		})
+	}
+	return h
+}
+
+// beats brings a heartbeat of every peer and the coverage that the core asks for.
+func (c *cell) beats() {
+	c.beat++
+	for i := 1; i < c.size.instances; i++ {
+		from := ownerOf(i)
+		for _, a := range c.step(event.PeerMessage{From: from, Message: c.heartbeat(i)}) {
+			if s, ok := a.(event.Send); ok && s.To == from.Instance {
+				c.step(event.PeerMessage{From: from, Message: c.coverage(i)})
+			}
+		}
+	}
+}
+
+// coverage lists the workers that fall to instance i.
+func (c *cell) coverage(i int) wire.Coverage {
+	cov := wire.Coverage{Version: 1}
+	for w := range c.size.workers {
+		id := workerOf(w, 1).ID
+		if c.size.deal(model.ShardOfWorker(id)) == i {
+			cov.Workers = append(cov.Workers, id)
+		}
+	}
+	return cov
+}
+
+// settle brings heartbeats, renews every lease that is due and lets the core tick
+// a little later.
+func (c *cell) settle() {
+	c.now += 100 * time.Millisecond
+	c.beats()
+	c.step(event.LogRead{Oldest: 1, Next: c.offset + 1})
+	for _, a := range c.step(event.Tick{}) {
+		c.answer(a)
+	}
+}
+
+// answer does what the world does with an action of a call: it grants leases,
+// starts tasks and counts answers.
+func (c *cell) answer(a event.Action) {
+	switch a := a.(type) {
+	case event.Renew:
+		c.step(c.renewed(a.Worker, a.Request, nil))
+	case event.Start:
+		c.step(event.StartDone{
+			Worker: a.Worker.ID, Lease: a.Request.Lease, Seq: a.Request.Seq, Task: a.Request.Task.ID, Verdict: verdict.Done,
+		})
+	case event.Respond:
+		c.answers++
+	}
+}
+
+func (c *cell) renewed(w model.Worker, r platform.RenewRequest, outcomes []model.Outcome) event.RenewDone {
+	c.event[w.ID] += uint64(len(outcomes))
+	reply := platform.RenewReply{
+		Granted: true, Current: r.Lease, Incarnation: 1, Uptime: time.Hour, Seq: c.event[w.ID], Finished: outcomes,
+	}
+	if r.Full {
+		reply.Retention = timing.Retention
+	}
+	return event.RenewDone{Worker: w.ID, Lease: r.Lease, Full: r.Full, SentAt: c.now, Reply: reply}
+}
+
+// call lets the core take one request, start its task and answer it.
+func (c *cell) call() {
+	c.handle++
+	start := c.submit()
+	c.answer(start)
+	done := c.renewed(start.Worker, platform.RenewRequest{Lease: start.Request.Lease}, []model.Outcome{outcomeOf(start.Request.Task.ID)})
+	for _, a := range c.step(done) {
+		if r, ok := a.(event.Respond); ok {
+			require.Equal(c.tb, verdict.Done, r.Answer.Verdict, r.Answer.Message)
+			c.answers++
+		}
+	}
+}
+
+func (c *cell) submit() event.Start {
+	for _, a := range c.step(c.request()) {
+		if s, ok := a.(event.Start); ok {
+			return s
+		}
+	}
+	require.Fail(c.tb, "the task was not started")
+	return event.Start{}
+}
+
+func (c *cell) request() event.RequestIn {
+	return event.RequestIn{Handle: c.handle, Request: model.Request{
+		Op: model.OpCall, Queue: string(teamOf(0)), ID: fmt.Sprintf("request-%010d", c.handle), Service: "service-0",
+		Task: model.Task{Payload: make([]byte, payloadBytes)}, Timeout: 25 * time.Second,
+	}}
+}
--- /dev/null
+++ b/internal/capacity/core_bench_test.go
@@ -0,0 +1,239 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/wire"
+)
+
+const nanoseconds = "ns"
+
+func BenchmarkCapacityHeartbeatTake(b *testing.B) {
+	take := func(b *testing.B, size cellSize) float64 {
+		c := newCell(b, size)
+		data, err := wire.EncodeMessage(c.heartbeat(1))
+		require.NoError(b, err)
+		return timed(b, func() {
+			m, err := wire.DecodeMessage(data)
+			require.NoError(b, err)
+			c.step(event.PeerMessage{From: ownerOf(1), Message: m})
+		})
+	}
+	measure(b, "heartbeat_take_ns_by_team", nanoseconds, "team", []int{6, 60, 170}, func(b *testing.B, n int) float64 {
+		return take(b, cellSize{instances: 9, teams: n})
+	})
+	measure(b, "heartbeat_take_ns_by_member", nanoseconds, "member", []int{9, 90}, func(b *testing.B, n int) float64 {
+		return take(b, cellSize{instances: n})
+	})
+}
+
+// BenchmarkCapacityHeartbeatFill measures the core's part of sending one round of
+// heartbeats, in a tick in which no plan is due.
+func BenchmarkCapacityHeartbeatFill(b *testing.B) {
+	const afterPlan = 50 * time.Millisecond
+	measure(b, "heartbeat_fill_ns_by_team", nanoseconds, "team", []int{6, 60, 170}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 2, workers: 2, teams: n})
+		c.now += timing.Heartbeat
+		c.step(event.Tick{})
+		return timed(b, func() {
+			b.StopTimer()
+			c.beats()
+			c.now += timing.Heartbeat - afterPlan
+			c.step(event.Tick{})
+			c.now += afterPlan
+			b.StartTimer()
+			require.NotEmpty(b, c.step(event.Tick{}))
+		})
+	})
+}
+
+func BenchmarkCapacityTick(b *testing.B) {
+	tick := func(b *testing.B, c *cell) float64 {
+		return timed(b, func() { c.step(event.Tick{}) })
+	}
+	measure(b, "tick_ns_by_instance", nanoseconds, "instance", []int{9, 30, 90}, func(b *testing.B, n int) float64 {
+		return tick(b, newCell(b, cellSize{instances: n}))
+	})
+	measure(b, "tick_ns_by_held_worker", nanoseconds, "worker", []int{100, 1000}, func(b *testing.B, n int) float64 {
+		return tick(b, newCell(b, cellSize{instances: 1, workers: n}))
+	})
+	measure(b, "tick_ns_by_finished_task", nanoseconds, "task", []int{500, 4000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 1, workers: 10, teams: 1})
+		c.calls(n)
+		return tick(b, c)
+	})
+	measure(b, "tick_ns_by_waiting_request", nanoseconds, "request", []int{500, 4000}, func(b *testing.B, n int) float64 {
+		return tick(b, waitingCell(b, n))
+	})
+}
+
+// calls makes n calls, with the leases renewed in between.
+func (c *cell) calls(n int) {
+	for range n {
+		c.call()
+	}
+}
+
+// waitingCell returns a cell whose only slot is taken, with n requests waiting.
+func waitingCell(tb testing.TB, n int) *cell {
+	c := newCell(tb, cellSize{instances: 1, workers: 1, teams: 1})
+	for range 64 {
+		c.handle++
+		c.answer(c.submit())
+	}
+	for range n {
+		c.handle++
+		require.Empty(tb, c.step(c.request()))
+	}
+	return c
+}
+
+func BenchmarkCapacityRenewal(b *testing.B) {
+	measure(b, "renewal_take_ns_by_outcome", nanoseconds, "outcome", []int{0, 4, 16}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 1, workers: 10, teams: 1})
+		w := workerOf(0, c.size.slots)
+		lease := platform.LeaseRef{Holder: ownerOf(0).Instance, Incarnation: ownerOf(0).Incarnation, Term: c.offset}
+		serial := 0
+		return timed(b, func() {
+			var outcomes []model.Outcome
+			for range n {
+				serial++
+				outcomes = append(outcomes, outcomeOf(model.TaskID(fmt.Sprintf("team-0000/request-%d/0", serial%4096))))
+			}
+			c.step(c.renewed(w, platform.RenewRequest{Lease: lease}, outcomes))
+		})
+	})
+}
+
+func BenchmarkCapacityCall(b *testing.B) {
+	call := func(b *testing.B, workers, remembered int) float64 {
+		c := newCell(b, cellSize{instances: 1, workers: workers, teams: 6})
+		c.calls(remembered)
+		const batch = 100 // so that what is remembered hardly grows meanwhile
+		began := time.Now()
+		c.calls(batch)
+		return constant(b, float64(time.Since(began).Nanoseconds())/batch)
+	}
+	measure(b, "call_ns_by_remembered_request", nanoseconds, "request", []int{1000, 4000}, func(b *testing.B, n int) float64 {
+		return call(b, 10, n)
+	})
+	measure(b, "call_ns_by_held_worker", nanoseconds, "worker", []int{10, 100, 1000}, func(b *testing.B, n int) float64 {
+		return call(b, n, 0)
+	})
+}
+
+// BenchmarkCapacityPlan measures one plan of one team's ceilings, and what every
+// instance does for it even when it plans for no team.
+func BenchmarkCapacityPlan(b *testing.B) {
+	plan := func(b *testing.B, size cellSize) float64 {
+		spare := size
+		spare.spare = true
+		return constant(b, (planTick(b, size)-planTick(b, spare))/float64(planned(size)))
+	}
+	measure(b, "plan_ns_by_listed_worker", nanoseconds, "worker", []int{1200, 12000}, func(b *testing.B, n int) float64 {
+		return plan(b, cellSize{instances: 9, workers: n, teams: 170})
+	})
+	measure(b, "plan_ns_by_instance", nanoseconds, "instance", []int{9, 90}, func(b *testing.B, n int) float64 {
+		return plan(b, cellSize{instances: n, workers: 90, teams: 170})
+	})
+	measure(b, "plan_scan_ns_by_team", nanoseconds, "team", []int{6, 170}, func(b *testing.B, n int) float64 {
+		return constant(b, planTick(b, cellSize{instances: 2, teams: n, spare: true}))
+	})
+}
+
+// planTick returns the median time in nanoseconds of a tick in which plans are due.
+func planTick(b *testing.B, size cellSize) float64 {
+	const rounds = 31
+	c := newCell(b, size)
+	times := make([]time.Duration, 0, rounds)
+	for range rounds {
+		c.settle()
+		c.now += 100 * time.Millisecond
+		began := time.Now()
+		c.step(event.Tick{})
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	return float64(times[rounds/2].Nanoseconds())
+}
+
+// planned returns how many teams instance 0 plans for.
+func planned(size cellSize) int {
+	n := 0
+	for t := range size.teams {
+		if size.deal(model.ShardOfTeam(teamOf(t))) == 0 {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// BenchmarkCapacityMove measures the fold of one shard's move between two other
+// instances, by the tasks that run here.
+func BenchmarkCapacityMove(b *testing.B) {
+	measure(b, "move_ns_by_running_task", nanoseconds, "task", []int{200, 2000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 3, workers: 300})
+		require.Len(b, c.started(n), n)
+		term := c.offset
+		return timed(b, func() {
+			e := c.nextEntry(wire.Claim{Owner: ownerOf(1 + int(c.offset)%2), Shards: []wire.ShardTerm{{Shard: 1, Term: term}}})
+			term = c.offset
+			c.step(e)
+		})
+	})
+}
+
+// started starts n tasks here and returns their ids.
+func (c *cell) started(n int) []model.TaskID {
+	var ids []model.TaskID
+	for i := range n {
+		id := model.TaskID(fmt.Sprintf("team-0000/request-%d/0", i))
+		d := wire.Dispatch{Task: taskOf(id, teamOf(0)), Term: c.offset, Attempt: 1}
+		for _, a := range c.step(event.PeerMessage{From: ownerOf(1), Message: d}) {
+			if s, ok := a.(event.Start); ok {
+				c.answer(s)
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+func BenchmarkCapacityListing(b *testing.B) {
+	measure(b, "listing_take_ns_by_worker", nanoseconds, "worker", []int{48, 1200, 12000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 9, workers: n})
+		data, err := json.Marshal(c.listing())
+		require.NoError(b, err)
+		return timed(b, func() {
+			var l platform.Listing
+			require.NoError(b, json.Unmarshal(data, &l))
+			c.step(event.Listed{Listing: l})
+		})
+	})
+}
+
+func BenchmarkCapacityConfigurationTake(b *testing.B) {
+	measure(b, "change_take_ns_by_team", nanoseconds, "team", []int{6, 60, 170}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 2, teams: n})
+		base := uint64(1)
+		return timed(b, func() {
+			e := c.nextEntry(wire.ConfigChange{Change: changeOf(base, c.offset+1, 1)})
+			base = c.offset
+			c.step(e)
+		})
+	})
+}
+
+// changeOf puts the first n teams with all that belongs to them.
+func changeOf(base, serial uint64, n int) model.Change {
+	return model.Change{ID: fmt.Sprintf("%032d", serial), Base: base, Put: declarationsOf(n), Author: "operator"}
+}
--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,288 @@
+package capacity
+
+import (
+	"math"
+)
+
+// Cost is one line of what an instance spends.
+type Cost struct {
+	Role      string
+	Item      string
+	Mechanism string // package that carries it
+	Control   bool   // against the limits for control; otherwise traffic
+	Messages  float64
+	Bytes     float64 // per second, both directions
+	Core      float64 // part of one core
+	Memory    float64 // bytes
+	Remedy    string  // change that would bring it down
+}
+
+// Model works out costs for one size, number of instances and design.
+type Model struct {
+	Slopes Slopes
+	Size   Size
+	Design Design
+	N      int // instances
+}
+
+const nano = 1e-9
+
+func (m Model) n() float64       { return float64(m.N) }
+func (m Model) workers() float64 { return float64(m.Size.Workers) / m.n() }
+func (m Model) teams() float64   { return float64(m.Size.Teams) }
+func (m Model) starts() float64  { return m.Size.StartsPerSecond / m.n() }
+
+// listed returns the workers of the list that one instance keeps in mind.
+func (m Model) listed() float64 { return m.Design.ListedWorkers(float64(m.Size.Workers), m.n()) }
+
+// remote is the chance that the next instance on a request's way is another one.
+func (m Model) remote() float64 { return (m.n() - 1) / m.n() }
+
+// remembered returns the finished requests that one instance remembers when the
+// peak has lasted for the retention.
+func (m Model) remembered() float64 { return m.starts() * m.Design.Periods.Retention.Seconds() }
+
+func (m Model) waiting() float64 { return m.Size.WaitingPerTeam * m.teams() / m.n() }
+
+// datagram returns the overhead of one datagram.
+func (m Model) datagram() float64 {
+	t := m.Slopes.Transport
+	return (t.PingBytes-pingBodies)/t.PingDatagrams + ipUDPHeader
+}
+
+// message returns the bytes on the wire of a message between instances, its
+// acknowledgment included.
+func (m Model) message(payload float64) float64 {
+	datagrams := math.Ceil((payload+frameHeader)/datagramBody) + 1
+	return payload + frameHeader + datagrams*m.datagram()
+}
+
+// exchange returns the bytes on the wire of an HTTP exchange, with the segments
+// of the request, the answer and the last acknowledgment.
+func exchange(body float64) float64 {
+	segments := 3 + math.Floor(body/segmentBody)
+	return body + segments*ipTCPHeader
+}
+
+// Costs returns every line.
+func (m Model) Costs() []Cost {
+	var costs []Cost
+	for _, part := range [][]Cost{
+		m.callers(), m.requests(), m.limits(), m.holders(), m.membership(), m.ownership(), m.configuration(),
+	} {
+		costs = append(costs, part...)
+	}
+	return costs
+}
+
+// Sum returns the sum of the lines for control, or of those for traffic.
+func (m Model) Sum(control bool) Cost {
+	var sum Cost
+	for _, c := range m.Costs() {
+		if c.Control != control {
+			continue
+		}
+		sum.Messages += c.Messages
+		sum.Bytes += c.Bytes
+		sum.Core += c.Core
+		sum.Memory += c.Memory
+	}
+	return sum
+}
+
+func (m Model) callers() []Cost {
+	l := m.Slopes.Lines
+	return []Cost{{
+		Role: "taking callers", Item: "callers' exchanges", Mechanism: "internal/httpapi, internal/service/gateway",
+		Messages: 2 * m.starts(),
+		Bytes:    m.starts() * exchange(l.CallerBytes.At(messagePayload)),
+		Core:     m.starts() * l.CallerNS.At(messagePayload) * nano,
+		Memory:   m.Size.OpenCallers / m.n() * l.CallerMemory.Each(),
+	}}
+}
+
+func (m Model) requests() []Cost {
+	l := m.Slopes.Lines
+	hops := m.starts() * m.remote()
+	messages := float64(callMessageCount)
+	payload := l.CallPeerBytes.At(messagePayload)
+	calls := Cost{
+		Role: "request shards", Item: "calls: forward, dispatch, two states, reply", Mechanism: "internal/service/requests",
+		Messages: 2 * messages * hops,
+		Bytes:    2 * hops * (messages*m.message(0) + payload),
+		Core:     (hops*(l.CallPeerNS.At(messagePayload)+messages*m.Slopes.Transport.SendNS) + m.starts()*l.CallByWorker.At(m.workers())) * nano,
+	}
+	scans := Cost{
+		Role: "request shards", Item: "scan of remembered requests at each dispatch", Mechanism: "internal/service/requests",
+		Control: true, Remedy: "a count of running tasks for each team, in place of Service.load",
+	}
+	remembered := Cost{
+		Role: "request shards", Item: "finished requests and outcomes, kept for the retention", Mechanism: "internal/service/requests, ledger",
+		Control: true, Memory: m.remembered() * l.FinishedMemory.Each(),
+		Remedy: "keep a hash and a verdict of an answered request and drop its payload; expire from a queue in order of time",
+	}
+	waiting := Cost{
+		Role: "request shards", Item: "waiting requests", Mechanism: "internal/service/requests, gateway",
+		Control: true, Memory: m.waiting() * l.WaitingMemory.Each(),
+		Remedy: "deadlines in a heap, in place of the scans of each tick",
+	}
+	if m.Design.Scans {
+		scans.Core = m.starts() * m.remembered() * l.CallByRemembered.Each() * nano
+		remembered.Core = ticksPerSecond * m.remembered() * l.TickByFinished.Each() * nano
+		waiting.Core = ticksPerSecond * m.waiting() * l.TickByWaiting.Each() * nano
+	} else {
+		remembered.Memory = m.remembered() * digestBytes
+	}
+	return []Cost{calls, scans, remembered, waiting}
+}
+
+const (
+	callMessageCount = 5
+	// digestBytes is what the changed design keeps of an answered request.
+	digestBytes = 64
+)
+
+func (m Model) limits() []Cost {
+	l := m.Slopes.Lines
+	planCost := l.PlanByWorker.At(m.listed()) + l.PlanByInstance.Each()*m.n()
+	if m.Design.PlanCounts {
+		planCost = l.PlanByInstance.At(m.n())
+	}
+	grants := 2 * m.Design.GrantsPerSecond * m.teams() * m.remote()
+	return []Cost{
+		{
+			Role: "team shards", Item: "plans of ceilings", Mechanism: "internal/service/limits", Control: true,
+			Core:   m.Design.PlansPerSecond * (m.teams()/m.n()*planCost + l.PlanByTeam.At(m.teams())) * nano,
+			Remedy: "keep the count of uncovered slots and the list of limited teams up to date with their changes; plan a team only when its demand changed",
+		},
+		{
+			Role: "team shards", Item: "grants, if every ceiling changes at each plan", Mechanism: "internal/service/limits", Control: true,
+			Messages: grants, Bytes: grants * m.message(l.GrantBytes.Values[0]),
+			Core:   grants / 2 * m.Slopes.Transport.SendNS * nano,
+			Remedy: "step ceilings in parts of a tenth with hysteresis, and carry all of a receiver's grants in one message",
+		},
+	}
+}
+
+func (m Model) holders() []Cost {
+	l := m.Slopes.Lines
+	// A renewal ends early when an outcome comes.
+	renewals := m.workers()/m.Design.Periods.RenewWait.Seconds() + m.starts()
+	idle := m.workers() / m.Design.Periods.RenewWait.Seconds()
+	return []Cost{
+		{
+			Role: "worker holders", Item: "renewals of leases", Mechanism: "internal/service/ledger, internal/platform/httpclient", Control: true,
+			Messages: 2 * idle,
+			Bytes:    idle * exchange(l.RenewalBytes.Fixed()),
+			Core:     idle * (l.ExchangeNS.Fixed() + l.RenewalTake.Fixed()) * nano,
+			Memory:   m.workers() * (l.HeldMemory.Each() + l.ConnectionMemory.Each()),
+			Remedy:   "longer leases, with a wait of half of the lease; one renewal for the workers of a rack",
+		},
+		{
+			Role: "worker holders", Item: "tick over the held workers", Mechanism: "internal/service/ledger", Control: true,
+			Core:   ticksPerSecond * m.workers() * l.TickByWorker.Each() * nano * m.scanned(),
+			Remedy: "due times in a heap; free resources and coverage kept up to date",
+		},
+		{
+			Role: "worker holders", Item: "running tasks", Mechanism: "internal/service/ledger, requests", Control: true,
+			Memory: m.Size.RunningTasks / m.n() * l.RunningMemory.Each(),
+			Remedy: "keep a task's payload at the worker only",
+		},
+		{
+			Role: "worker holders", Item: "starts and outcomes", Mechanism: "internal/service/ledger, internal/platform/httpclient",
+			Messages: 4 * m.starts(),
+			Bytes:    m.starts()*exchange(l.StartBytes.At(messagePayload)) + (renewals-idle)*exchange(l.RenewalBytes.At(1)),
+			Core:     m.starts() * (2*l.ExchangeNS.At(1) + l.RenewalTake.At(1)) * nano,
+		},
+	}
+}
+
+// scanned is 1 where ticks scan and 0 where they don't.
+func (m Model) scanned() float64 {
+	if m.Design.Scans {
+		return 1
+	}
+	return 0
+}
+
+func (m Model) membership() []Cost {
+	l, t := m.Slopes.Lines, m.Slopes.Transport
+	rate := m.Design.Peers(m.N) / m.Design.Periods.Heartbeat.Seconds()
+	lines := m.teams() * m.Design.TeamLines
+	members := min(m.n(), m.Design.Peers(m.N)+1)
+	size := l.HeartbeatBytesByMember.At(members) + lines*l.HeartbeatBytesByTeam.Each()
+	encode := l.HeartbeatEncodeByMember.At(members) + lines*l.HeartbeatEncodeByTeam.Each()
+	take := l.HeartbeatTakeByMember.At(members) + lines*l.HeartbeatTakeByTeam.Each()
+	costs := []Cost{{
+		Role: "membership", Item: "heartbeats with a line for each team", Mechanism: "internal/service/membership", Control: true,
+		Messages: 2 * rate, Bytes: 2 * rate * m.message(size),
+		Core:   (rate*(encode+take+t.SendNS) + l.HeartbeatFillByTeam.At(lines)/m.Design.Periods.Heartbeat.Seconds()) * nano,
+		Memory: m.Design.Peers(m.N) * l.MemberMemoryByTeam.At(m.teams()),
+		Remedy: "probe a few members in turn and pass news on (SWIM) within a zone, one voice of each zone between zones; send only the team lines that changed",
+	}}
+	pings := Cost{
+		Role: "membership", Item: "connections and their pings", Mechanism: "internal/transport", Control: true,
+		Memory: m.Design.Peers(m.N) * t.ConnectionBytes,
+		Remedy: "no pings where heartbeats pass; connections to the members of the own zone, others on demand",
+	}
+	if m.Design.PingsBesideHeartbeats {
+		exchanges := 2 * rate
+		pings.Messages = 2 * exchanges
+		pings.Bytes = exchanges * (t.PingBytes + t.PingDatagrams*ipUDPHeader)
+		pings.Core = exchanges * t.SendNS * nano
+	}
+	return append(costs, pings, Cost{
+		Role: "membership", Item: "tick over members and shards", Mechanism: "internal/service/membership, ownership", Control: true,
+		Core:   ticksPerSecond * l.TickByInstance.At(members) * nano,
+		Remedy: "look for orphans only after a change of members or shards",
+	})
+}
+
+func (m Model) ownership() []Cost {
+	l := m.Slopes.Lines
+	list := Cost{
+		Role: "ownership", Item: "the instance list", Mechanism: "internal/node, internal/platform/httpclient", Control: true,
+		Messages: 2 * listingsPerSecond,
+		Bytes:    listingsPerSecond * exchange(l.LogReadBytes.Fixed()),
+		Core:     listingsPerSecond * l.ExchangeNS.Fixed() * nano,
+		Memory:   m.listed() * l.RosterMemory.Each(),
+		Remedy:   "ask with the version that is known and read only the entries that changed since; each instance reads its own zone",
+	}
+	if m.Design.WholeListing {
+		workers := float64(m.Size.Workers)
+		list.Bytes = listingsPerSecond * exchange(l.LogReadBytes.Fixed()+l.ListingBytes.At(workers))
+		list.Core += listingsPerSecond * l.ListingTake.At(workers) * nano
+	}
+	moves := m.movesPerSecond() * m.Size.RunningTasks / m.n() * l.MoveByTask.Each() * nano * m.scanned()
+	return []Cost{list, {
+		Role: "ownership", Item: "folds of moved shards", Mechanism: "internal/service/ledger", Control: true,
+		Core: moves, Remedy: "an index of tasks by request shard, in place of the sort of all tasks for each moved shard",
+	}}
+}
+
+func (m Model) configuration() []Cost {
+	l := m.Slopes.Lines
+	appends := m.Appends()
+	entries := appends.Total()
+	bytes := appends.Bytes()
+	if !m.Design.FoldAll {
+		entries, bytes = entries/m.n()+appends.Changes, bytes/m.n()+appends.Changes*l.ChangeBytes.At(objectsPerChange)
+	}
+	polls := max(logPollsPerSecond, min(entries, maxPolls))
+	return []Cost{
+		{
+			Role: "configuration", Item: "reading the log at the peak", Mechanism: "internal/node, internal/core", Control: true,
+			Messages: 2 * polls,
+			Bytes:    polls*exchange(l.LogReadBytes.Fixed()) + bytes*l.LogReadBytes.Each(),
+			Core:     (polls*l.ExchangeNS.Fixed() + appends.Changes*l.ChangeTake.At(m.teams())) * nano,
+			Remedy:   "a stream for each region's claims and jobs and one for declarations, and a wait before the next read so that one poll brings many entries",
+		},
+		{
+			Role: "configuration", Item: "declarations in force", Mechanism: "internal/declare, internal/service/config", Control: true,
+			Memory: l.DeclarationMemory.At(m.teams()),
+		},
+	}
+}
+
+// maxPolls bounds the reads of the log a second, each of which takes some time.
+const maxPolls = 100
