--- a/internal/capacity/design.go
+++ b/internal/capacity/design.go
@@ -65,7 +65,7 @@
 
 // Assumptions of the changed design.
 const (
-	changedPeers       = 8   // probed in turn, as in SWIM
+	changedPeers       = 3   // probed in each period, in turn, as in SWIM
 	changedTeamLines   = 0.1 // only lines that changed since the last heartbeat
 	changedWorkersHeld = 2   // an instance keeps its own workers and as many of its neighbours'
 )
--- a/internal/capacity/record_test.go
+++ b/internal/capacity/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"runtime"
 	"sync"
@@ -77,7 +78,7 @@
 			return
 		}
 		line.Sizes = append(line.Sizes, float64(size))
-		line.Values = append(line.Values, value)
+		line.Values = append(line.Values, math.Round(value))
 	}
 	recorded.Lock()
 	defer recorded.Unlock()
