Fold changes without sorting everything

Cause: profiling put half of a fold into sorting all objects twice and matching names by regular expression. Change: the check of a change reads the objects unsorted and sorts only to name the first problem; names are matched by a loop; policies are indexed only when one changes; a settings file is told by dotted keys and inline tables, too.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -27,12 +27,15 @@
 	KindRequests     Kind = "requests"
 )
 
+// sections matches the name of a table of the settings.
+const sections = `(instance|listen|platform|tls|limits|timing|log|record)`
+
 // marks holds what tells each kind of file from declarations.
 var marks = []struct {
 	kind    Kind
 	pattern *regexp.Regexp
 }{
-	{KindSettings, regexp.MustCompile(`(?m)^[ \t]*\[\[?(instance|listen|platform|tls|limits|timing|log|record)[].]`)},
+	{KindSettings, regexp.MustCompile(`(?m)^[ \t]*(\[\[?` + sections + `[].]|` + sections + `(\.|[ \t]*=[ \t]*\{))`)},
 	{KindPlatform, regexp.MustCompile(`(?m)^[ \t]*\[\[workers\]\]`)},
 	{KindRequests, regexp.MustCompile(`(?m)^[ \t]*\[\[request\]\]`)},
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -68,6 +68,8 @@
 func TestKindByContent(t *testing.T) {
 	for text, want := range map[string]Kind{
 		"[instance]\nid = 1":     KindSettings,
+		"timing.heartbeat = 1":   KindSettings,
+		"tls = {}":               KindSettings,
 		"[[log]]":                KindSettings,
 		"[[workers]]":            KindPlatform,
 		"[[request]]":            KindRequests,
--- a/internal/declare/apply.go
+++ b/internal/declare/apply.go
@@ -85,8 +85,9 @@
 		return Result{Outcome: Conflict, Message: message}
 	}
 	after := s.after(c)
-	if problems := Validate(after); len(problems) > 0 {
-		return Result{Outcome: Invalid, Message: problems[0].String()}
+	if len(Validate(after)) > 0 {
+		// Sorted, the first problem is the same on every instance.
+		return Result{Outcome: Invalid, Message: Validate(byName(after))[0].String()}
 	}
 	if s.HasOperator() && !slices.ContainsFunc(after.Keys, isOperator) {
 		return Result{Outcome: Invalid, Message: "expected a key of scope operator to remain"}
@@ -132,21 +133,22 @@
 	return ""
 }
 
-// after returns the declarations as they would be with the change.
+// after returns the declarations as they would be with the change, unsorted.
 func (s *State) after(c model.Change) model.Declarations {
 	touched := map[model.ObjectRef]bool{}
 	for _, ref := range Touched(c) {
 		touched[ref] = true
 	}
-	d := s.Declarations()
-	isTouched := func(kind model.ObjectKind, name string) bool {
-		return touched[model.ObjectRef{Kind: kind, Name: name}]
+	stays := func(kind model.ObjectKind, name string) bool {
+		return !touched[model.ObjectRef{Kind: kind, Name: name}]
+	}
+	d := model.Declarations{
+		Teams:    values(s.teams, func(id model.TeamID) bool { return stays(model.ObjectTeam, string(id)) }),
+		Keys:     values(s.keys, func(name string) bool { return stays(model.ObjectKey, name) }),
+		Queues:   values(s.queues, func(name string) bool { return stays(model.ObjectQueue, name) }),
+		Services: values(s.services, func(name string) bool { return stays(model.ObjectService, name) }),
+		Policies: values(s.policies, func(name string) bool { return stays(model.ObjectPolicy, name) }),
 	}
-	d.Teams = slices.DeleteFunc(d.Teams, func(t model.Team) bool { return isTouched(model.ObjectTeam, string(t.Name)) })
-	d.Keys = slices.DeleteFunc(d.Keys, func(k model.Key) bool { return isTouched(model.ObjectKey, k.Name) })
-	d.Queues = slices.DeleteFunc(d.Queues, func(q model.Queue) bool { return isTouched(model.ObjectQueue, q.Name) })
-	d.Services = slices.DeleteFunc(d.Services, func(v model.Service) bool { return isTouched(model.ObjectService, v.Name) })
-	d.Policies = slices.DeleteFunc(d.Policies, func(p model.Policy) bool { return isTouched(model.ObjectPolicy, p.Name) })
 	return merge(d, c.Put)
 }
 
@@ -161,6 +163,9 @@
 	for _, ref := range Touched(c) {
 		s.modified[ref] = offset
 	}
+	if slices.ContainsFunc(Touched(c), isPolicy) {
+		s.indexPolicies()
+	}
 	s.forgetDeleted(c)
 	return withdrawn
 }
--- a/internal/declare/parse_test.go
+++ b/internal/declare/parse_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+func TestNames(t *testing.T) {
+	for name, sound := range map[string]bool{
+		"a": true, "0": true, "a.b_c-9": true, strings.Repeat("a", maxName): true,
+		"": false, "-a": false, ".": false, "A": false, "a b": false, "a/b": false, "\u00e9": false,
+		strings.Repeat("a", maxName+1): false,
+	} {
+		problems := Validate(model.Declarations{Teams: []model.Team{{Name: model.TeamID(name), Share: 1}}})
+		require.Equal(t, sound, len(problems) == 0, "%q: %v", name, problems)
+	}
+}
+
 func TestDiffAndRender(t *testing.T) {
 	before, faults := Parse("d.toml", []byte(sample))
 	require.Empty(t, faults)
@@ -142,6 +153,14 @@
 		require.True(t, ok)
 		require.Equal(t, model.Team{Name: "north", Share: tt.share, Limit: tt.limit}, team, tt.utc)
 	}
+	restored, err := Restore(s.Snapshot())
+	require.NoError(t, err)
+	s.Apply(2, change("b", 1, model.Declarations{}, model.ObjectRef{Kind: model.ObjectPolicy, Name: "late"}))
+	now := time.Date(2026, 1, 10, 17, 0, 0, 0, time.UTC)
+	team, _ := restored.TeamAt("north", now)
+	require.Equal(t, int64(7), team.Limit)
+	team, _ = s.TeamAt("north", now)
+	require.Equal(t, int64(9), team.Limit, "the policy is withdrawn")
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/declare/policy.go
+++ b/internal/declare/policy.go
@@ -1,6 +1,8 @@
 package declare
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pollenbend/internal/model"
@@ -29,10 +31,11 @@
 	zone *time.Location // nil if unknown
 }
 
-// indexPolicies sorts the policies by team after a change.
+// indexPolicies sorts the policies by team after a change of them.
 func (s *State) indexPolicies() {
 	s.byTeam = map[model.TeamID][]policy{}
-	for _, p := range s.Declarations().Policies {
+	for _, name := range slices.Sorted(maps.Keys(s.policies)) {
+		p := s.policies[name]
 		zone, err := time.LoadLocation(p.TimeZone)
 		if err != nil {
 			zone = nil
@@ -41,6 +44,8 @@
 	}
 }
 
+func isPolicy(ref model.ObjectRef) bool { return ref.Kind == model.ObjectPolicy }
+
 // holds reports whether now lies in the policy's hours, which may pass midnight.
 func (p policy) holds(now time.Time) bool {
 	if p.zone == nil {
--- a/internal/declare/snapshot.go
+++ b/internal/declare/snapshot.go
@@ -98,6 +98,7 @@
 	s.version, s.applied, s.floor = snap.Version, snap.Applied, snap.Floor
 	s.deleted = snap.Deleted
 	s.put(snap.Declarations)
+	s.indexPolicies()
 	for _, m := range snap.Modified {
 		s.modified[m.Ref] = m.Version
 	}
--- a/internal/declare/state.go
+++ b/internal/declare/state.go
@@ -1,9 +1,8 @@
 package declare
 
 import (
-	"maps"
+	"cmp"
 	"slices"
-	"strings"
 
 	"pollenbend/internal/model"
 )
@@ -76,19 +75,31 @@
 
 // Declarations returns everything declared, in the order of the names.
 func (s *State) Declarations() model.Declarations {
-	return model.Declarations{
-		Teams:    sorted(s.teams, func(t model.Team) string { return string(t.Name) }),
-		Keys:     sorted(s.keys, func(k model.Key) string { return k.Name }),
-		Queues:   sorted(s.queues, func(q model.Queue) string { return q.Name }),
-		Services: sorted(s.services, func(v model.Service) string { return v.Name }),
-		Policies: sorted(s.policies, func(p model.Policy) string { return p.Name }),
-	}
+	return byName(s.after(model.Change{}))
+}
+
+// byName sorts each kind of object in place.
+func byName(d model.Declarations) model.Declarations {
+	slices.SortFunc(d.Teams, func(a, b model.Team) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Keys, func(a, b model.Key) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Queues, func(a, b model.Queue) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Services, func(a, b model.Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Policies, func(a, b model.Policy) int { return cmp.Compare(a.Name, b.Name) })
+	return d
 }
 
-func sorted[K comparable, V any](m map[K]V, name func(V) string) []V {
-	return slices.SortedFunc(maps.Values(m), func(a, b V) int {
-		return strings.Compare(name(a), name(b))
-	})
+// values lists the values of the keys that are kept.
+func values[K comparable, V any](m map[K]V, keep func(K) bool) []V {
+	if len(m) == 0 {
+		return nil
+	}
+	list := make([]V, 0, len(m))
+	for k, v := range m {
+		if keep(k) {
+			list = append(list, v)
+		}
+	}
+	return list
 }
 
 // put stores every object of d.
@@ -112,7 +123,6 @@
 	for _, p := range d.Policies {
 		s.policies[p.Name] = p
 	}
-	s.indexPolicies()
 }
 
 // remove drops the named object.
--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"regexp"
+	"strings"
 	"time"
 	_ "time/tzdata" // the zones are the same on a machine without zone files
 
@@ -40,7 +40,23 @@
 	sha256HexSize = 64
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+// maxName is the greatest length of a name in bytes.
+const maxName = 63
+
+// validName reports whether name has the form that nameForm describes.
+func validName(name string) bool {
+	if name == "" || len(name) > maxName || strings.ContainsAny(name[:1], "._-") {
+		return false
+	}
+	for _, c := range []byte(name) {
+		isLetter := c >= 'a' && c <= 'z'
+		isDigit := c >= '0' && c <= '9'
+		if !isLetter && !isDigit && !strings.ContainsRune("._-", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
 
 // Validate returns every problem of d, taken as the whole of the declarations.
 // The result depends on d alone: whether a time zone exists is left to
@@ -82,7 +98,7 @@
 func (v *validator) declare(d model.Declarations) {
 	for _, ref := range Refs(d) {
 		v.ref, v.index = ref.ObjectRef, ref.Index
-		if !namePattern.MatchString(ref.Name) {
+		if !validName(ref.Name) {
 			v.add("name", "expected %s, got %q", nameForm, ref.Name)
 			continue
 		}
