Test declarations that are spread over files

Cause: the merge of several files had no test of its own. Change: a test of two files taken together and of a name declared in both.

--- a/internal/declare/parse_test.go
+++ b/internal/declare/parse_test.go
@@ -1,6 +1,8 @@
 package declare
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -82,6 +84,26 @@
 	require.Equal(t, []int{4, 4, 4, 6}, lines)
 }
 
+func TestLoadTakesFilesTogether(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	teams := write("teams.toml", "[[team]]\nname = \"north\"\nshare = 1\n")
+	queues := write("queues.toml", "[[queue]]\nname = \"front\"\nteam = \"north\"\n")
+	d, faults := Load(teams, queues)
+	require.Empty(t, faults)
+	require.Len(t, d.Queues, 1)
+
+	more := write("more.toml", "[[team]]\nname = \"south\"\nshare = 1\n[[team]]\nname = \"north\"\nshare = 1\n")
+	_, faults = Load(teams, more, filepath.Join(dir, "absent.toml"))
+	require.Len(t, faults, 2)
+	require.Equal(t, filepath.Join(dir, "absent.toml"), faults[0].File)
+	require.Equal(t, Fault{File: more, Line: 5, Key: "team.name", Message: faults[1].Message}, faults[1])
+}
+
 func TestSelectors(t *testing.T) {
 	for _, text := range []string{"", "gpu", "!gpu", "tier=web", "zone in (a,b)", "rack notin (r1)", "a=1, !b, c in (x,y)"} {
 		s, err := ParseSelector(text)
