--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"pollenbend/internal/service"
 	"pollenbend/internal/service/config"
 	"pollenbend/internal/service/gateway"
+	"pollenbend/internal/service/jobs"
 	"pollenbend/internal/service/ledger"
 	"pollenbend/internal/service/limits"
 	"pollenbend/internal/service/membership"
@@ -27,7 +28,6 @@
 	Self   platform.Instance
 	Timing event.Timing
 	Seed   uint64
-	Placer ledger.Placer // nil for best fit by full scan
 }
 
 // Core is the decision core. It must be used from one goroutine.
@@ -56,17 +56,14 @@
 func New(o Options) (*Core, error) {
 	env := event.NewEnv(o.Self, o.Timing, o.Seed)
 	k := kernel.New()
-	placer := o.Placer
-	if placer == nil {
-		placer = ledger.NewBestFit()
-	}
 	for _, s := range []kernel.Service{
 		membership.New(env),
 		config.New(env),
 		ownership.New(env),
-		ledger.New(env, placer),
+		ledger.New(env),
 		limits.New(env),
 		requests.New(env),
+		jobs.New(env),
 		gateway.New(env),
 	} {
 		if err := k.Register(s); err != nil {
--- a/internal/model/shard.go
+++ b/internal/model/shard.go
@@ -94,6 +94,19 @@
 	return TaskID(s[:mark])
 }
 
+// RunOf returns the run number of a task id.
+func RunOf(id TaskID) int {
+	base := BaseTask(id)
+	if base == id {
+		return 1
+	}
+	run, err := strconv.Atoi(string(id[len(base)+len(runMark):]))
+	if err != nil {
+		return 1
+	}
+	return run
+}
+
 // RequestOfTask splits a task id into the parts TaskIDOf joined, leaving out the
 // run number. It returns an error when id has another form.
 func RequestOfTask(id TaskID) (team TeamID, request string, index int, err error) {
--- a/internal/scheduler/queue/lane.go
+++ b/internal/scheduler/queue/lane.go
@@ -1,6 +1,10 @@
 package queue
 
-import "pollenbend/internal/model"
+import (
+	"slices"
+
+	"pollenbend/internal/model"
+)
 
 // lanes is the number of lanes of one team and class.
 const lanes = 16
@@ -38,6 +42,19 @@
 	l.items[0] = it
 }
 
+// insert puts an item where its seq belongs.
+func (l *lane) insert(it *item) {
+	i := l.head
+	for i < len(l.items) && l.items[i].seq < it.seq {
+		i++
+	}
+	if i == l.head {
+		l.pushFront(it)
+		return
+	}
+	l.items = slices.Insert(l.items, i, it)
+}
+
 func (l *lane) pop() *item {
 	it := l.items[l.head]
 	l.items[l.head] = nil
--- a/internal/scheduler/queue/queue.go
+++ b/internal/scheduler/queue/queue.go
@@ -164,11 +164,25 @@
 	return it.task
 }
 
-// Started charges a popped task, committed on a worker, to its team.
-func (q *Queue) Started(t *model.Task) {
-	delete(q.popped, t.ID)
+// Started charges a popped task, committed on a worker, to its team. It returns
+// the task's place in the order received, for Return.
+func (q *Queue) Started(t *model.Task) uint64 {
+	var seq uint64
+	if it := q.popped[t.ID]; it != nil {
+		seq = it.seq
+		delete(q.popped, t.ID)
+	}
 	q.Book.Charge(t.Team, t.Demand)
 	q.arrange(q.team(t.Team))
+	return seq
+}
+
+// Return puts a started task that did not run back in its old place, seq. Its
+// charge must have been taken back by Ended.
+func (q *Queue) Return(t *model.Task, seq uint64) {
+	if q.waiting[t.ID] == nil {
+		q.add(q.team(t.Team), &item{t, seq}, (*lane).insert)
+	}
 }
 
 // Adopt charges a task that runs already and never waited here.
--- a/internal/scheduler/shares/shares.go
+++ b/internal/scheduler/shares/shares.go
@@ -24,6 +24,9 @@
 // Usage returns what the team holds in the whole fleet.
 func (a *Account) Usage() model.Resources { return a.elsewhere.Add(a.local) }
 
+// Local returns what the team's tasks placed here hold.
+func (a *Account) Local() model.Resources { return a.local }
+
 // Dominant returns the largest part of the fleet that the team holds in any
 // dimension, from 0 to 1.
 func (a *Account) Dominant() float64 { return a.dominant }
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -269,14 +269,8 @@
 // Service returns a declared service.
 func (s *Service) Service(name string) (model.Service, bool) { return s.state.Service(name) }
 
-// Share returns a team's weight.
-func (s *Service) Share(id model.TeamID) int64 {
-	t, ok := s.state.Team(id)
-	if !ok {
-		return 1
-	}
-	return max(t.Share, 1)
-}
+// Teams returns the declared teams.
+func (s *Service) Teams() []model.Team { return s.state.Declarations().Teams }
 
 // Limit returns the most tasks that a team may run, 0 for no limit.
 func (s *Service) Limit(id model.TeamID) int64 {
--- /dev/null
+++ b/internal/service/jobs/jobs.go
@@ -0,0 +1,449 @@
+// Package jobs keeps the jobs accepted for later. A job is accepted once its
+// record is in the log; every instance folds the same jobs, and the owner of a
+// job's shard runs its tasks and records their ends.
+package jobs
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/requests"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// Ownership tells which shards are owned here.
+type Ownership interface {
+	Mine(model.Shard) (term uint64, ok bool)
+}
+
+// Tasks runs the tasks of jobs.
+type Tasks interface {
+	AddTask(job model.Job, index int, check bool)
+	CancelTask(id model.TaskID)
+	Forget(id model.TaskID)
+	Reply(c requests.Caller, a model.Answer)
+	Why(ids []model.TaskID) []byte
+	Phases(ids []model.TaskID) (waiting, running int)
+}
+
+// Service is the jobs service.
+type Service struct {
+	env       *event.Env
+	ownership Ownership
+	tasks     Tasks
+
+	jobs    map[key]*job
+	order   []key // keys of jobs in the order accepted
+	waiting map[key]*submission
+	appends map[uint64][]key // append id to the submissions in it
+	ended   map[key]*ends
+	flushAt time.Duration
+	flushID uint64
+	flushed map[key]*ends // in the outstanding progress record
+}
+
+type key struct {
+	team model.TeamID
+	id   model.JobID
+}
+
+// job is the fold of one job's records.
+type job struct {
+	spec     model.Job
+	done     map[int]bool // index to success
+	failed   int
+	canceled bool
+	endedAt  time.Duration
+}
+
+// submission is a job whose record is not read back yet.
+type submission struct {
+	callers  []requests.Caller
+	deadline time.Duration
+}
+
+// ends are ended tasks that no progress record holds yet.
+type ends struct {
+	done   []int
+	failed []int
+}
+
+const (
+	submitTimeout = 5 * time.Second
+	flushInterval = time.Second
+	flushTimeout  = 5 * time.Second
+	retryAfter    = time.Second
+)
+
+// New returns the jobs service.
+func New(env *event.Env) *Service {
+	return &Service{
+		env:     env,
+		jobs:    make(map[key]*job),
+		waiting: make(map[key]*submission),
+		appends: make(map[uint64][]key),
+		ended:   make(map[key]*ends),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return service.Jobs }
+
+// Bind finds the services that this one works with.
+func (s *Service) Bind(k *kernel.Kernel) (err error) {
+	if s.ownership, err = kernel.Find[Ownership](k, service.Ownership); err != nil {
+		return err
+	}
+	s.tasks, err = kernel.Find[Tasks](k, service.Requests)
+	return err
+}
+
+func keyOf(j model.Job) key { return key{j.Template.Team, j.ID} }
+
+func (k key) shard() model.Shard { return model.ShardOfRequest(k.team, string(k.id)) }
+
+// Submit appends a job's record. The caller hears that the job is accepted once
+// the record has been read back.
+func (s *Service) Submit(c requests.Caller, spec model.Job) {
+	k := keyOf(spec)
+	if j, ok := s.jobs[k]; ok {
+		s.tasks.Reply(c, s.accepted(k, j, spec))
+		return
+	}
+	w, ok := s.waiting[k]
+	if !ok {
+		w = &submission{deadline: s.env.Now() + submitTimeout}
+		s.waiting[k] = w
+		id := s.env.Append(wire.JobAccepted{Job: spec})
+		s.appends[id] = append(s.appends[id], k)
+	}
+	w.callers = append(w.callers, c)
+}
+
+// accepted answers for a job that is in the log.
+func (s *Service) accepted(k key, j *job, spec model.Job) model.Answer {
+	if j.spec.Count != spec.Count || string(j.spec.Template.Payload) != string(spec.Template.Payload) {
+		return model.Refusal(string(k.id), verdict.Refuse(verdict.CodeConflict, "the id was used for another job"))
+	}
+	return s.state(k, j)
+}
+
+// OnRecord folds the records of jobs.
+func (s *Service) OnRecord(_ uint64, r wire.Record) {
+	switch r := r.(type) {
+	case wire.JobAccepted:
+		s.accept(r.Job)
+	case wire.JobProgress:
+		s.progress(key{r.Team, r.Job}, r)
+	case wire.JobCanceled:
+		s.cancel(key{r.Team, r.Job})
+	}
+}
+
+func (s *Service) accept(spec model.Job) {
+	k := keyOf(spec)
+	j, known := s.jobs[k]
+	if !known {
+		j = &job{spec: spec, done: make(map[int]bool)}
+		s.jobs[k] = j
+		s.order = append(s.order, k)
+		if _, mine := s.ownership.Mine(k.shard()); mine {
+			s.run(j, false)
+		}
+	}
+	if w, ok := s.waiting[k]; ok {
+		delete(s.waiting, k)
+		for _, c := range w.callers {
+			s.tasks.Reply(c, s.accepted(k, j, j.spec))
+		}
+	}
+}
+
+// run hands the tasks that have not ended to the coordinator.
+func (s *Service) run(j *job, check bool) {
+	for i := range j.spec.Count {
+		if _, ended := j.done[i]; !ended {
+			s.tasks.AddTask(j.spec, i, check)
+		}
+	}
+}
+
+func (s *Service) progress(k key, r wire.JobProgress) {
+	j, ok := s.jobs[k]
+	if !ok {
+		return
+	}
+	for _, i := range r.Done {
+		s.end(j, i, true)
+	}
+	for _, i := range r.Failed {
+		s.end(j, i, false)
+	}
+	if len(j.done) == j.spec.Count && j.endedAt == 0 {
+		j.endedAt = max(s.env.Now(), 1)
+	}
+}
+
+func (s *Service) end(j *job, index int, success bool) {
+	if _, ended := j.done[index]; ended {
+		return
+	}
+	j.done[index] = success
+	if !success {
+		j.failed++
+	}
+	s.tasks.Forget(taskOf(j.spec, index))
+}
+
+func taskOf(spec model.Job, index int) model.TaskID {
+	return model.TaskIDOf(spec.Template.Team, string(spec.ID), index)
+}
+
+func (s *Service) cancel(k key) {
+	j, ok := s.jobs[k]
+	if !ok || j.canceled {
+		return
+	}
+	j.canceled = true
+	if w, waits := s.waiting[k]; waits {
+		delete(s.waiting, k)
+		for _, c := range w.callers {
+			s.tasks.Reply(c, s.state(k, j))
+		}
+	}
+	if _, mine := s.ownership.Mine(k.shard()); mine {
+		s.stop(j)
+	}
+}
+
+func (s *Service) stop(j *job) {
+	for i := range j.spec.Count {
+		if _, ended := j.done[i]; !ended {
+			s.tasks.CancelTask(taskOf(j.spec, i))
+		}
+	}
+}
+
+// OnShardMoved takes over the jobs of a gained shard. Their tasks may have been
+// started by the owner before.
+func (s *Service) OnShardMoved(m service.ShardMove) {
+	if m.After != s.env.Owner() {
+		return
+	}
+	for _, k := range s.order {
+		j := s.jobs[k]
+		if k.shard() != m.Shard || j.endedAt > 0 {
+			continue
+		}
+		s.run(j, true)
+		if j.canceled {
+			s.stop(j)
+		}
+	}
+}
+
+// TaskEnded notes a task's end for the next progress record.
+func (s *Service) TaskEnded(t model.Task, a model.Answer) {
+	k := key{t.Team, t.Job}
+	e, ok := s.ended[k]
+	if !ok {
+		e = &ends{}
+		s.ended[k] = e
+	}
+	if a.Verdict == verdict.Done && a.Code == verdict.CodeOK {
+		e.done = append(e.done, t.Index)
+	} else {
+		e.failed = append(e.failed, t.Index)
+	}
+}
+
+// OnTick writes progress records and ends submissions whose time is up.
+func (s *Service) OnTick() {
+	now := s.env.Now()
+	s.expireSubmissions(now)
+	s.forgetOld(now)
+	if now < s.flushAt || len(s.ended) == 0 || s.flushID != 0 && now < s.flushAt+flushTimeout {
+		return
+	}
+	s.flush(now)
+}
+
+// flush appends the ends gathered so far. Ends of an append that failed are
+// written again; folding them twice changes nothing.
+func (s *Service) flush(now time.Duration) {
+	s.flushAt = now + flushInterval
+	s.flushed = s.ended
+	s.ended = make(map[key]*ends)
+	var records []wire.Record
+	for _, k := range sortedKeys(s.flushed) {
+		e := s.flushed[k]
+		records = append(records, wire.JobProgress{Team: k.team, Job: k.id, Done: e.done, Failed: e.failed})
+	}
+	s.flushID = s.env.Append(records...)
+}
+
+// sortedKeys returns a map's keys in order, so that the same events always give
+// the same actions.
+func sortedKeys[V any](m map[key]V) []key {
+	return slices.SortedFunc(maps.Keys(m), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.id, b.id))
+	})
+}
+
+// OnAppendDone settles submissions that certainly are not in the log, and gathers
+// progress again that may not be.
+func (s *Service) OnAppendDone(d event.AppendDone) {
+	if d.ID == s.flushID {
+		s.flushID = 0
+		if d.Verdict != verdict.Done {
+			s.gatherAgain()
+		}
+		s.flushed = nil
+		return
+	}
+	keys := s.appends[d.ID]
+	delete(s.appends, d.ID)
+	if d.Verdict != verdict.NotRun {
+		return
+	}
+	for _, k := range keys {
+		s.refuse(k, verdict.Refuse(verdict.CodeUnavailable, "the log takes no jobs now").After(retryAfter))
+	}
+}
+
+func (s *Service) gatherAgain() {
+	for k, e := range s.flushed {
+		again, ok := s.ended[k]
+		if !ok {
+			again = &ends{}
+			s.ended[k] = again
+		}
+		again.done = append(again.done, e.done...)
+		again.failed = append(again.failed, e.failed...)
+	}
+}
+
+func (s *Service) refuse(k key, e *verdict.Error) {
+	w, ok := s.waiting[k]
+	if !ok {
+		return
+	}
+	delete(s.waiting, k)
+	for _, c := range w.callers {
+		s.tasks.Reply(c, model.Refusal(string(k.id), e))
+	}
+}
+
+func (s *Service) expireSubmissions(now time.Duration) {
+	for _, k := range sortedKeys(s.waiting) {
+		if now >= s.waiting[k].deadline {
+			e := verdict.Refuse(verdict.CodeInDoubt, "the job may be in the log; submit it again with the same id").After(retryAfter)
+			e.Verdict = verdict.MayHaveRun
+			s.refuse(k, e)
+		}
+	}
+}
+
+// forgetOld drops jobs that ended longer ago than the retention.
+func (s *Service) forgetOld(now time.Duration) {
+	s.order = slices.DeleteFunc(s.order, func(k key) bool {
+		j := s.jobs[k]
+		if j.endedAt == 0 || now-j.endedAt <= s.env.Timing.Retention {
+			return false
+		}
+		delete(s.jobs, k)
+		return true
+	})
+}
+
+// Cancel starts to cancel a job. It reports whether there is such a job.
+func (s *Service) Cancel(c requests.Caller, team model.TeamID, id model.JobID) bool {
+	k := key{team, id}
+	j, ok := s.jobs[k]
+	if !ok {
+		return false
+	}
+	if j.canceled || j.endedAt > 0 {
+		s.tasks.Reply(c, s.state(k, j))
+		return true
+	}
+	w, waits := s.waiting[k]
+	if !waits {
+		w = &submission{deadline: s.env.Now() + submitTimeout}
+		s.waiting[k] = w
+		appendID := s.env.Append(wire.JobCanceled{Team: team, Job: id})
+		s.appends[appendID] = append(s.appends[appendID], k)
+	}
+	w.callers = append(w.callers, c)
+	return true
+}
+
+// Document describes a job in status answers.
+type Document struct {
+	Count    int             `json:"count"`
+	Done     int             `json:"done"`
+	Failed   int             `json:"failed"`
+	Running  int             `json:"running"`
+	Waiting  int             `json:"waiting"`
+	Canceled bool            `json:"canceled,omitempty"`
+	Why      json.RawMessage `json:"why,omitempty"`
+}
+
+// Status returns the state of a job.
+func (s *Service) Status(team model.TeamID, id model.JobID, why bool) (model.Answer, bool) {
+	k := key{team, id}
+	j, ok := s.jobs[k]
+	if !ok {
+		return model.Answer{}, false
+	}
+	a := s.state(k, j)
+	if why {
+		a.Body = document(s.document(j, true))
+	}
+	return a, true
+}
+
+func (s *Service) state(k key, j *job) model.Answer {
+	a := model.Answer{ID: string(k.id), Verdict: verdict.Pending, Body: document(s.document(j, false))}
+	switch {
+	case j.endedAt == 0:
+	case j.canceled:
+		a.Verdict, a.Code = verdict.MayHaveRun, verdict.CodeCanceled
+	case j.failed > 0:
+		a.Verdict, a.Code = verdict.Done, verdict.CodeTaskFailed
+	default:
+		a.Verdict = verdict.Done
+	}
+	return a
+}
+
+func (s *Service) document(j *job, why bool) Document {
+	var ids []model.TaskID
+	for i := range j.spec.Count {
+		if _, ended := j.done[i]; !ended {
+			ids = append(ids, taskOf(j.spec, i))
+		}
+	}
+	d := Document{Count: j.spec.Count, Done: len(j.done) - j.failed, Failed: j.failed, Canceled: j.canceled}
+	d.Waiting, d.Running = s.tasks.Phases(ids)
+	if why {
+		d.Why = s.tasks.Why(ids)
+	}
+	return d
+}
+
+func document(d Document) []byte {
+	body, err := json.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -10,14 +10,17 @@
 
 // Reasons for a rejected dispatch.
 const (
-	ReasonLimit = "team limit"
-	ReasonRoom  = "no room"
-	ReasonStale = "stale dispatch"
+	ReasonLimit    = "team limit"
+	ReasonRoom     = "no room"
+	ReasonStale    = "stale dispatch"
+	ReasonCanceled = "canceled"
 )
 
 // OnMessage serves coordinators on other instances.
 func (s *Service) OnMessage(from wire.Owner, m wire.Message) {
 	switch m := m.(type) {
+	case wire.Heartbeat:
+		s.retell(from)
 	case wire.Dispatch:
 		if st := s.Dispatch(m); st.Phase != wire.PhaseStarting {
 			s.env.Send(from.Instance, st)
@@ -46,12 +49,12 @@
 		st.Reason = ReasonLimit
 		return st
 	}
-	id, err := s.placer.Place(s.env.Now(), &d.Task)
-	if err != nil {
-		st.Reason = ReasonRoom
-		return st
+	id, status := s.choose(&d.Task)
+	started := status.Success() && s.commit(d, id)
+	if !started && d.Task.Class == model.ClassUrgent {
+		id, started = s.preempt(d)
 	}
-	if !s.commit(d, id) {
+	if !started {
 		st.Reason = ReasonRoom
 		return st
 	}
@@ -82,12 +85,13 @@
 		return false
 	}
 	t := &task{spec: d.Task, worker: id, phase: wire.PhaseStarting, term: d.Term, attempt: d.Attempt}
-	if err := s.placer.Commit(&t.spec, id); err != nil {
+	if err := s.place.scheduler.Fleet.Assume(s.env.Now(), &t.spec, id); err != nil {
 		return false
 	}
 	w.seq++
 	t.seq = w.seq
 	s.tasks[d.Task.ID] = t
+	s.noteRun(d.Task.ID)
 	s.count(w, d.Task, 1)
 	s.env.Emit(event.Start{Worker: w.info, Request: platform.StartRequest{
 		Lease: s.leaseRef(w), WorkerIncarnation: w.incarnation, Seq: w.seq, Task: d.Task,
@@ -122,12 +126,36 @@
 	if t, ok := s.tasks[id]; ok {
 		return s.stateOf(t), true
 	}
+	if p, ok := s.place.pending[id]; ok {
+		return wire.TaskState{
+			Task: id, Term: p.dispatch.Term, Attempt: p.dispatch.Attempt,
+			Phase: wire.PhaseStarting, Worker: p.worker,
+		}, true
+	}
 	if p, ok := s.past[id]; ok {
 		return wire.TaskState{Task: id, Phase: wire.PhaseFinished, Worker: p.worker, Outcome: p.outcome}, true
 	}
 	return wire.TaskState{}, false
 }
 
+// lookupLatest returns the state of the latest run of a task, not earlier than
+// the given one.
+func (s *Service) lookupLatest(id model.TaskID) (wire.TaskState, bool) {
+	base := model.BaseTask(id)
+	if run := s.latest[base]; run > model.RunOf(id) {
+		if st, ok := s.lookup(model.WithRun(base, run)); ok {
+			return st, true
+		}
+	}
+	return s.lookup(id)
+}
+
+// noteRun remembers the highest run of a task seen here.
+func (s *Service) noteRun(id model.TaskID) {
+	base := model.BaseTask(id)
+	s.latest[base] = max(s.latest[base], model.RunOf(id))
+}
+
 // Locate answers what is known of tasks, and fences them: a dispatch at or below
 // the asked term and attempt that arrives later is refused. Without that, "never
 // seen" could turn false after it was said.
@@ -138,7 +166,7 @@
 	for _, q := range m.Tasks {
 		oldest = min(oldest, s.env.Now()-q.Age)
 		s.fences[q.Task] = fence{term: m.Term, attempt: q.Attempt, at: s.env.Now()}
-		if st, ok := s.lookup(q.Task); ok {
+		if st, ok := s.lookupLatest(q.Task); ok {
 			out.Seen = append(out.Seen, st)
 		}
 	}
@@ -157,6 +185,10 @@
 
 // Cancel stops a task if it is here.
 func (s *Service) Cancel(c wire.CancelTask) {
+	if p, ok := s.place.pending[c.Task]; ok {
+		s.dropPending(p, ReasonCanceled)
+		return
+	}
 	t, ok := s.tasks[c.Task]
 	if !ok {
 		return
--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -7,6 +7,8 @@
 package ledger
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,29 +38,13 @@
 	MayStart(model.TeamID) bool
 }
 
-// Placer chooses a worker for a task among the workers that were added.
-type Placer interface {
-	Upsert(w model.Worker)
-	Remove(id model.WorkerID)
-	SetSchedulable(id model.WorkerID, ok bool)
-	Place(now time.Duration, t *model.Task) (model.WorkerID, error)
-	// Commit counts the task on the worker. It returns an error when the task
-	// does not fit there.
-	Commit(t *model.Task, id model.WorkerID) error
-	// Restore counts a task that runs on the worker already, whether it fits or
-	// not.
-	Restore(t *model.Task, id model.WorkerID)
-	Release(id model.TaskID)
-	Finished(t *model.Task, id model.WorkerID, out model.Outcome, now time.Duration)
-}
-
 // Service is the ledger.
 type Service struct {
 	env         *event.Env
 	ownership   Ownership
 	coordinator Coordinator
 	limits      Limits
-	placer      Placer
+	place       placement
 
 	listed  map[model.WorkerID]model.Worker
 	workers map[model.WorkerID]*worker
@@ -67,10 +53,12 @@
 	past    map[model.TaskID]pastTask
 	fences  map[model.TaskID]fence
 	seen    [model.Shards]uint64 // highest term seen per request shard
+	latest  map[model.TaskID]int // highest run seen, by task without run
 	running map[model.TeamID]int64
 	usage   map[model.TeamID]model.Resources
 
 	coverage wire.Coverage
+	missed   map[model.InstanceID]bool // instances that may have missed task states
 }
 
 type task struct {
@@ -95,17 +83,19 @@
 	at      time.Duration
 }
 
-// New returns the ledger, which places tasks with placer.
-func New(env *event.Env, placer Placer) *Service {
+// New returns the ledger.
+func New(env *event.Env) *Service {
 	return &Service{
 		env:     env,
-		placer:  placer,
+		place:   newPlacement(uint64(env.Self.Incarnation), env.Self.Location),
 		listed:  make(map[model.WorkerID]model.Worker),
 		workers: make(map[model.WorkerID]*worker),
 		tasks:   make(map[model.TaskID]*task),
 		past:    make(map[model.TaskID]pastTask),
+		latest:  make(map[model.TaskID]int),
 		fences:  make(map[model.TaskID]fence),
 		running: make(map[model.TeamID]int64),
+		missed:  make(map[model.InstanceID]bool),
 		usage:   make(map[model.TeamID]model.Resources),
 	}
 }
@@ -161,8 +151,8 @@
 		w.leaseLost()
 	}
 	w.info = info
-	s.placer.Upsert(info)
-	s.placer.SetSchedulable(info.ID, w.leased(s.env.Now()) && !info.Leaving)
+	s.place.scheduler.Fleet.Upsert(info)
+	s.place.setLease(info.ID, w.leased(s.env.Now()))
 }
 
 // loseWorker forgets a worker that has ended. Its tasks are told as stopped.
@@ -175,10 +165,16 @@
 
 // drop forgets a worker without saying anything about its tasks: they may run on.
 func (s *Service) drop(w *worker) {
+	for _, id := range sortedKeys(s.place.pending) {
+		if p := s.place.pending[id]; p.worker == w.info.ID {
+			s.dropPending(p, ReasonRoom)
+		}
+	}
 	for _, t := range s.tasksOn(w.info.ID) {
 		s.forget(t)
 	}
-	s.placer.Remove(w.info.ID)
+	s.place.scheduler.Fleet.Remove(w.info.ID)
+	s.place.keeper.Forget(w.info.ID)
 	delete(s.workers, w.info.ID)
 	if i, ok := slices.BinarySearch(s.order, w.info.ID); ok {
 		s.order = slices.Delete(s.order, i, i+1)
@@ -192,28 +188,18 @@
 			list = append(list, t)
 		}
 	}
-	slices.SortFunc(list, func(a, b *task) int { return compareIDs(a.spec.ID, b.spec.ID) })
+	slices.SortFunc(list, func(a, b *task) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
 	return list
 }
 
-func compareIDs(a, b model.TaskID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // OnShardMoved adopts or lets go the workers of a shard, and tells the new owner
 // of a request shard about its tasks here.
 func (s *Service) OnShardMoved(m service.ShardMove) {
 	s.seen[m.Shard] = max(s.seen[m.Shard], m.Term)
 	if m.After == s.env.Owner() {
-		for _, w := range s.listed {
-			if model.ShardOfWorker(w.ID) == m.Shard {
-				s.adopt(w)
+		for _, id := range sortedKeys(s.listed) {
+			if model.ShardOfWorker(id) == m.Shard {
+				s.adopt(s.listed[id])
 			}
 		}
 	} else if m.Before == s.env.Owner() {
@@ -237,25 +223,39 @@
 
 // tellOwner sends the state of every task of a request shard to its owner.
 func (s *Service) tellOwner(shard model.Shard) {
-	for _, id := range s.sortedTasks() {
+	for _, id := range sortedKeys(s.tasks) {
 		if model.ShardOfTask(id) == shard {
 			s.tell(s.stateOf(s.tasks[id]))
 		}
 	}
-	for id, p := range s.past {
-		if model.ShardOfTask(id) == shard {
+	for _, id := range sortedKeys(s.past) {
+		if p := s.past[id]; model.ShardOfTask(id) == shard {
 			s.tell(wire.TaskState{Task: id, Phase: wire.PhaseFinished, Worker: p.worker, Outcome: p.outcome})
 		}
 	}
 }
 
-func (s *Service) sortedTasks() []model.TaskID {
-	ids := make([]model.TaskID, 0, len(s.tasks))
-	for id := range s.tasks {
-		ids = append(ids, id)
+// sortedKeys returns a map's keys in order, so that the same events always give
+// the same actions.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// OnPeerDown notes that a peer may have missed task states.
+func (s *Service) OnPeerDown(peer wire.Owner) { s.missed[peer.Instance] = true }
+
+// retell sends a peer that is heard again the state of every task whose request
+// it coordinates.
+func (s *Service) retell(peer wire.Owner) {
+	if !s.missed[peer.Instance] {
+		return
+	}
+	delete(s.missed, peer.Instance)
+	for shard := range model.Shard(model.Shards) {
+		if slot, ok := s.ownership.Owner(shard); ok && slot.Owner == peer {
+			s.tellOwner(shard)
+		}
 	}
-	slices.Sort(ids)
-	return ids
 }
 
 func (s *Service) stateOf(t *task) wire.TaskState {
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -59,6 +59,9 @@
 			s.renew(w)
 		}
 	}
+	s.startPending()
+	s.place.keeper.Tick(now)
+	s.place.scheduler.Fleet.ExpireHolds(now)
 	s.forgetOld(now)
 	s.refreshCoverage()
 }
@@ -67,7 +70,7 @@
 func (s *Service) checkLapse(w *worker, now time.Duration) {
 	if w.known && now >= w.leasedUntil {
 		w.leaseLost()
-		s.placer.SetSchedulable(w.info.ID, false)
+		s.place.setLease(w.info.ID, false)
 	}
 }
 
@@ -116,7 +119,8 @@
 	default:
 		s.takeOutcomes(w, d.Reply)
 	}
-	s.placer.SetSchedulable(w.info.ID, w.leased(s.env.Now()) && !w.info.Leaving)
+	s.place.setLease(w.info.ID, w.leased(s.env.Now()))
+	s.startPending()
 	if !w.inFlight {
 		s.renew(w)
 	}
@@ -173,7 +177,8 @@
 	if !ok {
 		t = &task{spec: spec, worker: w.info.ID}
 		s.tasks[spec.ID] = t
-		s.placer.Restore(&t.spec, w.info.ID)
+		s.noteRun(spec.ID)
+		_ = s.place.scheduler.Fleet.Adopt(s.env.Now(), &t.spec, w.info.ID)
 		s.count(w, spec, 1)
 	}
 	if t.phase != wire.PhaseRunning {
@@ -206,14 +211,14 @@
 // forget removes a task from all counts.
 func (s *Service) forget(t *task) {
 	delete(s.tasks, t.spec.ID)
-	s.placer.Release(t.spec.ID)
+	s.place.scheduler.Fleet.Release(t.spec.ID)
 	if w, ok := s.workers[t.worker]; ok {
 		s.count(w, t.spec, -1)
 	}
 }
 
 func (s *Service) finish(t *task, out model.Outcome) {
-	s.placer.Finished(&t.spec, t.worker, out, s.env.Now())
+	s.observe(t, out)
 	s.forget(t)
 	s.remember(t.spec.ID, t.worker, out)
 	st := s.stateOf(t)
@@ -233,6 +238,7 @@
 func (s *Service) remember(id model.TaskID, w model.WorkerID, out model.Outcome) {
 	if _, ok := s.past[id]; !ok {
 		s.past[id] = pastTask{outcome: out, worker: w, at: s.env.Now()}
+		s.noteRun(id)
 	}
 }
 
@@ -241,6 +247,7 @@
 	for id, p := range s.past {
 		if p.at < horizon {
 			delete(s.past, id)
+			delete(s.latest, model.BaseTask(id))
 		}
 	}
 	for id, f := range s.fences {
--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"pollenbend/internal/model"
 	"pollenbend/internal/service"
+	"pollenbend/internal/service/ledger"
 	"pollenbend/internal/verdict"
 	"pollenbend/internal/wire"
 )
@@ -16,46 +18,63 @@
 	}
 	s.moved = false
 	s.refreshRooms()
-	blocked := make(map[model.TeamID]bool)
+	s.queue.Wake(s.largestRoom())
 	for {
-		e := s.next(blocked)
-		if e == nil {
+		t := s.queue.Pop()
+		if t == nil {
 			return
 		}
-		if !s.dispatch(e) {
-			blocked[e.task.Team] = true
+		if !s.dispatch(s.entries[t.ID]) {
+			s.queue.Defer(t)
 		}
 	}
 }
 
-// next returns the waiting task of the team that is furthest below its share.
-func (s *Service) next(blocked map[model.TeamID]bool) *entry {
-	var best *entry
-	var bestLoad float64
-	for _, team := range s.queues.teams {
-		e := s.queues.head(team)
-		if e == nil || blocked[team] {
-			continue
-		}
-		load := s.load(team)
-		urgent := e.task.Class == model.ClassUrgent
-		bestUrgent := best != nil && best.task.Class == model.ClassUrgent
-		if best == nil || urgent && !bestUrgent || urgent == bestUrgent && load < bestLoad {
-			best, bestLoad = e, load
-		}
+// largestRoom returns the most that is believed free at any one instance.
+func (s *Service) largestRoom() model.Resources {
+	room := s.ledger.Free()
+	for _, r := range s.rooms {
+		room.MilliCPU = max(room.MilliCPU, r.free.MilliCPU)
+		room.MemoryMiB = max(room.MemoryMiB, r.free.MemoryMiB)
+		room.Slots = max(room.Slots, r.free.Slots)
+		room.Accelerators = max(room.Accelerators, r.free.Accelerators)
+	}
+	return room
+}
+
+// refreshShares tells the queue what each team may weigh and what it holds in the
+// whole fleet, as far as heartbeats have told.
+func (s *Service) refreshShares() {
+	var capacity model.Resources
+	for _, w := range s.ledger.Roster() {
+		capacity = capacity.Add(w.Capacity)
+	}
+	s.queue.SetCapacity(capacity)
+	for _, t := range s.config.Teams() {
+		s.queue.SetShare(t.Name, t.Share)
+		s.queue.SetUsage(t.Name, s.elsewhere(t.Name))
 	}
-	return best
 }
 
-// load returns a team's running tasks in the whole fleet divided by its share.
-func (s *Service) load(team model.TeamID) float64 {
-	var running int64
-	for _, e := range s.entries {
-		if e.task.Team == team && (e.phase == phaseDispatched || e.phase == phaseRunning) {
-			running++
+// elsewhere returns what a team holds beyond what was dispatched from here.
+func (s *Service) elsewhere(team model.TeamID) model.Resources {
+	held := s.ledger.Usage(team)
+	for _, o := range s.members.Live() {
+		m, ok := s.members.Member(o.Instance)
+		if !ok {
+			continue
+		}
+		for _, l := range m.Beat.Teams {
+			if l.Team == team {
+				held = held.Add(l.Usage)
+			}
 		}
 	}
-	return float64(running) / float64(max(s.config.Share(team), 1))
+	rest := held.Sub(s.queue.Book.Account(team).Local())
+	return model.Resources{
+		MilliCPU: max(rest.MilliCPU, 0), MemoryMiB: max(rest.MemoryMiB, 0),
+		Slots: max(rest.Slots, 0), Accelerators: max(rest.Accelerators, 0),
+	}
 }
 
 // refreshRooms takes over what newer heartbeats say is free.
@@ -84,15 +103,17 @@
 		return false
 	}
 	d := wire.Dispatch{Task: e.task, Term: term, Attempt: e.attempt + 1}
-	d.Task.ID = model.WithRun(e.base, e.run)
-	if e.task.Demand.Fits(s.ledger.Free()) {
-		if st := s.ledger.Dispatch(d); st.Phase != wire.PhaseRejected {
+	d.Task.ID = e.taskOf()
+	if s.mayTryHere(e) {
+		st := s.ledger.Dispatch(d)
+		if st.Phase != wire.PhaseRejected {
 			s.leave(e, s.env.Owner(), d.Attempt)
 			s.OnTaskState(s.env.Owner(), st)
 			return true
 		}
+		s.noteRefusal(s.env.Self.ID, e.task.Team, st.Reason)
 	}
-	to, ok := s.roomiest(e.task.Demand)
+	to, ok := s.roomiest(e)
 	if !ok {
 		return false
 	}
@@ -102,8 +123,7 @@
 }
 
 func (s *Service) leave(e *entry, to wire.Owner, attempt uint32) {
-	s.queues.remove(e)
-	e.phase = phaseDispatched
+	s.setPhase(e, phaseDispatched)
 	e.holder = to
 	e.attempt = attempt
 	if r, ok := s.rooms[to.Instance]; ok {
@@ -111,12 +131,41 @@
 	}
 }
 
-func (s *Service) roomiest(demand model.Resources) (wire.Owner, bool) {
+// refusal names a holder that refused work of a team for its upper limit.
+type refusal struct {
+	holder model.InstanceID
+	team   model.TeamID
+}
+
+// refusalPause is how long a holder is not asked again after such a refusal.
+const refusalPause = 50 * time.Millisecond
+
+func (s *Service) noteRefusal(holder model.InstanceID, team model.TeamID, reason string) {
+	if reason == ledger.ReasonLimit {
+		s.refusals[refusal{holder, team}] = s.env.Now() + refusalPause
+	}
+}
+
+func (s *Service) refused(holder model.InstanceID, team model.TeamID) bool {
+	return s.env.Now() < s.refusals[refusal{holder, team}]
+}
+
+// mayTryHere reports whether this instance's own workers may take the task: there
+// is room, or the task is urgent and may make room.
+func (s *Service) mayTryHere(e *entry) bool {
+	if s.refused(s.env.Self.ID, e.task.Team) {
+		return false
+	}
+	return e.task.Class == model.ClassUrgent || e.task.Demand.Fits(s.ledger.Free())
+}
+
+// roomiest returns the other instance with the most room for the task.
+func (s *Service) roomiest(e *entry) (wire.Owner, bool) {
 	var best wire.Owner
 	var free int64
 	for _, o := range s.members.Live() {
 		r, ok := s.rooms[o.Instance]
-		if !ok || o == s.env.Owner() || !demand.Fits(r.free) {
+		if !ok || o == s.env.Owner() || !e.task.Demand.Fits(r.free) || s.refused(o.Instance, e.task.Team) {
 			continue
 		}
 		if best.Instance == "" || r.free.Slots > free {
@@ -143,9 +192,10 @@
 	if !ok {
 		e = s.adopt(base, st)
 	}
-	if e == nil || e.phase == phaseFinished || model.WithRun(e.base, e.run) != st.Task {
+	if e == nil || e.phase == phaseFinished || model.RunOf(st.Task) < e.run {
 		return
 	}
+	e.run = model.RunOf(st.Task)
 	switch st.Phase {
 	case wire.PhaseRejected:
 		s.onRejected(e, from, st)
@@ -168,7 +218,7 @@
 		return nil
 	}
 	e := &entry{
-		id: id, base: base, shard: shard, run: 1, phase: phaseRunning,
+		id: id, base: base, shard: shard, run: 1, phase: phaseLocating,
 		task: model.Task{ID: base, Team: team}, receivedAt: s.env.Now(), born: s.env.Now(),
 	}
 	s.entries[base] = e
@@ -179,32 +229,31 @@
 	if e.phase != phaseDispatched || e.holder != from || e.attempt != st.Attempt {
 		return
 	}
-	if r, ok := s.rooms[from.Instance]; ok {
+	if r, ok := s.rooms[from.Instance]; ok && st.Reason == ledger.ReasonRoom {
 		r.free = model.Resources{}
 	}
 	if e.canceled {
-		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeCanceled, "canceled before it was started")))
+		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
 		return
 	}
+	s.noteRefusal(from.Instance, e.task.Team, st.Reason)
 	e.holder = wire.Owner{}
-	e.phase = phaseWaiting
-	s.queues.pushFront(e)
+	s.setPhase(e, phaseWaiting)
+	s.queue.Return(&e.task, e.place)
 }
 
 func (s *Service) onRunning(e *entry, from wire.Owner, st wire.TaskState) {
-	if e.phase == phaseWaiting {
-		s.queues.remove(e)
-	}
 	e.holder = from
 	e.worker = st.Worker
 	e.attempt = max(e.attempt, st.Attempt)
 	if st.Phase == wire.PhaseRunning && e.phase != phaseRunning {
 		e.startedAt = s.env.Now()
 	}
-	e.phase = phaseDispatched
+	next := phaseDispatched
 	if st.Phase == wire.PhaseRunning {
-		e.phase = phaseRunning
+		next = phaseRunning
 	}
+	s.setPhase(e, next)
 	if e.canceled {
 		s.stop(e)
 	}
@@ -213,22 +262,35 @@
 // onOutcome turns a task's outcome into the request's answer, or runs the task
 // again when it failed and may be repeated.
 func (s *Service) onOutcome(e *entry, st wire.TaskState) {
-	if e.phase == phaseWaiting {
-		s.queues.remove(e)
-	}
 	out := st.Outcome
 	e.worker = st.Worker
-	again := (out.Failed || !out.Complete) && e.task.Repeatable && !e.canceled
-	if again && e.run < maxRuns && s.env.Now() < e.deadline {
+	if s.runsAgain(e, out) {
 		e.run++
 		e.attempt = 0
 		e.holder = wire.Owner{}
-		s.enqueue(e)
+		s.backOff(e)
 		return
 	}
 	s.finish(e, s.answerOf(e, out))
 }
 
+// runsAgain reports whether a task that ended is to be run once more: a service
+// always, other work if it may be repeated and was stopped, or failed and has
+// tries left.
+func (s *Service) runsAgain(e *entry, out model.Outcome) bool {
+	switch {
+	case e.canceled:
+		return false
+	case e.task.Kind == model.KindService:
+		return true
+	case !e.task.Repeatable || !out.Failed && !out.Stopped && out.Complete:
+		return false
+	case e.task.Job != "":
+		return out.Stopped || e.run < maxRuns
+	}
+	return e.run < maxRuns && s.env.Now() < e.deadline
+}
+
 func (s *Service) answerOf(e *entry, out model.Outcome) model.Answer {
 	a := model.Answer{Worker: e.worker, Message: out.Message}
 	if e.startedAt > 0 {
@@ -287,9 +349,7 @@
 		if e.shard != m.Shard {
 			continue
 		}
-		if e.phase == phaseWaiting {
-			s.queues.remove(e)
-		}
+		s.setPhase(e, phaseFinished)
 		delete(s.entries, id)
 	}
 }
--- /dev/null
+++ b/internal/service/requests/jobtasks.go
@@ -0,0 +1,160 @@
+package requests
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/scheduler"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// Caller names someone who waits for an answer.
+type Caller struct {
+	From   wire.Owner
+	Handle uint64
+}
+
+// Jobs keeps the jobs accepted for later.
+type Jobs interface {
+	Submit(c Caller, job model.Job)
+	Status(team model.TeamID, id model.JobID, why bool) (model.Answer, bool)
+	// Cancel starts to cancel a job. It reports whether there is such a job.
+	Cancel(c Caller, team model.TeamID, id model.JobID) bool
+	TaskEnded(t model.Task, a model.Answer)
+}
+
+const maxTasksByJob = 100000
+
+// submit builds a job and hands it over to be accepted.
+func (s *Service) submit(from wire.Owner, f wire.Forward) {
+	job, refusal := s.buildJob(f)
+	if refusal != nil {
+		s.refuse(from, f, refusal)
+		return
+	}
+	s.jobs.Submit(Caller{From: from, Handle: f.Handle}, job)
+}
+
+func (s *Service) buildJob(f wire.Forward) (model.Job, *verdict.Error) {
+	job := model.Job{ID: model.JobID(f.Request.ID), Count: max(f.Request.Count, 1)}
+	if job.Count > maxTasksByJob {
+		return job, verdict.Refuse(verdict.CodeBadRequest, "count must be at most %d", maxTasksByJob)
+	}
+	t, refusal := s.buildTask("", f)
+	if refusal != nil {
+		return job, refusal
+	}
+	t.Kind = cmp.Or(f.Request.Task.Kind, model.KindBatch)
+	t.Job = job.ID
+	if f.Request.Service == "" {
+		t.Repeatable = true
+	}
+	if !s.everFits(&t) {
+		return job, verdict.Refuse(verdict.CodeNeverFits, "no listed worker could ever run this: demand %+v, selector %+v", t.Demand, t.Require)
+	}
+	job.Template = t
+	return job, nil
+}
+
+// AddTask makes a task of an accepted job wait. With check set, it may have been
+// started under an earlier owner of the job's shard.
+func (s *Service) AddTask(job model.Job, index int, check bool) {
+	t := job.Template
+	t.ID = model.TaskIDOf(t.Team, string(job.ID), index)
+	t.Index = index
+	if e, ok := s.entries[t.ID]; ok {
+		e.task = t
+		return
+	}
+	e := &entry{
+		id: string(job.ID), task: t, base: t.ID, shard: model.ShardOfTask(t.ID), run: 1,
+		receivedAt: s.env.Now(), born: s.env.Now(),
+	}
+	s.entries[t.ID] = e
+	if check {
+		s.startLocate(e)
+		return
+	}
+	s.enqueue(e)
+}
+
+// CancelTask cancels a job's task.
+func (s *Service) CancelTask(id model.TaskID) {
+	e, ok := s.entries[id]
+	if !ok || e.phase == phaseFinished {
+		return
+	}
+	e.canceled = true
+	if e.phase == phaseWaiting || e.phase == phaseBackoff {
+		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
+		return
+	}
+	s.stop(e)
+}
+
+// Forget drops a job's ended task from memory.
+func (s *Service) Forget(id model.TaskID) {
+	if e, ok := s.entries[id]; ok && e.phase == phaseFinished {
+		delete(s.entries, id)
+	}
+}
+
+// Reply gives a caller an answer.
+func (s *Service) Reply(c Caller, a model.Answer) {
+	s.reply(waiter{from: c.From, handle: c.Handle}, a)
+}
+
+// Reason tells why a request waits.
+type Reason struct {
+	Phase       string                `json:"phase"`
+	TeamWaiting int                   `json:"team_waiting"` // tasks of the team that wait at this instance
+	TeamLevel   float64               `json:"team_level"`   // dominant part of the fleet over the share
+	AtLimit     bool                  `json:"at_limit"`     // a holder refused it lately for the team's upper limit
+	Here        scheduler.Explanation `json:"here"`         // by filter, on the workers held here
+}
+
+// why explains an entry's wait as a JSON document.
+func (s *Service) why(e *entry) []byte {
+	r := Reason{
+		Phase: e.phase.String(), TeamWaiting: s.queue.Waiting(e.task.Team),
+		TeamLevel: s.queue.Book.Account(e.task.Team).Level(), Here: s.ledger.Explain(&e.task),
+	}
+	for _, o := range s.members.Live() {
+		r.AtLimit = r.AtLimit || s.refused(o.Instance, e.task.Team)
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// Why explains why a job's tasks wait: the first that does.
+func (s *Service) Why(ids []model.TaskID) []byte {
+	i := slices.IndexFunc(ids, func(id model.TaskID) bool {
+		e, ok := s.entries[id]
+		return ok && e.phase == phaseWaiting
+	})
+	if i < 0 {
+		return nil
+	}
+	return s.why(s.entries[ids[i]])
+}
+
+// Phases counts a job's tasks by phase.
+func (s *Service) Phases(ids []model.TaskID) (waiting, running int) {
+	for _, id := range ids {
+		e, ok := s.entries[id]
+		switch {
+		case !ok || e.phase == phaseFinished:
+		case e.phase == phaseRunning || e.phase == phaseDispatched:
+			running++
+		default:
+			waiting++
+		}
+	}
+	return waiting, running
+}
--- a/internal/service/requests/locate.go
+++ b/internal/service/requests/locate.go
@@ -32,10 +32,7 @@
 			}
 		}
 	}
-	if e.phase == phaseWaiting {
-		s.queues.remove(e)
-	}
-	e.phase = phaseLocating
+	s.setPhase(e, phaseLocating)
 	s.locID++
 	l := &locate{id: s.locID, entry: e.base}
 	s.locates[l.id] = l
@@ -58,7 +55,7 @@
 	l.covered = make(map[model.WorkerID]bool)
 	l.young = make(map[model.WorkerID]bool)
 	q := wire.LocateTask{
-		Task: model.WithRun(e.base, e.run), Attempt: e.attempt,
+		Task: e.taskOf(), Attempt: e.attempt,
 		Age: s.env.Now() - e.born + s.pastOf(e),
 	}
 	m := wire.Locate{ID: l.id, Shard: e.shard, Term: term, Tasks: []wire.LocateTask{q}}
@@ -127,7 +124,7 @@
 			Message: "a worker that may have run it has restarted since",
 		})
 	case e.canceled:
-		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeCanceled, "canceled before it was started")))
+		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
 	default:
 		e.holder = wire.Owner{}
 		s.enqueue(e)
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -16,6 +16,9 @@
 	"pollenbend/internal/event"
 	"pollenbend/internal/kernel"
 	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/scheduler"
+	"pollenbend/internal/scheduler/queue"
 	"pollenbend/internal/service"
 	"pollenbend/internal/service/membership"
 	"pollenbend/internal/service/ownership"
@@ -43,12 +46,14 @@
 	Cancel(wire.CancelTask)
 	Free() model.Resources
 	Roster() map[model.WorkerID]model.Worker
+	Usage(model.TeamID) model.Resources
+	Explain(t *model.Task) scheduler.Explanation
 }
 
 // Config describes services and teams.
 type Config interface {
 	Service(name string) (model.Service, bool)
-	Share(model.TeamID) int64
+	Teams() []model.Team
 }
 
 // Replier gives an answer to a caller at this instance.
@@ -64,14 +69,19 @@
 	ledger    Ledger
 	config    Config
 	replier   Replier
+	jobs      Jobs
 
 	entries map[model.TaskID]*entry
-	queues  *queues
+	queue   *queue.Queue
 	rooms   map[model.InstanceID]*room
 	gained  [model.Shards]time.Duration // when a shard with a past was gained
 	locates map[uint64]*locate
 	locID   uint64
 	moved   bool // something happened that may let waiting tasks start
+
+	backoffs []backoff
+	refusals map[refusal]time.Duration // until when a holder need not be asked
+	sharesAt time.Duration
 }
 
 // room is what is believed free at another instance, from its last heartbeat less
@@ -89,6 +99,7 @@
 	phaseWaiting
 	phaseDispatched
 	phaseRunning
+	phaseBackoff // ended, and to be run again after a pause
 	phaseFinished
 )
 
@@ -109,6 +120,8 @@
 	finishedAt  time.Duration
 	deadline    time.Duration
 	canceled    bool
+	charged     bool   // counted as running for its team
+	place       uint64 // in the order received, once dispatched
 	waiters     []waiter
 	answer      model.Answer
 	worker      model.WorkerID
@@ -130,11 +143,12 @@
 // New returns the coordinator.
 func New(env *event.Env) *Service {
 	return &Service{
-		env:     env,
-		entries: make(map[model.TaskID]*entry),
-		queues:  newQueues(),
-		rooms:   make(map[model.InstanceID]*room),
-		locates: make(map[uint64]*locate),
+		env:      env,
+		entries:  make(map[model.TaskID]*entry),
+		queue:    queue.New(queue.Config{MaxWaiting: maxWaitingByTeam}),
+		rooms:    make(map[model.InstanceID]*room),
+		locates:  make(map[uint64]*locate),
+		refusals: make(map[refusal]time.Duration),
 	}
 }
 
@@ -155,6 +169,9 @@
 	if s.config, err = kernel.Find[Config](k, service.Config); err != nil {
 		return err
 	}
+	if s.jobs, err = kernel.Find[Jobs](k, service.Jobs); err != nil {
+		return err
+	}
 	s.replier, err = kernel.Find[Replier](k, service.Gateway)
 	return err
 }
@@ -175,6 +192,8 @@
 		s.status(from, f)
 	case model.OpCancel:
 		s.cancel(from, f)
+	case model.OpSubmit:
+		s.submit(from, f)
 	default:
 		s.refuse(from, f, verdict.Refuse(verdict.CodeBadRequest, "operation %q is not served here", r.Op))
 	}
@@ -220,7 +239,7 @@
 	if len(s.entries) >= maxEntries {
 		return nil, verdict.Refuse(verdict.CodeOverloaded, "too many requests are remembered here").After(retryAfter)
 	}
-	if s.queues.len(f.Team) >= maxWaitingByTeam {
+	if s.queue.Waiting(f.Team) >= maxWaitingByTeam {
 		return nil, verdict.Refuse(verdict.CodeOverloaded, "the team has %d requests waiting here", maxWaitingByTeam).After(retryAfter)
 	}
 	t, refusal := s.buildTask(base, f)
@@ -291,16 +310,37 @@
 	return gained == 0 || s.env.Now()-gained > s.env.Timing.Retention+s.env.Timing.RequestTimeout
 }
 
+// enqueue makes a task wait for its team's turn. A task that finds its team's
+// queue full is refused: it has not run.
 func (s *Service) enqueue(e *entry) {
-	e.phase = phaseWaiting
-	s.queues.push(e)
+	s.setPhase(e, phaseWaiting)
+	if err := s.queue.Push(&e.task); err != nil {
+		s.finish(e, s.unstarted(e, verdict.CodeOverloaded, err.Error()))
+	}
 	s.moved = true
 }
 
+// setPhase moves an entry on and keeps the queue's account of its team: a task is
+// charged to it from its dispatch to its end.
+func (s *Service) setPhase(e *entry, p phase) {
+	if e.phase == phaseWaiting && p != phaseWaiting {
+		s.queue.Cancel(e.task.ID)
+	}
+	was, is := e.charged, p == phaseDispatched || p == phaseRunning || p == phaseLocating && e.charged
+	if is && !was {
+		e.place = s.queue.Started(&e.task)
+	}
+	if was && !is {
+		s.queue.Ended(&e.task)
+	}
+	e.charged = is
+	e.phase = p
+}
+
 // finish gives a request its final answer and tells everyone who waits for it.
 func (s *Service) finish(e *entry, a model.Answer) {
 	a.ID = e.id
-	e.phase = phaseFinished
+	s.setPhase(e, phaseFinished)
 	e.finishedAt = s.env.Now()
 	e.answer = a
 	waiters := e.waiters
@@ -308,6 +348,9 @@
 	for _, w := range waiters {
 		s.reply(w, a)
 	}
+	if e.task.Job != "" {
+		s.jobs.TaskEnded(e.task, a)
+	}
 	s.moved = true
 }
 
@@ -326,6 +369,10 @@
 
 func (s *Service) status(from wire.Owner, f wire.Forward) {
 	w := waiter{from: from, handle: f.Handle}
+	if a, ok := s.jobs.Status(f.Team, model.JobID(f.Request.ID), f.Request.Why); ok {
+		s.reply(w, a)
+		return
+	}
 	e, ok := s.entries[model.TaskIDOf(f.Team, f.Request.ID, 0)]
 	if !ok {
 		s.refuse(from, f, s.unknown(f))
@@ -335,7 +382,11 @@
 		s.reply(w, e.answer)
 		return
 	}
-	s.reply(w, model.Answer{ID: e.id, Verdict: verdict.Pending, Message: e.phase.String(), Worker: e.worker})
+	a := model.Answer{ID: e.id, Verdict: verdict.Pending, Message: e.phase.String(), Worker: e.worker}
+	if f.Request.Why {
+		a.Body = s.why(e)
+	}
+	s.reply(w, a)
 }
 
 // unknown tells about an id without an entry: "not run" only when that is
@@ -361,11 +412,16 @@
 		return "starting"
 	case phaseRunning:
 		return "running"
+	case phaseBackoff:
+		return "waiting to run again"
 	}
 	return "finished"
 }
 
 func (s *Service) cancel(from wire.Owner, f wire.Forward) {
+	if s.jobs.Cancel(Caller{From: from, Handle: f.Handle}, f.Team, model.JobID(f.Request.ID)) {
+		return
+	}
 	e, ok := s.entries[model.TaskIDOf(f.Team, f.Request.ID, 0)]
 	if !ok {
 		s.refuse(from, f, s.unknown(f))
@@ -375,10 +431,9 @@
 	switch e.phase {
 	case phaseFinished:
 		s.reply(w, e.answer)
-	case phaseWaiting:
-		s.queues.remove(e)
+	case phaseWaiting, phaseBackoff:
 		e.waiters = append(e.waiters, w)
-		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeCanceled, "canceled before it was started")))
+		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
 	default:
 		e.canceled = true
 		e.waiters = append(e.waiters, w)
@@ -387,7 +442,7 @@
 }
 
 func (s *Service) stop(e *entry) {
-	c := wire.CancelTask{Task: model.WithRun(e.base, e.run), Mode: "kill"}
+	c := wire.CancelTask{Task: e.taskOf(), Mode: platform.StopKill}
 	if e.holder == s.env.Owner() {
 		s.ledger.Cancel(c)
 		return
@@ -404,6 +459,11 @@
 		s.expire(s.entries[id], now)
 	}
 	s.retryLocates(now)
+	s.endBackoffs(now)
+	if now-s.sharesAt >= s.env.Timing.Heartbeat {
+		s.sharesAt = now
+		s.refreshShares()
+	}
 	s.moved = true
 }
 
@@ -425,8 +485,7 @@
 	case phaseFinished:
 		delete(s.entries, e.base)
 	case phaseWaiting:
-		s.queues.remove(e)
-		s.finish(e, model.Refusal(e.id, verdict.Refuse(verdict.CodeDeadline, "no worker was free in time").After(retryAfter)))
+		s.finish(e, s.unstarted(e, verdict.CodeDeadline, "no worker was free in time"))
 	default:
 		// It may run on: callers get the truth of this moment, and the entry goes
 		// on to learn the outcome.
@@ -442,8 +501,18 @@
 	}
 }
 
+// unstarted gives up a task that is not started now. Its request has not run,
+// unless an earlier run had begun.
+func (s *Service) unstarted(e *entry, code verdict.Code, message string) model.Answer {
+	a := model.Refusal(e.id, verdict.Refuse(code, "%s", message).After(retryAfter))
+	if e.run > 1 {
+		a.Verdict = verdict.MayHaveRun
+	}
+	return a
+}
+
 // Waiting returns how many tasks of a team wait here.
-func (s *Service) Waiting(team model.TeamID) int64 { return int64(s.queues.len(team)) }
+func (s *Service) Waiting(team model.TeamID) int64 { return int64(s.queue.Waiting(team)) }
 
 // Busy returns how many requests here have no final answer yet.
 func (s *Service) Busy() int {
