--- a/internal/declare/parse_test.go
+++ b/internal/declare/parse_test.go
@@ -1,6 +1,8 @@
 package declare
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -82,6 +84,26 @@
 	require.Equal(t, []int{4, 4, 4, 6}, lines)
 }
 
+func TestLoadTakesFilesTogether(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	teams := write("teams.toml", "[[team]]\nname = \"north\"\nshare = 1\n")
+	queues := write("queues.toml", "[[queue]]\nname = \"front\"\nteam = \"north\"\n")
+	d, faults := Load(teams, queues)
+	require.Empty(t, faults)
+	require.Len(t, d.Queues, 1)
+
+	more := write("more.toml", "[[team]]\nname = \"south\"\nshare = 1\n[[team]]\nname = \"north\"\nshare = 1\n")
+	_, faults = Load(teams, more, filepath.Join(dir, "absent.toml"))
+	require.Len(t, faults, 2)
+	require.Equal(t, filepath.Join(dir, "absent.toml"), faults[0].File)
+	require.Equal(t, Fault{File: more, Line: 5, Key: "team.name", Message: faults[1].Message}, faults[1])
+}
+
 func TestSelectors(t *testing.T) {
 	for _, text := range []string{"", "gpu", "!gpu", "tier=web", "zone in (a,b)", "rack notin (r1)", "a=1, !b, c in (x,y)"} {
 		s, err := ParseSelector(text)
@@ -94,6 +116,17 @@
 	}
 }
 
+func TestNames(t *testing.T) {
+	for name, sound := range map[string]bool{
+		"a": true, "0": true, "a.b_c-9": true, strings.Repeat("a", maxName): true,
+		"": false, "-a": false, ".": false, "A": false, "a b": false, "a/b": false, "\u00e9": false,
+		strings.Repeat("a", maxName+1): false,
+	} {
+		problems := Validate(model.Declarations{Teams: []model.Team{{Name: model.TeamID(name), Share: 1}}})
+		require.Equal(t, sound, len(problems) == 0, "%q: %v", name, problems)
+	}
+}
+
 func TestDiffAndRender(t *testing.T) {
 	before, faults := Parse("d.toml", []byte(sample))
 	require.Empty(t, faults)
@@ -142,6 +175,14 @@
 		require.True(t, ok)
 		require.Equal(t, model.Team{Name: "north", Share: tt.share, Limit: tt.limit}, team, tt.utc)
 	}
+	restored, err := Restore(s.Snapshot())
+	require.NoError(t, err)
+	s.Apply(2, change("b", 1, model.Declarations{}, model.ObjectRef{Kind: model.ObjectPolicy, Name: "late"}))
+	now := time.Date(2026, 1, 10, 17, 0, 0, 0, time.UTC)
+	team, _ := restored.TeamAt("north", now)
+	require.Equal(t, int64(7), team.Limit)
+	team, _ = s.TeamAt("north", now)
+	require.Equal(t, int64(9), team.Limit, "the policy is withdrawn")
 }
 
 func FuzzParse(f *testing.F) {
