--- a/internal/capacity/appends.go
+++ b/internal/capacity/appends.go
@@ -25,8 +25,6 @@
 	// progressPerSecond is how often one instance appends the ends of its jobs'
 	// tasks, all in one entry.
 	progressPerSecond = 1
-	// progressBytes is the encoding of one task's index in such a record.
-	progressBytes = 5
 )
 
 // movesPerSecond returns how many shards change hands, over a day.
@@ -57,7 +55,7 @@
 		changeBytes:   l.ChangeBytes.At(objectsPerChange),
 		claimBytes:    l.ClaimBytes.At(model.Shards / m.n() / max(m.claimants(), 1)),
 		jobBytes:      l.JobEntryBytes.At(1),
-		progressBytes: m.Size.StartsPerSecond * progressBytes,
+		progressBytes: m.Size.StartsPerSecond * l.ProgressBytes.Each(),
 	}
 }
 
--- a/internal/capacity/bytes_bench_test.go
+++ b/internal/capacity/bytes_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -85,11 +84,15 @@
 	})
 }
 
+func entryBytes(b *testing.B, records ...wire.Record) int {
+	data, err := wire.EncodeEntry(records)
+	require.NoError(b, err)
+	return len(data)
+}
+
 func BenchmarkCapacityRecordBytes(b *testing.B) {
 	entry := func(b *testing.B, records ...wire.Record) float64 {
-		data, err := wire.EncodeEntry(records)
-		require.NoError(b, err)
-		return constant(b, float64(len(data)))
+		return constant(b, float64(entryBytes(b, records...)))
 	}
 	measure(b, "claim_bytes_by_shard", encodedBytes, "shard", []int{1, 28, 256}, func(b *testing.B, n int) float64 {
 		c := wire.Claim{Owner: ownerOf(0)}
@@ -104,9 +107,7 @@
 	measure(b, "job_entry_bytes_by_record", encodedBytes, "record", []int{1, 64, 1024}, func(b *testing.B, n int) float64 {
 		var records []wire.Record
 		for i := range n {
-			records = append(records, wire.JobAccepted{Job: model.Job{
-				ID: model.JobID(fmt.Sprintf("job-%028d", i)), Count: 100, Template: taskOf("", teamOf(0)),
-			}})
+			records = append(records, jobOf(i, 100))
 		}
 		return entry(b, records...)
 	})
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -110,11 +110,7 @@
 		Role: "request shards", Item: "calls: forward, dispatch, two states, reply", Mechanism: "internal/service/requests",
 		Messages: 2 * messages * hops,
 		Bytes:    2 * hops * (messages*m.message(0) + payload),
-		Core:     (hops*(l.CallPeerNS.At(messagePayload)+messages*m.Slopes.Transport.SendNS) + m.starts()*l.CallByWorker.At(m.workers())) * nano,
-	}
-	scans := Cost{
-		Role: "request shards", Item: "scan of remembered requests at each dispatch", Mechanism: "internal/service/requests",
-		Control: true, Remedy: "a count of running tasks for each team, in place of Service.load",
+		Core:     (hops*(l.CallPeerNS.At(messagePayload)+messages*m.Slopes.Transport.SendNS) + m.starts()*(l.CallByWorker.At(m.workers())+l.CallByRemembered.Each()*m.remembered())) * nano,
 	}
 	remembered := Cost{
 		Role: "request shards", Item: "finished requests and outcomes, kept for the retention", Mechanism: "internal/service/requests, ledger",
@@ -127,15 +123,44 @@
 		Remedy: "deadlines in a heap, in place of the scans of each tick",
 	}
 	if m.Design.Scans {
-		scans.Core = m.starts() * m.remembered() * l.CallByRemembered.Each() * nano
 		remembered.Core = ticksPerSecond * m.remembered() * l.TickByFinished.Each() * nano
 		waiting.Core = ticksPerSecond * m.waiting() * l.TickByWaiting.Each() * nano
 	} else {
 		remembered.Memory = m.remembered() * digestBytes
 	}
-	return []Cost{calls, scans, remembered, waiting}
+	return []Cost{calls, remembered, waiting, m.jobs()}
+}
+
+// jobs is the fold of the jobs of all teams: those that run and those that ended
+// within the retention.
+func (m Model) jobs() Cost {
+	l := m.Slopes.Lines
+	known := m.Size.JobsPerDay / secondsPerDay * peakToMean * (m.Design.Periods.Retention.Seconds() + m.taskSeconds())
+	tasks := m.Size.StartsPerSecond * m.Design.Periods.Retention.Seconds()
+	c := Cost{
+		Role: "request shards", Item: "jobs accepted for later, folded", Mechanism: "internal/service/jobs", Control: true,
+		Remedy: "fold only the jobs of the shards that are owned here; ended tasks as ranges of indexes",
+	}
+	if !m.Design.FoldAll {
+		known, tasks = known/m.n(), tasks*rangeBytes/max(l.JobMemoryByTask.Each(), 1)/m.n()
+	}
+	c.Memory = known*l.JobMemory.Each() + tasks*l.JobMemoryByTask.Each()
+	c.Core = ticksPerSecond * known * l.TickByJob.Each() * nano * m.scanned()
+	return c
 }
 
+// taskSeconds returns how long a task runs that is not part of a service.
+func (m Model) taskSeconds() float64 {
+	return m.Size.RunningTasks * (1 - servicePart) / m.Size.StartsPerSecond
+}
+
+const (
+	// servicePart is the part of the running tasks that belongs to services.
+	servicePart = 0.2
+	// rangeBytes is what the changed design keeps of an ended task of a job.
+	rangeBytes = 1
+)
+
 const (
 	callMessageCount = 5
 	// digestBytes is what the changed design keeps of an answered request.
@@ -274,7 +299,7 @@
 			Role: "configuration", Item: "reading the log at the peak", Mechanism: "internal/node, internal/core", Control: true,
 			Messages: 2 * polls,
 			Bytes:    polls*exchange(l.LogReadBytes.Fixed()) + bytes*l.LogReadBytes.Each(),
-			Core:     (polls*l.ExchangeNS.Fixed() + appends.Changes*l.ChangeTake.At(m.teams())) * nano,
+			Core:     (polls*l.ExchangeNS.Fixed() + appends.Changes*l.ChangeTake.At(m.teams()) + m.folded()*l.ProgressTake.Each()) * nano,
 			Remedy:   "a stream for each region's claims and jobs and one for declarations, and a wait before the next read so that one poll brings many entries",
 		},
 		{
@@ -284,5 +309,13 @@
 	}
 }
 
+// folded returns the ends of jobs' tasks that one instance folds a second.
+func (m Model) folded() float64 {
+	if m.Design.FoldAll {
+		return m.Size.StartsPerSecond
+	}
+	return m.starts()
+}
+
 // maxPolls bounds the reads of the log a second, each of which takes some time.
 const maxPolls = 100
--- a/internal/capacity/need.go
+++ b/internal/capacity/need.go
@@ -2,9 +2,10 @@
 
 import "pollenbend/internal/model"
 
-// Within reports whether a sum keeps each of the limits.
+// Within reports whether a cost keeps each of the limits, with the garbage that its
+// live memory brings.
 func (l Limits) Within(c Cost) (core, memory, bytes bool) {
-	return c.Core <= l.Core, c.Memory <= l.Memory, c.Bytes <= l.Bytes
+	return c.Core <= l.Core, c.Memory*garbageFactor <= l.Memory, c.Bytes <= l.Bytes
 }
 
 // Need is the smallest number of instances that keeps each limit, 0 where none
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -77,6 +77,11 @@
 	DeclarationMemory Line `toml:"declaration_memory_by_team"`
 	LogReadBytes      Line `toml:"log_read_bytes_by_entry_byte"`
 	JobEntryBytes     Line `toml:"job_entry_bytes_by_record"`
+	ProgressBytes     Line `toml:"progress_bytes_by_task"`
+	ProgressTake      Line `toml:"progress_take_ns_by_task"`
+	JobMemory         Line `toml:"job_memory"`
+	JobMemoryByTask   Line `toml:"job_memory_by_ended_task"`
+	TickByJob         Line `toml:"tick_ns_by_job"`
 }
 
 // Read reads slopes from a TOML file. It returns an error when the file has a
