Hand shards over with their memory, and keep a time line

Cause: an instance that was told to stop kept its shards until the others missed its heartbeats, so callers were refused for 3 s and more, and the memory of requests was lost. A fresh instance answered "not declared" before it had read the configuration, which was not true. Memory that arrived with its handover keeps tickets exact. Nothing is answered before the configuration is fresh; /readyz wants most shards reachable; a draining instance takes requests for 2 s more. Services note events on a time line, served under /v1/timeline. Before: draining one of three instances under load left shards without an owner ("no reachable owner").

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -40,6 +40,9 @@
 	case <-ctx.Done():
 		i.Shutdown()
 		return ExitDone
+	case <-i.DrainAsked():
+		i.Shutdown()
+		return ExitDone
 	case err := <-i.Failed():
 		fmt.Fprintln(errOut, "serve:", err)
 		i.Kill()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"pollenbend/internal/service"
 	"pollenbend/internal/service/config"
 	"pollenbend/internal/service/gateway"
+	"pollenbend/internal/service/handover"
 	"pollenbend/internal/service/jobs"
 	"pollenbend/internal/service/ledger"
 	"pollenbend/internal/service/limits"
@@ -64,6 +65,7 @@
 		limits.New(env),
 		requests.New(env),
 		jobs.New(env),
+		handover.New(env),
 		gateway.New(env),
 	} {
 		if err := k.Register(s); err != nil {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -126,6 +128,8 @@
 	c.await(id, func() bool { return reachable(c.http[id] + "/readyz") })
 }
 
+func (c *cell) ids() []string { return slices.Sorted(maps.Keys(c.http)) }
+
 func reachable(url string) bool {
 	res, err := http.Get(url)
 	if err != nil {
@@ -139,7 +143,7 @@
 	c.t.Helper()
 	var servers []string
 	for id, url := range c.http {
-		if len(ids) == 0 || contains(ids, id) {
+		if len(ids) == 0 || slices.Contains(ids, id) {
 			servers = append(servers, url)
 		}
 	}
@@ -148,15 +152,6 @@
 	return cl
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *cell) apply() {
 	c.t.Helper()
 	change := declare.Diff(model.Declarations{}, c.example.Declarations)
@@ -298,3 +293,28 @@
 		require.Equal(t, 1, n, task)
 	}
 }
+
+// TestDrainCutsOffNothing drains one instance after another under load: every
+// request must be served exactly once.
+func TestDrainCutsOffNothing(t *testing.T) {
+	const callers = 8
+	c := startCell(t, "guild", 3)
+	c.apply()
+	load := c.startLoad(callers)
+	for _, id := range []string{"entry-1", "entry-3"} {
+		before := load.served.Load()
+		c.await("requests served", func() bool { return t.Failed() || load.served.Load() > before+100 })
+		c.signal(id, syscall.SIGTERM)
+		require.NoError(t, c.procs[id].Wait(), "%s drains", id)
+		if id == "entry-1" {
+			c.serve(id)
+			c.awaitReady(id)
+		}
+	}
+	load.stop()
+	starts := c.starts()
+	require.Len(t, starts, int(load.served.Load()))
+	for task, n := range starts {
+		require.Equal(t, 1, n, task)
+	}
+}
--- a/internal/event/env.go
+++ b/internal/event/env.go
@@ -30,6 +30,8 @@
 	rng     *rand.Rand
 	actions []Action
 	appends uint64
+	notes   uint64
+	recent  []Note
 }
 
 // NewEnv returns an Env whose randomness is drawn from seed.
@@ -73,3 +75,30 @@
 	e.actions = nil
 	return taken
 }
+
+// maxNotes bounds the notes kept for the time line.
+const maxNotes = 4096
+
+// Note adds an event to the time line and returns its sequence number.
+func (e *Env) Note(n Note) uint64 {
+	e.notes++
+	n.Seq, n.At = e.notes, e.now
+	e.recent = append(e.recent, n)
+	if len(e.recent) >= 2*maxNotes {
+		e.recent = append([]Note(nil), e.recent[len(e.recent)-maxNotes:]...)
+	}
+	e.Emit(n)
+	return n.Seq
+}
+
+// Notes returns the kept events of the time line after since.
+func (e *Env) Notes(since uint64) []Note {
+	first := e.notes - uint64(len(e.recent)) + 1
+	if since+1 < first {
+		since = first - 1
+	}
+	if since >= e.notes {
+		return nil
+	}
+	return e.recent[since+1-first:]
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -130,6 +130,30 @@
 	Answer model.Answer
 }
 
+// Drain asks the node to start a graceful shutdown of the whole process.
+type Drain struct{}
+
+// Ref names an event of the time line.
+type Ref struct {
+	Instance model.InstanceID `json:"instance"`
+	Seq      uint64           `json:"seq"`
+}
+
+// Note is one event of the time line. Subject names what it is about: a shard, a
+// worker, a task, an instance. Offset, when set, is the log entry that caused it;
+// it orders events of different instances without a common clock.
+type Note struct {
+	Seq     uint64        `json:"seq"`
+	At      time.Duration `json:"at_ns"` // on the instance's own monotonic clock
+	Kind    string        `json:"kind"`
+	Subject string        `json:"subject"`
+	Detail  string        `json:"detail,omitempty"`
+	Offset  uint64        `json:"offset,omitempty"`
+	Cause   *Ref          `json:"cause,omitempty"`
+}
+
+func (Drain) isAction()   {}
+func (Note) isAction()    {}
 func (Append) isAction()  {}
 func (Send) isAction()    {}
 func (Renew) isAction()   {}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -35,6 +35,9 @@
 const (
 	// drainTimeout bounds a graceful shutdown.
 	drainTimeout = 30 * time.Second
+	// drainNotice is how long a draining instance goes on taking requests, so
+	// that the balancer sees its /readyz fail before connections are refused.
+	drainNotice = 2 * time.Second
 	// closeTimeout bounds the wait for open HTTP answers after a drain.
 	closeTimeout = 5 * time.Second
 )
@@ -89,13 +92,19 @@
 // Failed delivers the error that ended the HTTP server, if one did.
 func (i *Instance) Failed() <-chan error { return i.failed }
 
+// DrainAsked delivers when an operator has asked for a graceful shutdown.
+func (i *Instance) DrainAsked() <-chan struct{} { return i.node.DrainAsked() }
+
 // Ready reports whether the instance takes work, and if not, why.
 func (i *Instance) Ready() (bool, string) { return i.node.Ready() }
 
 // Shutdown drains the instance, closes its HTTP server and stops its node.
 func (i *Instance) Shutdown() {
+	notice := time.NewTimer(drainNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	i.node.Drain(ctx)
+	<-notice.C
+	i.node.Drain(ctx)
 	cancel()
 	ctx, cancel = context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,9 +65,10 @@
 	callers map[uint64]chan model.Answer
 	up      map[model.InstanceID]model.Incarnation
 
-	view     atomic.Pointer[View]
-	draining atomic.Bool
-	probe    probe
+	view       atomic.Pointer[View]
+	draining   atomic.Bool
+	drainAsked chan struct{}
+	probe      probe
 }
 
 // Start starts a node. Stop ends it.
@@ -81,10 +82,11 @@
 	}
 	n := &Node{
 		cfg: cfg, core: c, started: time.Now(),
-		inbox:   make(chan event.Event, inboxSize),
-		appends: make(chan event.Append, inboxSize),
-		callers: make(map[uint64]chan model.Answer),
-		up:      make(map[model.InstanceID]model.Incarnation),
+		inbox:      make(chan event.Event, inboxSize),
+		appends:    make(chan event.Append, inboxSize),
+		callers:    make(map[uint64]chan model.Answer),
+		up:         make(map[model.InstanceID]model.Incarnation),
+		drainAsked: make(chan struct{}, 1),
 	}
 	n.view.Store(&View{})
 	if n.probe, err = newProbe(c.Kernel()); err != nil {
@@ -184,6 +186,10 @@
 		n.wg.Go(func() { n.stopTask(a) })
 	case event.Respond:
 		n.respond(a)
+	case event.Note:
+		n.cfg.Logger.Info(a.Kind, "seq", a.Seq, "subject", a.Subject, "detail", a.Detail, "offset", a.Offset)
+	case event.Drain:
+		n.askDrain()
 	}
 }
 
@@ -257,6 +263,17 @@
 	}
 }
 
+// askDrain asks whoever runs the node to drain it.
+func (n *Node) askDrain() {
+	select {
+	case n.drainAsked <- struct{}{}:
+	default:
+	}
+}
+
+// DrainAsked delivers when an operator has asked for a graceful shutdown.
+func (n *Node) DrainAsked() <-chan struct{} { return n.drainAsked }
+
 // Ready implements httpapi.Status.
 func (n *Node) Ready() (bool, string) {
 	v := n.view.Load()
@@ -278,22 +295,26 @@
 
 // probe reads a View from the core's services, on the core's goroutine.
 type probe struct {
-	config interface{ Fresh() bool }
-	owners interface{ Owned() []wire.ShardTerm }
-	open   interface{ Open() int }
-	busy   interface{ Busy() int }
+	config   interface{ Fresh() bool }
+	owners   interface{ Reachable() int }
+	open     interface{ Open() int }
+	busy     interface{ Busy() int }
+	handover interface{ Settled() bool }
 }
 
 func newProbe(k *kernel.Kernel) (p probe, err error) {
 	if p.config, err = kernel.Find[interface{ Fresh() bool }](k, service.Config); err != nil {
 		return p, err
 	}
-	if p.owners, err = kernel.Find[interface{ Owned() []wire.ShardTerm }](k, service.Ownership); err != nil {
+	if p.owners, err = kernel.Find[interface{ Reachable() int }](k, service.Ownership); err != nil {
 		return p, err
 	}
 	if p.busy, err = kernel.Find[interface{ Busy() int }](k, service.Requests); err != nil {
 		return p, err
 	}
+	if p.handover, err = kernel.Find[interface{ Settled() bool }](k, service.Handover); err != nil {
+		return p, err
+	}
 	p.open, err = kernel.Find[interface{ Open() int }](k, service.Gateway)
 	return p, err
 }
@@ -305,9 +326,9 @@
 		v.Ready, v.Reason = false, "draining"
 	case !p.config.Fresh():
 		v.Ready, v.Reason = false, "neither the log nor enough peers were heard lately"
-	case len(p.owners.Owned()) == 0:
-		v.Ready, v.Reason = false, "no shard is owned yet"
+	case 2*p.owners.Reachable() < model.Shards:
+		v.Ready, v.Reason = false, "most shards have no reachable owner"
 	}
-	v.Drained = p.open.Open() == 0 && p.busy.Busy() == 0
+	v.Drained = p.open.Open() == 0 && p.busy.Busy() == 0 && p.handover.Settled()
 	return v
 }
--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -127,12 +127,15 @@
 	if len(s.pending) >= maxPending {
 		return verdict.Refuse(verdict.CodeOverloaded, "this instance has %d requests open", maxPending).After(time.Second)
 	}
+	if !s.config.Fresh() {
+		return verdict.Refuse(verdict.CodeUnavailable, "this instance is cut off from the log and its peers").After(noOwnerWait)
+	}
 	switch r.Op {
 	case model.OpCall, model.OpSubmit, model.OpStatus, model.OpCancel:
 		return s.takeWork(handle, r)
 	case model.OpTicket:
 		return s.issueTickets(handle, r)
-	case model.OpApply, model.OpConfig, model.OpCell:
+	case model.OpApply, model.OpConfig, model.OpCell, model.OpTimeline, model.OpDrainSelf:
 		return s.takeOperator(handle, r)
 	}
 	return verdict.Refuse(verdict.CodeBadRequest, "operation %q is not known", r.Op)
@@ -144,9 +147,6 @@
 		return refusal
 	}
 	takesWork := r.Op == model.OpCall || r.Op == model.OpSubmit
-	if takesWork && !s.config.Fresh() {
-		return verdict.Refuse(verdict.CodeUnavailable, "this instance is cut off from the log and its peers").After(noOwnerWait)
-	}
 	if r.ID == "" {
 		if !takesWork {
 			return verdict.Refuse(verdict.CodeBadRequest, "an id is required")
@@ -225,7 +225,8 @@
 	if !ok || !s.members.IsLive(slot.Owner) {
 		if !p.sent {
 			s.finish(handle, model.Refusal(p.forward.Request.ID, verdict.Refuse(verdict.CodeUnavailable,
-				"the owner of the request's shard is not reachable").After(noOwnerWait)))
+				"shard %d of the request has no reachable owner: %q in life %d, term %d", p.shard,
+				slot.Owner.Instance, slot.Owner.Incarnation, slot.Term).After(noOwnerWait)))
 			return
 		}
 		p.retryAt = s.env.Now() + moveRetry
@@ -346,6 +347,11 @@
 	case model.OpConfig:
 		doc, version := s.config.Document()
 		s.respondJSON(handle, doc, version)
+	case model.OpTimeline:
+		s.respondJSON(handle, s.timeline(r.Since), 0)
+	case model.OpDrainSelf:
+		s.env.Emit(event.Drain{})
+		s.respond(handle, model.Answer{Verdict: verdict.Done})
 	case model.OpCell:
 		_, version := s.config.Document()
 		s.respondJSON(handle, s.cell(), version)
@@ -379,6 +385,17 @@
 	return c
 }
 
+// Timeline is the part of the time line that one instance saw.
+type Timeline struct {
+	Instance    model.InstanceID  `json:"instance"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	Events      []event.Note      `json:"events"`
+}
+
+func (s *Service) timeline(since uint64) Timeline {
+	return Timeline{Instance: s.env.Self.ID, Incarnation: s.env.Self.Incarnation, Events: s.env.Notes(since)}
+}
+
 func (s *Service) respondJSON(handle uint64, v any, version uint64) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"time"
 
 	"pollenbend/internal/event"
@@ -71,6 +72,7 @@
 	if w.known && now >= w.leasedUntil {
 		w.leaseLost()
 		s.place.setLease(w.info.ID, false)
+		s.env.Note(event.Note{Kind: "lease-lapsed", Subject: "worker/" + string(w.info.ID)})
 	}
 }
 
@@ -154,6 +156,10 @@
 		s.remember(id, w.info.ID, model.Outcome{Task: id, Message: "outcome no longer kept"})
 	}
 	w.known = true
+	s.env.Note(event.Note{
+		Kind: "worker-held", Subject: "worker/" + string(w.info.ID), Offset: w.term,
+		Detail: fmt.Sprintf("%d running", len(r.Running)),
+	})
 }
 
 // settleMissing ends a task that the worker's full report lacks.
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -88,6 +88,7 @@
 	if !ok {
 		known = &Member{Owner: from}
 		s.members[from.Instance] = known
+		s.env.Note(event.Note{Kind: "member-up", Subject: string(from.Instance)})
 	}
 	known.HeardAt = s.env.Now()
 	known.dead = false
@@ -170,6 +171,7 @@
 
 func (s *Service) declareDead(m *Member) {
 	m.dead = true
+	s.env.Note(event.Note{Kind: "member-dead", Subject: string(m.Owner.Instance)})
 	for _, l := range s.listeners {
 		l.OnMemberDead(m.Owner)
 	}
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -4,6 +4,7 @@
 package ownership
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,6 +107,12 @@
 		Shard: st.Shard, Before: before.Owner, After: to,
 		OldTerm: before.Term, Term: offset, Planned: planned,
 	}
+	if to == s.env.Owner() || before.Owner == s.env.Owner() {
+		s.env.Note(event.Note{
+			Kind: "shard-moved", Subject: fmt.Sprintf("shard/%d", st.Shard), Offset: offset,
+			Detail: fmt.Sprintf("%s -> %s", before.Owner.Instance, to.Instance),
+		})
+	}
 	for _, l := range s.listeners {
 		l.OnShardMoved(move)
 	}
@@ -126,6 +133,7 @@
 	}
 	s.claim = s.env.Append(wire.Claim{Owner: s.env.Owner(), Shards: orphans})
 	s.claimAt = now
+	s.env.Note(event.Note{Kind: "claim", Subject: string(s.env.Self.ID), Detail: fmt.Sprintf("%d shards", len(orphans))})
 }
 
 // mayClaim reports whether this instance knows enough to claim: it has listened
@@ -216,6 +224,17 @@
 	return owned
 }
 
+// Reachable returns how many shards have an owner that counts as alive.
+func (s *Service) Reachable() int {
+	n := 0
+	for _, slot := range s.slots {
+		if slot.Term != 0 && s.members.IsLive(slot.Owner) {
+			n++
+		}
+	}
+	return n
+}
+
 // Applied returns the offset of the last log entry applied.
 func (s *Service) Applied() uint64 { return s.applied }
 
--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"pollenbend/internal/model"
-	"pollenbend/internal/service"
 	"pollenbend/internal/service/ledger"
 	"pollenbend/internal/verdict"
 	"pollenbend/internal/wire"
@@ -99,7 +98,7 @@
 // room. It reports whether the task left the queue.
 func (s *Service) dispatch(e *entry) bool {
 	term, ok := s.ownership.Mine(e.shard)
-	if !ok {
+	if !ok || s.handover.Frozen(e.shard) {
 		return false
 	}
 	d := wire.Dispatch{Task: e.task, Term: term, Attempt: e.attempt + 1}
@@ -126,6 +125,7 @@
 	s.setPhase(e, phaseDispatched)
 	e.holder = to
 	e.attempt = attempt
+	e.dispatchedAt = s.env.Now()
 	if r, ok := s.rooms[to.Instance]; ok {
 		r.free = r.free.Sub(e.task.Demand)
 	}
@@ -335,21 +335,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// OnShardMoved forgets what another instance now answers for, and notes since
-// when a gained shard has a past that is not remembered here.
-func (s *Service) OnShardMoved(m service.ShardMove) {
-	if m.After == s.env.Owner() {
-		if m.OldTerm != 0 {
-			s.gained[m.Shard] = max(s.env.Now(), 1)
-		}
-		return
-	}
-	for id, e := range s.entries {
-		if e.shard != m.Shard {
-			continue
-		}
-		s.setPhase(e, phaseFinished)
-		delete(s.entries, id)
-	}
-}
--- a/internal/service/requests/locate.go
+++ b/internal/service/requests/locate.go
@@ -70,7 +70,7 @@
 // pastOf returns how long before its receipt here a request may first have been
 // started: under an earlier owner, within what workers remember.
 func (s *Service) pastOf(e *entry) time.Duration {
-	if s.gained[e.shard] == 0 {
+	if s.past[e.shard].lostAt == 0 {
 		return 0
 	}
 	return s.env.Timing.Retention
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -56,6 +56,11 @@
 	Teams() []model.Team
 }
 
+// Handover tells which shards are being handed over.
+type Handover interface {
+	Frozen(model.Shard) bool
+}
+
 // Replier gives an answer to a caller at this instance.
 type Replier interface {
 	OnReply(from wire.Owner, m wire.Reply)
@@ -70,11 +75,13 @@
 	config    Config
 	replier   Replier
 	jobs      Jobs
+	handover  Handover
 
 	entries map[model.TaskID]*entry
 	queue   *queue.Queue
 	rooms   map[model.InstanceID]*room
-	gained  [model.Shards]time.Duration // when a shard with a past was gained
+	past    [model.Shards]shardPast
+	held    map[model.Shard]*heldMemory
 	locates map[uint64]*locate
 	locID   uint64
 	moved   bool // something happened that may let waiting tasks start
@@ -105,26 +112,27 @@
 
 // entry is the memory of one request.
 type entry struct {
-	id          string
-	task        model.Task
-	base        model.TaskID
-	shard       model.Shard
-	fingerprint uint64
-	phase       phase
-	holder      wire.Owner // instance that the task was dispatched to
-	attempt     uint32
-	run         int
-	born        time.Duration // when it was received first, at the latest
-	receivedAt  time.Duration
-	startedAt   time.Duration
-	finishedAt  time.Duration
-	deadline    time.Duration
-	canceled    bool
-	charged     bool   // counted as running for its team
-	place       uint64 // in the order received, once dispatched
-	waiters     []waiter
-	answer      model.Answer
-	worker      model.WorkerID
+	id           string
+	task         model.Task
+	base         model.TaskID
+	shard        model.Shard
+	fingerprint  uint64
+	phase        phase
+	holder       wire.Owner // instance that the task was dispatched to
+	attempt      uint32
+	run          int
+	born         time.Duration // when it was received first, at the latest
+	receivedAt   time.Duration
+	startedAt    time.Duration
+	finishedAt   time.Duration
+	dispatchedAt time.Duration
+	deadline     time.Duration
+	canceled     bool
+	charged      bool   // counted as running for its team
+	place        uint64 // in the order received, once dispatched
+	waiters      []waiter
+	answer       model.Answer
+	worker       model.WorkerID
 }
 
 type waiter struct {
@@ -137,7 +145,10 @@
 	maxEntries       = 200000
 	maxWaitingByTeam = 4096
 	maxRuns          = 3
-	retryAfter       = time.Second
+	// dispatchTimeout is how long a dispatch may go unanswered before its task
+	// is looked for.
+	dispatchTimeout = 2 * time.Second
+	retryAfter      = time.Second
 )
 
 // New returns the coordinator.
@@ -147,6 +158,7 @@
 		entries:  make(map[model.TaskID]*entry),
 		queue:    queue.New(queue.Config{MaxWaiting: maxWaitingByTeam}),
 		rooms:    make(map[model.InstanceID]*room),
+		held:     make(map[model.Shard]*heldMemory),
 		locates:  make(map[uint64]*locate),
 		refusals: make(map[refusal]time.Duration),
 	}
@@ -172,6 +184,9 @@
 	if s.jobs, err = kernel.Find[Jobs](k, service.Jobs); err != nil {
 		return err
 	}
+	if s.handover, err = kernel.Find[Handover](k, service.Handover); err != nil {
+		return err
+	}
 	s.replier, err = kernel.Find[Replier](k, service.Gateway)
 	return err
 }
@@ -180,14 +195,14 @@
 func (s *Service) Serve(from wire.Owner, f wire.Forward) {
 	r := f.Request
 	shard := model.ShardOfRequest(f.Team, r.ID)
-	term, mine := s.ownership.Mine(shard)
-	if !mine {
+	_, mine := s.ownership.Mine(shard)
+	if !mine || s.handover.Frozen(shard) {
 		s.refuse(from, f, verdict.Refuse(verdict.CodeStaleAuthority, "the shard has another owner").After(retryAfter))
 		return
 	}
 	switch r.Op {
 	case model.OpCall:
-		s.call(from, f, shard, term)
+		s.call(from, f, shard)
 	case model.OpStatus:
 		s.status(from, f)
 	case model.OpCancel:
@@ -199,7 +214,7 @@
 	}
 }
 
-func (s *Service) call(from wire.Owner, f wire.Forward, shard model.Shard, term uint64) {
+func (s *Service) call(from wire.Owner, f wire.Forward, shard model.Shard) {
 	base := model.TaskIDOf(f.Team, f.Request.ID, 0)
 	w := waiter{from: from, handle: f.Handle, deadline: s.env.Now() + f.Request.Timeout}
 	if e, ok := s.entries[base]; ok {
@@ -214,7 +229,7 @@
 	e.waiters = append(e.waiters, w)
 	e.deadline = w.deadline
 	s.entries[base] = e
-	if s.neverSeen(f.Request.ID, shard, term) {
+	if s.neverSeen(f.Request.ID, shard) {
 		s.enqueue(e)
 		return
 	}
@@ -300,14 +315,14 @@
 }
 
 // neverSeen reports whether a request without an entry was certainly not seen
-// before: its ticket is of the present term, or everything that could have been
-// seen before this term is past its retention.
-func (s *Service) neverSeen(id string, shard model.Shard, term uint64) bool {
-	if t, err := model.ParseTicket(id); err == nil && t.Term == term {
+// before: its ticket is of a term since which memory is complete, or everything
+// that could have been seen before is past its retention.
+func (s *Service) neverSeen(id string, shard model.Shard) bool {
+	past := s.past[shard]
+	if t, err := model.ParseTicket(id); err == nil && t.Term >= past.exactFrom {
 		return true
 	}
-	gained := s.gained[shard]
-	return gained == 0 || s.env.Now()-gained > s.env.Timing.Retention+s.env.Timing.RequestTimeout
+	return past.lostAt == 0 || s.env.Now()-past.lostAt > s.env.Timing.Retention+s.env.Timing.RequestTimeout
 }
 
 // enqueue makes a task wait for its team's turn. A task that finds its team's
@@ -393,9 +408,8 @@
 // certain.
 func (s *Service) unknown(f wire.Forward) *verdict.Error {
 	shard := model.ShardOfRequest(f.Team, f.Request.ID)
-	term, _ := s.ownership.Mine(shard)
 	e := verdict.Refuse(verdict.CodeNotFound, "no request with this id is remembered")
-	if !s.neverSeen(f.Request.ID, shard, term) {
+	if !s.neverSeen(f.Request.ID, shard) {
 		e.Verdict = verdict.MayHaveRun
 	}
 	return e
@@ -472,7 +486,8 @@
 	var ids []model.TaskID
 	for id, e := range s.entries {
 		old := e.phase == phaseFinished && now-e.finishedAt > s.env.Timing.Retention
-		if old || e.phase != phaseFinished && len(e.waiters) > 0 && now >= e.deadline {
+		lost := e.phase == phaseDispatched && now-e.dispatchedAt > dispatchTimeout
+		if old || lost || e.phase != phaseFinished && len(e.waiters) > 0 && now >= e.deadline {
 			ids = append(ids, id)
 		}
 	}
@@ -486,6 +501,11 @@
 		delete(s.entries, e.base)
 	case phaseWaiting:
 		s.finish(e, s.unstarted(e, verdict.CodeDeadline, "no worker was free in time"))
+	case phaseDispatched:
+		s.startLocate(e)
+		if len(e.waiters) > 0 && now >= e.deadline {
+			s.expire(e, now)
+		}
 	default:
 		// It may run on: callers get the truth of this moment, and the entry goes
 		// on to learn the outcome.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,6 +19,7 @@
 	Requests   = "requests"
 	Jobs       = "jobs"
 	Gateway    = "gateway"
+	Handover   = "handover"
 	Timeline   = "timeline"
 )
 
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -33,6 +33,8 @@
 	kindFetchLog
 	kindLogEntries
 	kindFetchCoverage
+	kindMemory
+	kindMemoryKept
 )
 
 func (Claim) recordKind() kind        { return kindClaim }
@@ -54,6 +56,8 @@
 func (CancelTask) messageKind() kind    { return kindCancelTask }
 func (FetchLog) messageKind() kind      { return kindFetchLog }
 func (LogEntries) messageKind() kind    { return kindLogEntries }
+func (Memory) messageKind() kind        { return kindMemory }
+func (MemoryKept) messageKind() kind    { return kindMemoryKept }
 func (FetchCoverage) messageKind() kind { return kindFetchCoverage }
 
 var recordTypes = typesByKind([]Record{
@@ -62,7 +66,7 @@
 
 var messageTypes = typesByKind([]Message{
 	Heartbeat{}, Coverage{}, Grant{}, Forward{}, Reply{}, Dispatch{}, TaskState{},
-	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{},
+	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{}, Memory{}, MemoryKept{},
 }, Message.messageKind)
 
 func typesByKind[T any](samples []T, kindOf func(T) kind) map[kind]reflect.Type {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -145,3 +145,44 @@
 type LogEntries struct {
 	Entries []platform.Entry `cbor:"1,keyasint" json:"entries"`
 }
+
+// Memory hands the memory of requests of some shards to the instance that is to
+// own them next.
+type Memory struct {
+	ID      uint64          `cbor:"1,keyasint" json:"id"`
+	Shards  []ShardMemory   `cbor:"2,keyasint" json:"shards"`
+	Entries []RequestMemory `cbor:"3,keyasint,omitempty" json:"entries,omitempty"`
+}
+
+// ShardMemory tells how far back the memory of a shard is complete: for tickets
+// from term ExactFrom on. PastAge is how long ago memory was lost before that, 0
+// when it never was.
+type ShardMemory struct {
+	ShardTerm ShardTerm     `cbor:"1,keyasint" json:"shard_term"`
+	ExactFrom uint64        `cbor:"2,keyasint" json:"exact_from"`
+	PastAge   time.Duration `cbor:"3,keyasint,omitempty" json:"past_age,omitempty"`
+}
+
+// RequestMemory is one request as its coordinator remembers it. Ages are measured
+// back from the moment of sending.
+type RequestMemory struct {
+	ID          string         `cbor:"1,keyasint" json:"id"`
+	Task        model.Task     `cbor:"2,keyasint" json:"task"`
+	Fingerprint uint64         `cbor:"3,keyasint,omitempty" json:"fingerprint,omitempty"`
+	Phase       uint8          `cbor:"4,keyasint" json:"phase"`
+	Holder      Owner          `cbor:"5,keyasint" json:"holder"`
+	Attempt     uint32         `cbor:"6,keyasint,omitempty" json:"attempt,omitempty"`
+	Run         int            `cbor:"7,keyasint" json:"run"`
+	BornAge     time.Duration  `cbor:"8,keyasint" json:"born_age"`
+	WaitAge     time.Duration  `cbor:"9,keyasint" json:"wait_age"`
+	EndAge      time.Duration  `cbor:"10,keyasint,omitempty" json:"end_age,omitempty"`
+	Remaining   time.Duration  `cbor:"11,keyasint,omitempty" json:"remaining,omitempty"` // until the deadline
+	Canceled    bool           `cbor:"12,keyasint,omitempty" json:"canceled,omitempty"`
+	Worker      model.WorkerID `cbor:"13,keyasint,omitempty" json:"worker,omitempty"`
+	Answer      model.Answer   `cbor:"14,keyasint" json:"answer"`
+}
+
+// MemoryKept confirms that a Memory is held until its handover shows in the log.
+type MemoryKept struct {
+	ID uint64 `cbor:"1,keyasint" json:"id"`
+}
