Run scripted failures over several cores in virtual time

Cause: the promises had no test that brings about the failures they are made for. Change: testcell carries out the cores' actions against the stand-ins in virtual time, from one seed, and compares the workers' history and the callers' answers with the promises. Scripts in internal/scenario/testdata drive it.

--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,312 @@
+package scenario
+
+import (
+	"fmt"
+	"time"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/standin"
+	"pollenbend/internal/testcell"
+)
+
+// commands are the commands of the scripts besides those of testscript.
+var commands = map[string]func(*state, *arguments) error{
+	"seed": func(s *state, a *arguments) error {
+		*s = *newState(uint64(a.number(a.word(0))))
+		return a.err
+	},
+	"instances": func(s *state, a *arguments) error {
+		s.cell.AddInstances(int(a.number(a.word(0))))
+		return a.err
+	},
+	"workers":       addWorkers,
+	"declare":       declareTeam,
+	"start":         start,
+	"call":          call,
+	"calls":         calls,
+	"status":        status,
+	"cancel":        cancel,
+	"apply":         apply,
+	"advance":       advance,
+	"expect":        expect,
+	"expect-starts": expectStarts,
+	"expect-same":   expectSame,
+	"check":         func(s *state, _ *arguments) error { return s.check() },
+	"worker":        workerFault,
+	"log":           logFault,
+
+	"pause":   onInstance((*testcell.Cell).Pause),
+	"wake":    onInstance((*testcell.Cell).Wake),
+	"crash":   onInstance((*testcell.Cell).Kill),
+	"restart": onInstance((*testcell.Cell).Restart),
+	"drain":   onInstance((*testcell.Cell).Drain),
+	"cut-log": onInstance((*testcell.Cell).CutLog),
+	"cut":     onPair((*testcell.Cell).Cut),
+	"silence": onPair((*testcell.Cell).Silence),
+	"isolate": isolate,
+	"heal": func(s *state, _ *arguments) error {
+		s.cell.Heal()
+		return nil
+	},
+	"cut-worker": func(s *state, a *arguments) error {
+		s.cell.CutWorker(a.instance(0), a.worker(1))
+		return a.err
+	},
+	"list-lag": func(s *state, a *arguments) error {
+		s.cell.SetListLag(a.duration(a.word(0)))
+		return a.err
+	},
+	"expect-drained": func(s *state, a *arguments) error {
+		if !s.cell.Drained(a.instance(0)) {
+			return fmt.Errorf("%s has requests left", a.word(0))
+		}
+		return a.err
+	},
+}
+
+func onInstance(f func(*testcell.Cell, model.InstanceID)) func(*state, *arguments) error {
+	return func(s *state, a *arguments) error {
+		f(s.cell, a.instance(0))
+		return a.err
+	}
+}
+
+func onPair(f func(*testcell.Cell, model.InstanceID, model.InstanceID)) func(*state, *arguments) error {
+	return func(s *state, a *arguments) error {
+		f(s.cell, a.instance(0), a.instance(1))
+		return a.err
+	}
+}
+
+// isolate cuts an instance from all others.
+func isolate(s *state, a *arguments) error {
+	for _, other := range s.cell.Instances() {
+		if other != a.instance(0) {
+			s.cell.Cut(a.instance(0), other)
+		}
+	}
+	return a.err
+}
+
+func addWorkers(s *state, a *arguments) error {
+	slots := a.number(a.text("slots", "4"))
+	s.cell.AddWorkers(int(a.number(a.word(0))), model.Resources{
+		MilliCPU: 1000 * slots, MemoryMiB: 1024 * slots, Slots: slots,
+	}, nil)
+	return a.err
+}
+
+// declareTeam declares a team with a limit and a key, both named like the team.
+func declareTeam(s *state, a *arguments) error {
+	team := model.TeamID(a.text("team", ""))
+	s.cell.Declare(model.Declarations{
+		Teams:  []model.Team{{Name: team, Share: a.number(a.text("share", "1")), Limit: a.number(a.text("limit", "0"))}},
+		Keys:   []model.Key{teamKey(string(team), team)},
+		Queues: []model.Queue{{Name: "open-" + string(team), Team: team, Open: true}},
+	})
+	return a.err
+}
+
+// start starts the cell and waits until its shards and workers are taken.
+func start(s *state, a *arguments) error {
+	s.cell.Start()
+	s.cell.Advance(8 * time.Second)
+	return a.err
+}
+
+func request(a *arguments) model.Request {
+	return model.Request{
+		Op: model.OpCall, Key: secretOf(a.text("key", a.text("team", ""))), ID: a.text("id", ""),
+		Timeout: a.duration(a.text("timeout", "10s")),
+		Task: model.Task{
+			Demand:     model.Resources{Slots: a.number(a.text("slots", "1"))},
+			Repeatable: a.flag("repeatable"), RunTime: a.duration(a.text("run", "100ms")),
+			Payload: []byte(a.text("payload", "payload of "+a.text("id", ""))),
+		},
+	}
+}
+
+func call(s *state, a *arguments) error {
+	r := request(a)
+	via := model.InstanceID(a.text("via", "entry-1"))
+	if from := a.text("ticket", ""); from != "" {
+		ticket, err := takeTicket(s, a, model.InstanceID(from), r.Key)
+		if err != nil {
+			return err
+		}
+		r.ID = ticket
+	}
+	if again := a.text("again", ""); again != "" {
+		first, err := s.call(again)
+		if err != nil {
+			return err
+		}
+		r.ID, r.Task = first.ID(), first.Request.Task
+	}
+	s.calls[a.text("name", a.text("id", ""))] = s.cell.Do(via, model.TeamID(a.text("team", "")), r)
+	return a.err
+}
+
+func takeTicket(s *state, a *arguments, via model.InstanceID, key string) (string, error) {
+	got := s.cell.Do(via, model.TeamID(a.text("team", "")), model.Request{Op: model.OpTicket, Key: key, Count: 1})
+	s.cell.Advance(100 * time.Millisecond)
+	if len(got.Answers) == 0 || len(got.Answers[0].Answer.Tickets) != 1 {
+		return "", fmt.Errorf("no ticket from %s: %+v", via, got.Answers)
+	}
+	return got.Answers[0].Answer.Tickets[0], nil
+}
+
+// calls sends many calls, through all instances in turn, named by prefix and
+// number.
+func calls(s *state, a *arguments) error {
+	instances := s.cell.Instances()
+	prefix := a.word(1)
+	for i := range int(a.number(a.word(0))) {
+		r := request(a)
+		r.ID = fmt.Sprintf("%s%d", prefix, i+1)
+		via := model.InstanceID(a.text("via", string(instances[i%len(instances)])))
+		s.calls[r.ID] = s.cell.Do(via, model.TeamID(a.text("team", "")), r)
+	}
+	return a.err
+}
+
+func about(s *state, a *arguments, op model.Op) error {
+	first, err := s.call(a.word(0))
+	if err != nil {
+		return err
+	}
+	r := model.Request{Op: op, Key: first.Request.Key, ID: first.ID(), Timeout: a.duration(a.text("timeout", "5s"))}
+	s.calls[a.text("name", string(op)+"-"+a.word(0))] = s.cell.Do(model.InstanceID(a.text("via", "entry-1")), first.Team, r)
+	return a.err
+}
+
+func status(s *state, a *arguments) error { return about(s, a, model.OpStatus) }
+func cancel(s *state, a *arguments) error { return about(s, a, model.OpCancel) }
+
+// apply changes a team's limit, or gives or withdraws a key.
+func apply(s *state, a *arguments) error {
+	c := &model.Change{ID: a.text("change", ""), Base: uint64(a.number(a.text("base", fmt.Sprint(s.cell.Version()))))}
+	if team := model.TeamID(a.text("team", "")); team != "" && a.named["limit"] != "" {
+		c.Put.Teams = []model.Team{{Name: team, Share: a.number(a.text("share", "1")), Limit: a.number(a.text("limit", "0"))}}
+	}
+	if key := a.text("give", ""); key != "" {
+		c.Put.Keys = []model.Key{teamKey(key, model.TeamID(a.text("team", "")))}
+	}
+	if key := a.text("withdraw", ""); key != "" {
+		c.Delete = []model.ObjectRef{{Kind: model.ObjectKey, Name: key}}
+	}
+	r := model.Request{Op: model.OpApply, Key: testcell.OperatorSecret, Change: c}
+	s.calls[a.text("name", c.ID)] = s.cell.Do(model.InstanceID(a.text("via", "entry-1")), "", r)
+	return a.err
+}
+
+// advance lets time pass. It checks the promises as it goes.
+func advance(s *state, a *arguments) error {
+	const stride = time.Second
+	left := a.duration(a.word(0))
+	for left > 0 && a.err == nil {
+		step := min(left, stride)
+		s.cell.Advance(step)
+		left -= step
+		if err := s.check(); err != nil {
+			return err
+		}
+	}
+	return a.err
+}
+
+func expect(s *state, a *arguments) error {
+	if err := s.expect(a.word(0), a.words[1:]); err != nil {
+		return err
+	}
+	return a.err
+}
+
+func expectStarts(s *state, a *arguments) error {
+	call, err := s.call(a.word(0))
+	if err != nil {
+		return err
+	}
+	if got, want := s.starts(call), int(a.number(a.word(1))); got != want {
+		return fmt.Errorf("call %s: %d starts, want %d", a.word(0), got, want)
+	}
+	return a.err
+}
+
+// expectSame wants the same body in the answers to two calls.
+func expectSame(s *state, a *arguments) error {
+	first, err := s.call(a.word(0))
+	if err != nil {
+		return err
+	}
+	second, err := s.call(a.word(1))
+	if err != nil {
+		return err
+	}
+	if !settled(first) || !settled(second) || string(first.Answers[0].Answer.Body) != string(second.Answers[0].Answer.Body) {
+		return fmt.Errorf("calls %s and %s have different answers", a.word(0), a.word(1))
+	}
+	return a.err
+}
+
+func workerFault(s *state, a *arguments) error {
+	if a.word(1) == "all" {
+		for _, id := range s.cell.Workers() {
+			if err := faultOf(s, a, id); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return faultOf(s, a, a.worker(1))
+}
+
+func faultOf(s *state, a *arguments, id model.WorkerID) error {
+	switch a.word(0) {
+	case "ok":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{})
+		s.cell.DelayWorker(id, 0)
+		s.cell.LoseRenewals(id, false)
+	case "restart":
+		s.cell.RestartWorker(id)
+	case "pause":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{Paused: true})
+	case "unreachable":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{Unreachable: true})
+	case "silent":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{Silent: true})
+	case "fail-everything":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{FailEverything: true})
+	case "cut-answers":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{CutAnswer: true})
+	case "lose-start-answers":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{LoseStartAnswer: true})
+	case "lose-renewals":
+		s.cell.LoseRenewals(id, true)
+	case "late":
+		s.cell.DelayWorker(id, a.duration(a.text("by", "1s")))
+	case "late-reports":
+		s.cell.WorkerFaults(id, standin.WorkerFaults{ReportDelay: a.duration(a.text("by", "1s"))})
+	case "leave":
+		s.cell.LeaveWorker(id)
+	default:
+		a.fail("unknown fault %q", a.word(0))
+	}
+	return a.err
+}
+
+func logFault(s *state, a *arguments) error {
+	switch a.word(0) {
+	case "up":
+		s.cell.LogFaults(testcell.LogFaults{})
+	case "down":
+		s.cell.LogFaults(testcell.LogFaults{Down: true})
+	case "slow":
+		s.cell.LogFaults(testcell.LogFaults{Slow: a.duration(a.text("by", "1s"))})
+	case "lose-answers":
+		s.cell.LogFaults(testcell.LogFaults{LoseAnswer: true})
+	default:
+		a.fail("unknown state %q", a.word(0))
+	}
+	return a.err
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,173 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pollenbend/internal/declare"
+	"pollenbend/internal/model"
+	"pollenbend/internal/standin"
+	"pollenbend/internal/testcell"
+	"pollenbend/internal/verdict"
+)
+
+// scenarioSeed is the seed of the scenarios; a script may set another.
+const scenarioSeed = 1
+
+// TestScenario runs the scripts in testdata, each named for its failure and the
+// promise that must hold through it.
+func TestScenario(t *testing.T) {
+	t.Logf("seed %d", scenarioSeed)
+	cmds := make(map[string]func(*testscript.TestScript, bool, []string))
+	for name, run := range commands {
+		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			s := ts.Value(stateKey{}).(*state)
+			if err := run(s, parse(args)); (err != nil) != neg {
+				ts.Fatalf("%s %s: %v", name, strings.Join(args, " "), err)
+			}
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[stateKey{}] = newState(scenarioSeed)
+			return nil
+		},
+		Cmds: cmds,
+	})
+}
+
+type stateKey struct{}
+
+// state is what one script has built.
+type state struct {
+	cell  *testcell.Cell
+	calls map[string]*testcell.Call
+}
+
+func newState(seed uint64) *state {
+	return &state{cell: testcell.New(testcell.Options{Seed: seed}), calls: make(map[string]*testcell.Call)}
+}
+
+// arguments are the words of a command, and its name=value words.
+type arguments struct {
+	words []string
+	named map[string]string
+	err   error
+}
+
+func parse(args []string) *arguments {
+	a := &arguments{named: make(map[string]string)}
+	for _, w := range args {
+		if k, v, ok := strings.Cut(w, "="); ok {
+			a.named[k] = v
+		} else {
+			a.words = append(a.words, w)
+		}
+	}
+	return a
+}
+
+func (a *arguments) word(i int) string {
+	if i < len(a.words) {
+		return a.words[i]
+	}
+	a.fail("word %d is missing", i+1)
+	return ""
+}
+
+func (a *arguments) fail(format string, args ...any) {
+	if a.err == nil {
+		a.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (a *arguments) instance(i int) model.InstanceID { return model.InstanceID(a.word(i)) }
+func (a *arguments) worker(i int) model.WorkerID     { return model.WorkerID(a.word(i)) }
+
+func (a *arguments) text(name, def string) string {
+	if v, ok := a.named[name]; ok {
+		return v
+	}
+	return def
+}
+
+func (a *arguments) number(text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		a.fail("%v", err)
+	}
+	return n
+}
+
+func (a *arguments) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		a.fail("%v", err)
+	}
+	return d
+}
+
+func (a *arguments) flag(name string) bool { return a.text(name, "false") == "true" }
+
+func secretOf(key string) string { return "secret-of-" + key }
+
+func teamKey(name string, team model.TeamID) model.Key {
+	return model.Key{Name: name, Team: team, Scope: model.ScopeTeam, SHA256: declare.HashSecret(secretOf(name))}
+}
+
+// check returns an error that names every broken promise.
+func (s *state) check() error {
+	var lines []string
+	for _, v := range s.cell.Check() {
+		lines = append(lines, v.Error())
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d promises broken:\n%s", len(lines), strings.Join(lines, "\n"))
+}
+
+func (s *state) call(name string) (*testcell.Call, error) {
+	call, ok := s.calls[name]
+	if !ok {
+		return nil, fmt.Errorf("no call %q", name)
+	}
+	return call, nil
+}
+
+func (s *state) starts(call *testcell.Call) int {
+	base := model.TaskIDOf(call.Team, call.ID(), 0)
+	n := 0
+	for _, e := range s.cell.History() {
+		if e.Kind == standin.EventStart && model.BaseTask(e.Task) == base {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *state) expect(name string, wanted []string) error {
+	call, err := s.call(name)
+	if err != nil {
+		return err
+	}
+	got := call.Verdict()
+	if slices.Contains(wanted, got.String()) {
+		return nil
+	}
+	detail := ""
+	if len(call.Answers) > 0 {
+		detail = fmt.Sprintf("%+v", call.Answers[0].Answer)
+	}
+	return fmt.Errorf("call %s: got %s, want %s %s", name, got, strings.Join(wanted, " or "), detail)
+}
+
+// settled reports whether a call has its final verdict.
+func settled(call *testcell.Call) bool { return call.Verdict() != verdict.Pending }
