--- /dev/null
+++ b/internal/scenario/random_test.go
@@ -0,0 +1,29 @@
+package scenario
+
+import (
+	"flag"
+	"testing"
+)
+
+var (
+	seedFlag      = flag.Uint64("seed", 1, "first seed of the random schedules")
+	schedulesFlag = flag.Int("schedules", 60, "number of random schedules")
+)
+
+// TestRandomSchedules checks the promises through failures drawn at random, one
+// schedule for each seed from -seed on.
+func TestRandomSchedules(t *testing.T) {
+	t.Logf("seeds %d to %d", *seedFlag, *seedFlag+uint64(*schedulesFlag)-1)
+	for i := range uint64(*schedulesFlag) {
+		seed := *seedFlag + i
+		s := draw(seed)
+		err := s.run()
+		if err == nil {
+			continue
+		}
+		t.Errorf("seed %d: %v", seed, err)
+		if shorter := s.shrink(); len(shorter) < len(s) {
+			t.Logf("shortened:\n%s%v", shorter, shorter.broken())
+		}
+	}
+}
--- a/internal/testcell/check_calls.go
+++ b/internal/testcell/check_calls.go
@@ -48,14 +48,15 @@
 	}
 }
 
-// checkAnswered wants one answer by the deadline. A caller of an instance that
-// died or is paused is answered by its own client.
+// checkAnswered wants one answer by the deadline, counted from the end of a pause
+// of the instance. A caller of an instance that died or is paused is answered by
+// its own client.
 func (c *Cell) checkAnswered(call *Call) {
 	if n := len(call.Answers); n > 1 {
 		c.violateAt(call.Answers[1].At, PromiseAnswer, "call %d to %s got %d answers", call.Handle, call.Via, n)
 	}
 	in := c.instances[call.Via]
-	late := call.Deadline + answerGrace
+	late := max(call.Deadline, in.steadySince+call.Deadline-call.SentAt) + answerGrace
 	if call.answered() || call.Lost || in.paused || c.now <= late {
 		return
 	}
--- a/internal/testcell/instance.go
+++ b/internal/testcell/instance.go
@@ -325,3 +325,6 @@
 	}
 	return highest
 }
+
+// Alive reports whether an instance was started and not killed since.
+func (c *Cell) Alive(id model.InstanceID) bool { return c.instances[id].alive }
