Call ceilings back while they pass the limit together

Cause: a ceiling one above its target was never called back. After a limit went from 2 to 1, two holders kept a ceiling of 1 each. Change: the slack holds only while the ceilings together are within the limit.

--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -91,7 +91,7 @@
 const (
 	planInterval = 100 * time.Millisecond
 	// lowerSlack is how far a ceiling may stand above its target before it is
-	// called back.
+	// called back, while all ceilings together are within the limit.
 	lowerSlack = 1
 )
 
@@ -231,7 +231,7 @@
 			raise := min(target-h.bound, free)
 			free -= raise
 			s.grant(team, e, h.owner, h.bound+raise)
-		case target < h.bound-lowerSlack:
+		case target < h.bound-lowerSlack, target < h.bound && free < 0:
 			s.grant(team, e, h.owner, target)
 		}
 	}
