--- a/internal/capacity/cell_test.go
+++ b/internal/capacity/cell_test.go
@@ -12,6 +12,7 @@
 	"pollenbend/internal/event"
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
+	"pollenbend/internal/service/ownership"
 	"pollenbend/internal/verdict"
 	"pollenbend/internal/wire"
 )
@@ -32,12 +33,24 @@
 	spare                            bool
 }
 
-// deal returns the instance that owns a shard.
-func (z cellSize) deal(s model.Shard) int {
+// dealt returns the instance that owns each shard: the one that the ownership
+// service itself would choose, so that no shard is handed over.
+func (z cellSize) dealt() (owners [model.Shards]int) {
+	first := 0
 	if z.spare {
-		return 1 + int(s)%(z.instances-1)
+		first = 1
 	}
-	return int(s) % z.instances
+	index := make(map[model.InstanceID]int)
+	var members []wire.Owner
+	for i := first; i < z.instances; i++ {
+		members = append(members, ownerOf(i))
+		index[ownerOf(i).Instance] = i
+	}
+	for s := range owners {
+		owner, _ := ownership.Target(model.Shard(s), members)
+		owners[s] = index[owner.Instance]
+	}
+	return owners
 }
 
 // cell drives one real core; everything around it is answered here.
@@ -133,9 +146,8 @@
 
 func (z cellSize) claims() []wire.Record {
 	shards := make([][]wire.ShardTerm, z.instances)
-	for i := range model.Shards {
-		s := model.Shard(i)
-		shards[z.deal(s)] = append(shards[z.deal(s)], wire.ShardTerm{Shard: s})
+	for s, i := range z.dealt() {
+		shards[i] = append(shards[i], wire.ShardTerm{Shard: model.Shard(s)})
 	}
 	var records []wire.Record
 	for i, list := range shards {
@@ -208,10 +220,10 @@
 
 // coverage lists the workers that fall to instance i.
 func (c *cell) coverage(i int) wire.Coverage {
-	cov := wire.Coverage{Version: 1}
+	cov, owners := wire.Coverage{Version: 1}, c.size.dealt()
 	for w := range c.size.workers {
 		id := workerOf(w, 1).ID
-		if c.size.deal(model.ShardOfWorker(id)) == i {
+		if owners[model.ShardOfWorker(id)] == i {
 			cov.Workers = append(cov.Workers, id)
 		}
 	}
--- a/internal/capacity/core_bench_test.go
+++ b/internal/capacity/core_bench_test.go
@@ -10,8 +10,11 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/handover"
 	"pollenbend/internal/wire"
 )
 
@@ -168,9 +171,9 @@
 
 // planned returns how many teams instance 0 plans for.
 func planned(size cellSize) int {
-	n := 0
+	n, owners := 0, size.dealt()
 	for t := range size.teams {
-		if size.deal(model.ShardOfTeam(teamOf(t))) == 0 {
+		if owners[model.ShardOfTeam(teamOf(t))] == 0 {
 			n++
 		}
 	}
@@ -184,8 +187,10 @@
 		c := newCell(b, cellSize{instances: 3, workers: 300})
 		require.Len(b, c.started(n), n)
 		term := c.offset
+		owners := c.size.dealt()
+		moved := model.Shard(slices.Index(owners[:], 1))
 		return timed(b, func() {
-			e := c.nextEntry(wire.Claim{Owner: ownerOf(1 + int(c.offset)%2), Shards: []wire.ShardTerm{{Shard: 1, Term: term}}})
+			e := c.nextEntry(wire.Claim{Owner: ownerOf(1 + int(c.offset)%2), Shards: []wire.ShardTerm{{Shard: moved, Term: term}}})
 			term = c.offset
 			c.step(e)
 		})
@@ -208,6 +213,23 @@
 	return ids
 }
 
+// BenchmarkCapacityHandover measures the memory of finished requests that passes
+// with a shard.
+func BenchmarkCapacityHandover(b *testing.B) {
+	measure(b, "handover_bytes_by_request", encodedBytes, "request", []int{100, 1000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 1, workers: 10, teams: 1})
+		c.calls(n)
+		var shards []wire.ShardTerm
+		for s := range model.Shards {
+			shards = append(shards, wire.ShardTerm{Shard: model.Shard(s), Term: c.offset})
+		}
+		memory, err := kernel.Find[handover.Memory](c.core.Kernel(), service.Requests)
+		require.NoError(b, err)
+		of, entries := memory.Export(shards)
+		return constant(b, float64(len(encoded(b, wire.Memory{ID: 1, Shards: of, Entries: entries}))))
+	})
+}
+
 func BenchmarkCapacityListing(b *testing.B) {
 	measure(b, "listing_take_ns_by_worker", nanoseconds, "worker", []int{48, 1200, 12000}, func(b *testing.B, n int) float64 {
 		c := newCell(b, cellSize{instances: 9, workers: n})
--- a/internal/capacity/memory_bench_test.go
+++ b/internal/capacity/memory_bench_test.go
@@ -1,6 +1,11 @@
 package capacity
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+
+	"pollenbend/internal/event"
+)
 
 const memoryBytes = "bytes"
 
@@ -42,4 +47,14 @@
 	measure(b, "declaration_memory_by_team", memoryBytes, "team", []int{17, 170}, func(b *testing.B, n int) float64 {
 		return size(b, cellSize{instances: 1, teams: n})
 	})
+	measure(b, "time_line_memory", memoryBytes, "event", []int{100, 4000}, func(b *testing.B, n int) float64 {
+		return memory(b, func() *event.Env {
+			env := event.NewEnv(instanceOf(0), timing, 1)
+			for i := range n {
+				env.Note(event.Note{Kind: "shard-moved", Subject: fmt.Sprintf("shard/%d", i%256), Detail: fmt.Sprintf("%s -> %s", ownerOf(i%99).Instance, ownerOf(i%98).Instance)})
+				env.Begin(0)
+			}
+			return env
+		})
+	})
 }
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -68,7 +68,7 @@
 func (m Model) Costs() []Cost {
 	var costs []Cost
 	for _, part := range [][]Cost{
-		m.callers(), m.requests(), m.limits(), m.holders(), m.membership(), m.ownership(), m.configuration(),
+		m.callers(), m.requests(), m.limits(), m.holders(), m.membership(), m.ownership(), m.configuration(), m.timeLine(),
 	} {
 		costs = append(costs, part...)
 	}
@@ -319,3 +319,14 @@
 
 // maxPolls bounds the reads of the log a second, each of which takes some time.
 const maxPolls = 100
+
+// timeLine is the ring of the instance's latest events, which is read on demand.
+func (m Model) timeLine() []Cost {
+	return []Cost{{
+		Role: "time line", Item: "ring of the latest events", Mechanism: "internal/event", Control: true,
+		Memory: timeLineEvents * m.Slopes.Lines.TimeLineMemory.Each(),
+	}}
+}
+
+// timeLineEvents is the most events that the ring holds.
+const timeLineEvents = 8192
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"pollenbend/internal/model"
+	"pollenbend/internal/transport"
 )
 
 // garbageFactor is what the runtime holds for each live byte, at the default
@@ -228,6 +229,14 @@
 		{"entries of claims", func(m Model) string { return number(m.claimants()) }},
 		{"processor time of the fold on each instance", func(m Model) string { return number(m.foldSeconds()*1000) + " ms" }},
 		{"bytes of the workers' full reports, all together", func(m Model) string { return bytesOf(m.reportBytes()) }},
+		{"memory of the requests of the four shards of one handover, of the 8 MiB that a message holds", func(m Model) string {
+			bytes := m.handoverBytes()
+			verdict := ""
+			if bytes > transport.MaxPayload {
+				verdict = " MISS"
+			}
+			return bytesOf(bytes) + verdict
+		}},
 		{"time in a day in which some shard has no owner", func(m Model) string { return number(m.ownerlessSeconds()) + " s" }},
 		{"part of the instances lost with an availability zone", func(m Model) string { return percent(1 / float64(m.Size.Zones)) }},
 		{"shards that move for a zone", func(m Model) string { return number(model.Shards / float64(m.Size.Zones)) }},
@@ -257,6 +266,13 @@
 	return m.losses() * secondsPerDay * m.Design.Periods.DeadAfter.Seconds()
 }
 
+// handoverBytes returns the length of the message that hands four shards over at
+// the peak.
+func (m Model) handoverBytes() float64 {
+	const shards = 4
+	return m.remembered() * m.n() / model.Shards * shards * m.Slopes.Lines.HandoverBytes.Each()
+}
+
 // number writes x with three significant digits.
 func number(x float64) string {
 	if x == 0 {
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -71,6 +71,10 @@
 	ListingTake  Line `toml:"listing_take_ns_by_worker"`
 	RosterMemory Line `toml:"listed_worker_memory"`
 
+	HandoverBytes Line `toml:"handover_bytes_by_request"`
+
+	TimeLineMemory Line `toml:"time_line_memory"`
+
 	ChangeBytes       Line `toml:"change_bytes_by_object"`
 	ChangeTake        Line `toml:"change_take_ns_by_team"`
 	SnapshotBytes     Line `toml:"snapshot_bytes_by_team"`
