--- a/internal/capacity/appends.go
+++ b/internal/capacity/appends.go
@@ -9,10 +9,11 @@
 // Appends is what the whole cell appends to the log, in entries a second at the
 // peak.
 type Appends struct {
-	Changes  float64
-	Claims   float64
-	Jobs     float64
-	Progress float64
+	Changes   float64
+	Claims    float64
+	Handovers float64
+	Jobs      float64
+	Progress  float64
 
 	changeBytes   float64
 	claimBytes    float64
@@ -27,15 +28,23 @@
 	progressPerSecond = 1
 )
 
-// movesPerSecond returns how many shards change hands, over a day.
+// movesPerSecond returns how many shards change hands, over a day. Those of a
+// replaced instance leave it and come back to the next one.
 func (m Model) movesPerSecond() float64 {
-	return m.losses() * model.Shards / m.n()
+	return (m.failures() + 2*m.replacements()) * m.shards()
 }
 
-// losses returns how many lives of instances end, a second over a day.
-func (m Model) losses() float64 {
-	return (m.Size.FailuresPerDay + m.Size.ReplacementsPerDay) / secondsPerDay
-}
+func (m Model) failures() float64     { return m.Size.FailuresPerDay / secondsPerDay }
+func (m Model) replacements() float64 { return m.Size.ReplacementsPerDay / secondsPerDay }
+
+// shards returns how many shards one instance owns.
+func (m Model) shards() float64 { return model.Shards / m.n() }
+
+// handovers returns the transfers for one replaced instance, there and back.
+func (m Model) handovers() float64 { return 2 * math.Ceil(m.shards()/shardsPerHandover) }
+
+// shardsPerHandover is the number of shards that pass in one transfer.
+const shardsPerHandover = 4
 
 // claimants returns how many instances claim the shards of a lost one, each with
 // an entry of its own.
@@ -47,10 +56,11 @@
 func (m Model) Appends() Appends {
 	l := m.Slopes.Lines
 	return Appends{
-		Changes:  m.Size.ChangesPerDay / secondsPerDay * peakToMean,
-		Claims:   m.losses() * peakToMean * m.claimants(),
-		Jobs:     m.Size.JobsPerDay / secondsPerDay * peakToMean,
-		Progress: min(m.n()*progressPerSecond, m.Size.StartsPerSecond),
+		Changes:   m.Size.ChangesPerDay / secondsPerDay * peakToMean,
+		Claims:    m.failures() * peakToMean * m.claimants(),
+		Handovers: m.replacements() * peakToMean * m.handovers(),
+		Jobs:      m.Size.JobsPerDay / secondsPerDay * peakToMean,
+		Progress:  min(m.n()*progressPerSecond, m.Size.StartsPerSecond),
 
 		changeBytes:   l.ChangeBytes.At(objectsPerChange),
 		claimBytes:    l.ClaimBytes.At(model.Shards / m.n() / max(m.claimants(), 1)),
@@ -60,11 +70,11 @@
 }
 
 // Total returns the entries a second.
-func (a Appends) Total() float64 { return a.Changes + a.Claims + a.Jobs + a.Progress }
+func (a Appends) Total() float64 { return a.Changes + a.Claims + a.Handovers + a.Jobs + a.Progress }
 
 // Bytes returns the bytes of the entries a second.
 func (a Appends) Bytes() float64 {
-	return a.Changes*a.changeBytes + a.Claims*a.claimBytes + a.Jobs*a.jobBytes + a.progressBytes
+	return a.Changes*a.changeBytes + (a.Claims+a.Handovers)*a.claimBytes + a.Jobs*a.jobBytes + a.progressBytes
 }
 
 // CatchUp is what follows an outage of the log of an hour: what has to be
@@ -86,7 +96,7 @@
 func (m Model) CatchUp(limits Limits) CatchUp {
 	l, a := m.Slopes.Lines, m.Appends()
 	c := CatchUp{
-		ClaimEntries:  m.losses() * secondsPerHour * m.claimants(),
+		ClaimEntries:  (m.failures() + m.replacements()) * secondsPerHour * m.claimants(),
 		ProgressBytes: a.progressBytes * secondsPerHour,
 	}
 	c.ProgressEntries = max(math.Ceil(c.ProgressBytes/progressEntryBytes), m.n())
--- a/internal/capacity/core_bench_test.go
+++ b/internal/capacity/core_bench_test.go
@@ -213,6 +213,34 @@
 	return ids
 }
 
+// BenchmarkCapacityTakeover measures the full report of one worker without tasks,
+// by the tasks that run on the other workers held here.
+func BenchmarkCapacityTakeover(b *testing.B) {
+	measure(b, "takeover_ns_by_running_task", nanoseconds, "task", []int{200, 2000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 1, workers: 100, teams: 1})
+		for range n {
+			c.handle++
+			c.answer(c.submit())
+		}
+		idle := workerOf(100, c.size.slots)
+		c.size.workers++
+		c.listed()
+		request := c.firstRenewal(idle.ID)
+		return timed(b, func() { c.step(c.renewed(idle, request, nil)) })
+	})
+}
+
+// firstRenewal returns the renewal that takes a worker.
+func (c *cell) firstRenewal(id model.WorkerID) platform.RenewRequest {
+	for _, a := range c.step(event.Tick{}) {
+		if r, ok := a.(event.Renew); ok && r.Worker.ID == id {
+			return r.Request
+		}
+	}
+	require.Fail(c.tb, "the worker was not taken")
+	return platform.RenewRequest{}
+}
+
 // BenchmarkCapacityHandover measures the memory of finished requests that passes
 // with a shard.
 func BenchmarkCapacityHandover(b *testing.B) {
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+
+	"pollenbend/internal/model"
 )
 
 // Cost is one line of what an instance spends.
@@ -279,12 +281,25 @@
 		list.Core += listingsPerSecond * l.ListingTake.At(workers) * nano
 	}
 	moves := m.movesPerSecond() * m.Size.RunningTasks / m.n() * l.MoveByTask.Each() * nano * m.scanned()
+	memory := 2 * m.replacements() * 2 * m.shards() / m.n() * m.shardMemory()
 	return []Cost{list, {
 		Role: "ownership", Item: "folds of moved shards", Mechanism: "internal/service/ledger", Control: true,
 		Core: moves, Remedy: "an index of tasks by request shard, in place of the sort of all tasks for each moved shard",
+	}, {
+		Role: "ownership", Item: "memory handed over by replaced instances", Mechanism: "internal/service/handover", Control: true,
+		Bytes: memory, Remedy: "hand over no payloads of answered requests",
 	}}
 }
 
+// shardMemory returns the bytes that pass with one shard at the peak.
+func (m Model) shardMemory() float64 {
+	requests := m.remembered() * m.n() / model.Shards
+	if !m.Design.Scans {
+		return requests * digestBytes
+	}
+	return requests * m.Slopes.Lines.HandoverBytes.Each()
+}
+
 func (m Model) configuration() []Cost {
 	l := m.Slopes.Lines
 	appends := m.Appends()
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"math"
 	"strings"
-
-	"pollenbend/internal/model"
-	"pollenbend/internal/transport"
 )
 
 // garbageFactor is what the runtime holds for each live byte, at the default
@@ -182,7 +179,7 @@
 }
 
 func appendsTable(s Slopes) string {
-	t := newTable("Size", "Instances", "Changes/s", "Claims/s", "Jobs/s", "Progress/s", "Sum/s", "Part of the bound", "Bytes/s", "Verdict")
+	t := newTable("Size", "Instances", "Changes/s", "Claims/s", "Handovers/s", "Jobs/s", "Progress/s", "Sum/s", "Part of the bound", "Bytes/s", "Verdict")
 	limit := ControlLimits().Append
 	for _, z := range []Size{Today(), Target()} {
 		for _, n := range instancesShown(z) {
@@ -191,7 +188,7 @@
 			if a.Total() > limit {
 				verdict = "MISS"
 			}
-			t.row(z.Name, number(float64(n)), number(a.Changes), number(a.Claims), number(a.Jobs), number(a.Progress), number(a.Total()),
+			t.row(z.Name, number(float64(n)), number(a.Changes), number(a.Claims), number(a.Handovers), number(a.Jobs), number(a.Progress), number(a.Total()),
 				percent(a.Total()/limit), bytesOf(a.Bytes()), verdict)
 		}
 	}
@@ -214,65 +211,6 @@
 	return t.String()
 }
 
-func failuresTable(today, target Model) string {
-	t := newTable("", "Today, "+number(today.n())+" instances", "Target, "+number(target.n())+" instances")
-	for _, r := range []struct {
-		name  string
-		value func(Model) string
-	}{
-		{"instances lost or replaced, a day", func(m Model) string { return number(m.losses() * secondsPerDay) }},
-		{"shards that move for one of them", func(m Model) string { return number(model.Shards / m.n()) }},
-		{"workers that change hands", func(m Model) string { return number(m.workers()) }},
-		{"running tasks on them", func(m Model) string { return number(m.Size.RunningTasks / m.n()) }},
-		{"silence until it counts as dead", func(m Model) string { return number(m.Design.Periods.DeadAfter.Seconds()) + " s" }},
-		{"until its worker leases have lapsed", func(m Model) string { return number(m.Design.Periods.WorkerLease.Seconds()) + " s" }},
-		{"entries of claims", func(m Model) string { return number(m.claimants()) }},
-		{"processor time of the fold on each instance", func(m Model) string { return number(m.foldSeconds()*1000) + " ms" }},
-		{"bytes of the workers' full reports, all together", func(m Model) string { return bytesOf(m.reportBytes()) }},
-		{"memory of the requests of the four shards of one handover, of the 8 MiB that a message holds", func(m Model) string {
-			bytes := m.handoverBytes()
-			verdict := ""
-			if bytes > transport.MaxPayload {
-				verdict = " MISS"
-			}
-			return bytesOf(bytes) + verdict
-		}},
-		{"time in a day in which some shard has no owner", func(m Model) string { return number(m.ownerlessSeconds()) + " s" }},
-		{"part of the instances lost with an availability zone", func(m Model) string { return percent(1 / float64(m.Size.Zones)) }},
-		{"shards that move for a zone", func(m Model) string { return number(model.Shards / float64(m.Size.Zones)) }},
-		{"processor time of that fold on each instance", func(m Model) string {
-			return number(m.foldSeconds()*m.n()/float64(m.Size.Zones)*1000) + " ms"
-		}},
-	} {
-		t.row(r.name, r.value(today), r.value(target))
-	}
-	return t.String()
-}
-
-// foldSeconds returns the processor time that the move of a lost instance's
-// shards takes on every other one.
-func (m Model) foldSeconds() float64 {
-	return model.Shards / m.n() * m.Size.RunningTasks / m.n() * m.Slopes.Lines.MoveByTask.Each() * nano
-}
-
-// reportBytes returns the length of the full reports of a lost instance's workers.
-func (m Model) reportBytes() float64 {
-	l := m.Slopes.Lines
-	return m.workers()*exchange(l.RenewalBytes.Fixed()) + m.Size.RunningTasks/m.n()*l.RenewalBytes.Each()
-}
-
-// ownerlessSeconds returns for how long in a day some shard has no living owner.
-func (m Model) ownerlessSeconds() float64 {
-	return m.losses() * secondsPerDay * m.Design.Periods.DeadAfter.Seconds()
-}
-
-// handoverBytes returns the length of the message that hands four shards over at
-// the peak.
-func (m Model) handoverBytes() float64 {
-	const shards = 4
-	return m.remembered() * m.n() / model.Shards * shards * m.Slopes.Lines.HandoverBytes.Each()
-}
-
 // number writes x with three significant digits.
 func number(x float64) string {
 	if x == 0 {
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -71,7 +71,8 @@
 	ListingTake  Line `toml:"listing_take_ns_by_worker"`
 	RosterMemory Line `toml:"listed_worker_memory"`
 
-	HandoverBytes Line `toml:"handover_bytes_by_request"`
+	TakeoverByTask Line `toml:"takeover_ns_by_running_task"`
+	HandoverBytes  Line `toml:"handover_bytes_by_request"`
 
 	TimeLineMemory Line `toml:"time_line_memory"`
 
