--- a/internal/capacity/appends.go
+++ b/internal/capacity/appends.go
@@ -82,6 +82,8 @@
 // each instance reads it.
 type CatchUp struct {
 	ClaimEntries    float64
+	JobBytes        float64 // of the jobs that callers offer again
+	JobEntries      float64
 	ProgressBytes   float64
 	ProgressEntries float64
 	AppendSeconds   float64 // at the limit of appends
@@ -89,6 +91,9 @@
 	ReadSeconds     float64 // at the limit of bytes a second for control
 }
 
+// recordsPerEntry is the most records that a node puts into one entry.
+const recordsPerEntry = 1024
+
 // progressEntryBytes bounds one entry with progress of jobs.
 const progressEntryBytes = 256 << 10
 
@@ -100,9 +105,12 @@
 		ProgressBytes: a.progressBytes * secondsPerHour,
 	}
 	c.ProgressEntries = max(math.Ceil(c.ProgressBytes/progressEntryBytes), m.n())
+	jobs := a.Jobs * secondsPerHour
+	c.JobBytes = jobs * l.JobEntryBytes.Each()
+	c.JobEntries = max(math.Ceil(jobs/recordsPerEntry), m.n())
 	spare := max(limits.Append-a.Total(), 1)
-	c.AppendSeconds = (c.ClaimEntries + c.ProgressEntries) / spare
-	c.ReadBytes = (c.ProgressBytes + c.ClaimEntries*a.claimBytes) * l.LogReadBytes.Each()
+	c.AppendSeconds = (c.ClaimEntries + c.JobEntries + c.ProgressEntries) / spare
+	c.ReadBytes = (c.ProgressBytes + c.JobBytes + c.ClaimEntries*a.claimBytes) * l.LogReadBytes.Each()
 	if !m.Design.FoldAll {
 		c.ReadBytes /= m.n()
 	}
--- a/internal/capacity/core_bench_test.go
+++ b/internal/capacity/core_bench_test.go
@@ -79,6 +79,19 @@
 	})
 }
 
+// BenchmarkCapacityOpenRequests measures ticks of a gateway whose requests wait at
+// other instances.
+func BenchmarkCapacityOpenRequests(b *testing.B) {
+	measure(b, "tick_ns_by_open_request", nanoseconds, "request", []int{500, 4000}, func(b *testing.B, n int) float64 {
+		c := newCell(b, cellSize{instances: 2, workers: 1, teams: 1, spare: true})
+		for range n {
+			c.handle++
+			require.IsType(b, event.Send{}, c.step(c.request())[0])
+		}
+		return timed(b, func() { c.step(event.Tick{}) })
+	})
+}
+
 // calls makes n calls, with the leases renewed in between.
 func (c *cell) calls(n int) {
 	for range n {
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -94,12 +94,16 @@
 
 func (m Model) callers() []Cost {
 	l := m.Slopes.Lines
+	open := m.Size.OpenCallers / m.n()
 	return []Cost{{
+		Role: "taking callers", Item: "tick over open requests", Mechanism: "internal/service/gateway", Control: true,
+		Core: ticksPerSecond * open * l.TickByOpen.Each() * nano,
+	}, {
 		Role: "taking callers", Item: "callers' exchanges", Mechanism: "internal/httpapi, internal/service/gateway",
 		Messages: 2 * m.starts(),
 		Bytes:    m.starts() * exchange(l.CallerBytes.At(messagePayload)),
 		Core:     m.starts() * l.CallerNS.At(messagePayload) * nano,
-		Memory:   m.Size.OpenCallers / m.n() * l.CallerMemory.Each(),
+		Memory:   open * l.CallerMemory.Each(),
 	}}
 }
 
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -196,7 +196,7 @@
 }
 
 func catchUpTable(s Slopes) string {
-	t := newTable("Size", "Design", "Instances", "Claims", "Progress", "Entries of progress", "Appended within", "Read by each instance", "Read within, at 12 KB/s")
+	t := newTable("Size", "Design", "Instances", "Claims", "Jobs", "Entries of jobs", "Progress", "Entries of progress", "Appended within", "Read by each instance", "Read within, at 12 KB/s")
 	for _, z := range []Size{Today(), Target()} {
 		for _, d := range []Design{AsBuilt(), Changed()} {
 			n := z.Instances
@@ -204,7 +204,7 @@
 				n = TargetInstances
 			}
 			c := Model{Slopes: s, Size: z, Design: d, N: n}.CatchUp(ControlLimits())
-			t.row(z.Name, d.Name, number(float64(n)), number(c.ClaimEntries), bytesOf(c.ProgressBytes), number(c.ProgressEntries),
+			t.row(z.Name, d.Name, number(float64(n)), number(c.ClaimEntries), bytesOf(c.JobBytes), number(c.JobEntries), bytesOf(c.ProgressBytes), number(c.ProgressEntries),
 				number(c.AppendSeconds)+" s", bytesOf(c.ReadBytes), number(c.ReadSeconds)+" s")
 		}
 	}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -52,6 +52,7 @@
 	CallerBytes      Line `toml:"caller_bytes_by_payload_byte"`
 	CallerNS         Line `toml:"caller_ns_by_payload_byte"`
 	CallerMemory     Line `toml:"caller_memory"`
+	TickByOpen       Line `toml:"tick_ns_by_open_request"`
 	CallByRemembered Line `toml:"call_ns_by_remembered_request"`
 	CallByWorker     Line `toml:"call_ns_by_held_worker"`
 	FinishedMemory   Line `toml:"finished_request_memory"`
