--- a/internal/service/handover/handover.go
+++ b/internal/service/handover/handover.go
@@ -78,7 +78,8 @@
 	sendTimeout     = time.Second
 	appendTimeout   = 4 * time.Second
 	pause           = 50 * time.Millisecond
-	settle          = 5 * time.Second // members must be stable this long before shards are balanced
+	idlePause       = 250 * time.Millisecond // between looks when there is nothing to hand over
+	settle          = 5 * time.Second        // members must be stable this long before shards are balanced
 	firstSettle     = 10 * time.Second
 	stuckDrainAfter = 10 * time.Second
 )
@@ -120,9 +121,12 @@
 	if now < s.nextAt || !s.ownership.CaughtUp() {
 		return
 	}
-	if to, shards := s.pick(now); len(shards) > 0 {
-		s.send(to, shards)
+	to, shards := s.pick(now)
+	if len(shards) == 0 {
+		s.nextAt = now + idlePause
+		return
 	}
+	s.send(to, shards)
 }
 
 func (s *Service) watchMembers(now time.Duration) {
