Keep the gateway's deadlines in a heap

Cause: every tick sorted and looked at every open request. Change: deadlines and retries wait in a heap; a tick takes only what is due.

--- a/internal/service/gateway/gateway.go
+++ b/internal/service/gateway/gateway.go
@@ -4,10 +4,10 @@
 package gateway
 
 import (
+	"container/heap"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"pollenbend/internal/event"
@@ -65,6 +65,7 @@
 	ledger      Ledger
 
 	pending map[uint64]*pending
+	dues    dueHeap
 	serial  uint64
 }
 
@@ -164,6 +165,7 @@
 		deadline: s.env.Now() + s.timeout(r) + answerGrace,
 	}
 	s.pending[handle] = p
+	heap.Push(&s.dues, due{p.deadline, handle})
 	s.route(handle, p)
 	return nil
 }
@@ -229,7 +231,7 @@
 				slot.Owner.Instance, slot.Owner.Incarnation, slot.Term).After(noOwnerWait)))
 			return
 		}
-		p.retryAt = s.env.Now() + moveRetry
+		s.retry(handle, p, s.env.Now()+moveRetry)
 		return
 	}
 	p.sentTo, p.sent, p.retryAt = slot.Owner, true, 0
@@ -261,7 +263,7 @@
 	}
 	if m.Answer.Code == verdict.CodeStaleAuthority && p.moves < maxMoves {
 		p.moves++
-		p.retryAt = s.env.Now() + moveRetry
+		s.retry(m.Handle, p, s.env.Now()+moveRetry)
 		return
 	}
 	s.finish(m.Handle, m.Answer)
@@ -269,18 +271,18 @@
 
 // OnPeerDown asks again, by id, for what was sent over the lost connection.
 func (s *Service) OnPeerDown(peer wire.Owner) {
-	for _, p := range s.pending {
+	for handle, p := range s.pending {
 		if p.sentTo == peer {
-			p.retryAt = s.env.Now() + moveRetry
+			s.retry(handle, p, s.env.Now()+moveRetry)
 		}
 	}
 }
 
 // OnShardMoved asks the new owner for what the one before had not answered.
 func (s *Service) OnShardMoved(m service.ShardMove) {
-	for _, p := range s.pending {
+	for handle, p := range s.pending {
 		if p.shard == m.Shard && p.sentTo != m.After {
-			p.retryAt = s.env.Now()
+			s.retry(handle, p, s.env.Now())
 		}
 	}
 }
@@ -288,7 +290,7 @@
 // OnTick retries routes and ends requests whose time is up.
 func (s *Service) OnTick() {
 	now := s.env.Now()
-	for _, handle := range s.sortedHandles() {
+	for _, handle := range s.takeDue(now) {
 		p := s.pending[handle]
 		switch {
 		case now >= p.deadline:
@@ -308,15 +310,6 @@
 	return model.Refusal(p.forward.Request.ID, e)
 }
 
-func (s *Service) sortedHandles() []uint64 {
-	handles := make([]uint64, 0, len(s.pending))
-	for h := range s.pending {
-		handles = append(handles, h)
-	}
-	slices.Sort(handles)
-	return handles
-}
-
 // OnRequestGone forgets a caller. Its request goes on: the caller may ask for it
 // by id.
 func (s *Service) OnRequestGone(handle uint64) { delete(s.pending, handle) }
