Settle a restarted worker's tasks and hear its new outcomes

Cause: after a worker restarted, the holder kept the last event number of the old incarnation and so missed the first outcomes of the new one; and a start sent to the old incarnation, whose answer was lost, was told as rejected though it may have run. Change: a full report replaces the event number; a start to an earlier incarnation that the report lacks ends as stopped, so its request may have run. Before: worker_restarted_outcomes_are_heard and start_answer_lost_and_worker_restarted_not_repeated fail, the latter with two starts. After: both pass.

--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -89,7 +89,7 @@
 		return false
 	}
 	w.seq++
-	t.seq = w.seq
+	t.seq, t.incarnation = w.seq, w.incarnation
 	s.tasks[d.Task.ID] = t
 	s.noteRun(d.Task.ID)
 	s.count(w, d.Task, 1)
--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -62,12 +62,15 @@
 }
 
 type task struct {
-	spec    model.Task
-	worker  model.WorkerID
-	phase   wire.TaskPhase
-	seq     uint64 // of the start command
-	term    uint64
-	attempt uint32
+	spec   model.Task
+	worker model.WorkerID
+	phase  wire.TaskPhase
+	seq    uint64 // of the start command
+	// incarnation of the worker that the start was sent to, 0 for a task that a
+	// report told of.
+	incarnation model.Incarnation
+	term        uint64
+	attempt     uint32
 }
 
 type pastTask struct {
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -140,6 +140,7 @@
 	for _, t := range r.Running {
 		reported[t.ID] = t
 	}
+	w.since = 0
 	s.takeOutcomes(w, r)
 	for _, t := range s.tasksOn(w.info.ID) {
 		if _, ok := reported[t.spec.ID]; ok {
@@ -156,9 +157,12 @@
 	w.known = true
 }
 
-// settleMissing ends a task that the worker's full report lacks.
+// settleMissing ends a task that the worker's full report lacks. A worker that has
+// restarted may have run it and forgotten.
 func (s *Service) settleMissing(w *worker, t *task) {
 	switch {
+	case t.incarnation != 0 && t.incarnation != w.incarnation:
+		s.finish(t, model.Outcome{Task: t.spec.ID, Failed: true, Stopped: true, Message: "worker has restarted"})
 	case t.phase == wire.PhaseStarting && t.seq > w.fence:
 		return
 	case t.phase == wire.PhaseStarting:
