--- a/internal/testcell/instance.go
+++ b/internal/testcell/instance.go
@@ -31,6 +31,7 @@
 	nextRead    uint64
 	steadySince time.Duration // since when it runs and may reach the log
 	lastRead    time.Duration
+	reading     bool
 	version     uint64 // highest configuration version seen in this life
 }
 
@@ -139,7 +140,7 @@
 	in.alive, in.paused, in.held = true, false, nil
 	in.begun, in.steadySince = c.now, c.now
 	in.drift = (2*c.rng.Float64() - 1) * maxDrift
-	in.appends, in.appending = nil, false
+	in.appends, in.appending, in.reading = nil, false, false
 	in.nextRead, in.lastRead, in.version = 1, c.now, 0
 	var err error
 	in.core, err = core.New(core.Options{Self: in.info, Timing: c.options.Timing, Seed: c.rng.Uint64()})
@@ -295,7 +296,7 @@
 // readLog answers an instance's read when there are new entries or its wait is
 // over.
 func (c *Cell) readLog(in *instance) {
-	if c.noLog[in.info.ID] {
+	if c.noLog[in.info.ID] || in.reading {
 		return
 	}
 	batch, err := c.log.Read(stream, in.nextRead, readLimit)
@@ -305,16 +306,19 @@
 	if len(batch.Entries) == 0 && c.now-in.lastRead < readWait {
 		return
 	}
-	in.lastRead = c.now
 	slow := c.log.Faults().Slow
-	if slow > readWait+callTimeout {
-		return
-	}
-	if k := len(batch.Entries); k > 0 {
-		in.nextRead = batch.Entries[k-1].Offset + 1
-	}
-	in.lastRead += slow
-	in.post(c.latency()+slow, event.LogRead{Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next})
+	in.reading = true
+	in.deliver(min(c.latency()+slow, readWait+callTimeout), func() {
+		in.reading = false
+		in.lastRead = c.now
+		if slow > readWait+callTimeout {
+			return
+		}
+		if k := len(batch.Entries); k > 0 {
+			in.nextRead = batch.Entries[k-1].Offset + 1
+		}
+		in.step(event.LogRead{Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next})
+	})
 }
 
 // Version returns the highest configuration version that an instance has in force.
