--- a/internal/model/shard.go
+++ b/internal/model/shard.go
@@ -25,7 +25,7 @@
 // ShardOfRequest returns the shard whose owner remembers the request. A ticket
 // names its shard; any other id is hashed together with its team.
 func ShardOfRequest(team TeamID, id string) Shard {
-	if t, err := ParseTicket(id); err == nil {
+	if t, ok := parseTicket(id); ok {
 		return t.Shard
 	}
 	return hashShard("r/" + string(team) + "/" + id)
@@ -51,19 +51,32 @@
 // ParseTicket parses the form that String returns. It returns an error for any
 // other text.
 func ParseTicket(s string) (Ticket, error) {
-	parts := strings.SplitN(s, "-", 4)
-	if len(parts) != 4 || parts[0] != ticketPrefix || parts[3] == "" {
+	t, ok := parseTicket(s)
+	if !ok {
 		return Ticket{}, errors.Newf("%q is not a ticket", s)
 	}
-	shard, err := strconv.ParseUint(parts[1], 10, 16)
+	return t, nil
+}
+
+// parseTicket parses a ticket without the cost of an error for other ids.
+func parseTicket(s string) (Ticket, bool) {
+	rest, ok := strings.CutPrefix(s, ticketPrefix+"-")
+	if !ok {
+		return Ticket{}, false
+	}
+	parts := strings.SplitN(rest, "-", 3)
+	if len(parts) != 3 || parts[2] == "" {
+		return Ticket{}, false
+	}
+	shard, err := strconv.ParseUint(parts[0], 10, 16)
 	if err != nil || shard >= Shards {
-		return Ticket{}, errors.Newf("ticket %q: bad shard", s)
+		return Ticket{}, false
 	}
-	term, err := strconv.ParseUint(parts[2], 10, 64)
+	term, err := strconv.ParseUint(parts[1], 10, 64)
 	if err != nil {
-		return Ticket{}, errors.Newf("ticket %q: bad term", s)
+		return Ticket{}, false
 	}
-	return Ticket{Shard: Shard(shard), Term: term, Serial: parts[3]}, nil
+	return Ticket{Shard: Shard(shard), Term: term, Serial: parts[2]}, true
 }
 
 // TaskIDOf returns the id of task index of the request or job id of team.
