Run a repeatable task anew under its own run number after a worker forgot

Cause: a worker that restarted may have run a task and forgotten it. After: instance_and_worker_restarted_second_run_has_own_id passes.

--- a/internal/service/requests/locate.go
+++ b/internal/service/requests/locate.go
@@ -117,18 +117,22 @@
 // restarted may have run it and forgotten: a task that must not be repeated is
 // then left alone.
 func (s *Service) settleUnseen(e *entry, l *locate) {
-	switch {
-	case len(l.young) > 0 && !e.task.Repeatable:
-		s.finish(e, model.Answer{
-			Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt,
-			Message: "a worker that may have run it has restarted since",
-		})
-	case e.canceled:
+	if len(l.young) > 0 {
+		if !e.task.Repeatable {
+			s.finish(e, model.Answer{
+				Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt,
+				Message: "a worker that may have run it has restarted since",
+			})
+			return
+		}
+		e.run++ // the run before may be the one that was forgotten
+	}
+	if e.canceled {
 		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
-	default:
-		e.holder = wire.Owner{}
-		s.enqueue(e)
+		return
 	}
+	e.holder = wire.Owner{}
+	s.enqueue(e)
 }
 
 // retryLocates asks again where not every worker was covered.
