Look for an unanswered dispatch once, not without end

Change: hearing of a start renews the dispatch time, and callers whose time is up are answered apart from the locate.

--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -249,6 +249,7 @@
 	if st.Phase == wire.PhaseRunning && e.phase != phaseRunning {
 		e.startedAt = s.env.Now()
 	}
+	e.dispatchedAt = s.env.Now()
 	next := phaseDispatched
 	if st.Phase == wire.PhaseRunning {
 		next = phaseRunning
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -502,22 +502,29 @@
 	case phaseWaiting:
 		s.finish(e, s.unstarted(e, verdict.CodeDeadline, "no worker was free in time"))
 	case phaseDispatched:
-		s.startLocate(e)
-		if len(e.waiters) > 0 && now >= e.deadline {
-			s.expire(e, now)
+		if now-e.dispatchedAt > dispatchTimeout {
+			s.startLocate(e)
 		}
+		s.answerLate(e, now)
 	default:
-		// It may run on: callers get the truth of this moment, and the entry goes
-		// on to learn the outcome.
-		a := model.Answer{
-			ID: e.id, Verdict: verdict.MayHaveRun, Code: verdict.CodeDeadline,
-			Message: "still " + e.phase.String() + " at the deadline", RetryAfter: retryAfter,
-		}
-		waiters := e.waiters
-		e.waiters = nil
-		for _, w := range waiters {
-			s.reply(w, a)
-		}
+		s.answerLate(e, now)
+	}
+}
+
+// answerLate tells callers whose time is up the truth of this moment. The request
+// may run on, and its entry goes on to learn the outcome.
+func (s *Service) answerLate(e *entry, now time.Duration) {
+	if now < e.deadline {
+		return
+	}
+	a := model.Answer{
+		ID: e.id, Verdict: verdict.MayHaveRun, Code: verdict.CodeDeadline,
+		Message: "still " + e.phase.String() + " at the deadline", RetryAfter: retryAfter,
+	}
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		s.reply(w, a)
 	}
 }
 
