Start nothing after a pause until the instance list is read anew

Cause: an instance that woke from a pause took a lease and started work on a worker that the list had shown as leaving for 8 s, because its own view of the list was that old. Before: instance_paused_leaving_worker_gets_no_new_work starts two tasks. After: it passes.

--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -78,7 +78,7 @@
 // emits the start.
 func (s *Service) commit(d wire.Dispatch, id model.WorkerID) bool {
 	w, ok := s.workers[id]
-	if !ok || !w.leased(s.env.Now()) || w.info.Leaving {
+	if !ok || !w.leased(s.env.Now()) || w.info.Leaving || !s.freshness.fresh(s.env.Now()) {
 		return false
 	}
 	if !d.Task.Demand.Fits(w.info.Capacity.Sub(w.used)) {
--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -57,8 +57,9 @@
 	running map[model.TeamID]int64
 	usage   map[model.TeamID]model.Resources
 
-	coverage wire.Coverage
-	missed   map[model.InstanceID]bool // instances that may have missed task states
+	freshness freshness
+	coverage  wire.Coverage
+	missed    map[model.InstanceID]bool // instances that may have missed task states
 }
 
 type task struct {
@@ -89,17 +90,18 @@
 // New returns the ledger.
 func New(env *event.Env) *Service {
 	return &Service{
-		env:     env,
-		place:   newPlacement(uint64(env.Self.Incarnation), env.Self.Location),
-		listed:  make(map[model.WorkerID]model.Worker),
-		workers: make(map[model.WorkerID]*worker),
-		tasks:   make(map[model.TaskID]*task),
-		past:    make(map[model.TaskID]pastTask),
-		latest:  make(map[model.TaskID]int),
-		fences:  make(map[model.TaskID]fence),
-		running: make(map[model.TeamID]int64),
-		missed:  make(map[model.InstanceID]bool),
-		usage:   make(map[model.TeamID]model.Resources),
+		env:       env,
+		freshness: newFreshness(),
+		place:     newPlacement(uint64(env.Self.Incarnation), env.Self.Location),
+		listed:    make(map[model.WorkerID]model.Worker),
+		workers:   make(map[model.WorkerID]*worker),
+		tasks:     make(map[model.TaskID]*task),
+		past:      make(map[model.TaskID]pastTask),
+		latest:    make(map[model.TaskID]int),
+		fences:    make(map[model.TaskID]fence),
+		running:   make(map[model.TeamID]int64),
+		missed:    make(map[model.InstanceID]bool),
+		usage:     make(map[model.TeamID]model.Resources),
 	}
 }
 
@@ -121,6 +123,8 @@
 // OnListing takes over the listed workers and drops those that are gone: a worker
 // that was listed and no longer is has ended, and its tasks with it.
 func (s *Service) OnListing(l platform.Listing) {
+	s.freshness.note(s.env.Now())
+	s.freshness.listings++
 	listed := make(map[model.WorkerID]model.Worker, len(l.Workers))
 	for _, w := range l.Workers {
 		listed[w.ID] = w
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -53,6 +53,7 @@
 // OnTick renews leases and forgets what is past its retention.
 func (s *Service) OnTick() {
 	now := s.env.Now()
+	s.freshness.note(now)
 	for _, id := range s.order {
 		w := s.workers[id]
 		s.checkLapse(w, now)
