Catch up from peers and tell them of withdrawn keys

Cause: an instance that could not reach the log heard of no change and no withdrawn key until the log came back, and anyone was taken for an operator only at version 0, so that a cell whose first change declared no operator key could never get one. Change: an instance asks a peer that is ahead for log entries while the log is silent, at most once in 200 ms; a withdrawal is told at once to the peers that have not applied it, and passed on by those to which it is new; the first operator key may be declared until there is one. Shown by: go test -race ./internal/core ./internal/declare (passes).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,6 +115,7 @@
 func (c *Core) handle(e event.Event) {
 	switch e := e.(type) {
 	case event.Tick:
+		c.reader.catchUp()
 		for _, h := range c.ticks {
 			h.OnTick()
 		}
@@ -165,6 +166,8 @@
 	case wire.LogEntries:
 		c.reader.take(m.Entries)
 		return
+	case wire.Heartbeat:
+		c.reader.notice(e.From, m)
 	}
 	for _, h := range c.messages {
 		h.OnMessage(e.From, e.Message)
--- a/internal/core/logreader.go
+++ b/internal/core/logreader.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"pollenbend/internal/event"
 	"pollenbend/internal/kernel"
 	"pollenbend/internal/platform"
@@ -18,6 +20,10 @@
 
 	next   uint64 // offset of the next entry to apply
 	recent []platform.Entry
+
+	ahead     ahead
+	nextFetch time.Duration
+	logAt     time.Duration // when the log answered last
 }
 
 const (
@@ -37,6 +43,7 @@
 }
 
 func (r *logReader) read(e event.LogRead) {
+	r.logAt = r.env.Now()
 	if e.Oldest > r.next && len(e.Entries) > 0 {
 		r.next = max(r.next, e.Entries[0].Offset)
 	}
--- a/internal/declare/keys.go
+++ b/internal/declare/keys.go
@@ -78,11 +78,14 @@
 func isOperator(k model.Key) bool { return k.Scope == model.ScopeOperator }
 
 // Withdraw refuses the key with the hash of w until the state has folded the
-// log up to w.Offset. It is for withdrawals heard from a peer.
-func (s *State) Withdraw(w Withdrawal) {
-	if w.Offset > s.applied {
-		s.secrets.withdrawn[w.SHA256] = max(s.secrets.withdrawn[w.SHA256], w.Offset)
+// log up to w.Offset. It is for withdrawals heard from a peer. It reports whether
+// w was new.
+func (s *State) Withdraw(w Withdrawal) bool {
+	if w.Offset <= s.applied || s.secrets.withdrawn[w.SHA256] >= w.Offset {
+		return false
 	}
+	s.secrets.withdrawn[w.SHA256] = w.Offset
+	return true
 }
 
 // withdrawnBy lists the keys that a change deletes or alters.
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -20,6 +20,7 @@
 // Members tells how well this instance is connected to the others.
 type Members interface {
 	Majority() bool
+	Peers() []model.InstanceID
 }
 
 // Service is the configuration service.
@@ -34,6 +35,7 @@
 	pending map[string]*change
 	appends map[uint64]string // append id to change id
 	serial  uint64
+	heard   map[wire.WithdrawnKey]bool // withdrawals that came from a peer first
 }
 
 // peerView is what a peer's last heartbeat said of the log.
@@ -62,6 +64,7 @@
 		peers:   make(map[model.InstanceID]peerView),
 		pending: make(map[string]*change),
 		appends: make(map[uint64]string),
+		heard:   make(map[wire.WithdrawnKey]bool),
 	}
 }
 
@@ -81,15 +84,27 @@
 	}
 }
 
-// OnEntry notes how far the log is applied.
-func (s *Service) OnEntry(offset uint64) { s.applied = offset }
+// OnEntry notes how far the log is applied, and forgets withdrawals up to there.
+func (s *Service) OnEntry(offset uint64) {
+	s.applied = offset
+	for k := range s.heard {
+		if k.Offset <= offset {
+			delete(s.heard, k)
+		}
+	}
+}
 
-// OnMessage notes what peers say of the log.
+// OnMessage notes what peers say of the log and of withdrawn keys.
 func (s *Service) OnMessage(from wire.Owner, m wire.Message) {
-	beat, ok := m.(wire.Heartbeat)
-	if !ok {
-		return
+	switch m := m.(type) {
+	case wire.Heartbeat:
+		s.onHeartbeat(from, m)
+	case wire.KeysWithdrawn:
+		s.onWithdrawn(m)
 	}
+}
+
+func (s *Service) onHeartbeat(from wire.Owner, beat wire.Heartbeat) {
 	s.peers[from.Instance] = peerView{
 		applied: beat.Applied, reachedAt: s.env.Now() - beat.LogAge, heardAt: s.env.Now(),
 	}
@@ -127,6 +142,7 @@
 		return
 	}
 	result := s.state.Apply(offset, c.Change)
+	s.tellWithdrawn(result.Withdrawn)
 	if p, waiting := s.pending[c.Change.ID]; waiting {
 		s.settle(c.Change.ID, p, answerOf(c.Change.ID, result))
 	}
@@ -255,7 +271,7 @@
 	if ok {
 		return "", verdict.Refuse(verdict.CodeForbidden, "key %q is not an operator's key", key.Name)
 	}
-	if s.state.Version() == 0 && s.Fresh() {
+	if !s.state.HasOperator() && s.Fresh() {
 		return "bootstrap", nil
 	}
 	return "", verdict.Refuse(verdict.CodeUnauthorized, "the key is not known or was withdrawn")
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -33,6 +33,7 @@
 	kindFetchLog
 	kindLogEntries
 	kindFetchCoverage
+	kindKeysWithdrawn
 )
 
 func (Claim) recordKind() kind        { return kindClaim }
@@ -55,6 +56,7 @@
 func (FetchLog) messageKind() kind      { return kindFetchLog }
 func (LogEntries) messageKind() kind    { return kindLogEntries }
 func (FetchCoverage) messageKind() kind { return kindFetchCoverage }
+func (KeysWithdrawn) messageKind() kind { return kindKeysWithdrawn }
 
 var recordTypes = typesByKind([]Record{
 	Claim{}, Handover{}, ConfigChange{}, JobAccepted{}, JobProgress{}, JobCanceled{},
@@ -62,7 +64,7 @@
 
 var messageTypes = typesByKind([]Message{
 	Heartbeat{}, Coverage{}, Grant{}, Forward{}, Reply{}, Dispatch{}, TaskState{},
-	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{},
+	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{}, KeysWithdrawn{},
 }, Message.messageKind)
 
 func typesByKind[T any](samples []T, kindOf func(T) kind) map[kind]reflect.Type {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -145,3 +145,16 @@
 type LogEntries struct {
 	Entries []platform.Entry `cbor:"1,keyasint" json:"entries"`
 }
+
+// KeysWithdrawn tells of keys that a change withdrew. The receiver refuses them
+// until it has folded the log up to their offsets.
+type KeysWithdrawn struct {
+	Keys []WithdrawnKey `cbor:"1,keyasint" json:"keys"`
+}
+
+// WithdrawnKey is the hash of a key's secret and the offset of the change that
+// withdrew it.
+type WithdrawnKey struct {
+	SHA256 string `cbor:"1,keyasint" json:"sha256"`
+	Offset uint64 `cbor:"2,keyasint" json:"offset"`
+}
