--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -12,6 +12,12 @@
 	// logSilence is the time without an answer of the log after which peers
 	// are asked in its place.
 	logSilence = 200 * time.Millisecond
+	// snapshotInterval is the shortest time between two questions for a
+	// snapshot.
+	snapshotInterval = 2 * time.Second
+	// maxFollowed is the number of missing entries from which on a snapshot is
+	// asked for in their place.
+	maxFollowed = 4 * maxServed
 )
 
 // ahead is the peer heard last that had applied the log further than this core.
@@ -35,7 +41,12 @@
 	if r.ahead.applied < r.next || now < r.nextFetch {
 		return
 	}
-	if r.logAt > 0 && now-r.logAt < logSilence {
+	if r.logAt > 0 && now-r.logAt < logSilence && !r.lost {
+		return
+	}
+	if r.ahead.applied-r.next >= maxFollowed {
+		r.nextFetch = now + snapshotInterval
+		r.env.Send(r.ahead.peer.Instance, wire.FetchSnapshot{})
 		return
 	}
 	r.nextFetch = now + fetchInterval
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"pollenbend/internal/service/membership"
 	"pollenbend/internal/service/ownership"
 	"pollenbend/internal/service/requests"
+	"pollenbend/internal/service/snapshots"
 	"pollenbend/internal/wire"
 )
 
@@ -68,6 +69,7 @@
 		limits.New(env),
 		requests.New(env),
 		gateway.New(env),
+		snapshots.New(env),
 	} {
 		if err := k.Register(s); err != nil {
 			return nil, err
@@ -78,12 +80,16 @@
 			return nil, errors.Wrap(err, "bind services")
 		}
 	}
-	return assemble(env, k), nil
+	return assemble(env, k)
 }
 
-func assemble(env *event.Env, k *kernel.Kernel) *Core {
+func assemble(env *event.Env, k *kernel.Kernel) (*Core, error) {
+	reader, err := newLogReader(env, k)
+	if err != nil {
+		return nil, err
+	}
 	return &Core{
-		env: env, kernel: k, reader: newLogReader(env, k),
+		env: env, kernel: k, reader: reader,
 		ticks:     kernel.All[service.TickHandler](k),
 		listings:  kernel.All[service.ListingHandler](k),
 		messages:  kernel.All[service.MessageHandler](k),
@@ -93,7 +99,7 @@
 		callers:   kernel.All[service.CallerHandler](k),
 		drains:    kernel.All[service.DrainHandler](k),
 		stepEnds:  kernel.All[service.StepEndHandler](k),
-	}
+	}, nil
 }
 
 // Kernel returns the registry, for reading state in status pages and tests.
@@ -166,6 +172,12 @@
 	case wire.LogEntries:
 		c.reader.take(m.Entries)
 		return
+	case wire.FetchSnapshot:
+		c.reader.sendSnapshot(e.From)
+		return
+	case wire.SnapshotState:
+		c.reader.adoptFrom(m)
+		return
 	case wire.Heartbeat:
 		c.reader.notice(e.From, m)
 	}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -30,7 +30,6 @@
 type cell struct {
 	t       *testing.T
 	now     time.Duration
-	wall    time.Time
 	cores   map[model.InstanceID]*Core
 	order   []platform.Instance
 	logCut  map[model.InstanceID]bool
@@ -96,6 +95,9 @@
 	data, err := wire.EncodeEntry(records)
 	require.NoError(c.t, err)
 	offset := c.next()
+	if _, ok := records[0].(wire.Snapshot); ok {
+		c.snaps = append(c.snaps, offset)
+	}
 	c.log = append(c.log, platform.Entry{Offset: offset, Data: data})
 	return offset
 }
--- a/internal/core/logreader.go
+++ b/internal/core/logreader.go
@@ -18,8 +18,12 @@
 	records []service.RecordHandler
 	logs    []service.LogHandler
 
+	snapshots snapshotter
+
 	next   uint64 // offset of the next entry to apply
 	recent []platform.Entry
+	unread []platform.Entry // kept while the log has dropped the next entry
+	lost   bool             // whether the log has dropped the next entry
 
 	ahead     ahead
 	nextFetch time.Duration
@@ -32,22 +36,28 @@
 	maxServed   = 256
 )
 
-func newLogReader(env *event.Env, k *kernel.Kernel) *logReader {
+func newLogReader(env *event.Env, k *kernel.Kernel) (*logReader, error) {
+	snaps, err := kernel.Find[snapshotter](k, service.Snapshots)
 	return &logReader{
 		env:     env,
 		entries: kernel.All[service.EntryHandler](k),
 		records: kernel.All[service.RecordHandler](k),
 		logs:    kernel.All[service.LogHandler](k),
 		next:    firstOffset,
-	}
+
+		snapshots: snaps,
+	}, err
 }
 
 func (r *logReader) read(e event.LogRead) {
 	r.logAt = r.env.Now()
-	if e.Oldest > r.next && len(e.Entries) > 0 {
-		r.next = max(r.next, e.Entries[0].Offset)
+	if e.Oldest > r.next {
+		r.seek(e.Entries)
+	} else {
+		r.unread = nil
+		r.take(e.Entries)
 	}
-	r.take(e.Entries)
+	r.lost = e.Oldest > r.next
 	for _, h := range r.logs {
 		h.OnLog(e.Oldest, e.Next)
 	}
@@ -90,8 +100,13 @@
 	}
 }
 
-// serve sends entries to a peer that asks for them.
+// serve sends entries to a peer that asks for them, or the state if they are no
+// longer at hand.
 func (r *logReader) serve(to wire.Owner, m wire.FetchLog) {
+	if m.From < r.next && (len(r.recent) == 0 || m.From < r.recent[0].Offset) {
+		r.sendSnapshot(to)
+		return
+	}
 	var out []platform.Entry
 	for _, e := range r.recent {
 		if e.Offset >= m.From && len(out) < maxServed {
--- /dev/null
+++ b/internal/service/config/snapshot.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"maps"
+	"slices"
+
+	"pollenbend/internal/declare"
+	"pollenbend/internal/service"
+)
+
+// SnapshotName implements service.Snapshotter.
+func (s *Service) SnapshotName() string { return service.Config }
+
+// Snapshot implements service.Snapshotter.
+func (s *Service) Snapshot() []byte { return s.state.Snapshot() }
+
+// Restore implements service.Snapshotter. A state that folded more stays. Changes
+// that the snapshot settles are answered.
+func (s *Service) Restore(data []byte) error {
+	other, err := declare.Restore(data)
+	if err != nil {
+		return err
+	}
+	s.state.Adopt(other)
+	for _, id := range slices.Sorted(maps.Keys(s.pending)) {
+		if r, ok := s.state.Settled(id); ok {
+			s.settle(id, s.pending[id], answerOf(id, r))
+		}
+	}
+	return nil
+}
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -100,11 +100,16 @@
 	if int(st.Shard) >= len(s.slots) || s.slots[st.Shard].Term != st.Term {
 		return
 	}
-	before := s.slots[st.Shard]
-	s.slots[st.Shard] = Slot{Owner: to, Term: offset}
+	s.moved(st.Shard, Slot{Owner: to, Term: offset}, st.Term, planned)
+}
+
+// moved changes a line of the table and tells the other services.
+func (s *Service) moved(shard model.Shard, after Slot, oldTerm uint64, planned bool) {
+	before := s.slots[shard]
+	s.slots[shard] = after
 	move := service.ShardMove{
-		Shard: st.Shard, Before: before.Owner, After: to,
-		OldTerm: before.Term, Term: offset, Planned: planned,
+		Shard: shard, Before: before.Owner, After: after.Owner,
+		OldTerm: oldTerm, Term: after.Term, Planned: planned,
 	}
 	for _, l := range s.listeners {
 		l.OnShardMoved(move)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -20,6 +20,7 @@
 	Jobs       = "jobs"
 	Gateway    = "gateway"
 	Timeline   = "timeline"
+	Snapshots  = "snapshots"
 )
 
 // TickHandler is called on every tick.
@@ -89,3 +90,12 @@
 
 // StepEndHandler is called at the end of every step, after all other handlers.
 type StepEndHandler interface{ OnStepEnd() }
+
+// Snapshotter is a service whose state is a fold of the log. Snapshot encodes the
+// state; Restore replaces an older state by an encoded one and returns an error,
+// with nothing changed, when it cannot read it. Terms and versions never fall.
+type Snapshotter interface {
+	SnapshotName() string
+	Snapshot() []byte
+	Restore(data []byte) error
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -17,6 +17,7 @@
 	kindJobAccepted
 	kindJobProgress
 	kindJobCanceled
+	kindSnapshot
 )
 
 const (
@@ -34,6 +35,8 @@
 	kindLogEntries
 	kindFetchCoverage
 	kindKeysWithdrawn
+	kindFetchSnapshot
+	kindSnapshotState
 )
 
 func (Claim) recordKind() kind        { return kindClaim }
@@ -42,6 +45,7 @@
 func (JobAccepted) recordKind() kind  { return kindJobAccepted }
 func (JobProgress) recordKind() kind  { return kindJobProgress }
 func (JobCanceled) recordKind() kind  { return kindJobCanceled }
+func (Snapshot) recordKind() kind     { return kindSnapshot }
 
 func (Heartbeat) messageKind() kind     { return kindHeartbeat }
 func (Coverage) messageKind() kind      { return kindCoverage }
@@ -57,14 +61,17 @@
 func (LogEntries) messageKind() kind    { return kindLogEntries }
 func (FetchCoverage) messageKind() kind { return kindFetchCoverage }
 func (KeysWithdrawn) messageKind() kind { return kindKeysWithdrawn }
+func (FetchSnapshot) messageKind() kind { return kindFetchSnapshot }
+func (SnapshotState) messageKind() kind { return kindSnapshotState }
 
 var recordTypes = typesByKind([]Record{
-	Claim{}, Handover{}, ConfigChange{}, JobAccepted{}, JobProgress{}, JobCanceled{},
+	Claim{}, Handover{}, ConfigChange{}, JobAccepted{}, JobProgress{}, JobCanceled{}, Snapshot{},
 }, Record.recordKind)
 
 var messageTypes = typesByKind([]Message{
 	Heartbeat{}, Coverage{}, Grant{}, Forward{}, Reply{}, Dispatch{}, TaskState{},
 	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{}, KeysWithdrawn{},
+	FetchSnapshot{}, SnapshotState{},
 }, Message.messageKind)
 
 func typesByKind[T any](samples []T, kindOf func(T) kind) map[kind]reflect.Type {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -158,3 +158,12 @@
 	SHA256 string `cbor:"1,keyasint" json:"sha256"`
 	Offset uint64 `cbor:"2,keyasint" json:"offset"`
 }
+
+// FetchSnapshot asks a peer for a snapshot of its state. The answer is a
+// SnapshotState.
+type FetchSnapshot struct{}
+
+// SnapshotState carries a peer's state.
+type SnapshotState struct {
+	Snapshot Snapshot `cbor:"1,keyasint" json:"snapshot"`
+}
--- a/internal/wire/record.go
+++ b/internal/wire/record.go
@@ -60,3 +60,16 @@
 	Team model.TeamID `cbor:"1,keyasint" json:"team"`
 	Job  model.JobID  `cbor:"2,keyasint" json:"job"`
 }
+
+// Snapshot is the state of the services after the entry at Applied. It stands in
+// the log so that a reader can begin there, and is no change of the state.
+type Snapshot struct {
+	Applied uint64         `cbor:"1,keyasint" json:"applied"`
+	Parts   []SnapshotPart `cbor:"2,keyasint" json:"parts"`
+}
+
+// SnapshotPart is the state of one service, in the service's own encoding.
+type SnapshotPart struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	Data []byte `cbor:"2,keyasint" json:"data"`
+}
