Put the hours of policies in force

Cause: shares and limits by the hour were declared but never looked at. Change: each tick carries the time of day; shares and limits are those of the hour. A team with a limit at any hour runs under ceilings at all hours, so that only the clock of its shard's owner decides when a limit begins. Shown by: go test -race ./internal/core. TestLimitByTheHourFollowsOneClock fails when instances ask their own clock whether there is a limit.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,6 +121,7 @@
 func (c *Core) handle(e event.Event) {
 	switch e := e.(type) {
 	case event.Tick:
+		c.env.SetWall(e.Wall)
 		c.reader.catchUp()
 		for _, h := range c.ticks {
 			h.OnTick()
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -30,6 +30,8 @@
 type cell struct {
 	t       *testing.T
 	now     time.Duration
+	began   time.Time // time of day at now 0, or zero
+	skew    map[model.InstanceID]time.Duration
 	cores   map[model.InstanceID]*Core
 	order   []platform.Instance
 	logCut  map[model.InstanceID]bool
@@ -116,11 +118,19 @@
 			if !c.logCut[i.ID] {
 				c.read(i.ID)
 			}
-			c.step(i.ID, event.Tick{})
+			c.step(i.ID, event.Tick{Wall: c.wall(i.ID)})
 		}
 	}
 }
 
+// wall returns the time of day by an instance's clock.
+func (c *cell) wall(at model.InstanceID) time.Time {
+	if c.began.IsZero() {
+		return c.began
+	}
+	return c.began.Add(c.now + c.skew[at])
+}
+
 func (c *cell) change(id string, base uint64, put model.Declarations, del ...model.ObjectRef) uint64 {
 	return c.append(wire.ConfigChange{Change: model.Change{ID: id, Base: base, Put: put, Delete: del}})
 }
--- a/internal/declare/policy.go
+++ b/internal/declare/policy.go
@@ -25,6 +25,15 @@
 	return t, true
 }
 
+// Limited reports whether the team has an upper limit at any hour: its own or a
+// policy's, even one whose time zone this machine does not know.
+func (s *State) Limited(id model.TeamID) bool {
+	if s.teams[id].Limit > 0 {
+		return true
+	}
+	return slices.ContainsFunc(s.byTeam[id], func(p policy) bool { return p.Limit > 0 })
+}
+
 // policy is a declared policy with its time zone at hand.
 type policy struct {
 	model.Policy
--- a/internal/event/env.go
+++ b/internal/event/env.go
@@ -27,6 +27,7 @@
 	Timing Timing
 
 	now     time.Duration
+	wall    time.Time
 	rng     *rand.Rand
 	actions []Action
 	appends uint64
@@ -45,6 +46,14 @@
 // Now returns the time of the current step on this instance's monotonic clock.
 func (e *Env) Now() time.Duration { return e.now }
 
+// Wall returns the time of day as of the last tick, or zero if it is not known. It
+// may run backwards and differ between instances; only rules that are declared
+// by the hour may follow it.
+func (e *Env) Wall() time.Time { return e.wall }
+
+// SetWall sets the time of day.
+func (e *Env) SetWall(t time.Time) { e.wall = t }
+
 // Rand returns the source of randomness.
 func (e *Env) Rand() *rand.Rand { return e.rng }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -14,8 +14,9 @@
 // Event enters the core.
 type Event interface{ isEvent() }
 
-// Tick arrives at a steady rate.
-type Tick struct{}
+// Tick arrives at a steady rate. Wall is the time of day by this instance's
+// clock, or zero if it is not known.
+type Tick struct{ Wall time.Time }
 
 // LogRead carries entries read from the log, in order. An empty one tells that
 // the log answered.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,7 @@
 		case e := <-n.inbox:
 			n.step(e)
 		case <-ticker.C:
-			n.step(event.Tick{})
+			n.step(event.Tick{Wall: time.Now()})
 			n.view.Store(n.probe.view(n.draining.Load()))
 		}
 	}
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -284,29 +284,3 @@
 
 // Service returns a declared service.
 func (s *Service) Service(name string) (model.Service, bool) { return s.state.Service(name) }
-
-// Share returns a team's weight.
-func (s *Service) Share(id model.TeamID) int64 {
-	t, ok := s.state.Team(id)
-	if !ok {
-		return 1
-	}
-	return max(t.Share, 1)
-}
-
-// Limit returns the most tasks that a team may run, 0 for no limit.
-func (s *Service) Limit(id model.TeamID) int64 {
-	t, _ := s.state.Team(id)
-	return t.Limit
-}
-
-// LimitedTeams returns the teams with an upper limit, sorted.
-func (s *Service) LimitedTeams() []model.TeamID {
-	var teams []model.TeamID
-	for _, t := range s.state.Declarations().Teams {
-		if t.Limit > 0 {
-			teams = append(teams, t.Name)
-		}
-	}
-	return teams
-}
--- /dev/null
+++ b/internal/service/config/hours.go
@@ -0,0 +1,40 @@
+package config
+
+import "pollenbend/internal/model"
+
+// team returns a team with the share and limit of this hour. Without a time of
+// day no policy is in force.
+func (s *Service) team(id model.TeamID) (model.Team, bool) {
+	if wall := s.env.Wall(); !wall.IsZero() {
+		return s.state.TeamAt(id, wall)
+	}
+	return s.state.Team(id)
+}
+
+// Share returns a team's weight at this hour.
+func (s *Service) Share(id model.TeamID) int64 {
+	t, _ := s.team(id)
+	return max(t.Share, 1)
+}
+
+// Limit returns the most tasks that a team may run at this hour by this
+// instance's clock, 0 for no limit.
+func (s *Service) Limit(id model.TeamID) int64 {
+	t, _ := s.team(id)
+	return t.Limit
+}
+
+// Limited reports whether a team has an upper limit at any hour. It does not
+// depend on the clock.
+func (s *Service) Limited(id model.TeamID) bool { return s.state.Limited(id) }
+
+// LimitedTeams returns the teams with an upper limit at any hour, sorted.
+func (s *Service) LimitedTeams() []model.TeamID {
+	var teams []model.TeamID
+	for _, t := range s.state.Declarations().Teams {
+		if s.Limited(t.Name) {
+			teams = append(teams, t.Name)
+		}
+	}
+	return teams
+}
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -5,6 +5,9 @@
 // the team than its ceiling. The sum of the ceilings, plus every slot of every
 // worker whose holder is not heard, never passes the limit. What cannot be
 // reached still counts as used.
+//
+// A limit by the hour follows the clock of the shard's owner alone. A team with a
+// limit at any hour runs under ceilings at all hours.
 package limits
 
 import (
@@ -21,8 +24,11 @@
 
 // Config tells the limit in force for a team.
 type Config interface {
-	// Limit returns the most tasks that a team may run, 0 for no limit.
+	// Limit returns the most tasks that a team may run at this hour, 0 for no
+	// limit.
 	Limit(model.TeamID) int64
+	// Limited reports whether a team has a limit at any hour, whatever the clock.
+	Limited(model.TeamID) bool
 	LimitedTeams() []model.TeamID
 }
 
@@ -93,6 +99,8 @@
 	// lowerSlack is how far a ceiling may stand above its target before it is
 	// called back.
 	lowerSlack = 1
+	// noLimit is split in hours without a limit; it is more than any fleet runs.
+	noLimit = int64(1) << 40
 )
 
 // New returns the limits service.
@@ -128,7 +136,7 @@
 
 // MayStart reports whether one more task of team may start here.
 func (s *Service) MayStart(team model.TeamID) bool {
-	if s.config.Limit(team) == 0 {
+	if !s.config.Limited(team) {
 		return true
 	}
 	if s.ledger.Running(team) < s.held[team].max {
@@ -220,11 +228,12 @@
 	if !ok {
 		return
 	}
-	free := s.config.Limit(team) - s.uncovered()
+	limit := s.limit(team) - s.uncovered()
+	free := limit
 	for _, h := range holdings {
 		free -= h.bound
 	}
-	targets := split(s.config.Limit(team)-s.uncovered(), holdings)
+	targets := split(limit, holdings)
 	for i, h := range holdings {
 		switch target := targets[i]; {
 		case target > h.bound && free > 0:
@@ -237,6 +246,14 @@
 	}
 }
 
+// limit returns the limit to split at this hour.
+func (s *Service) limit(team model.TeamID) int64 {
+	if limit := s.config.Limit(team); limit > 0 {
+		return limit
+	}
+	return noLimit
+}
+
 // OnShardMoved makes the new owner of a shard wait one worker lease before its
 // first grant, so that every holder that it does not hear has lost the leases
 // under which it could still start tasks.
