Test limits by the hour with every skew of the clocks

Change: the test runs with all other clocks behind, equal and ahead. Shown by: with MayStart asking the local clock, the run with clocks behind now fails; without that change all pass.

--- a/internal/core/hours_test.go
+++ b/internal/core/hours_test.go
@@ -76,20 +76,24 @@
 	return n
 }
 
-// TestLimitByTheHourFollowsOneClock lets three clocks disagree by five minutes on
-// either side of the hour at which a limit of one task begins.
+// TestLimitByTheHourFollowsOneClock lets the other clocks disagree with that of the
+// shard's owner by five minutes at the hour at which a limit of one task begins.
 func TestLimitByTheHourFollowsOneClock(t *testing.T) {
-	c := newCell(t, "a", "b", "c")
-	c.began = time.Date(2026, 3, 29, 16, 29, 0, 0, time.UTC)
-	c.change("1", 0, evening("Europe/Dublin", 17*time.Hour+30*time.Minute, 20*time.Hour))
-	c.run(30 * time.Second)
-	require.Equal(t, 3, c.mayStart("t"), "before the hour there is no limit")
+	for _, skew := range []time.Duration{-5 * time.Minute, 0, 5 * time.Minute} {
+		t.Run(skew.String(), func(t *testing.T) {
+			c := newCell(t, "a", "b", "c")
+			c.began = time.Date(2026, 3, 29, 16, 29, 0, 0, time.UTC)
+			c.change("1", 0, evening("Europe/Dublin", 17*time.Hour+30*time.Minute, 20*time.Hour))
+			c.run(30 * time.Second)
+			require.Equal(t, 3, c.mayStart("t"), "before the hour there is no limit")
 
-	owner := c.table("a")[model.ShardOfTeam("t")].Owner.Instance
-	c.skew = map[model.InstanceID]time.Duration{"a": -5 * time.Minute, "b": 5 * time.Minute, "c": -5 * time.Minute}
-	c.skew[owner] = 0
-	c.run(28 * time.Second)
-	require.Equal(t, 3, c.mayStart("t"), "the clocks of others begin no limit")
-	c.run(5 * time.Second)
-	require.Equal(t, 1, c.mayStart("t"), "nor do they delay it")
+			owner := c.table("a")[model.ShardOfTeam("t")].Owner.Instance
+			c.skew = map[model.InstanceID]time.Duration{"a": skew, "b": skew, "c": skew}
+			c.skew[owner] = 0
+			c.run(28 * time.Second)
+			require.Equal(t, 3, c.mayStart("t"), "the clocks of others begin no limit")
+			c.run(5 * time.Second)
+			require.Equal(t, 1, c.mayStart("t"), "nor do they delay it")
+		})
+	}
 }
