--- a/internal/core/hours_test.go
+++ b/internal/core/hours_test.go
@@ -47,7 +47,7 @@
 			c := newCell(t, "a")
 			c.change("1", 0, evening(tt.zone, tt.from, tt.until))
 			c.run(stepTime)
-			require.EqualValues(t, 3, c.config("a").Share("t"), "without a time of day no policy is in force")
+			require.EqualValues(t, 3, c.config("a").Teams()[0].Share, "without a time of day no policy is in force")
 			require.Zero(t, c.config("a").Limit("t"))
 			first, err := time.Parse(time.RFC3339, tt.first)
 			require.NoError(t, err)
@@ -56,7 +56,7 @@
 			for _, at := range []time.Time{first.Add(-time.Minute), first, last.Add(-time.Minute), last} {
 				c.step("a", event.Tick{Wall: at})
 				in := !at.Before(first) && at.Before(last)
-				require.Equal(t, in, c.config("a").Share("t") == 9, at)
+				require.Equal(t, in, c.config("a").Teams()[0].Share == 9, at)
 				require.Equal(t, in, c.config("a").Limit("t") == 1, at)
 			}
 		})
--- a/internal/service/config/hours.go
+++ b/internal/service/config/hours.go
@@ -11,10 +11,13 @@
 	return s.state.Team(id)
 }
 
-// Share returns a team's weight at this hour.
-func (s *Service) Share(id model.TeamID) int64 {
-	t, _ := s.team(id)
-	return max(t.Share, 1)
+// Teams returns the declared teams with the shares and limits of this hour.
+func (s *Service) Teams() []model.Team {
+	teams := s.state.Declarations().Teams
+	for i := range teams {
+		teams[i], _ = s.team(teams[i].Name)
+	}
+	return teams
 }
 
 // Limit returns the most tasks that a team may run at this hour by this
