--- a/internal/declare/keys.go
+++ b/internal/declare/keys.go
@@ -55,7 +55,15 @@
 // Authenticate returns the key that belongs to a secret. Hashes are compared in
 // constant time.
 func (s *State) Authenticate(secret string) (model.Key, bool) {
-	hash := HashSecret(secret)
+	return s.AuthenticateHash(HashSecret(secret))
+}
+
+// AuthenticateHash returns the key that belongs to the SHA-256 hash of a secret,
+// in hex.
+func (s *State) AuthenticateHash(hash string) (model.Key, bool) {
+	if len(hash) != hex.EncodedLen(sha256.Size) {
+		return model.Key{}, false
+	}
 	name, ok := s.secrets.find(hash)
 	if !ok {
 		return model.Key{}, false
@@ -78,11 +86,14 @@
 func isOperator(k model.Key) bool { return k.Scope == model.ScopeOperator }
 
 // Withdraw refuses the key with the hash of w until the state has folded the
-// log up to w.Offset. It is for withdrawals heard from a peer.
-func (s *State) Withdraw(w Withdrawal) {
-	if w.Offset > s.applied {
-		s.secrets.withdrawn[w.SHA256] = max(s.secrets.withdrawn[w.SHA256], w.Offset)
+// log up to w.Offset. It is for withdrawals heard from a peer. It reports whether
+// w was new.
+func (s *State) Withdraw(w Withdrawal) bool {
+	if w.Offset <= s.applied || s.secrets.withdrawn[w.SHA256] >= w.Offset {
+		return false
 	}
+	s.secrets.withdrawn[w.SHA256] = w.Offset
+	return true
 }
 
 // withdrawnBy lists the keys that a change deletes or alters.
