Bound teams by their fair part while others wait, and reserve room for large tasks

Cause: on a full fleet teams with small tasks filled every gap, held them with long-running services and stayed far above their part. Change: Rebalance sets a ceiling one percent above each team's fair part; a hold on a bounded number of workers gathers room for large tasks; parked tasks don't hold up what waits behind them; Wake looks at blocked lanes only.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -95,9 +95,9 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-// BenchmarkPack fills an empty fleet until the first task that would fit in total
+// BenchmarkPlacePacking fills an empty fleet until the first task that would fit in total
 // can't be placed, and reports the part of the processors then in use.
-func BenchmarkPack(b *testing.B) {
+func BenchmarkPlacePacking(b *testing.B) {
 	for _, workers := range benchFleets {
 		for _, name := range policyNames {
 			b.Run(fmt.Sprintf("workers=%d/policy=%s", workers, name), func(b *testing.B) {
--- a/internal/scheduler/fleet/hold.go
+++ b/internal/scheduler/fleet/hold.go
@@ -33,6 +33,9 @@
 	return h, ok
 }
 
+// Holds returns the number of holds.
+func (f *Fleet) Holds() int { return len(f.holds) }
+
 // Unhold drops a task's hold, if it has one, and returns it.
 func (f *Fleet) Unhold(id model.TaskID) (Hold, bool) {
 	h, ok := f.holds[id]
@@ -50,14 +53,30 @@
 	f.addHeld(h.Node, h.Demand)
 }
 
-// ExpireHolds drops the holds whose time is over and returns their number.
-func (f *Fleet) ExpireHolds(now time.Duration) int {
+// HoldsOn returns the tasks that hold room on a worker, sorted.
+func (f *Fleet) HoldsOn(n *Node) []model.TaskID {
+	if n.held.IsZero() {
+		return nil
+	}
+	return f.findHolds(func(h Hold) bool { return h.Node == n })
+}
+
+// ExpireHolds drops the holds whose time is over and returns their tasks, sorted.
+func (f *Fleet) ExpireHolds(now time.Duration) []model.TaskID {
 	return f.dropHolds(func(h Hold) bool { return h.Expires <= now })
 }
 
 // dropHolds drops the holds that match, in the order of their tasks' names so
 // that the index is the same in any run.
-func (f *Fleet) dropHolds(match func(Hold) bool) int {
+func (f *Fleet) dropHolds(match func(Hold) bool) []model.TaskID {
+	found := f.findHolds(match)
+	for _, id := range found {
+		f.Unhold(id)
+	}
+	return found
+}
+
+func (f *Fleet) findHolds(match func(Hold) bool) []model.TaskID {
 	var found []model.TaskID
 	for id, h := range f.holds {
 		if match(h) {
@@ -65,10 +84,7 @@
 		}
 	}
 	slices.Sort(found)
-	for _, id := range found {
-		f.Unhold(id)
-	}
-	return len(found)
+	return found
 }
 
 // WithoutHold calls do as if the task had no hold, and gives do the worker it
--- a/internal/scheduler/queue/cancel.go
+++ b/internal/scheduler/queue/cancel.go
@@ -1,9 +1,19 @@
 package queue
 
-import "pollenbend/internal/model"
+import (
+	"cmp"
+	"slices"
+
+	"pollenbend/internal/model"
+)
 
 // Cancel takes a waiting task out and returns it, or nil when it doesn't wait.
 func (q *Queue) Cancel(id model.TaskID) *model.Task {
+	if it := q.parked[id]; it != nil {
+		delete(q.parked, id)
+		q.team(it.task.Team).addWaiting(it.task, -1)
+		return it.task
+	}
 	it := q.waiting[id]
 	if it == nil {
 		return nil
@@ -19,7 +29,7 @@
 // them in the order received within each class and lane.
 func (q *Queue) CancelJob(name model.TeamID, job model.JobID) []*model.Task {
 	tm := q.team(name)
-	var out []*model.Task
+	out := q.cancelParked(tm, job)
 	for class := range tm.backlogs {
 		b := &tm.backlogs[class]
 		for i := range b.lanes {
@@ -30,6 +40,23 @@
 	return out
 }
 
+func (q *Queue) cancelParked(tm *team, job model.JobID) []*model.Task {
+	var found []*item
+	for _, it := range q.parked {
+		if it.task.Team == tm.name && it.task.Job == job {
+			found = append(found, it)
+		}
+	}
+	slices.SortFunc(found, func(a, b *item) int { return cmp.Compare(a.seq, b.seq) })
+	var out []*model.Task
+	for _, it := range found {
+		out = append(out, it.task)
+		delete(q.parked, it.task.ID)
+		tm.addWaiting(it.task, -1)
+	}
+	return out
+}
+
 func (q *Queue) cancelInLane(tm *team, b *backlog, l *lane, job model.JobID) []*model.Task {
 	var found []*item
 	for _, it := range l.items[l.head:] {
@@ -50,6 +77,6 @@
 	delete(q.waiting, t.ID)
 	it.task = nil
 	b.size--
-	tm.waiting--
+	tm.addWaiting(t, -1)
 	b.laneOf(t).canceled()
 }
--- a/internal/scheduler/queue/lane.go
+++ b/internal/scheduler/queue/lane.go
@@ -18,6 +18,7 @@
 	items   []*item
 	head    int
 	blocked bool
+	listed  bool // in Queue.blocked
 }
 
 func (l *lane) empty() bool { return l.head == len(l.items) }
@@ -26,16 +27,20 @@
 
 func (l *lane) push(it *item) { l.items = append(l.items, it) }
 
-// pushFront puts a task back in its place.
+// pushFront puts a task back before all that were received later.
 func (l *lane) pushFront(it *item) {
-	if l.head > 0 {
+	if l.head == 0 {
+		l.items = append(l.items, nil)
+		copy(l.items[1:], l.items)
+	} else {
 		l.head--
-		l.items[l.head] = it
-		return
 	}
-	l.items = append(l.items, nil)
-	copy(l.items[1:], l.items)
-	l.items[0] = it
+	at := l.head
+	for at+1 < len(l.items) && l.items[at+1].seq < it.seq {
+		l.items[at] = l.items[at+1]
+		at++
+	}
+	l.items[at] = it
 }
 
 func (l *lane) pop() *item {
--- a/internal/scheduler/queue/queue.go
+++ b/internal/scheduler/queue/queue.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,8 @@
 	entries  [classCount]entry
 	limited  bool // its upper limit was reached
 	waiting  int
+	demand   model.Resources // of what waits
+	ceiling  float64         // dominant part up to which it may start work
 }
 
 // Config sets up a Queue.
@@ -75,6 +78,8 @@
 	orders     [classCount]order
 	waiting    map[model.TaskID]*item
 	popped     map[model.TaskID]*item // handed out by Pop
+	parked     map[model.TaskID]*item // room is being made for them
+	blocked    []blockedLane
 	seq        uint64
 }
 
@@ -93,11 +98,12 @@
 		teams:      make(map[model.TeamID]*team),
 		waiting:    make(map[model.TaskID]*item),
 		popped:     make(map[model.TaskID]*item),
+		parked:     make(map[model.TaskID]*item),
 	}
 }
 
 // Len returns the number of tasks that wait.
-func (q *Queue) Len() int { return len(q.waiting) }
+func (q *Queue) Len() int { return len(q.waiting) + len(q.parked) }
 
 // Waiting returns the number of a team's tasks that wait.
 func (q *Queue) Waiting(name model.TeamID) int {
@@ -111,7 +117,7 @@
 // code overloaded, or conflict when the task waits already.
 func (q *Queue) Push(t *model.Task) error {
 	tm := q.team(t.Team)
-	if q.waiting[t.ID] != nil {
+	if q.waiting[t.ID] != nil || q.parked[t.ID] != nil {
 		return verdict.Refuse(verdict.CodeConflict, "task %s waits already", t.ID)
 	}
 	if tm.waiting >= q.maxWaiting {
@@ -126,7 +132,7 @@
 	class := classIndex(it.task.Class)
 	put(tm.backlogs[class].laneOf(it.task), it)
 	tm.backlogs[class].size++
-	tm.waiting++
+	tm.addWaiting(it.task, 1)
 	q.waiting[it.task.ID] = it
 	q.arrange(tm)
 }
@@ -157,7 +163,7 @@
 	b := &tm.backlogs[class]
 	it := b.next().pop()
 	b.size--
-	tm.waiting--
+	tm.addWaiting(it.task, -1)
 	delete(q.waiting, it.task.ID)
 	q.popped[it.task.ID] = it
 	q.arrange(tm)
@@ -194,7 +200,34 @@
 	delete(q.popped, t.ID)
 	q.limiter.Release(t.Team)
 	tm := q.team(t.Team)
-	tm.backlogs[classIndex(t.Class)].laneOf(t).blocked = true
+	q.block(tm, tm.backlogs[classIndex(t.Class)].laneOf(t))
+	q.add(tm, it, (*lane).pushFront)
+}
+
+// Park keeps a popped task aside, without its permit, while room is made for it.
+// It doesn't hold up what waits behind it. Unpark lets it be tried again.
+func (q *Queue) Park(t *model.Task) {
+	it := q.popped[t.ID]
+	if it == nil {
+		return
+	}
+	delete(q.popped, t.ID)
+	q.limiter.Release(t.Team)
+	q.parked[t.ID] = it
+	q.team(t.Team).addWaiting(t, 1)
+}
+
+// Unpark puts a parked task back in its old place. It does nothing when the task
+// isn't parked.
+func (q *Queue) Unpark(id model.TaskID) {
+	it := q.parked[id]
+	if it == nil {
+		return
+	}
+	delete(q.parked, id)
+	tm := q.team(it.task.Team)
+	tm.addWaiting(it.task, -1)
+	tm.backlogs[classIndex(it.task.Class)].laneOf(it.task).blocked = false
 	q.add(tm, it, (*lane).pushFront)
 }
 
@@ -210,31 +243,33 @@
 // Wake lets blocked work be tried again when its next task fits into room, the
 // free capacity of a worker that changed.
 func (q *Queue) Wake(room model.Resources) {
-	for _, tm := range q.teams {
-		woken := false
-		for class := range tm.backlogs {
-			woken = tm.backlogs[class].wake(room) || woken
-		}
-		if woken {
-			q.arrange(tm)
+	still := q.blocked[:0]
+	for _, b := range q.blocked {
+		if b.lane.blocked && !b.lane.empty() && !b.lane.first().task.Demand.Fits(room) {
+			still = append(still, b)
+			continue
 		}
+		b.lane.blocked = false
+		b.lane.listed = false
+		q.arrange(b.team)
 	}
+	clear(q.blocked[len(still):])
+	q.blocked = still
 }
 
-func (b *backlog) wake(room model.Resources) bool {
-	if b.size == 0 {
-		return false
+// block passes a lane over until Wake.
+func (q *Queue) block(tm *team, l *lane) {
+	l.blocked = true
+	if !l.listed {
+		l.listed = true
+		q.blocked = append(q.blocked, blockedLane{tm, l})
 	}
-	woken := false
-	for i := range b.lanes {
-		l := &b.lanes[i]
-		if !l.blocked || l.empty() || !l.first().task.Demand.Fits(room) {
-			continue
-		}
-		l.blocked = false
-		woken = true
-	}
-	return woken
+}
+
+// blockedLane is a lane that Wake looks at.
+type blockedLane struct {
+	team *team
+	lane *lane
 }
 
 // LimitChanged lets a team be tried again that had reached its upper limit.
@@ -269,7 +304,7 @@
 	if tm != nil {
 		return tm
 	}
-	tm = &team{name: name, account: q.Book.Account(name)}
+	tm = &team{name: name, account: q.Book.Account(name), ceiling: math.Inf(1)}
 	for class := range tm.entries {
 		tm.entries[class] = entry{team: tm, class: class, pos: -1}
 	}
@@ -281,7 +316,8 @@
 func (q *Queue) arrange(tm *team) {
 	level := tm.account.Level()
 	for class := range tm.entries {
-		wanted := !tm.limited && tm.backlogs[class].size > 0 && tm.backlogs[class].next() != nil
+		passed := tm.limited || class != classUrgent && tm.atCeiling()
+		wanted := !passed && tm.backlogs[class].size > 0 && tm.backlogs[class].next() != nil
 		q.orders[class].place(&tm.entries[class], wanted, level)
 	}
 }
--- a/internal/scheduler/queue/queue_test.go
+++ b/internal/scheduler/queue/queue_test.go
@@ -44,6 +44,24 @@
 	require.Equal(t, []model.TaskID{"a2", "a3", "a4"}, ids(q, 3))
 }
 
+func TestShareCeilingKeepsRoomForOthers(t *testing.T) {
+	q := New(Config{})
+	q.SetCapacity(model.Resources{MilliCPU: 100})
+	for i := range 80 {
+		require.NoError(t, q.Push(task("small", fmt.Sprint("s", i))))
+	}
+	large := task("large", "large")
+	large.Demand = model.Resources{MilliCPU: 60}
+	require.NoError(t, q.Push(large))
+	q.Rebalance()
+	require.Equal(t, large, q.Pop())
+	q.Defer(large)
+	require.Len(t, ids(q, 99), 51, "the small tasks' fair half and the tolerance")
+	q.CancelJob("large", "")
+	q.Rebalance()
+	require.Len(t, ids(q, 99), 29, "with nobody else waiting all may be borrowed")
+}
+
 func TestUrgentGoesFirstInOrderReceived(t *testing.T) {
 	q := New(Config{})
 	urgent := task("a", "u")
@@ -144,6 +162,25 @@
 	require.Equal(t, []model.TaskID{"2"}, ids(q, 9))
 }
 
+func TestParkedTaskKeepsItsPlaceAndHoldsUpNothing(t *testing.T) {
+	q := New(Config{MaxWaiting: 3})
+	for _, id := range []string{"1", "2", "3"} {
+		require.NoError(t, q.Push(task("a", id)))
+	}
+	first, second := q.Pop(), q.Pop()
+	q.Park(first)
+	q.Park(second)
+	require.Equal(t, 3, q.Len())
+	require.Error(t, q.Push(task("a", "4")))
+	q.Unpark("2")
+	q.Unpark("1")
+	require.Equal(t, []model.TaskID{"1", "2", "3"}, ids(q, 9))
+	require.NoError(t, q.Push(task("a", "5")))
+	q.Park(q.Pop())
+	require.NotNil(t, q.Cancel("5"))
+	require.Zero(t, q.Len())
+}
+
 // TestOrderWithinTeam pops, defers and wakes at random and checks that each lane
 // keeps its order and nothing is lost or doubled.
 func TestOrderWithinTeam(t *testing.T) {
--- a/internal/scheduler/workload_test.go
+++ b/internal/scheduler/workload_test.go
@@ -78,7 +78,7 @@
 		Class:  model.ClassNormal,
 		Demand: model.Resources{MilliCPU: w.noise(size), MemoryMiB: w.noise(size * 2), Slots: 1},
 	}
-	switch i % 10 {
+	switch (i + i/benchTeams) % 10 {
 	case 0, 1:
 		t.Kind = model.KindService
 		t.SpreadBy = "zone"
