Plan victims only on the workers where the least is missing

Cause: choosing victims on each of 64 sampled workers took 1.2 ms at the median on 12,000 workers. Change: the sample is ordered by what the task lacks, and victims are chosen on the first ten.

--- a/internal/scheduler/preempt/preempt.go
+++ b/internal/scheduler/preempt/preempt.go
@@ -19,8 +19,10 @@
 const Name = "preempt"
 
 const (
-	// probes is the number of workers compared in one plan.
+	// probes is the number of workers sampled for one plan, plans the number of
+	// those on which victims are chosen and compared.
 	probes = 64
+	plans  = 10
 	// maxPreemptions is how often one task of a job is stopped within budgetPeriod.
 	maxPreemptions = 3
 	budgetPeriod   = time.Hour
@@ -74,6 +76,7 @@
 	history map[lineage]record
 	swept   time.Duration
 	scratch []candidate
+	workers []near
 }
 
 // New returns a planner whose sampling depends on seed.
@@ -118,15 +121,8 @@
 func (p *Planner) Plan(now time.Duration, f *fleet.Fleet, t *model.Task, eligible Eligible) (Plan, plugin.Status) {
 	p.search.Start(f, f.Select(t.Require), t.Demand)
 	best := Plan{}
-	for range probes {
-		n := p.search.Probe(p.rng.IntN)
-		if n == nil {
-			break
-		}
-		if !n.Schedulable() || !p.search.Selection.Matches(n) {
-			continue
-		}
-		plan, ok := p.planOn(now, n, t, eligible)
+	for _, near := range p.nearest(t.Demand) {
+		plan, ok := p.planOn(now, near.node, t, eligible)
 		if ok && (best.Worker == "" || plan.Cost < best.Cost) {
 			best = plan
 		}
@@ -137,6 +133,31 @@
 	return best, plugin.Status{}
 }
 
+// near is a worker and the part of it that a task lacks there.
+type near struct {
+	node  *fleet.Node
+	lacks float64
+}
+
+// nearest samples workers and returns those where the demand lacks the least, the
+// least first.
+func (p *Planner) nearest(demand model.Resources) []near {
+	p.workers = p.workers[:0]
+	for range probes {
+		n := p.search.Probe(p.rng.IntN)
+		if n == nil {
+			break
+		}
+		if !n.Schedulable() || !demand.Fits(n.Worker.Capacity) || !p.search.Selection.Matches(n) {
+			continue
+		}
+		lacks := demand.Sub(n.Available().Add(n.Stopping()))
+		p.workers = append(p.workers, near{n, shares.Dominant(lacks, n.Worker.Capacity)})
+	}
+	slices.SortStableFunc(p.workers, func(x, y near) int { return compare(x.lacks, y.lacks) })
+	return p.workers[:min(len(p.workers), plans)]
+}
+
 // Apply marks a plan's victims as stopping, holds the room for the task until
 // expires, and counts the stops.
 func (p *Planner) Apply(now time.Duration, f *fleet.Fleet, t *model.Task, plan Plan, expires time.Duration) error {
--- a/internal/scheduler/workload_test.go
+++ b/internal/scheduler/workload_test.go
@@ -109,6 +109,7 @@
 	t := w.templates[w.rng.IntN(len(w.templates))]
 	w.serial++
 	t.ID = model.TaskID("t" + strconv.Itoa(w.serial))
+	t.Index = w.serial
 	return &t
 }
 
