Add the operators' and callers' commands

The binary could only run instances and stand-ins; everything else needed curl.

The arguments are checked before flaggy sees them, because it ends the process on help and on wrong flags and takes unknown flags of subcommands for values. timeline merges the events of all servers by cause links and sequence numbers; no clock decides.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,9 +10,10 @@
 	"github.com/integrii/flaggy"
 )
 
-// Exit codes.
+// Exit codes. docs/CLI.md says what each means for each command.
 const (
 	ExitDone       = 0
+	ExitFailed     = 1
 	ExitUsage      = 2
 	ExitNotRun     = 3
 	ExitMayHaveRun = 4
@@ -21,10 +22,23 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// command is one subcommand: its flags and what it does.
+// command is one subcommand: its flags and what it does. A command with
+// subcommands of its own does nothing itself.
 type command struct {
-	sub *flaggy.Subcommand
-	run func(ctx context.Context, out, errOut io.Writer) int
+	sub      *flaggy.Subcommand
+	args     *[]string // gets the arguments that are not flags; nil if it takes none
+	commands []command
+	run      func(ctx context.Context, out, errOut io.Writer) int
+}
+
+func commands() []command {
+	return []command{
+		serveCommand(), standinCommand(), devCommand(),
+		checkCommand(), diffCommand(), applyCommand(), keysCommand(),
+		submitCommand(), statusCommand(), cancelCommand(),
+		cellCommand(), drainCommand(), timelineCommand(),
+		versionCommand(),
+	}
 }
 
 // Run parses args, runs the command and returns the exit code.
@@ -32,26 +46,57 @@
 	parser := flaggy.NewParser("pollenbend")
 	parser.Description = "a cluster scheduler for unlike workloads"
 	parser.Version = Version
-	parser.ShowVersionWithVersionFlag = true
-	commands := []command{serveCommand(), standinCommand(), devCommand(), versionCommand()}
-	for _, c := range commands {
+	// Help, versions and wrong flags are handled here, because flaggy ends the
+	// process on each of them.
+	parser.ShowHelpWithHFlag = false
+	parser.ShowVersionWithVersionFlag = false
+	parser.ShowHelpOnUnexpected = false
+	parser.ShowCompletion = false
+	all := commands()
+	for _, c := range all {
 		parser.AttachSubcommand(c.sub, 1)
 	}
-	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(errOut, err)
+	found, rest := find(all, args)
+	line, err := scan(found.sub, rest)
+	if err != nil {
+		fmt.Fprintln(errOut, "pollenbend:", err)
 		return ExitUsage
 	}
-	for _, c := range commands {
-		if c.sub.Used {
-			return c.run(ctx, out, errOut)
-		}
+	if line.version && found.sub == nil {
+		fmt.Fprintln(out, Version)
+		return ExitDone
 	}
-	parser.ShowHelp()
-	return ExitUsage
+	if err := parser.ParseArgs(args[:len(args)-len(rest)+line.parsed]); err != nil {
+		fmt.Fprintln(errOut, "pollenbend:", err)
+		return ExitUsage
+	}
+	switch {
+	case line.help:
+		parser.ShowHelp()
+		return ExitDone
+	case found.run == nil:
+		parser.ShowHelp()
+		return ExitUsage
+	case found.args != nil:
+		*found.args = line.args
+	case len(line.args) > 0:
+		fmt.Fprintf(errOut, "pollenbend: unexpected argument %q\n", line.args[0])
+		return ExitUsage
+	}
+	return found.run(ctx, out, errOut)
 }
 
 func versionCommand() command {
-	return command{sub: subcommand("version", "Print the version."), run: func(_ context.Context, out, _ io.Writer) int {
+	asJSON := false
+	sub := subcommand("version", "Print the version.")
+	sub.Bool(&asJSON, "", "json", "print JSON")
+	return command{sub: sub, run: func(_ context.Context, out, _ io.Writer) int {
+		if asJSON {
+			printJSON(out, struct {
+				Version string `json:"version"`
+			}{Version})
+			return ExitDone
+		}
 		fmt.Fprintln(out, Version)
 		return ExitDone
 	}}
--- /dev/null
+++ b/internal/cli/diff.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"pollenbend/internal/declare"
+	"pollenbend/internal/model"
+)
+
+func diffCommand() command {
+	var r remote
+	var files []string
+	sub := subcommand("diff", "Print what apply would change: diff FILE…")
+	r.flags(sub)
+	return command{sub: sub, args: &files, run: func(ctx context.Context, out, errOut io.Writer) int {
+		return runDiff(ctx, &r, files, out, errOut)
+	}}
+}
+
+// diffReport is the JSON output of the diff command.
+type diffReport struct {
+	Version uint64       `json:"version"`
+	Change  model.Change `json:"change"`
+}
+
+func runDiff(ctx context.Context, r *remote, files []string, out, errOut io.Writer) int {
+	wanted, ok := loadDeclarations("diff", files, errOut)
+	if !ok {
+		return ExitUsage
+	}
+	c, err := r.client()
+	if err != nil {
+		return usage(errOut, "diff", err)
+	}
+	now, err := fetchConfig(ctx, c)
+	if err != nil {
+		return fail(out, errOut, r.json, "diff", nil, err, exitOfRead(err))
+	}
+	change := declare.Diff(now.declarations, wanted)
+	change.Base = now.version
+	switch {
+	case r.json:
+		printJSON(out, diffReport{Version: now.version, Change: change})
+	case declare.IsEmpty(change):
+		fmt.Fprintf(out, "no difference from version %d\n", now.version)
+	default:
+		fmt.Fprint(out, declare.Render(now.declarations, change))
+	}
+	return ExitDone
+}
--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/client"
+	"pollenbend/internal/model"
+	"pollenbend/internal/timeline/merge"
+)
+
+const followEvery = time.Second
+
+func timelineCommand() command {
+	var r remote
+	follow := false
+	sub := subcommand("timeline", "Print the events of all given servers in one order.")
+	r.flags(sub)
+	sub.Bool(&follow, "f", "follow", "go on until interrupted")
+	return command{sub: sub, run: func(ctx context.Context, out, errOut io.Writer) int {
+		return runTimeline(ctx, &r, follow, out, errOut)
+	}}
+}
+
+// source is one server whose events are read.
+type source struct {
+	server      string
+	client      *client.Client
+	incarnation model.Incarnation
+	next        uint64 // sequence number of the next event wanted
+}
+
+func runTimeline(ctx context.Context, r *remote, follow bool, out, errOut io.Writer) int {
+	sources, err := r.sources()
+	if err != nil {
+		return usage(errOut, "timeline", err)
+	}
+	merger := merge.New()
+	failed := readAll(ctx, sources, merger, errOut)
+	if !follow {
+		printEvents(out, r.json, merger.Flush())
+		return exitOfRead(failed)
+	}
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for {
+		printEvents(out, r.json, merger.Ready())
+		select {
+		case <-ctx.Done():
+			printEvents(out, r.json, merger.Flush())
+			return ExitDone
+		case <-ticker.C:
+			_ = readAll(ctx, sources, merger, errOut) // reported there; the next round asks again
+		}
+	}
+}
+
+func (r *remote) sources() ([]*source, error) {
+	servers := r.allServers()
+	if len(servers) == 0 {
+		_, err := r.client()
+		return nil, err
+	}
+	var sources []*source
+	for _, server := range servers {
+		c, err := r.clientOf(server)
+		if err != nil {
+			return nil, err
+		}
+		sources = append(sources, &source{server: server, client: c})
+	}
+	return sources, nil
+}
+
+// readAll adds the new events of every source. It reports those that can't be
+// read and returns the first one's error.
+func readAll(ctx context.Context, sources []*source, merger *merge.Merger, errOut io.Writer) error {
+	var first error
+	for _, s := range sources {
+		if err := s.read(ctx, merger); err != nil && ctx.Err() == nil {
+			fmt.Fprintf(errOut, "timeline: %s: %v\n", s.server, err)
+			if first == nil {
+				first = err
+			}
+		}
+	}
+	return first
+}
+
+func (s *source) read(ctx context.Context, merger *merge.Merger) error {
+	answer, err := s.client.Timeline(ctx, s.next)
+	if err != nil {
+		return err
+	}
+	var d merge.Document
+	if err := json.Unmarshal(answer.Body(), &d); err != nil {
+		return errors.Wrap(err, "read the time line")
+	}
+	if s.incarnation != 0 && d.Incarnation != s.incarnation {
+		s.incarnation, s.next = d.Incarnation, 0 // restarted: its numbers start anew
+		return s.read(ctx, merger)
+	}
+	s.incarnation = d.Incarnation
+	for _, e := range d.Events {
+		s.next = max(s.next, e.Seq+1)
+	}
+	merger.Add(d)
+	return nil
+}
+
+func printEvents(out io.Writer, asJSON bool, events []merge.Event) {
+	for _, e := range events {
+		if asJSON {
+			printJSON(out, e)
+			continue
+		}
+		fmt.Fprintln(out, eventLine(e))
+	}
+}
+
+func eventLine(e merge.Event) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s#%d +%.3fs %s %s", e.Instance, e.Seq, float64(e.AtMS)/1000, e.Kind, e.Subject)
+	if e.Detail != "" {
+		fmt.Fprintf(&b, ": %s", e.Detail)
+	}
+	if e.Cause != nil {
+		fmt.Fprintf(&b, " (after %s#%d)", e.Cause.Instance, e.Cause.Seq)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/timeline/merge/merge_test.go
@@ -0,0 +1,152 @@
+package merge
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pollenbend/internal/model"
+)
+
+// doc writes a document as "instance events...", each event as its number or as
+// number<instance.number with its cause.
+func doc(text string) Document {
+	fields := strings.Fields(text)
+	d := Document{Instance: model.InstanceID(fields[0]), Incarnation: 1}
+	for _, f := range fields[1:] {
+		var e Event
+		own, cause, caused := strings.Cut(f, "<")
+		_, _ = fmt.Sscan(own, &e.Seq)
+		if caused {
+			instance, seq, _ := strings.Cut(cause, ".")
+			e.Cause = &Ref{Instance: model.InstanceID(instance)}
+			_, _ = fmt.Sscan(seq, &e.Cause.Seq)
+		}
+		d.Events = append(d.Events, e)
+	}
+	return d
+}
+
+func names(events []Event) string {
+	var list []string
+	for _, e := range events {
+		list = append(list, fmt.Sprintf("%s%d", e.Instance, e.Seq))
+	}
+	return strings.Join(list, " ")
+}
+
+func TestFlush(t *testing.T) {
+	tests := []struct {
+		name string
+		docs []string
+		want string
+	}{
+		{"nothing", nil, ""},
+		{"one instance, unsorted", []string{"a 3 1 2"}, "a1 a2 a3"},
+		{"no links", []string{"b 1 2", "a 1 2"}, "a1 b1 a2 b2"},
+		{"a cause comes first", []string{"a 1<b.2 2", "b 1 2"}, "b1 b2 a1 a2"},
+		{"a chain over three", []string{"a 1<b.1", "b 1<c.1", "c 1 2"}, "c1 b1 c2 a1"},
+		{"a cause that is not there", []string{"a 1<z.9 2<b.9", "b 1"}, "a1 b1 a2"},
+		{"a cause before the first event kept", []string{"a 1<b.2", "b 5"}, "a1 b5"},
+		{"a cycle", []string{"a 1<b.1", "b 1<a.1"}, "a1 b1"},
+		{"its own later event as cause", []string{"a 1<a.2 2"}, "a1 a2"},
+		{"twice the same", []string{"a 1 2", "a 2 3"}, "a1 a2 a3"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := New()
+			for _, text := range tt.docs {
+				m.Add(doc(text))
+			}
+			require.Equal(t, tt.want, names(m.Flush()))
+			require.Empty(t, m.Flush())
+		})
+	}
+}
+
+func TestReadyWaitsForACause(t *testing.T) {
+	m := New()
+	m.Add(doc("a 1 2<b.2 3"))
+	m.Add(doc("b 1"))
+	require.Equal(t, "a1 b1", names(m.Ready()))
+	m.Add(doc("b 2 3"))
+	require.Equal(t, "b2 a2 b3 a3", names(m.Ready()))
+}
+
+func TestRestartFollowsTheLifeBefore(t *testing.T) {
+	m := New()
+	second := doc("a 1 2")
+	second.Incarnation = 2
+	m.Add(second)
+	m.Add(doc("a 1 2 3"))
+	m.Add(doc("b 1<a.3"))
+	require.Equal(t, "a1 a2 a3 a1 b1 a2", names(m.Flush()))
+}
+
+// TestOrder draws histories of instances that send each other messages. Each
+// merge must keep every event, put it after its cause and after the events before
+// it, and not depend on the order or the pieces that the events come in.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []model.InstanceID{"a", "b", "c"}
+		docs := map[model.InstanceID]*Document{}
+		for _, id := range ids {
+			docs[id] = &Document{Instance: id, Incarnation: 1}
+		}
+		total := rapid.IntRange(0, 40).Draw(t, "events")
+		for range total {
+			d := docs[rapid.SampledFrom(ids).Draw(t, "instance")]
+			e := Event{Seq: uint64(len(d.Events) + 1)}
+			from := docs[rapid.SampledFrom(ids).Draw(t, "sender")]
+			if n := len(from.Events); n > 0 && from != d {
+				e.Cause = &Ref{from.Instance, uint64(rapid.IntRange(1, n).Draw(t, "cause"))}
+			}
+			d.Events = append(d.Events, e)
+		}
+		whole, pieces := New(), New()
+		var streamed []Event
+		for _, id := range rapid.Permutation(ids).Draw(t, "order") {
+			whole.Add(*docs[id])
+		}
+		for _, id := range rapid.Permutation(ids).Draw(t, "order of pieces") {
+			d := *docs[id]
+			cut := rapid.IntRange(0, len(d.Events)).Draw(t, "cut")
+			first := d
+			first.Events = d.Events[:cut]
+			pieces.Add(first)
+		}
+		streamed = pieces.Ready()
+		for _, id := range ids {
+			pieces.Add(*docs[id])
+		}
+		streamed = append(streamed, pieces.Ready()...)
+		merged := whole.Flush()
+		again := New()
+		for _, id := range ids {
+			again.Add(*docs[id])
+		}
+		require.Equal(t, names(merged), names(again.Flush()))
+		for _, order := range [][]Event{merged, streamed} {
+			require.Len(t, order, total)
+			requireCausal(t, order)
+		}
+	})
+}
+
+func requireCausal(t *rapid.T, order []Event) {
+	at := func(id model.InstanceID, seq uint64) int {
+		return slices.IndexFunc(order, func(e Event) bool { return e.Instance == id && e.Seq == seq })
+	}
+	for i, e := range order {
+		if e.Seq > 1 {
+			require.Less(t, at(e.Instance, e.Seq-1), i)
+		}
+		if e.Cause != nil {
+			require.Less(t, at(e.Cause.Instance, e.Cause.Seq), i)
+		}
+	}
+}
