--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"os"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
@@ -22,12 +23,15 @@
 	return command{sub: sub, commands: children}
 }
 
+const secretMode = 0o600
+
 // newKeyOptions are the flags of the keys new command.
 type newKeyOptions struct {
 	remote
 	team     string
 	operator bool
 	apply    bool
+	file     string
 }
 
 func keysNewCommand() command {
@@ -38,6 +42,7 @@
 	sub.String(&o.team, "", "team", "team that the key is for")
 	sub.Bool(&o.operator, "", "operator", "make an operator's key")
 	sub.Bool(&o.apply, "", "apply", "declare the key at once")
+	sub.String(&o.file, "", "secret-file", "new file to write the secret to, in place of printing it")
 	return command{sub: sub, args: &names, run: func(ctx context.Context, out, errOut io.Writer) int {
 		return runKeysNew(ctx, &o, names, out, errOut)
 	}}
@@ -45,7 +50,7 @@
 
 // newKey is the JSON output of the keys new command.
 type newKey struct {
-	Secret string    `json:"secret"`
+	Secret string    `json:"secret,omitempty"`
 	Key    model.Key `json:"key"`
 }
 
@@ -64,16 +69,32 @@
 	if o.operator {
 		key.Scope = model.ScopeOperator
 	}
-	if o.apply {
-		change := model.Change{Put: model.Declarations{Keys: []model.Key{key}}}
-		if code := changeKeys(ctx, &o.remote, "keys new", change, errOut); code == ExitUsage || code == ExitNotRun {
-			return code
-		} else if code != ExitDone {
-			printKey(out, o.json, secret, key)
-			return code
+	if o.file != "" {
+		if err := writeSecret(o.file, secret); err != nil {
+			return usage(errOut, "keys new", err)
 		}
+		secret = ""
+	}
+	if !o.apply {
+		return printKey(out, o.json, secret, key)
+	}
+	change := model.Change{Put: model.Declarations{Keys: []model.Key{key}}}
+	code := changeKeys(ctx, &o.remote, "keys new", change, errOut)
+	if code == ExitDone || code == ExitMayHaveRun {
+		printKey(out, o.json, secret, key)
+	}
+	return code
+}
+
+// writeSecret writes a secret to a file that is not there yet and that only its
+// owner can read.
+func writeSecret(path, secret string) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, secretMode)
+	if err != nil {
+		return errors.Wrap(err, "write the secret")
 	}
-	return printKey(out, o.json, secret, key)
+	_, err = fmt.Fprintln(f, secret)
+	return errors.Wrap(errors.CombineErrors(err, f.Close()), "write the secret")
 }
 
 func printKey(out io.Writer, asJSON bool, secret string, key model.Key) int {
@@ -86,7 +107,10 @@
 		fmt.Fprintln(out, err)
 		return ExitNotRun
 	}
-	fmt.Fprintf(out, "# secret, shown this once: %s\n%s", secret, block)
+	if secret != "" {
+		fmt.Fprintf(out, "# secret, shown this once: %s\n", secret)
+	}
+	fmt.Fprintf(out, "%s", block)
 	return ExitDone
 }
 
--- a/internal/cli/submit.go
+++ b/internal/cli/submit.go
@@ -35,7 +35,7 @@
 	o := submitOptions{count: 1, kind: string(model.KindBatch)}
 	sub := subcommand("submit", "Send a request and wait for its answer, or hand over a job for later with --job.")
 	o.flags(sub)
-	sub.String(&o.queue, "q", "queue", "queue that takes the work")
+	sub.String(&o.queue, "q", "queue", "queue that takes the work; without one the work is charged to the key's team")
 	sub.String(&o.service, "", "service", "declared service")
 	sub.String(&o.payload, "p", "payload", "JSON, or @FILE to read it from a file")
 	sub.String(&o.class, "", "class", "urgent, normal or low")
@@ -78,8 +78,6 @@
 // check returns the payload, or what is wrong with the options.
 func (o *submitOptions) check() (json.RawMessage, error) {
 	switch {
-	case o.queue == "":
-		return nil, errors.New("--queue is required")
 	case o.id != "" && o.ticket != "":
 		return nil, errors.New("give --id or --ticket, not both")
 	case o.timeout < 0 || o.runTime < 0:
