Merge the time lines by log offset and cause

The served time line carries the offset of the log entry behind an event, and nanoseconds; the merge had been written for milliseconds and links alone.

Events that no link orders now go by the greatest log offset in their past, which grows along every chain, then by the chain's length and the instance. The follow mode asks for events after the last one it has, as the server counts.

--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -33,7 +33,7 @@
 	server      string
 	client      *client.Client
 	incarnation model.Incarnation
-	next        uint64 // sequence number of the next event wanted
+	last        uint64 // sequence number of the last event read
 }
 
 func runTimeline(ctx context.Context, r *remote, follow bool, out, errOut io.Writer) int {
@@ -94,7 +94,7 @@
 }
 
 func (s *source) read(ctx context.Context, merger *merge.Merger) error {
-	answer, err := s.client.Timeline(ctx, s.next)
+	answer, err := s.client.Timeline(ctx, s.last)
 	if err != nil {
 		return err
 	}
@@ -103,12 +103,12 @@
 		return errors.Wrap(err, "read the time line")
 	}
 	if s.incarnation != 0 && d.Incarnation != s.incarnation {
-		s.incarnation, s.next = d.Incarnation, 0 // restarted: its numbers start anew
+		s.incarnation, s.last = d.Incarnation, 0 // restarted: its numbers start anew
 		return s.read(ctx, merger)
 	}
 	s.incarnation = d.Incarnation
 	for _, e := range d.Events {
-		s.next = max(s.next, e.Seq+1)
+		s.last = max(s.last, e.Seq)
 	}
 	merger.Add(d)
 	return nil
@@ -126,10 +126,13 @@
 
 func eventLine(e merge.Event) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s#%d +%.3fs %s %s", e.Instance, e.Seq, float64(e.AtMS)/1000, e.Kind, e.Subject)
+	fmt.Fprintf(&b, "%s#%d +%.3fs %s %s", e.Instance, e.Seq, e.At.Seconds(), e.Kind, e.Subject)
 	if e.Detail != "" {
 		fmt.Fprintf(&b, ": %s", e.Detail)
 	}
+	if e.Offset > 0 {
+		fmt.Fprintf(&b, " (log %d)", e.Offset)
+	}
 	if e.Cause != nil {
 		fmt.Fprintf(&b, " (after %s#%d)", e.Cause.Instance, e.Cause.Seq)
 	}
--- a/internal/client/calls.go
+++ b/internal/client/calls.go
@@ -99,7 +99,7 @@
 	return c.do(ctx, exchange{method: http.MethodGet, path: "/v1/cell"})
 }
 
-// Timeline returns the events of one server from the event since on.
+// Timeline returns the events of one server after the event numbered since.
 func (c *Client) Timeline(ctx context.Context, since uint64) (*wire.Answer, error) {
 	path := "/v1/timeline?since=" + strconv.FormatUint(since, 10)
 	return c.do(ctx, exchange{method: http.MethodGet, path: path})
--- a/internal/timeline/merge/merge.go
+++ b/internal/timeline/merge/merge.go
@@ -1,50 +1,48 @@
 // Package merge puts the events of several instances into one order. It assumes
 // no common clock: an event comes after the earlier events of its instance and
-// after its cause. Events that neither rule orders are ordered by the length of
-// the longest chain of events before them, then by instance.
+// after its cause. Events that neither rule orders are ordered by how far the log
+// was read by the events before them, then by the length of the longest chain of
+// events before them, then by instance.
 package merge
 
 import (
 	"cmp"
 	"slices"
 
+	"pollenbend/internal/event"
 	"pollenbend/internal/model"
 )
 
-// Ref names an event of an instance.
-type Ref struct {
-	Instance model.InstanceID `json:"instance"`
-	Seq      uint64           `json:"seq"`
-}
-
-// Event is an event of one instance. AtMS is milliseconds on that instance's own
-// clock.
+// Event is an event of one instance.
 type Event struct {
 	Instance    model.InstanceID  `json:"instance"`
 	Incarnation model.Incarnation `json:"incarnation"`
-	Seq         uint64            `json:"seq"`
-	AtMS        int64             `json:"at_ms"`
-	Kind        string            `json:"kind"`
-	Subject     string            `json:"subject"`
-	Detail      string            `json:"detail,omitempty"`
-	Cause       *Ref              `json:"cause,omitempty"`
+	event.Note
 }
 
-// Document is the time line of one instance as GET /v1/timeline serves it. Its
-// events carry no instance of their own.
+// Document is the time line of one instance as GET /v1/timeline serves it.
 type Document struct {
 	Instance    model.InstanceID  `json:"instance"`
 	Incarnation model.Incarnation `json:"incarnation"`
-	Events      []Event           `json:"events"`
+	Events      []event.Note      `json:"events"`
 }
 
+// rank orders an event among those that causes leave unordered. Along any chain
+// of causes it grows.
+type rank struct {
+	offset uint64 // greatest log offset of the event and those before it
+	depth  uint64 // length of the longest chain that ends with the event
+}
+
+func (r rank) max(o rank) rank { return rank{max(r.offset, o.offset), max(r.depth, o.depth)} }
+
 // stream holds the events of one life of an instance.
 type stream struct {
 	incarnation model.Incarnation
-	waiting     []Event           // by sequence number
-	last        uint64            // greatest sequence number added
-	depth       uint64            // of the last event given out
-	depths      map[uint64]uint64 // of each event given out
+	waiting     []Event         // by sequence number
+	last        uint64          // greatest sequence number added
+	rank        rank            // of the last event given out
+	ranks       map[uint64]rank // of each event given out
 }
 
 // Merger merges the events that are added to it piece by piece.
@@ -59,14 +57,13 @@
 func (m *Merger) Add(d Document) {
 	s := m.stream(d.Instance, d.Incarnation)
 	events := slices.Clone(d.Events)
-	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Seq, b.Seq) })
-	for _, e := range events {
-		if e.Seq <= s.last {
+	slices.SortStableFunc(events, func(a, b event.Note) int { return cmp.Compare(a.Seq, b.Seq) })
+	for _, n := range events {
+		if n.Seq <= s.last {
 			continue
 		}
-		s.last = e.Seq
-		e.Instance, e.Incarnation = d.Instance, d.Incarnation
-		s.waiting = append(s.waiting, e)
+		s.last = n.Seq
+		s.waiting = append(s.waiting, Event{d.Instance, d.Incarnation, n})
 	}
 }
 
@@ -77,7 +74,7 @@
 			return s
 		}
 	}
-	s := &stream{incarnation: incarnation, depths: make(map[uint64]uint64)}
+	s := &stream{incarnation: incarnation, ranks: make(map[uint64]rank)}
 	lives = append(lives, s)
 	slices.SortFunc(lives, func(a, b *stream) int { return cmp.Compare(a.incarnation, b.incarnation) })
 	m.lives[id] = lives
@@ -102,7 +99,7 @@
 		if next == nil {
 			return order
 		}
-		order = append(order, next.pop(m.depthOf(next)))
+		order = append(order, next.pop(m.rankOf(next)))
 	}
 }
 
@@ -173,24 +170,25 @@
 	return lives[len(lives)-1]
 }
 
-// depthOf returns the length of the longest known chain of events that ends with
-// the stream's next event.
-func (m *Merger) depthOf(s *stream) uint64 {
+// rankOf returns the rank of the stream's next event.
+func (m *Merger) rankOf(s *stream) rank {
 	e := s.waiting[0]
-	depth := s.depth
+	r := s.rank
 	for _, life := range m.lives[e.Instance] {
 		if life.incarnation < e.Incarnation {
-			depth = max(depth, life.depth)
+			r = r.max(life.rank)
 		}
 	}
 	if cause := m.causeOf(e); cause != nil {
-		depth = max(depth, cause.depths[e.Cause.Seq])
+		r = r.max(cause.ranks[e.Cause.Seq])
 	}
-	return depth + 1
+	return rank{offset: max(r.offset, e.Offset), depth: r.depth + 1}
 }
 
 func (m *Merger) less(a, b *stream) bool {
-	order := cmp.Or(cmp.Compare(m.depthOf(a), m.depthOf(b)), compareEvents(a.waiting[0], b.waiting[0]))
+	ra, rb := m.rankOf(a), m.rankOf(b)
+	order := cmp.Or(
+		cmp.Compare(ra.offset, rb.offset), cmp.Compare(ra.depth, rb.depth), compareEvents(a.waiting[0], b.waiting[0]))
 	return order < 0
 }
 
@@ -199,9 +197,9 @@
 		cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Seq, b.Seq))
 }
 
-func (s *stream) pop(depth uint64) Event {
+func (s *stream) pop(r rank) Event {
 	e := s.waiting[0]
 	s.waiting = s.waiting[1:]
-	s.depth, s.depths[e.Seq] = depth, depth
+	s.rank, s.ranks[e.Seq] = r, r
 	return e
 }
