Test a log outage over processes and following the time line

Calls are answered, a job and a change end as not run or may have run, and both settle under the same ids when the log is back. The follow mode of timeline holds an event back until its cause is read, and starts anew with an instance that restarted.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -248,3 +249,44 @@
 	require.Contains(t, errOut, "c7")
 	require.Contains(t, errOut, "--change-id")
 }
+
+// TestFollow reads two servers again and again. The first event of a has its cause
+// at b, which tells of it a round later; then a restarts and counts anew.
+func TestFollow(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	rounds := map[string][]string{
+		"a": {
+			`{"instance":"a","incarnation":1,"events":[{"seq":1,"kind":"x","cause":{"instance":"b","seq":2}}]}`,
+			`{"instance":"a","incarnation":1,"events":[]}`,
+			`{"instance":"a","incarnation":2,"events":[]}`,
+			`{"instance":"a","incarnation":2,"events":[{"seq":1,"kind":"y"}]}`,
+		},
+		"b": {
+			`{"instance":"b","incarnation":1,"events":[{"seq":1,"kind":"x"}]}`,
+			`{"instance":"b","incarnation":1,"events":[{"seq":2,"kind":"x"}]}`,
+			`{"instance":"b","incarnation":1,"events":[]}`,
+		},
+	}
+	wantSince := map[string][]string{"a": {"0", "1", "1", "0"}, "b": {"0", "1", "2"}}
+	var r remote
+	for _, id := range []string{"a", "b"} {
+		round := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if round == len(rounds[id]) {
+				stop()
+				round--
+			}
+			if q.URL.Query().Get("since") != wantSince[id][round] {
+				panic("round " + wantSince[id][round] + " asks since " + q.URL.Query().Get("since"))
+			}
+			_ = json.NewEncoder(w).Encode(document(json.RawMessage(rounds[id][round])))
+			round++
+		}))
+		defer server.Close()
+		r.servers = append(r.servers, server.URL)
+	}
+	var out, errOut bytes.Buffer
+	require.Equal(t, ExitDone, followTimeline(ctx, &r, time.Millisecond, &out, &errOut), errOut.String())
+	require.Equal(t, "b#1 +0.000s x \nb#2 +0.000s x \na#1 +0.000s x  (after b#2)\na#1 +0.000s y \n", out.String())
+}
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -24,7 +24,10 @@
 	r.flags(sub)
 	sub.Bool(&follow, "f", "follow", "go on until interrupted")
 	return command{sub: sub, run: func(ctx context.Context, out, errOut io.Writer) int {
-		return runTimeline(ctx, &r, follow, out, errOut)
+		if follow {
+			return followTimeline(ctx, &r, followEvery, out, errOut)
+		}
+		return runTimeline(ctx, &r, out, errOut)
 	}}
 }
 
@@ -36,27 +39,36 @@
 	last        uint64 // sequence number of the last event read
 }
 
-func runTimeline(ctx context.Context, r *remote, follow bool, out, errOut io.Writer) int {
+// runTimeline prints the events that the servers hold now.
+func runTimeline(ctx context.Context, r *remote, out, errOut io.Writer) int {
 	sources, err := r.sources()
 	if err != nil {
 		return usage(errOut, "timeline", err)
 	}
 	merger := merge.New()
 	failed := readAll(ctx, sources, merger, errOut)
-	if !follow {
-		printEvents(out, r.json, merger.Flush())
-		return exitOfRead(failed)
+	printEvents(out, r.json, merger.Flush())
+	return exitOfRead(failed)
+}
+
+// followTimeline prints events as they come, until ctx ends. An event waits for
+// its cause.
+func followTimeline(ctx context.Context, r *remote, every time.Duration, out, errOut io.Writer) int {
+	sources, err := r.sources()
+	if err != nil {
+		return usage(errOut, "timeline", err)
 	}
-	ticker := time.NewTicker(followEvery)
+	merger := merge.New()
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
+		_ = readAll(ctx, sources, merger, errOut) // reported there; the next round asks again
 		printEvents(out, r.json, merger.Ready())
 		select {
 		case <-ctx.Done():
 			printEvents(out, r.json, merger.Flush())
 			return ExitDone
 		case <-ticker.C:
-			_ = readAll(ctx, sources, merger, errOut) // reported there; the next round asks again
 		}
 	}
 }
--- a/internal/e2e/http_test.go
+++ b/internal/e2e/http_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pollenbend/internal/client"
 	apiwire "pollenbend/internal/httpapi/wire"
 	"pollenbend/internal/model"
 	"pollenbend/internal/verdict"
@@ -141,3 +142,46 @@
 	}
 	t.Logf("refused everywhere %s after the change was accepted", time.Since(accepted).Round(time.Millisecond))
 }
+
+// TestLogOutage takes the log away. Calls go on; jobs and changes are not done, and
+// no refusal claims more than is known. When the log is back, the same ids work.
+func TestLogOutage(t *testing.T) {
+	c := startCell(t, "guild", 3)
+	c.apply()
+	desk, operator := c.client(c.example.Secret("dublin-desk")), c.client(c.example.OperatorSecret())
+	ctx := context.Background()
+	now, err := operator.Config(ctx)
+	require.NoError(t, err)
+	change := model.Change{ID: "c-1", Base: now.Version, Put: model.Declarations{Teams: []model.Team{{Name: "new-salons", Share: 1}}}}
+	job := apiwire.Job{Queue: "dublin", Service: "cleansing-reminder", Kind: model.KindBatch, Count: 2}
+
+	c.fault(`{"log": {"down": true}}`)
+	_, err = desk.Call(ctx, apiwire.Call{Queue: "dublin", Service: "refill-prompt", Timeout: "20s"}, client.Identity{})
+	require.NoError(t, err, "a call needs no log")
+	_, err = desk.Submit(ctx, job, client.Identity{IdempotencyKey: "j-1"})
+	require.Contains(t, []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun}, verdict.Of(err))
+	_, err = operator.Apply(ctx, change)
+	require.Contains(t, []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun}, verdict.Of(err))
+
+	c.fault(`{"log": {}}`)
+	c.await("the job", func() bool {
+		answer, err := desk.Submit(ctx, job, client.Identity{IdempotencyKey: "j-1"})
+		return err == nil && (answer.Verdict == verdict.Pending || answer.Verdict == verdict.Done)
+	})
+	c.await("the change", func() bool {
+		_, err := operator.Apply(ctx, change)
+		return err == nil
+	})
+	now, err = operator.Config(ctx)
+	require.NoError(t, err)
+	require.Contains(t, string(now.Body()), "new-salons")
+}
+
+// fault gives the stand-ins a scripted fault.
+func (c *cell) fault(body string) {
+	c.t.Helper()
+	res, err := http.Post(c.url+"/fault", "application/json", strings.NewReader(body))
+	require.NoError(c.t, err)
+	_ = res.Body.Close()
+	require.Equal(c.t, http.StatusOK, res.StatusCode)
+}
