--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return ExitNotRun, err
 	}
+	if err := cell.awaitVersion(ctx, version); err != nil {
+		return ExitNotRun, err
+	}
 	fmt.Fprintf(out, "declarations of %q applied, version %d\n", ex.Name, version)
 	if name == "" {
 		fmt.Fprintln(out, "running until interrupted")
@@ -151,6 +154,26 @@
 }
 
 func (c *devCell) awaitReady(ctx context.Context) error {
+	return c.await(ctx, func(i *instance.Instance) (bool, string) { return i.Ready() })
+}
+
+// awaitVersion waits until every instance has the configuration of that version.
+func (c *devCell) awaitVersion(ctx context.Context, version uint64) error {
+	return c.await(ctx, func(i *instance.Instance) (bool, string) {
+		cl, err := client.New(client.Config{Servers: []string{i.Info().HTTPAddr}, Key: c.example.OperatorSecret()})
+		if err != nil {
+			return false, err.Error()
+		}
+		answer, err := cl.Config(ctx)
+		if err != nil {
+			return false, err.Error()
+		}
+		return answer.Version >= version, fmt.Sprintf("has version %d", answer.Version)
+	})
+}
+
+// await waits until done is true for every instance.
+func (c *devCell) await(ctx context.Context, done func(*instance.Instance) (ok bool, state string)) error {
 	ctx, cancel := context.WithTimeout(ctx, devReadyWait)
 	defer cancel()
 	ticker := time.NewTicker(devPoll)
@@ -158,8 +181,8 @@
 	for {
 		waiting := ""
 		for _, i := range c.instances {
-			if ok, reason := i.Ready(); !ok {
-				waiting = fmt.Sprintf("%s: %s", i.Info().ID, reason)
+			if ok, state := done(i); !ok {
+				waiting = fmt.Sprintf("%s: %s", i.Info().ID, state)
 			}
 		}
 		if waiting == "" {
--- a/internal/e2e/docs_test.go
+++ b/internal/e2e/docs_test.go
@@ -241,7 +241,11 @@
 		"http://10.0.1.11:8080", c.http["entry-1"],
 		"http://10.0.2.11:8080", c.http["entry-2"],
 		"http://10.0.3.11:8080", c.http["entry-3"])
-	s.after = func() { c.awaitSameVersion(filepath.Join(s.dir, "root.key")) }
+	s.after = func() {
+		if key, err := os.ReadFile(filepath.Join(s.dir, "root.key")); err == nil {
+			c.awaitSameVersion(strings.TrimSpace(string(key)))
+		}
+	}
 	s.runPage("docs/OPERATING.md", c.startAsTold)
 	res, err := http.Get(c.http["entry-1"] + "/metrics")
 	require.NoError(t, err)
@@ -269,21 +273,17 @@
 	c.awaitReady(id)
 }
 
-// awaitSameVersion waits until every ready instance has the same configuration. It does
-// nothing before the operator's key is there.
-func (c *cell) awaitSameVersion(keyFile string) {
+// awaitSameVersion waits until every ready instance has the same configuration. Key
+// is an operator's.
+func (c *cell) awaitSameVersion(key string) {
 	c.t.Helper()
-	key, err := os.ReadFile(keyFile)
-	if err != nil {
-		return
-	}
 	c.await("the same configuration everywhere", func() bool {
 		versions := map[uint64]bool{}
 		for id, url := range c.http {
 			if !reachable(url + "/readyz") {
 				continue
 			}
-			answer, err := c.client(strings.TrimSpace(string(key)), id).Config(context.Background())
+			answer, err := c.client(key, id).Config(context.Background())
 			if err != nil {
 				return false
 			}
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -157,6 +157,7 @@
 	change := declare.Diff(model.Declarations{}, c.example.Declarations)
 	_, err := c.client(c.example.OperatorSecret()).Apply(context.Background(), change)
 	require.NoError(c.t, err)
+	c.awaitSameVersion(c.example.OperatorSecret())
 }
 
 // starts returns how often the workers started each task, by their own history.
