--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -12,12 +12,16 @@
 )
 
 func replayCommand() command {
-	var trace, expect string
+	var args []string
+	var expect string
 	sub := subcommand("replay", "Run a recorded trace again and compare its outcomes, or print them.")
-	sub.AddPositionalValue(&trace, "TRACE", 1, true, "trace that serve --record wrote")
 	sub.String(&expect, "x", "expect", "file of expected outcomes; without it the outcomes are printed")
-	return command{sub: sub, run: func(_ context.Context, out, errOut io.Writer) int {
-		code, err := runReplay(trace, expect, out)
+	return command{sub: sub, args: &args, run: func(_ context.Context, out, errOut io.Writer) int {
+		if len(args) != 1 {
+			fmt.Fprintln(errOut, "replay: expected one TRACE, a file that serve --record wrote")
+			return ExitUsage
+		}
+		code, err := runReplay(args[0], expect, out)
 		if err != nil {
 			fmt.Fprintln(errOut, "replay:", err)
 		}
