--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"pollenbend/internal/service/membership"
 	"pollenbend/internal/service/ownership"
 	"pollenbend/internal/service/requests"
+	"pollenbend/internal/service/snapshots"
 	"pollenbend/internal/wire"
 )
 
@@ -29,6 +30,9 @@
 	Self   platform.Instance
 	Timing event.Timing
 	Seed   uint64
+	// RecordedKeys makes callers' keys references, as a trace holds them, in
+	// place of secrets.
+	RecordedKeys bool
 }
 
 // Core is the decision core. It must be used from one goroutine.
@@ -57,9 +61,13 @@
 func New(o Options) (*Core, error) {
 	env := event.NewEnv(o.Self, o.Timing, o.Seed)
 	k := kernel.New()
+	configuration := config.New(env)
+	if o.RecordedKeys {
+		configuration.TakeReferences()
+	}
 	for _, s := range []kernel.Service{
 		membership.New(env),
-		config.New(env),
+		configuration,
 		ownership.New(env),
 		ledger.New(env),
 		limits.New(env),
@@ -67,6 +75,7 @@
 		jobs.New(env),
 		handover.New(env),
 		gateway.New(env),
+		snapshots.New(env),
 	} {
 		if err := k.Register(s); err != nil {
 			return nil, err
@@ -77,12 +86,16 @@
 			return nil, errors.Wrap(err, "bind services")
 		}
 	}
-	return assemble(env, k), nil
+	return assemble(env, k)
 }
 
-func assemble(env *event.Env, k *kernel.Kernel) *Core {
+func assemble(env *event.Env, k *kernel.Kernel) (*Core, error) {
+	reader, err := newLogReader(env, k)
+	if err != nil {
+		return nil, err
+	}
 	return &Core{
-		env: env, kernel: k, reader: newLogReader(env, k),
+		env: env, kernel: k, reader: reader,
 		ticks:     kernel.All[service.TickHandler](k),
 		listings:  kernel.All[service.ListingHandler](k),
 		messages:  kernel.All[service.MessageHandler](k),
@@ -92,7 +105,7 @@
 		callers:   kernel.All[service.CallerHandler](k),
 		drains:    kernel.All[service.DrainHandler](k),
 		stepEnds:  kernel.All[service.StepEndHandler](k),
-	}
+	}, nil
 }
 
 // Kernel returns the registry, for reading state in status pages and tests.
@@ -114,6 +127,8 @@
 func (c *Core) handle(e event.Event) {
 	switch e := e.(type) {
 	case event.Tick:
+		c.env.SetWall(e.Wall)
+		c.reader.catchUp()
 		for _, h := range c.ticks {
 			h.OnTick()
 		}
@@ -164,6 +179,14 @@
 	case wire.LogEntries:
 		c.reader.take(m.Entries)
 		return
+	case wire.FetchSnapshot:
+		c.reader.sendSnapshot(e.From)
+		return
+	case wire.SnapshotState:
+		c.reader.adoptFrom(m)
+		return
+	case wire.Heartbeat:
+		c.reader.notice(e.From, m)
 	}
 	for _, h := range c.messages {
 		h.OnMessage(e.From, e.Message)
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -101,20 +101,23 @@
 	if int(st.Shard) >= len(s.slots) || s.slots[st.Shard].Term != st.Term {
 		return
 	}
-	before := s.slots[st.Shard]
-	s.slots[st.Shard] = Slot{Owner: to, Term: offset}
-	move := service.ShardMove{
-		Shard: st.Shard, Before: before.Owner, After: to,
-		OldTerm: before.Term, Term: offset, Planned: planned,
-	}
-	if to == s.env.Owner() || before.Owner == s.env.Owner() {
+	s.moved(st.Shard, Slot{Owner: to, Term: offset}, service.ShardMove{OldTerm: st.Term, Planned: planned})
+}
+
+// moved changes a line of the table and tells the other services how.
+func (s *Service) moved(shard model.Shard, after Slot, how service.ShardMove) {
+	before := s.slots[shard]
+	s.slots[shard] = after
+	how.Shard, how.Term = shard, after.Term
+	how.Before, how.After = before.Owner, after.Owner
+	if after.Owner == s.env.Owner() || before.Owner == s.env.Owner() {
 		s.env.Note(event.Note{
-			Kind: "shard-moved", Subject: fmt.Sprintf("shard/%d", st.Shard), Offset: offset,
-			Detail: fmt.Sprintf("%s -> %s", before.Owner.Instance, to.Instance),
+			Kind: "shard-moved", Subject: fmt.Sprintf("shard/%d", shard), Offset: after.Term,
+			Detail: fmt.Sprintf("%s -> %s", before.Owner.Instance, after.Owner.Instance),
 		})
 	}
 	for _, l := range s.listeners {
-		l.OnShardMoved(move)
+		l.OnShardMoved(how)
 	}
 }
 
