--- a/internal/capacity/cell_test.go
+++ b/internal/capacity/cell_test.go
@@ -139,6 +139,7 @@
 		records = append(records, wire.ConfigChange{Change: model.Change{ID: "all", Put: declarationsOf(size.teams)}})
 	}
 	c.entry(append(records, size.claims()...)...)
+	c.listed() // twice after a pause, before anything starts
 	c.settle()
 	c.settle()
 	return c
--- a/internal/capacity/jobs_bench_test.go
+++ b/internal/capacity/jobs_bench_test.go
@@ -4,9 +4,14 @@
 	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"pollenbend/internal/event"
+	"pollenbend/internal/kernel"
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
+	"pollenbend/internal/service"
+	"pollenbend/internal/service/snapshots"
 	"pollenbend/internal/wire"
 )
 
@@ -66,4 +71,9 @@
 			c.step(event.LogRead{Entries: []platform.Entry{e.Entries[0]}, Oldest: 1, Next: e.Next})
 		})
 	})
+	measure(b, "snapshot_entry_bytes_by_job", encodedBytes, "job with 200 ended tasks", []int{20, 200}, func(b *testing.B, n int) float64 {
+		snapshots, err := kernel.Find[*snapshots.Service](jobCell(b, n, 200).core.Kernel(), service.Snapshots)
+		require.NoError(b, err)
+		return constant(b, float64(entryBytes(b, snapshots.Take())))
+	})
 }
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -141,7 +141,7 @@
 // within the retention.
 func (m Model) jobs() Cost {
 	l := m.Slopes.Lines
-	known := m.Size.JobsPerDay / secondsPerDay * peakToMean * (m.Design.Periods.Retention.Seconds() + m.taskSeconds())
+	known := m.knownJobs()
 	tasks := m.Size.StartsPerSecond * m.Design.Periods.Retention.Seconds()
 	c := Cost{
 		Role: "request shards", Item: "jobs accepted for later, folded", Mechanism: "internal/service/jobs", Control: true,
@@ -155,6 +155,12 @@
 	return c
 }
 
+// knownJobs returns the jobs that run or ended within the retention.
+func (m Model) knownJobs() float64 {
+	perSecond := m.Size.JobsPerDay / secondsPerDay * peakToMean
+	return perSecond * (m.Design.Periods.Retention.Seconds() + m.taskSeconds())
+}
+
 // taskSeconds returns how long a task runs that is not part of a service.
 func (m Model) taskSeconds() float64 {
 	return m.Size.RunningTasks * (1 - servicePart) / m.Size.StartsPerSecond
@@ -312,8 +318,17 @@
 	if !m.Design.FoldAll {
 		entries, bytes = entries/m.n()+appends.Changes, bytes/m.n()+appends.Changes*l.ChangeBytes.At(objectsPerChange)
 	}
+	snapshot := l.SnapshotEntry.At(m.knownJobs())
+	if !m.Design.FoldAll {
+		snapshot /= m.n()
+	}
 	polls := max(logPollsPerSecond, min(entries, maxPolls))
 	return []Cost{
+		{
+			Role: "configuration", Item: "reading snapshots in the log", Mechanism: "internal/service/snapshots", Control: true,
+			Bytes:  snapshot * l.LogReadBytes.Each() / m.snapshotSeconds(),
+			Remedy: "snapshots by shard in streams of their own, read only by a new owner",
+		},
 		{
 			Role: "configuration", Item: "reading the log at the peak", Mechanism: "internal/node, internal/core", Control: true,
 			Messages: 2 * polls,
@@ -328,6 +343,18 @@
 	}
 }
 
+// snapshotSeconds returns the time between two snapshots at the peak.
+func (m Model) snapshotSeconds() float64 {
+	return min(max(snapshotEntries/m.Appends().Total(), minSnapshotSeconds), maxSnapshotSeconds)
+}
+
+// When internal/service/snapshots appends one, in entries and seconds.
+const (
+	snapshotEntries    = 20000
+	minSnapshotSeconds = 90
+	maxSnapshotSeconds = 900
+)
+
 // folded returns the ends of jobs' tasks that one instance folds a second.
 func (m Model) folded() float64 {
 	if m.Design.FoldAll {
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -85,6 +85,7 @@
 	JobEntryBytes     Line `toml:"job_entry_bytes_by_record"`
 	ProgressBytes     Line `toml:"progress_bytes_by_task"`
 	ProgressTake      Line `toml:"progress_take_ns_by_task"`
+	SnapshotEntry     Line `toml:"snapshot_entry_bytes_by_job"`
 	JobMemory         Line `toml:"job_memory"`
 	JobMemoryByTask   Line `toml:"job_memory_by_ended_task"`
 	TickByJob         Line `toml:"tick_ns_by_job"`
