--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -314,7 +314,7 @@
 	const callers = 8
 	c := startCell(t, "guild", 3)
 	c.apply()
-	load := c.startLoad(callers)
+	load := c.startLoad(callers, false)
 	for _, id := range []string{"entry-1", "entry-3"} {
 		before := load.served.Load()
 		c.await("requests served", func() bool { return t.Failed() || load.served.Load() > before+100 })
--- a/internal/scenario/schedule_test.go
+++ b/internal/scenario/schedule_test.go
@@ -117,7 +117,6 @@
 	workers   int
 	calls     int
 	changes   int
-	dead      map[string]bool
 }
 
 func (d *drawer) line(format string, args ...any) {
