Call a ceiling back whenever another holder is short of it

Cause: a ceiling one above its target was left where it was, so with a limit of one the only ceiling could stay with an instance that holds no worker, and the team starved. Change: the slack holds only while free permits cover every holder's target.

--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -91,7 +91,7 @@
 const (
 	planInterval = 100 * time.Millisecond
 	// lowerSlack is how far a ceiling may stand above its target before it is
-	// called back, while all ceilings together are within the limit.
+	// called back, while no one is short of it.
 	lowerSlack = 1
 )
 
@@ -225,18 +225,31 @@
 		free -= h.bound
 	}
 	targets := split(s.config.Limit(team)-s.uncovered(), holdings)
+	slack := int64(lowerSlack)
+	if shortage(holdings, targets) > free {
+		slack = 0
+	}
 	for i, h := range holdings {
 		switch target := targets[i]; {
 		case target > h.bound && free > 0:
 			raise := min(target-h.bound, free)
 			free -= raise
 			s.grant(team, e, h.owner, h.bound+raise)
-		case target < h.bound-lowerSlack, target < h.bound && free < 0:
+		case target < h.bound-slack:
 			s.grant(team, e, h.owner, target)
 		}
 	}
 }
 
+// shortage returns how much the holders lack of their targets.
+func shortage(holdings []holding, targets []int64) int64 {
+	var short int64
+	for i, h := range holdings {
+		short += max(targets[i]-h.bound, 0)
+	}
+	return short
+}
+
 // OnShardMoved makes the new owner of a shard wait one worker lease before its
 // first grant, so that every holder that it does not hear has lost the leases
 // under which it could still start tasks.
