Plant thirteen faults and show that the checker finds each

Change: faults are planted where events and actions pass between a core and the world, or where a start arrives at a worker; each names the scenario that catches it. After: all thirteen are caught.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -12,7 +12,7 @@
 // commands are the commands of the scripts besides those of testscript.
 var commands = map[string]func(*state, *arguments) error{
 	"seed": func(s *state, a *arguments) error {
-		*s = *newState(uint64(a.number(a.word(0))))
+		*s = *newState(uint64(a.number(a.word(0))), s.tamper)
 		return a.err
 	},
 	"instances": func(s *state, a *arguments) error {
--- /dev/null
+++ b/internal/scenario/mutation_test.go
@@ -0,0 +1,315 @@
+package scenario
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
+	"pollenbend/internal/testcell"
+	"pollenbend/internal/verdict"
+	"pollenbend/internal/wire"
+)
+
+// mutant is a planted fault and the promises that it breaks.
+type mutant struct {
+	name   string
+	script string // that catches it
+	breaks []testcell.Promise
+	tamper func(*testcell.Cell) fault
+}
+
+// fault alters what enters and leaves the cores. Nil functions change nothing.
+type fault struct {
+	event  func(at model.InstanceID, e event.Event) event.Event
+	action func(at model.InstanceID, a event.Action) []event.Action
+	start  func(at model.WorkerID, r platform.StartRequest) platform.StartRequest
+}
+
+// Event implements testcell.Tamper.
+func (f fault) Event(at model.InstanceID, e event.Event) event.Event {
+	if f.event == nil {
+		return e
+	}
+	return f.event(at, e)
+}
+
+// Action implements testcell.Tamper.
+func (f fault) Action(at model.InstanceID, a event.Action) []event.Action {
+	if f.action == nil {
+		return []event.Action{a}
+	}
+	return f.action(at, a)
+}
+
+// Start implements testcell.Tamper.
+func (f fault) Start(at model.WorkerID, r platform.StartRequest) platform.StartRequest {
+	if f.start == nil {
+		return r
+	}
+	return f.start(at, r)
+}
+
+// TestMutants plants one fault at a time and wants the checker to find a broken
+// promise.
+func TestMutants(t *testing.T) {
+	for _, m := range mutants {
+		t.Run(m.name, func(t *testing.T) {
+			s := readScript(t, m.script)
+			plant := func(c *testcell.Cell) testcell.Tamper { return m.tamper(c) }
+			err := s.broken(plant)
+			require.Contains(t, m.breaks, testcell.Promise(kindOf(err)), "%s does not catch this: %v", m.script, err)
+			t.Logf("caught by %s:\n%s%v", m.script, s, err)
+		})
+	}
+}
+
+// readScript reads a script from testdata.
+func readScript(t *testing.T, name string) schedule {
+	data, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
+	require.NoError(t, err)
+	var s schedule
+	for line := range strings.Lines(string(data)) {
+		if line = strings.TrimSpace(line); line != "" && line[0] != '#' {
+			s = append(s, line)
+		}
+	}
+	return s
+}
+
+var mutants = []mutant{
+	{
+		name:   "a worker's lease is not checked",
+		script: "start_late_fenced_no_task_runs_twice",
+		breaks: []testcell.Promise{testcell.PromiseCapacity, testcell.PromiseOnePlace, testcell.PromiseOnce, testcell.PromiseLimit},
+		tamper: func(c *testcell.Cell) fault {
+			return fault{start: func(at model.WorkerID, r platform.StartRequest) platform.StartRequest {
+				if ref, held := c.LeaseOf(at); held {
+					r.Lease, r.Seq, r.WorkerIncarnation = ref, math.MaxUint64, 0
+				}
+				return r
+			}}
+		},
+	},
+	{
+		name:   "a full report's running tasks are ignored",
+		script: "start_answers_lost_runs_once",
+		breaks: []testcell.Promise{testcell.PromiseCapacity},
+		tamper: onEvent(func(_ model.InstanceID, e event.Event) event.Event {
+			if d, ok := e.(event.RenewDone); ok && d.Full {
+				d.Reply.Running = nil
+				return d
+			}
+			return e
+		}),
+	},
+	{
+		name:   "a ceiling is granted twice",
+		script: "limit_holder_killed_team_within_limit",
+		breaks: []testcell.Promise{testcell.PromiseLimit},
+		tamper: onMessage(func(m wire.Message) wire.Message {
+			if g, ok := m.(wire.Grant); ok {
+				g.Ceiling *= 2
+				return g
+			}
+			return m
+		}),
+	},
+	{
+		name:   "tasks are forgotten at a takeover",
+		script: "connection_cut_task_states_are_retold",
+		breaks: []testcell.Promise{testcell.PromiseOnePlace, testcell.PromiseOnce},
+		tamper: func(*testcell.Cell) fault {
+			return fault{event: func(_ model.InstanceID, e event.Event) event.Event {
+				p, ok := e.(event.PeerMessage)
+				if !ok {
+					return e
+				}
+				switch m := p.Message.(type) {
+				case wire.Located:
+					m.Seen = nil
+					p.Message = m
+				case wire.TaskState:
+					if m.Phase == wire.PhaseRunning && m.Term == 0 {
+						p.Message = wire.FetchCoverage{}
+					}
+				}
+				return p
+			}}
+		},
+	},
+	{
+		name:   "a withdrawal is not applied at one instance",
+		script: "key_withdrawn_refused_everywhere",
+		breaks: []testcell.Promise{testcell.PromiseKey, testcell.PromiseConfig},
+		tamper: onEvent(func(at model.InstanceID, e event.Event) event.Event {
+			r, ok := e.(event.LogRead)
+			if !ok || at != "entry-3" {
+				return e
+			}
+			r.Entries = slices.Clone(r.Entries)
+			for i := range r.Entries {
+				if r.Entries[i].Offset > 1 {
+					r.Entries[i] = withoutChanges(r.Entries[i])
+				}
+			}
+			return r
+		}),
+	},
+	{
+		name:   "a start is sent again under a new id",
+		script: "no_failure_every_call_is_done",
+		breaks: []testcell.Promise{testcell.PromiseOnePlace, testcell.PromiseOnce, testcell.PromiseCapacity},
+		tamper: onAction(func(a event.Action) []event.Action {
+			s, ok := a.(event.Start)
+			if !ok {
+				return []event.Action{a}
+			}
+			again := s
+			again.Request.Task.ID = model.WithRun(model.BaseTask(s.Request.Task.ID), 9)
+			return []event.Action{s, again}
+		}),
+	},
+	{
+		name:   "doubt is told as not run",
+		script: "worker_restarted_not_repeated",
+		breaks: []testcell.Promise{testcell.PromiseNotRun},
+		tamper: onAnswer(func(a model.Answer) []model.Answer {
+			if a.Verdict == verdict.MayHaveRun {
+				a.Verdict = verdict.NotRun
+			}
+			return []model.Answer{a}
+		}),
+	},
+	{
+		name:   "answers are crossed",
+		script: "no_failure_every_call_is_done",
+		breaks: []testcell.Promise{testcell.PromiseDone},
+		tamper: func(*testcell.Cell) fault {
+			var last []byte
+			return onAnswer(func(a model.Answer) []model.Answer {
+				if a.Body != nil {
+					last, a.Body = a.Body, last
+				}
+				return []model.Answer{a}
+			})(nil)
+		},
+	},
+	{
+		name:   "an answer is given twice",
+		script: "no_failure_every_call_is_done",
+		breaks: []testcell.Promise{testcell.PromiseAnswer},
+		tamper: onAnswer(func(a model.Answer) []model.Answer { return []model.Answer{a, a} }),
+	},
+	{
+		name:   "refusals at the deadline are lost",
+		script: "worker_unreachable_not_run_is_true",
+		breaks: []testcell.Promise{testcell.PromiseAnswer},
+		tamper: onAnswer(func(a model.Answer) []model.Answer {
+			if a.Code == verdict.CodeDeadline {
+				return nil
+			}
+			return []model.Answer{a}
+		}),
+	},
+	{
+		name:   "the list's leaving marks are ignored",
+		script: "leaving_worker_gets_no_new_work",
+		breaks: []testcell.Promise{testcell.PromiseLeaving},
+		tamper: onEvent(func(_ model.InstanceID, e event.Event) event.Event {
+			l, ok := e.(event.Listed)
+			if !ok {
+				return e
+			}
+			l.Listing.Workers = slices.Clone(l.Listing.Workers)
+			for i := range l.Listing.Workers {
+				l.Listing.Workers[i].Leaving = false
+			}
+			return l
+		}),
+	},
+	{
+		name:   "cut answers are taken for whole ones",
+		script: "worker_cuts_answers_none_is_passed_on",
+		breaks: []testcell.Promise{testcell.PromiseDone},
+		tamper: onEvent(func(_ model.InstanceID, e event.Event) event.Event {
+			d, ok := e.(event.RenewDone)
+			if !ok {
+				return e
+			}
+			d.Reply.Finished = slices.Clone(d.Reply.Finished)
+			for i := range d.Reply.Finished {
+				d.Reply.Finished[i].Complete = true
+			}
+			return d
+		}),
+	},
+	{
+		name:   "an unanswered start counts as not started",
+		script: "start_answer_lost_and_worker_restarted_not_repeated",
+		breaks: []testcell.Promise{testcell.PromiseOnePlace, testcell.PromiseOnce, testcell.PromiseCapacity, testcell.PromiseLimit, testcell.PromiseNotRun},
+		tamper: onEvent(func(_ model.InstanceID, e event.Event) event.Event {
+			if d, ok := e.(event.StartDone); ok && d.Verdict == verdict.MayHaveRun {
+				d.Verdict = verdict.NotRun
+				return d
+			}
+			return e
+		}),
+	},
+}
+
+func withoutChanges(e platform.Entry) platform.Entry {
+	records, err := wire.DecodeEntry(e.Data)
+	if err != nil {
+		panic(err)
+	}
+	records = slices.DeleteFunc(records, func(r wire.Record) bool {
+		_, change := r.(wire.ConfigChange)
+		return change
+	})
+	if e.Data, err = wire.EncodeEntry(records); err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func onEvent(f func(model.InstanceID, event.Event) event.Event) func(*testcell.Cell) fault {
+	return func(*testcell.Cell) fault { return fault{event: f} }
+}
+
+func onAction(f func(event.Action) []event.Action) func(*testcell.Cell) fault {
+	return func(*testcell.Cell) fault {
+		return fault{action: func(_ model.InstanceID, a event.Action) []event.Action { return f(a) }}
+	}
+}
+
+func onMessage(f func(wire.Message) wire.Message) func(*testcell.Cell) fault {
+	return onAction(func(a event.Action) []event.Action {
+		if s, ok := a.(event.Send); ok {
+			s.Message = f(s.Message)
+			return []event.Action{s}
+		}
+		return []event.Action{a}
+	})
+}
+
+func onAnswer(f func(model.Answer) []model.Answer) func(*testcell.Cell) fault {
+	return onAction(func(a event.Action) []event.Action {
+		r, ok := a.(event.Respond)
+		if !ok {
+			return []event.Action{a}
+		}
+		var out []event.Action
+		for _, answer := range f(r.Answer) {
+			out = append(out, event.Respond{Handle: r.Handle, Answer: answer})
+		}
+		return out
+	})
+}
--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -17,13 +17,13 @@
 	for i := range uint64(*schedulesFlag) {
 		seed := *seedFlag + i
 		s := draw(seed)
-		err := s.run()
+		err := s.run(nil)
 		if err == nil {
 			continue
 		}
 		t.Errorf("seed %d: %v", seed, err)
-		if shorter := s.shrink(); len(shorter) < len(s) {
-			t.Logf("shortened:\n%s%v", shorter, shorter.broken())
+		if shorter := s.shrink(nil); len(shorter) < len(s) {
+			t.Logf("shortened:\n%s%v", shorter, shorter.broken(nil))
 		}
 	}
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -36,7 +36,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			env.Values[stateKey{}] = newState(scenarioSeed)
+			env.Values[stateKey{}] = newState(scenarioSeed, nil)
 			return nil
 		},
 		Cmds: cmds,
@@ -47,12 +47,20 @@
 
 // state is what one script has built.
 type state struct {
-	cell  *testcell.Cell
-	calls map[string]*testcell.Call
+	cell   *testcell.Cell
+	calls  map[string]*testcell.Call
+	tamper tamperer
 }
 
-func newState(seed uint64) *state {
-	return &state{cell: testcell.New(testcell.Options{Seed: seed}), calls: make(map[string]*testcell.Call)}
+// tamperer plants a fault into a cell; nil plants none.
+type tamperer func(*testcell.Cell) testcell.Tamper
+
+func newState(seed uint64, tamper tamperer) *state {
+	s := &state{cell: testcell.New(testcell.Options{Seed: seed}), calls: make(map[string]*testcell.Call), tamper: tamper}
+	if tamper != nil {
+		s.cell.SetTamper(tamper(s.cell))
+	}
+	return s
 }
 
 // arguments are the words of a command, and its name=value words.
--- a/internal/scenario/schedule_test.go
+++ b/internal/scenario/schedule_test.go
@@ -23,8 +23,8 @@
 
 // run runs a schedule. A brokenError tells what failed; any other error means
 // that the schedule itself makes no sense.
-func (s schedule) run(tamper ...func(*state)) error {
-	st := newState(0)
+func (s schedule) run(tamper tamperer) error {
+	st := newState(scenarioSeed, tamper)
 	for _, line := range s {
 		words := strings.Fields(line)
 		command, ok := commands[words[0]]
@@ -34,17 +34,12 @@
 		if err := command(st, parse(words[1:])); err != nil {
 			return err
 		}
-		if words[0] == "seed" {
-			for _, f := range tamper {
-				f(st)
-			}
-		}
 	}
 	return nil
 }
 
-func (s schedule) broken(tamper ...func(*state)) error {
-	err := s.run(tamper...)
+func (s schedule) broken(tamper tamperer) error {
+	err := s.run(tamper)
 	if kindOf(err) == "" {
 		return nil
 	}
@@ -53,10 +48,10 @@
 
 // shrink leaves out lines between the start and the recovery while the schedule
 // still fails in the same way.
-func (s schedule) shrink(tamper ...func(*state)) schedule {
-	want := kindOf(s.broken(tamper...))
+func (s schedule) shrink(tamper tamperer) schedule {
+	want := kindOf(s.broken(tamper))
 	for size := len(s) / 2; size > 0; {
-		shorter := s.without(size, want, tamper...)
+		shorter := s.without(size, want, tamper)
 		if len(shorter) == len(s) {
 			size /= 2
 		}
@@ -65,10 +60,10 @@
 	return s
 }
 
-func (s schedule) without(size int, want string, tamper ...func(*state)) schedule {
+func (s schedule) without(size int, want string, tamper tamperer) schedule {
 	for i := slices.Index(s, "start") + 1; i+size <= len(s)-recoveryLines; {
 		rest := slices.Concat(s[:i], s[i+size:])
-		if kindOf(rest.broken(tamper...)) == want {
+		if kindOf(rest.broken(tamper)) == want {
 			s = rest
 		} else {
 			i += size
--- a/internal/testcell/cell.go
+++ b/internal/testcell/cell.go
@@ -30,9 +30,6 @@
 type Options struct {
 	Seed   uint64
 	Timing event.Timing
-	// Tamper, when set, may alter what a core asks for; it is how known faults
-	// are planted to test the checker.
-	Tamper Tamper
 }
 
 // DefaultTiming returns the timing that cells run with.
@@ -52,6 +49,7 @@
 // safe for concurrent use.
 type Cell struct {
 	options Options
+	tamper  Tamper
 	rng     *rand.Rand
 	now     time.Duration
 	queue   timers
--- a/internal/testcell/worker.go
+++ b/internal/testcell/worker.go
@@ -212,7 +212,7 @@
 		return func() { in.step(e) }
 	}
 	c.command(in, a.Worker.ID, callTimeout, func(w *worker, settle func(func())) {
-		err := w.core.Start(c.wall(), a.Request)
+		err := w.core.Start(c.wall(), w.tamperStart(a.Request))
 		if w.core.Faults().LoseStartAnswer {
 			err = standin.ErrAnswerLost
 		}
