--- a/internal/service/requests/memory.go
+++ b/internal/service/requests/memory.go
@@ -76,7 +76,7 @@
 	held := s.held[m.Shard]
 	delete(s.held, m.Shard)
 	switch {
-	case m.After == s.env.Owner() && m.Before == s.env.Owner():
+	case m.After == s.env.Owner() && m.Before == s.env.Owner() && !m.Gap:
 		// A new term of the same owner: nothing is lost.
 	case m.After == s.env.Owner():
 		s.gain(m, held)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	Gateway    = "gateway"
 	Handover   = "handover"
 	Timeline   = "timeline"
+	Snapshots  = "snapshots"
 )
 
 // TickHandler is called on every tick.
@@ -68,6 +69,7 @@
 	OldTerm uint64
 	Term    uint64
 	Planned bool
+	Gap     bool
 }
 
 // BeatContributor fills its part of the next heartbeat.
@@ -90,3 +92,12 @@
 
 // StepEndHandler is called at the end of every step, after all other handlers.
 type StepEndHandler interface{ OnStepEnd() }
+
+// Snapshotter is a service whose state is a fold of the log. Snapshot encodes the
+// state; Restore replaces an older state by an encoded one and returns an error,
+// with nothing changed, when it cannot read it. Terms and versions never fall.
+type Snapshotter interface {
+	SnapshotName() string
+	Snapshot() []byte
+	Restore(data []byte) error
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -146,6 +146,28 @@
 	Entries []platform.Entry `cbor:"1,keyasint" json:"entries"`
 }
 
+// KeysWithdrawn tells of keys that a change withdrew. The receiver refuses them
+// until it has folded the log up to their offsets.
+type KeysWithdrawn struct {
+	Keys []WithdrawnKey `cbor:"1,keyasint" json:"keys"`
+}
+
+// WithdrawnKey is the hash of a key's secret and the offset of the change that
+// withdrew it.
+type WithdrawnKey struct {
+	SHA256 string `cbor:"1,keyasint" json:"sha256"`
+	Offset uint64 `cbor:"2,keyasint" json:"offset"`
+}
+
+// FetchSnapshot asks a peer for a snapshot of its state. The answer is a
+// SnapshotState.
+type FetchSnapshot struct{}
+
+// SnapshotState carries a peer's state.
+type SnapshotState struct {
+	Snapshot Snapshot `cbor:"1,keyasint" json:"snapshot"`
+}
+
 // Memory hands the memory of requests of some shards to the instance that is to
 // own them next.
 type Memory struct {
