Keep a permit with the task whose worker was given up

Cause: an instance that gave a worker up no longer counted the tasks that run on there, so its ceiling let it start as many more before the team's owner heard of it. Change: giving a worker up lowers the ceiling by its tasks; a grant based on an earlier heartbeat is lowered too. A grant of an earlier term of the team's shard is refused once the log has told of the later term, and a member's report counts only when its coverage belongs to it; no schedule has shown these two.

--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -36,6 +36,8 @@
 // Limits says whether one more task of a team may start here.
 type Limits interface {
 	MayStart(model.TeamID) bool
+	// Shed tells that a task of the team runs on where it can't be seen from here.
+	Shed(model.TeamID)
 }
 
 // Service is the ledger.
@@ -178,6 +180,7 @@
 		}
 	}
 	for _, t := range s.tasksOn(w.info.ID) {
+		s.limits.Shed(t.spec.Team)
 		s.forget(t)
 	}
 	s.place.scheduler.Fleet.Remove(w.info.ID)
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -19,6 +19,7 @@
 	"pollenbend/internal/model"
 	"pollenbend/internal/service"
 	"pollenbend/internal/service/membership"
+	"pollenbend/internal/service/ownership"
 	"pollenbend/internal/wire"
 )
 
@@ -44,6 +45,7 @@
 // Ownership tells who keeps a team's limit.
 type Ownership interface {
 	Mine(model.Shard) (term uint64, ok bool)
+	Owner(model.Shard) (ownership.Slot, bool)
 	Applied() uint64
 }
 
@@ -68,6 +70,8 @@
 	demand    Demand
 
 	held     map[model.TeamID]ceiling
+	sheds    map[model.TeamID][]shed
+	beat     uint64                 // of the last heartbeat sent
 	blocked  map[model.TeamID]int64 // starts refused since the last heartbeat
 	escrows  map[model.TeamID]*escrow
 	readyAt  [model.Shards]time.Duration // when a gained shard's owner may grant
@@ -108,6 +112,7 @@
 	return &Service{
 		env:     env,
 		held:    make(map[model.TeamID]ceiling),
+		sheds:   make(map[model.TeamID][]shed),
 		blocked: make(map[model.TeamID]int64),
 		escrows: make(map[model.TeamID]*escrow),
 	}
@@ -155,14 +160,17 @@
 
 func (s *Service) apply(g wire.Grant) {
 	h := s.held[g.Team]
-	if g.Term < h.term || g.Term == h.term && g.Seq <= h.seq {
+	slot, _ := s.ownership.Owner(model.ShardOfTeam(g.Team))
+	if g.Term < slot.Term || g.Term < h.term || g.Term == h.term && g.Seq <= h.seq {
 		return
 	}
-	s.held[g.Team] = ceiling{term: g.Term, seq: g.Seq, max: g.Ceiling}
+	most := max(g.Ceiling-s.unknownSheds(g.Team, g.Beat), 0)
+	s.held[g.Team] = ceiling{term: g.Term, seq: g.Seq, max: most}
 }
 
 // FillBeat reports running tasks, ceilings and demand by team.
 func (s *Service) FillBeat(b *wire.Heartbeat) {
+	s.beat = b.Seq
 	b.Teams = s.loads()
 	clear(s.blocked)
 }
@@ -306,7 +314,7 @@
 		return s.load(team), s.ownership.Applied(), true
 	}
 	m, ok := s.members.Member(o.Instance)
-	if !ok || m.Owner != o || m.Coverage.Version < m.Beat.Coverage {
+	if !ok || m.Owner != o || m.Coverage.Version != m.Beat.Coverage {
 		return wire.TeamLoad{}, 0, false
 	}
 	for _, l := range m.Beat.Teams {
@@ -338,9 +346,13 @@
 	e.grants[to] = g
 	msg := wire.Grant{Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling}
 	if to == s.env.Owner() {
+		msg.Beat = currentBeat
 		s.apply(msg)
 		return
 	}
+	if m, ok := s.members.Member(to.Instance); ok {
+		msg.Beat = m.Beat.Seq
+	}
 	s.env.Send(to.Instance, msg)
 }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -54,6 +54,8 @@
 	Term    uint64       `cbor:"2,keyasint" json:"term"`
 	Seq     uint64       `cbor:"3,keyasint" json:"seq"`
 	Ceiling int64        `cbor:"4,keyasint" json:"ceiling"`
+	// Beat is the receiver's heartbeat on which the grant is based.
+	Beat uint64 `cbor:"5,keyasint,omitempty" json:"beat,omitempty"`
 }
 
 // Forward hands a caller's request to the owner of its shard. The key has been
