--- a/internal/testcell/check.go
+++ b/internal/testcell/check.go
@@ -116,9 +116,11 @@
 }
 
 // checkPlaces looks for tasks that start twice and for requests with two runs at
-// once, or with two runs when they must not be repeated.
+// once, or with two runs when they must not be repeated. What may be repeated may
+// start again under the same id after the worker that had it restarted: that run
+// is over, and no one remembers it.
 func (c *Cell) checkPlaces(events []standin.Event) {
-	started := make(map[model.TaskID]model.WorkerID)
+	started := make(map[model.TaskID]standin.Event)
 	running := make(map[model.TaskID]model.TaskID) // by base
 	runs := make(map[model.TaskID]int)
 	once := c.unrepeatable()
@@ -127,13 +129,14 @@
 		switch e.Kind {
 		case standin.EventStart:
 			at := e.At.Sub(epoch)
-			if first, twice := started[e.Task]; twice {
-				c.violateAt(at, PromiseOnePlace, "%s started on %s and on %s", e.Task, first, e.Worker)
+			first, twice := started[e.Task]
+			if twice && (once[base] || !restarted(events, first, e.At)) {
+				c.violateAt(at, PromiseOnePlace, "%s started on %s and on %s", e.Task, first.Worker, e.Worker)
 			}
 			if other, busy := running[base]; busy {
 				c.violateAt(at, PromiseOnePlace, "%s starts while %s runs", e.Task, other)
 			}
-			started[e.Task], running[base] = e.Worker, e.Task
+			started[e.Task], running[base] = e, e.Task
 			runs[base]++
 			if runs[base] > 1 && once[base] {
 				c.violateAt(at, PromiseOnce, "%s runs for the %d. time", base, runs[base])
@@ -144,6 +147,13 @@
 	}
 }
 
+// restarted reports whether a worker restarted between a start there and a time.
+func restarted(events []standin.Event, start standin.Event, until time.Time) bool {
+	return slices.ContainsFunc(events, func(e standin.Event) bool {
+		return e.Kind == standin.EventRestart && e.Worker == start.Worker && e.At.After(start.At) && !e.At.After(until)
+	})
+}
+
 func (c *Cell) unrepeatable() map[model.TaskID]bool {
 	once := make(map[model.TaskID]bool)
 	for _, call := range c.calls {
