Run random schedules beside each other

Cause: sixty schedules one after another took over seven minutes under the race detector. Change: each seed is a parallel subtest of its own name.

--- a/internal/scenario/random_test.go
+++ b/internal/scenario/random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 )
 
@@ -15,15 +16,21 @@
 func TestRandomSchedules(t *testing.T) {
 	t.Logf("seeds %d to %d", *seedFlag, *seedFlag+uint64(*schedulesFlag)-1)
 	for i := range uint64(*schedulesFlag) {
-		seed := *seedFlag + i
-		s := draw(seed)
-		err := s.run(nil)
-		if err == nil {
-			continue
-		}
-		t.Errorf("seed %d: %v", seed, err)
-		if shorter := s.shrink(nil); len(shorter) < len(s) {
-			t.Logf("shortened:\n%s%v", shorter, shorter.broken(nil))
-		}
+		t.Run(fmt.Sprint(*seedFlag+i), func(t *testing.T) {
+			t.Parallel()
+			checkSchedule(t, *seedFlag+i)
+		})
+	}
+}
+
+func checkSchedule(t *testing.T, seed uint64) {
+	s := draw(seed)
+	err := s.run(nil)
+	if err == nil {
+		return
+	}
+	t.Errorf("seed %d: %v", seed, err)
+	if shorter := s.shrink(nil); len(shorter) < len(s) {
+		t.Logf("shortened:\n%s%v", shorter, shorter.broken(nil))
 	}
 }
