Measure the core: step time, queues, shards, leases and log position

Cause: /metrics told of HTTP and connections only; an operator could not see whether an instance holds workers, reads the log or falls behind. Change: the node renews gauges from the core on every tick and times each step.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,10 +15,8 @@
 
 	"pollenbend/internal/core"
 	"pollenbend/internal/event"
-	"pollenbend/internal/kernel"
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
-	"pollenbend/internal/service"
 	"pollenbend/internal/transport"
 	"pollenbend/internal/verdict"
 	"pollenbend/internal/wire"
@@ -71,6 +69,7 @@
 	draining   atomic.Bool
 	drainAsked chan struct{}
 	probe      probe
+	stats      stats
 	trace      *trace
 }
 
@@ -99,6 +98,7 @@
 	if n.probe, err = newProbe(c.Kernel()); err != nil {
 		return nil, err
 	}
+	n.stats = newStats(cfg.Metrics)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.transport, err = transport.Listen(transport.Config{
 		Self: cfg.Self.ID, Incarnation: cfg.Self.Incarnation, Listen: cfg.Listen, TLS: cfg.Identity,
@@ -170,7 +170,9 @@
 		case <-ticker.C:
 			n.step(event.Tick{Wall: time.Now().UTC()})
 			n.trace.flush()
-			n.view.Store(n.probe.view(n.draining.Load()))
+			v := n.probe.view(n.draining.Load())
+			n.view.Store(v)
+			n.stats.update(v, len(n.inbox))
 		}
 	}
 }
@@ -178,7 +180,9 @@
 func (n *Node) step(e event.Event) {
 	now := n.now()
 	n.trace.record(now, e)
-	for _, a := range n.core.Step(now, e) {
+	actions := n.core.Step(now, e)
+	n.stats.steps.Update(n.now() - now)
+	for _, a := range actions {
 		n.act(a)
 	}
 }
@@ -213,6 +217,7 @@
 	if n.transport.Send(a.To, payload) {
 		return
 	}
+	n.stats.unsent.Inc(1)
 	if inc, up := n.incarnation(a.To); up {
 		n.later(event.PeerDown{Peer: wire.Owner{Instance: a.To, Incarnation: inc}})
 	}
@@ -296,50 +301,3 @@
 
 // PeerAddr returns the address that peers dial.
 func (n *Node) PeerAddr() string { return n.transport.Addr() }
-
-// View is what other goroutines may know of the core, renewed on every tick.
-type View struct {
-	Ready   bool
-	Reason  string
-	Drained bool
-}
-
-// probe reads a View from the core's services, on the core's goroutine.
-type probe struct {
-	config   interface{ Fresh() bool }
-	owners   interface{ Reachable() int }
-	open     interface{ Open() int }
-	busy     interface{ Busy() int }
-	handover interface{ Settled() bool }
-}
-
-func newProbe(k *kernel.Kernel) (p probe, err error) {
-	if p.config, err = kernel.Find[interface{ Fresh() bool }](k, service.Config); err != nil {
-		return p, err
-	}
-	if p.owners, err = kernel.Find[interface{ Reachable() int }](k, service.Ownership); err != nil {
-		return p, err
-	}
-	if p.busy, err = kernel.Find[interface{ Busy() int }](k, service.Requests); err != nil {
-		return p, err
-	}
-	if p.handover, err = kernel.Find[interface{ Settled() bool }](k, service.Handover); err != nil {
-		return p, err
-	}
-	p.open, err = kernel.Find[interface{ Open() int }](k, service.Gateway)
-	return p, err
-}
-
-func (p probe) view(draining bool) *View {
-	v := &View{Ready: true}
-	switch {
-	case draining:
-		v.Ready, v.Reason = false, "draining"
-	case !p.config.Fresh():
-		v.Ready, v.Reason = false, "neither the log nor enough peers were heard lately"
-	case 2*p.owners.Reachable() < model.Shards:
-		v.Ready, v.Reason = false, "most shards have no reachable owner"
-	}
-	v.Drained = p.open.Open() == 0 && p.busy.Busy() == 0 && p.handover.Settled()
-	return v
-}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"pollenbend/internal/kernel"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service"
+	"pollenbend/internal/wire"
+)
+
+// View is what other goroutines may know of the core, renewed on every tick.
+type View struct {
+	Ready   bool
+	Reason  string
+	Drained bool
+
+	Open    int // callers that wait for an answer
+	Busy    int // requests coordinated here that have no final answer
+	Shards  int // owned
+	Holding int // workers whose shards are owned
+	Covered int // workers leased with their state known
+	Free    model.Resources
+	Version uint64 // of the configuration
+	Applied uint64 // offset of the last log entry applied
+}
+
+// probe reads a View from the core's services, on the core's goroutine.
+type probe struct {
+	config   configProbe
+	owners   ownerProbe
+	ledger   ledgerProbe
+	open     interface{ Open() int }
+	busy     interface{ Busy() int }
+	handover interface{ Settled() bool }
+}
+
+type configProbe interface {
+	Fresh() bool
+	Version() uint64
+}
+
+type ownerProbe interface {
+	Reachable() int
+	Owned() []wire.ShardTerm
+	Applied() uint64
+}
+
+type ledgerProbe interface {
+	Holding() []model.WorkerID
+	Coverage() wire.Coverage
+	Free() model.Resources
+}
+
+func newProbe(k *kernel.Kernel) (p probe, err error) {
+	if p.config, err = kernel.Find[configProbe](k, service.Config); err != nil {
+		return p, err
+	}
+	if p.owners, err = kernel.Find[ownerProbe](k, service.Ownership); err != nil {
+		return p, err
+	}
+	if p.ledger, err = kernel.Find[ledgerProbe](k, service.Ledger); err != nil {
+		return p, err
+	}
+	if p.busy, err = kernel.Find[interface{ Busy() int }](k, service.Requests); err != nil {
+		return p, err
+	}
+	if p.handover, err = kernel.Find[interface{ Settled() bool }](k, service.Handover); err != nil {
+		return p, err
+	}
+	p.open, err = kernel.Find[interface{ Open() int }](k, service.Gateway)
+	return p, err
+}
+
+func (p probe) view(draining bool) *View {
+	v := &View{Ready: true}
+	switch {
+	case draining:
+		v.Ready, v.Reason = false, "draining"
+	case !p.config.Fresh():
+		v.Ready, v.Reason = false, "neither the log nor enough peers were heard lately"
+	case 2*p.owners.Reachable() < model.Shards:
+		v.Ready, v.Reason = false, "most shards have no reachable owner"
+	}
+	v.Open, v.Busy = p.open.Open(), p.busy.Busy()
+	v.Shards, v.Applied = len(p.owners.Owned()), p.owners.Applied()
+	v.Holding, v.Covered, v.Free = len(p.ledger.Holding()), len(p.ledger.Coverage().Workers), p.ledger.Free()
+	v.Version = p.config.Version()
+	v.Drained = v.Open == 0 && v.Busy == 0 && p.handover.Settled()
+	return v
+}
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -284,5 +284,8 @@
 	return s.state.Declarations(), s.state.Version()
 }
 
+// Version returns the version of the declarations in force.
+func (s *Service) Version() uint64 { return s.state.Version() }
+
 // Service returns a declared service.
 func (s *Service) Service(name string) (model.Service, bool) { return s.state.Service(name) }
