Measure nearness to share and waiting time beside a plain FIFO

Cause: nearness and waiting must be known on a full fleet, after a shift in demand and with wrong sizes and broken workers. Change: benchmarks that play seeded arrivals and ends in virtual time on the scheduler, the queue, preemption, quarantine and estimates.

--- a/internal/scheduler/experiment_test.go
+++ b/internal/scheduler/experiment_test.go
@@ -18,15 +18,16 @@
 
 // Run times in the experiments.
 const (
-	batchRunTime   = 134 * time.Second
-	serviceRunTime = time.Hour
-	requestRunTime = 5 * time.Second
-	failTime       = 500 * time.Millisecond // of a task on a broken worker
-	minStop        = 200 * time.Millisecond // from a stop command to its end
-	maxStop        = time.Second
-	tick           = 20 * time.Millisecond
-	holdTime       = 5 * time.Second
-	retryPreempt   = 500 * time.Millisecond // after no victims were found for a team
+	batchRunTime    = 134 * time.Second
+	serviceRunTime  = time.Hour
+	requestRunTime  = 5 * time.Second
+	failTime        = 500 * time.Millisecond // of a task on a broken worker
+	minStop         = 200 * time.Millisecond // from a stop command to its end
+	maxStop         = time.Second
+	tick            = 20 * time.Millisecond
+	holdTime        = 5 * time.Second
+	reclaimsPerTick = 20                     // plans to take back a share
+	retryPreempt    = 500 * time.Millisecond // after no victims were found for a team
 )
 
 // options choose what takes part in an experiment.
@@ -92,6 +93,7 @@
 	parkedDemand map[model.TaskID]parked
 	started      func(t *model.Task, waited time.Duration)
 	starts       int
+	reclaims     int
 	fails        int
 	stops        int
 }
@@ -216,6 +218,7 @@
 }
 
 func (x *experiment) decide() {
+	x.reclaims = 0
 	for t := x.q.Pop(); t != nil; t = x.q.Pop() {
 		n, _, status := x.s.place(x.now, t)
 		if status.Success() && x.s.Fleet.Assume(x.now, t, n.Worker.ID) == nil {
@@ -248,7 +251,8 @@
 		return x.preempt(t, preempt.ForUrgent)
 	case !x.below(t):
 		return false
-	case x.reclaim && x.now >= x.retry[t.Team]:
+	case x.reclaim && x.reclaims < reclaimsPerTick && x.now >= x.retry[t.Team]:
+		x.reclaims++
 		if x.preempt(t, preempt.ForShare(x.book, x.targets)) {
 			return true
 		}
--- a/internal/scheduler/shares_bench_test.go
+++ b/internal/scheduler/shares_bench_test.go
@@ -13,6 +13,7 @@
 	backlogPerTeam = 200
 	shiftAt        = 300 * time.Second
 	shortlyAfter   = 10 * time.Second
+	aMinute        = time.Minute
 	settledAfter   = 300 * time.Second
 )
 
@@ -51,7 +52,7 @@
 	for _, phase := range []struct {
 		name  string
 		until time.Duration
-	}{{"before", shiftAt - tick}, {"10s", shiftAt + shortlyAfter}, {"settled", shiftAt + settledAfter}} {
+	}{{"before", shiftAt - tick}, {"10s", shiftAt + shortlyAfter}, {"60s", shiftAt + aMinute}, {"settled", shiftAt + settledAfter}} {
 		for x.now < phase.until {
 			x.topUp()
 			if x.now >= next {
--- /dev/null
+++ b/internal/scheduler/waiting_bench_test.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pollenbend/internal/model"
+)
+
+const (
+	waitingRun    = 600 * time.Second
+	waitingWarmUp = 360 * time.Second
+	urgentPart    = 50 // one arrival in so many is urgent
+	lowPart       = 5
+)
+
+// waits records waiting times from the end of the warm-up on.
+type waits struct {
+	byClass map[model.Class]*hdrhistogram.Histogram
+	byTeam  map[model.TeamID]*hdrhistogram.Histogram
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 2)
+}
+
+// BenchmarkPlaceWaiting plays arrivals at a part of what the fleet can run and
+// reports the waiting time in virtual milliseconds by class, and the median over
+// teams of normal work's median, with the worst team's.
+func BenchmarkPlaceWaiting(b *testing.B) {
+	for _, load := range []float64{0.7, 0.95, 1.2} {
+		for _, v := range []struct {
+			name string
+			o    options
+		}{
+			{"fifo", options{fifo: true}},
+			{"shares", options{reserve: true}},
+			{"shares+faults", options{reserve: true, wrongSizes: true, brokenEvery: 50}},
+			{"shares+faults+remedies", options{reserve: true, wrongSizes: true, brokenEvery: 50, estimates: true, quarantine: true}},
+		} {
+			b.Run(fmt.Sprintf("load=%.0f/policy=%s", 100*load, v.name), func(b *testing.B) {
+				v.o.workers = 1200
+				for b.Loop() {
+					runWaiting(b, v.o, load)
+				}
+			})
+		}
+	}
+}
+
+func runWaiting(b *testing.B, o options, load float64) {
+	x := newExperiment(o)
+	w := waits{byClass: map[model.Class]*hdrhistogram.Histogram{}, byTeam: map[model.TeamID]*hdrhistogram.Histogram{}}
+	x.started = func(t *model.Task, waited time.Duration) {
+		if x.now >= waitingWarmUp {
+			w.record(t.Class, x.truths[t.ID].team, waited)
+		}
+	}
+	rate := load * x.arrivalRate()
+	next := time.Duration(0)
+	second := time.Duration(0)
+	for x.now < waitingRun {
+		for ; next <= x.now; next += time.Duration(x.rng.ExpFloat64() / rate * float64(time.Second)) {
+			x.arrive()
+		}
+		if x.now >= second {
+			x.targets = x.rebalance()
+			second += time.Second
+		}
+		x.advance()
+	}
+	w.report(b)
+	b.ReportMetric(float64(x.stops)/x.now.Seconds(), "stops/s")
+	b.ReportMetric(100*float64(x.fails)/float64(x.starts), "failed-starts-%")
+	x.reportTrueUse(b)
+}
+
+// arrivalRate is the number of tasks a second that would keep all processors busy.
+func (x *experiment) arrivalRate() float64 {
+	var work float64
+	for _, t := range x.w.templates {
+		work += float64(t.Demand.MilliCPU)
+	}
+	work /= float64(len(x.w.templates))
+	runTime := batchRunTime.Seconds()*(1-1.0/urgentPart) + requestRunTime.Seconds()/urgentPart
+	return float64(x.s.Fleet.Capacity().MilliCPU) / (work * runTime)
+}
+
+// arrive submits a batch task of a team drawn with a skew, or an urgent request.
+func (x *experiment) arrive() {
+	u := x.rng.Float64()
+	team := int(math.Pow(u, 1.5) * benchTeams)
+	t := x.w.plainNext()
+	template := x.w.templates[team+benchTeams*x.rng.IntN(templatesByTeam)]
+	t.Team, t.Job, t.Kind, t.Demand = template.Team, template.Job, model.KindBatch, template.Demand
+	switch {
+	case x.rng.IntN(urgentPart) == 0:
+		t.Class, t.Kind = model.ClassUrgent, model.KindRequest
+	case x.rng.IntN(lowPart) == 0:
+		t.Class = model.ClassLow
+	}
+	x.submit(t)
+}
+
+func (w waits) record(class model.Class, team model.TeamID, waited time.Duration) {
+	if w.byClass[class] == nil {
+		w.byClass[class] = newHistogram()
+	}
+	_ = w.byClass[class].RecordValue(waited.Milliseconds())
+	if class != model.ClassNormal {
+		return
+	}
+	if w.byTeam[team] == nil {
+		w.byTeam[team] = newHistogram()
+	}
+	_ = w.byTeam[team].RecordValue(waited.Milliseconds())
+}
+
+func (w waits) report(b *testing.B) {
+	for class, h := range w.byClass {
+		b.ReportMetric(float64(h.ValueAtQuantile(50)), string(class)+"-p50-ms")
+		b.ReportMetric(float64(h.ValueAtQuantile(99)), string(class)+"-p99-ms")
+	}
+	var medians []float64
+	for _, h := range w.byTeam {
+		medians = append(medians, float64(h.ValueAtQuantile(50)))
+	}
+	slices.Sort(medians)
+	b.ReportMetric(medians[len(medians)/2], "teams-median-p50-ms")
+	b.ReportMetric(medians[len(medians)-1], "teams-worst-p50-ms")
+}
