Learn the ratio of used to declared size

Cause: a team's tasks of one kind differ in size, so the 95th percentile of what they used was far too much for most of them. Change: the histograms hold what was used in thousandths of what was declared.

--- a/internal/scheduler/estimates/estimates.go
+++ b/internal/scheduler/estimates/estimates.go
@@ -27,8 +27,8 @@
 	maxKeys = 4096
 
 	significantDigits = 1
-	maxMilliCPU       = 1 << 20
-	maxMemoryMiB      = 1 << 24
+	permille          = 1000
+	maxPermille       = 1 << 14 // of what was declared
 	maxRunTimeMillis  = 1 << 32
 )
 
@@ -56,18 +56,20 @@
 }
 
 type window struct {
-	milliCPU, memoryMiB, runTime *hdrhistogram.Histogram
+	cpuPermille, memoryPermille *hdrhistogram.Histogram // used, in relation to declared
+	runTime                     *hdrhistogram.Histogram // in milliseconds
 }
 
 func newWindow() window {
 	return window{
-		milliCPU:  hdrhistogram.New(1, maxMilliCPU, significantDigits),
-		memoryMiB: hdrhistogram.New(1, maxMemoryMiB, significantDigits),
-		runTime:   hdrhistogram.New(1, maxRunTimeMillis, significantDigits),
+		cpuPermille:    hdrhistogram.New(1, maxPermille, significantDigits),
+		memoryPermille: hdrhistogram.New(1, maxPermille, significantDigits),
+		runTime:        hdrhistogram.New(1, maxRunTimeMillis, significantDigits),
 	}
 }
 
-// Observe learns from the outcome of a task that ran to its end. Failed and
+// Observe learns from the outcome of a task that ran to its end; t carries the
+// declared demand, not one that Demand gave. Failed and
 // stopped tasks say nothing about size or run time.
 func (e *Estimator) Observe(t *model.Task, o model.Outcome) {
 	if o.Failed || o.Stopped {
@@ -76,14 +78,22 @@
 	r := e.record(keyOf(t))
 	recordClipped(r.current.runTime, o.Ran.Milliseconds())
 	if !o.Usage.IsZero() {
-		recordClipped(r.current.milliCPU, o.Usage.MilliCPU)
-		recordClipped(r.current.memoryMiB, o.Usage.MemoryMiB)
+		recordRatio(r.current.cpuPermille, o.Usage.MilliCPU, t.Demand.MilliCPU)
+		recordRatio(r.current.memoryPermille, o.Usage.MemoryMiB, t.Demand.MemoryMiB)
 	}
 	if r.current.runTime.TotalCount() >= windowSize {
 		r.previous, r.current = r.current, newWindow()
 	}
 }
 
+// recordRatio records what was used in relation to what was declared, so that
+// tasks of different sizes teach the same.
+func recordRatio(h *hdrhistogram.Histogram, used, declared int64) {
+	if declared > 0 {
+		recordClipped(h, used*permille/declared)
+	}
+}
+
 // recordClipped records a value, clipped to what the histogram can hold.
 func recordClipped(h *hdrhistogram.Histogram, v int64) {
 	_ = h.RecordValue(min(max(v, 1), h.HighestTrackableValue()))
@@ -112,8 +122,8 @@
 		return t.Demand
 	}
 	out := t.Demand
-	out.MilliCPU = size(t.Demand.MilliCPU, largest.MilliCPU, r.current.milliCPU, r.previous.milliCPU)
-	out.MemoryMiB = size(t.Demand.MemoryMiB, largest.MemoryMiB, r.current.memoryMiB, r.previous.memoryMiB)
+	out.MilliCPU = size(t.Demand.MilliCPU, largest.MilliCPU, r.current.cpuPermille, r.previous.cpuPermille)
+	out.MemoryMiB = size(t.Demand.MemoryMiB, largest.MemoryMiB, r.current.memoryPermille, r.previous.memoryPermille)
 	return out
 }
 
@@ -135,7 +145,8 @@
 	if declared == 0 {
 		return 0
 	}
-	learned, count := learn(sizeQuantile, windows...)
+	ratio, count := learn(sizeQuantile, windows...)
+	learned := declared * ratio / permille
 	out := blend(declared, learned+learned*headroom/100, count)
 	out = min(max(out, declared/maxFactor), declared*maxFactor)
 	return min(out, max(largest, declared))
