--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -180,6 +180,18 @@
 	}
 }
 
+func TestFeasibleEndsWhenTheLastMatchingWorkerLeaves(t *testing.T) {
+	s := smallFleet()
+	task := &model.Task{Demand: smallDemand, Require: model.Selector{{Label: "new", Op: model.OpExists}}}
+	require.True(t, s.Feasible(task).Success())
+	last := s.Fleet.Node("w5").Worker
+	require.NoError(t, s.Fleet.SetUnschedulable("w5", fleet.ReasonNoLease, true))
+	require.True(t, s.Feasible(task).Success(), "a worker out of reach may come back")
+	last.Leaving = true
+	s.Fleet.Upsert(last)
+	require.Equal(t, plugin.Impossible, s.Feasible(task).Code)
+}
+
 func TestJobAvoidsWorkerWhereItFailed(t *testing.T) {
 	s := New(Config{})
 	s.Fleet.Upsert(worker("a", "z", "r", plainCapacity, nil))
