Let anybody borrow at once what no team wants

Cause: on a fleet with room, a team's burst waited for the next Rebalance. Change: the ceiling is the fair part and all that no team claims.

--- a/internal/scheduler/queue/queue_test.go
+++ b/internal/scheduler/queue/queue_test.go
@@ -62,6 +62,19 @@
 	require.Len(t, ids(q, 99), 29, "with nobody else waiting all may be borrowed")
 }
 
+func TestShareCeilingLeavesIdlePartToAnybody(t *testing.T) {
+	q := New(Config{})
+	q.SetCapacity(model.Resources{MilliCPU: 100})
+	for _, team := range []string{"a", "b", "c", "d"} {
+		require.NoError(t, q.Push(task(team, team)))
+	}
+	q.Rebalance()
+	for i := range 99 {
+		require.NoError(t, q.Push(task("a", fmt.Sprint(i))))
+	}
+	require.Len(t, ids(q, 199), 101, "b, c, d and 98 of a, up to its part of one and the idle 96, and the tolerance")
+}
+
 func TestUrgentGoesFirstInOrderReceived(t *testing.T) {
 	q := New(Config{})
 	urgent := task("a", "u")
--- a/internal/scheduler/queue/rebalance.go
+++ b/internal/scheduler/queue/rebalance.go
@@ -14,8 +14,8 @@
 
 // Rebalance works out every team's fair part of the fleet from what it holds and
 // what waits, and returns it. Until the next call no team starts normal or low
-// work above that by more than a small tolerance, though always up to the part
-// that its share guarantees; so small tasks can't take for good what large ones of
+// work above that by more than a small tolerance and what nobody wants, though always
+// up to the part that its share guarantees; so small tasks can't take for good what large ones of
 // other teams wait for. Call it about once a second.
 func (q *Queue) Rebalance() []shares.Target {
 	teams := make([]*team, 0, len(q.teams))
@@ -32,12 +32,16 @@
 		}
 	}
 	targets := shares.Targets(claims, 1)
+	idle := 1.0
+	for _, t := range targets {
+		idle -= t.Part
+	}
 	for i, tm := range teams {
 		guaranteed := 1.0
 		if weights > 0 {
 			guaranteed = float64(tm.account.Weight()) / float64(weights)
 		}
-		tm.ceiling = (1 + tolerance) * max(targets[i].Part, guaranteed)
+		tm.ceiling = (1 + tolerance) * max(targets[i].Part+idle, guaranteed)
 		q.arrange(tm)
 	}
 	return targets
