--- a/internal/scheduler/experiment_test.go
+++ b/internal/scheduler/experiment_test.go
@@ -12,21 +12,21 @@
 	"pollenbend/internal/scheduler/preempt"
 	"pollenbend/internal/scheduler/quarantine"
 	"pollenbend/internal/scheduler/queue"
-	"pollenbend/internal/scheduler/reserve"
 	"pollenbend/internal/scheduler/shares"
 )
 
 // Run times in the experiments.
 const (
-	batchRunTime   = 134 * time.Second
-	serviceRunTime = time.Hour
-	requestRunTime = 5 * time.Second
-	failTime       = 500 * time.Millisecond // of a task on a broken worker
-	minStop        = 200 * time.Millisecond // from a stop command to its end
-	maxStop        = time.Second
-	tick           = 20 * time.Millisecond
-	holdTime       = 5 * time.Second
-	retryPreempt   = 500 * time.Millisecond // after no victims were found for a team
+	batchRunTime    = 134 * time.Second
+	serviceRunTime  = time.Hour
+	requestRunTime  = 5 * time.Second
+	failTime        = 500 * time.Millisecond // of a task on a broken worker
+	minStop         = 200 * time.Millisecond // from a stop command to its end
+	maxStop         = time.Second
+	tick            = 20 * time.Millisecond
+	holdTime        = 5 * time.Second
+	reclaimsPerTick = 20                     // plans to take back a share
+	retryPreempt    = 500 * time.Millisecond // after no victims were found for a team
 )
 
 // options choose what takes part in an experiment.
@@ -34,7 +34,6 @@
 	workers     int
 	noCeiling   bool // shares order the queue, but nothing bounds a team
 	fifo        bool // baseline: one queue for all teams
-	reserve     bool // keep room for large tasks of teams below their share
 	reclaim     bool // stop work of teams above their share for teams below
 	wrongSizes  bool // true sizes differ from declared ones by up to 4 times
 	estimates   bool
@@ -76,7 +75,6 @@
 	s            *Scheduler
 	q            *queue.Queue
 	planner      *preempt.Planner
-	holds        *reserve.Keeper
 	keeper       *quarantine.Keeper
 	learned      *estimates.Estimator
 	book         *shares.Book // by true team, whatever the queue sees
@@ -92,6 +90,7 @@
 	parkedDemand map[model.TaskID]parked
 	started      func(t *model.Task, waited time.Duration)
 	starts       int
+	reclaims     int
 	fails        int
 	stops        int
 }
@@ -110,7 +109,6 @@
 		s:            New(Config{Seed: benchSeed}),
 		q:            queue.New(queue.Config{MaxWaiting: 1 << 30}),
 		planner:      preempt.New(benchSeed),
-		holds:        reserve.New(benchSeed),
 		learned:      estimates.New(),
 		book:         shares.NewBook(),
 		w:            newWorkload(benchSeed),
@@ -216,6 +214,7 @@
 }
 
 func (x *experiment) decide() {
+	x.reclaims = 0
 	for t := x.q.Pop(); t != nil; t = x.q.Pop() {
 		n, _, status := x.s.place(x.now, t)
 		if status.Success() && x.s.Fleet.Assume(x.now, t, n.Worker.ID) == nil {
@@ -248,17 +247,14 @@
 		return x.preempt(t, preempt.ForUrgent)
 	case !x.below(t):
 		return false
-	case x.reclaim && x.now >= x.retry[t.Team]:
+	case x.reclaim && x.reclaims < reclaimsPerTick && x.now >= x.retry[t.Team]:
+		x.reclaims++
 		if x.preempt(t, preempt.ForShare(x.book, x.targets)) {
 			return true
 		}
 		x.retry[t.Team] = x.now + retryPreempt
 	}
-	if !x.reserve || !x.holds.Hold(x.now, x.s.Fleet, t) {
-		return false
-	}
-	x.park(t)
-	return true
+	return false
 }
 
 func (x *experiment) preempt(t *model.Task, eligible preempt.Eligible) bool {
