--- a/internal/capacity/core_bench_test.go
+++ b/internal/capacity/core_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -39,12 +40,19 @@
 	})
 }
 
-// BenchmarkCapacityHeartbeatFill measures the core's part of sending one round of
-// heartbeats, in a tick in which no plan is due.
+// BenchmarkCapacityHeartbeatFill measures the tick in which heartbeats and shares
+// are due and no plan is, by the lines of teams that the shares look at: all lines
+// of all members for each team.
 func BenchmarkCapacityHeartbeatFill(b *testing.B) {
 	const afterPlan = 50 * time.Millisecond
-	measure(b, "heartbeat_fill_ns_by_team", nanoseconds, "team", []int{6, 60, 170}, func(b *testing.B, n int) float64 {
-		c := newCell(b, cellSize{instances: 2, workers: 2, teams: n})
+	shapes := map[int]cellSize{
+		60 * 60 * 9:    {instances: 9, teams: 60, spare: true},
+		170 * 170 * 9:  {instances: 9, teams: 170, spare: true},
+		170 * 170 * 90: {instances: 90, teams: 170, spare: true},
+	}
+	sizes := slices.Sorted(maps.Keys(shapes))
+	measure(b, "heartbeat_fill_ns_by_team_line", nanoseconds, "team and line", sizes, func(b *testing.B, n int) float64 {
+		c := newCell(b, shapes[n])
 		c.now += timing.Heartbeat
 		c.step(event.Tick{})
 		return timedAfter(b, func() {
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -253,7 +253,7 @@
 	costs := []Cost{{
 		Role: "membership", Item: "heartbeats with a line for each team", Mechanism: "internal/service/membership", Control: true,
 		Messages: 2 * rate, Bytes: 2 * rate * m.message(size),
-		Core:   (rate*(encode+take+t.SendNS) + l.HeartbeatFillByTeam.At(lines)/m.Design.Periods.Heartbeat.Seconds()) * nano,
+		Core:   rate * (encode + take + t.SendNS) * nano,
 		Memory: m.Design.Peers(m.N) * l.MemberMemoryByTeam.At(m.teams()),
 		Remedy: "probe a few members in turn and pass news on (SWIM) within a zone, one voice of each zone between zones; send only the team lines that changed",
 	}}
@@ -269,12 +269,24 @@
 		pings.Core = exchanges * t.SendNS * nano
 	}
 	return append(costs, pings, Cost{
+		Role: "membership", Item: "filling a heartbeat and weighing shares", Mechanism: "internal/service/membership, limits, requests", Control: true,
+		Core:   l.HeartbeatFillByLine.At(m.shareLines()) / m.Design.Periods.Heartbeat.Seconds() * nano,
+		Remedy: "one pass over the members' lines for all teams, in place of one for each team",
+	}, Cost{
 		Role: "membership", Item: "tick over members and shards", Mechanism: "internal/service/membership, ownership", Control: true,
 		Core:   ticksPerSecond * l.TickByInstance.At(members) * nano,
 		Remedy: "look for orphans only after a change of members or shards",
 	})
 }
 
+// shareLines returns the lines of teams that weighing the shares looks at.
+func (m Model) shareLines() float64 {
+	if m.Design.Scans {
+		return m.teams() * m.teams() * m.n()
+	}
+	return m.teams() * m.Design.Peers(m.N)
+}
+
 func (m Model) ownership() []Cost {
 	l := m.Slopes.Lines
 	list := Cost{
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -35,7 +35,7 @@
 	HeartbeatEncodeByMember Line `toml:"heartbeat_encode_ns_by_member"`
 	HeartbeatTakeByTeam     Line `toml:"heartbeat_take_ns_by_team"`
 	HeartbeatTakeByMember   Line `toml:"heartbeat_take_ns_by_member"`
-	HeartbeatFillByTeam     Line `toml:"heartbeat_fill_ns_by_team"`
+	HeartbeatFillByLine     Line `toml:"heartbeat_fill_ns_by_team_line"`
 	MemberMemoryByTeam      Line `toml:"member_memory_by_team"`
 	TickByInstance          Line `toml:"tick_ns_by_instance"`
 
