--- a/internal/scheduler/fleet/node.go
+++ b/internal/scheduler/fleet/node.go
@@ -44,7 +44,6 @@
 	Since     time.Duration // when it was assumed or confirmed to run
 	Confirmed bool
 	Stopping  bool // a stop was sent; its resources are still committed
-	Restarts  int  // how often the task was preempted before
 
 	pos int // in Node.allocs
 }
