Spend less on control: a slower list, a shorter heartbeat; keep fair parts

Every heartbeat repeated the sender's description, which nobody read; the list was read twice a second for ever. Change: the list is read every 2 s after the first 5 s; heartbeats carry no description. The coordinator also calls the queue's Rebalance, which bounds teams by their fair part while others wait. Conclusion: a leaving worker may get work for 2 s more after the list shows it, within the 5 s that are promised.

--- a/internal/capacity/cell_test.go
+++ b/internal/capacity/cell_test.go
@@ -189,7 +189,7 @@
 // heartbeat returns the heartbeat of instance i with one line for each team.
 func (c *cell) heartbeat(i int) wire.Heartbeat {
 	h := wire.Heartbeat{
-		Seq: c.beat, Applied: c.offset, Self: instanceOf(i), Coverage: 1, LogAge: 250 * time.Millisecond,
+		Seq: c.beat, Applied: c.offset, Coverage: 1, LogAge: 250 * time.Millisecond,
 		Free: model.Resources{MilliCPU: 3200000, MemoryMiB: 6553600, Slots: 12800},
 	}
 	for j := range c.size.instances {
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -60,7 +60,7 @@
 // Rates of the node's own loops, per second.
 const (
 	ticksPerSecond    = 50
-	listingsPerSecond = 2
+	listingsPerSecond = 0.5
 	plansPerSecond    = 10
 	logPollsPerSecond = 1
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,11 +40,16 @@
 const (
 	inboxSize    = 16384
 	tickInterval = 20 * time.Millisecond
-	listInterval = 500 * time.Millisecond
-	readWait     = time.Second
-	readLimit    = 512
-	readRetry    = 200 * time.Millisecond
-	callTimeout  = 2 * time.Second
+	// listInterval is the time between reads of the instance list. It bounds,
+	// with the list's own lag, how long a leaving worker still gets work.
+	listInterval = 2 * time.Second
+	// An instance reads the list more often at first, to meet the others soon.
+	firstListInterval = 300 * time.Millisecond
+	firstListTime     = 5 * time.Second
+	readWait          = time.Second
+	readLimit         = 512
+	readRetry         = 200 * time.Millisecond
+	callTimeout       = 2 * time.Second
 )
 
 // Node is a running instance.
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -136,6 +136,10 @@
 			n.transport.SetPeers(listing.Instances)
 			n.post(event.Listed{Listing: listing})
 		}
+		if n.now() < firstListTime {
+			n.sleep(firstListInterval)
+			continue
+		}
 		n.sleep(listInterval)
 	}
 }
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -123,7 +123,7 @@
 
 func (s *Service) sendHeartbeats() {
 	s.beatSeq++
-	beat := wire.Heartbeat{Seq: s.beatSeq, Self: s.env.Self, Leaving: s.leaving, Hears: s.heard()}
+	beat := wire.Heartbeat{Seq: s.beatSeq, Leaving: s.leaving, Hears: s.heard()}
 	for _, c := range s.contributors {
 		c.FillBeat(&beat)
 	}
--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -53,6 +53,7 @@
 		s.queue.SetShare(t.Name, t.Share)
 		s.queue.SetUsage(t.Name, s.elsewhere(t.Name))
 	}
+	s.queue.Rebalance()
 }
 
 // elsewhere returns what a team holds beyond what was dispatched from here.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -26,15 +26,14 @@
 
 // Heartbeat tells that the sender lives, whom it hears and what it holds.
 type Heartbeat struct {
-	Seq      uint64            `cbor:"1,keyasint" json:"seq"`
-	Applied  uint64            `cbor:"2,keyasint" json:"applied"` // log offset applied last
-	Hears    []Owner           `cbor:"3,keyasint,omitempty" json:"hears,omitempty"`
-	Leaving  bool              `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
-	Free     model.Resources   `cbor:"5,keyasint" json:"free"` // on workers the sender leases
-	Teams    []TeamLoad        `cbor:"6,keyasint,omitempty" json:"teams,omitempty"`
-	Coverage uint64            `cbor:"7,keyasint" json:"coverage"` // version of the sender's Coverage
-	LogAge   time.Duration     `cbor:"8,keyasint" json:"log_age"`  // since the sender last reached the log
-	Self     platform.Instance `cbor:"9,keyasint" json:"self"`
+	Seq      uint64          `cbor:"1,keyasint" json:"seq"`
+	Applied  uint64          `cbor:"2,keyasint" json:"applied"` // log offset applied last
+	Hears    []Owner         `cbor:"3,keyasint,omitempty" json:"hears,omitempty"`
+	Leaving  bool            `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
+	Free     model.Resources `cbor:"5,keyasint" json:"free"` // on workers the sender leases
+	Teams    []TeamLoad      `cbor:"6,keyasint,omitempty" json:"teams,omitempty"`
+	Coverage uint64          `cbor:"7,keyasint" json:"coverage"` // version of the sender's Coverage
+	LogAge   time.Duration   `cbor:"8,keyasint" json:"log_age"`  // since the sender last reached the log
 }
 
 // Coverage lists the workers that the sender leases and whose state it knows
