Expire finished requests in the order of their ends

Change: open entries stand in a map of their own and finished ones in a queue in the order of their ends.

--- a/internal/e2e/docs_test.go
+++ b/internal/e2e/docs_test.go
@@ -30,7 +30,7 @@
 
 var fence = regexp.MustCompile("^```(.*)$")
 
-func blocks(t *testing.T, page string) []block {
+func blocks(t testing.TB, page string) []block {
 	t.Helper()
 	var all []block
 	open := false
@@ -51,7 +51,7 @@
 	return all
 }
 
-func readPage(t *testing.T, page string) string {
+func readPage(t testing.TB, page string) string {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join(root, page))
 	require.NoError(t, err)
@@ -75,7 +75,7 @@
 
 // commands returns the commands of the sh blocks of a page, continuation lines
 // joined.
-func commands(t *testing.T, page string) []docCommand {
+func commands(t testing.TB, page string) []docCommand {
 	t.Helper()
 	var all []docCommand
 	for _, b := range blocks(t, page) {
@@ -106,7 +106,7 @@
 
 // session is a shell in which the commands of a page run one after the other.
 type session struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	in      io.Writer
 	out     *bufio.Scanner
@@ -164,7 +164,7 @@
 }
 
 // runsInCI tells the commands that CI itself runs, which a test can't.
-func runsInCI(t *testing.T, text string) bool {
+func runsInCI(t testing.TB, text string) bool {
 	t.Helper()
 	const script = "scripts/test.sh"
 	return text == "bash "+script || strings.Contains(readPage(t, script), "\n"+text+"\n")
@@ -334,7 +334,7 @@
 }
 
 // slugs returns the anchors of a page's headings.
-func slugs(t *testing.T, page string) []string {
+func slugs(t testing.TB, page string) []string {
 	t.Helper()
 	var list []string
 	for _, m := range heading.FindAllStringSubmatch(readPage(t, page), -1) {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -46,7 +46,7 @@
 
 // cell is a cell of separate processes.
 type cell struct {
-	t       *testing.T
+	t       testing.TB
 	example example.Example
 	dir     string
 	url     string // of the stand-ins
@@ -58,7 +58,7 @@
 // recorded makes the instances of a cell record their events.
 func recorded(c *cell) { c.record = true }
 
-func startCell(t *testing.T, name string, instances int, options ...func(*cell)) *cell {
+func startCell(t testing.TB, name string, instances int, options ...func(*cell)) *cell {
 	t.Helper()
 	ex, err := examples.Load(name)
 	require.NoError(t, err)
@@ -213,7 +213,7 @@
 var nextPort = minPort + os.Getpid()%8000
 
 // freePorts returns the first of n consecutive free ports.
-func freePorts(t *testing.T, n int) int {
+func freePorts(t testing.TB, n int) int {
 	t.Helper()
 	for nextPort+n < maxPort {
 		base := nextPort
--- a/internal/service/requests/memory.go
+++ b/internal/service/requests/memory.go
@@ -120,6 +120,7 @@
 	case phaseFinished:
 		e.phase = phaseFinished
 		e.answer, e.finishedAt = r.Answer, at-r.EndAge
+		s.ended = append(s.ended, e)
 		if e.task.Job != "" {
 			s.jobs.TaskEnded(e.task, e.answer)
 		}
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -78,6 +78,8 @@
 	handover  Handover
 
 	entries map[model.TaskID]*entry
+	open    map[model.TaskID]*entry // those without a final answer
+	ended   []*entry                // those with one, in the order of their ends
 	queue   *queue.Queue
 	rooms   map[model.InstanceID]*room
 	past    [model.Shards]shardPast
@@ -156,6 +158,7 @@
 	return &Service{
 		env:      env,
 		entries:  make(map[model.TaskID]*entry),
+		open:     make(map[model.TaskID]*entry),
 		queue:    queue.New(queue.Config{MaxWaiting: maxWaitingByTeam}),
 		rooms:    make(map[model.InstanceID]*room),
 		held:     make(map[model.Shard]*heldMemory),
@@ -350,6 +353,11 @@
 	}
 	e.charged = is
 	e.phase = p
+	if p == phaseFinished {
+		delete(s.open, e.base)
+		return
+	}
+	s.open[e.base] = e
 }
 
 // finish gives a request its final answer and tells everyone who waits for it.
@@ -357,6 +365,7 @@
 	a.ID = e.id
 	s.setPhase(e, phaseFinished)
 	e.finishedAt = s.env.Now()
+	s.ended = append(s.ended, e)
 	e.answer = a
 	waiters := e.waiters
 	e.waiters = nil
@@ -472,6 +481,7 @@
 	for _, id := range s.due(now) {
 		s.expire(s.entries[id], now)
 	}
+	s.forgetOld(now)
 	s.retryLocates(now)
 	s.endBackoffs(now)
 	if now-s.sharesAt >= s.env.Timing.Heartbeat {
@@ -481,13 +491,12 @@
 	s.moved = true
 }
 
-// due returns the entries that have something to do at now, sorted.
+// due returns the open entries that have something to do at now, sorted.
 func (s *Service) due(now time.Duration) []model.TaskID {
 	var ids []model.TaskID
-	for id, e := range s.entries {
-		old := e.phase == phaseFinished && now-e.finishedAt > s.env.Timing.Retention
+	for id, e := range s.open {
 		lost := e.phase == phaseDispatched && now-e.dispatchedAt > dispatchTimeout
-		if old || lost || e.phase != phaseFinished && len(e.waiters) > 0 && now >= e.deadline {
+		if lost || len(e.waiters) > 0 && now >= e.deadline {
 			ids = append(ids, id)
 		}
 	}
@@ -495,10 +504,22 @@
 	return ids
 }
 
+// forgetOld drops the entries that ended longer ago than the retention. They
+// stand in the order of their ends.
+func (s *Service) forgetOld(now time.Duration) {
+	n := 0
+	for n < len(s.ended) && now-s.ended[n].finishedAt > s.env.Timing.Retention {
+		if e := s.ended[n]; s.entries[e.base] == e {
+			delete(s.entries, e.base)
+		}
+		s.ended[n] = nil
+		n++
+	}
+	s.ended = s.ended[n:]
+}
+
 func (s *Service) expire(e *entry, now time.Duration) {
 	switch e.phase {
-	case phaseFinished:
-		delete(s.entries, e.base)
 	case phaseWaiting:
 		s.finish(e, s.unstarted(e, verdict.CodeDeadline, "no worker was free in time"))
 	case phaseDispatched:
@@ -542,12 +563,4 @@
 func (s *Service) Waiting(team model.TeamID) int64 { return int64(s.queue.Waiting(team)) }
 
 // Busy returns how many requests here have no final answer yet.
-func (s *Service) Busy() int {
-	busy := 0
-	for _, e := range s.entries {
-		if e.phase != phaseFinished {
-			busy++
-		}
-	}
-	return busy
-}
+func (s *Service) Busy() int { return len(s.open) }
