Look at every peer before declarations count as fresh

Cause: the freshness check returned at the first peer that decided it, in a map's order. A peer that had reached the log could hide one that was ahead, so a withdrawn key was taken; and the same events did not give the same actions. Change: a peer that is ahead refuses work whatever the others say.

--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -121,7 +121,7 @@
 	if s.logAt > 0 && now-s.logAt <= limit {
 		return true
 	}
-	heard := false
+	heard, reached := false, false
 	for _, p := range s.peers {
 		if now-p.heardAt > limit {
 			continue
@@ -129,12 +129,10 @@
 		if p.applied > s.applied {
 			return false
 		}
-		if now-p.reachedAt <= limit {
-			return true
-		}
 		heard = true
+		reached = reached || now-p.reachedAt <= limit
 	}
-	return heard && s.applied > 0 && s.members.Majority()
+	return reached || heard && s.applied > 0 && s.members.Majority()
 }
 
 // OnRecord folds a change.
