Grant ceilings only to instances that hold workers

Cause: what waits at a coordinator counted as need there, also at one without workers. A limit of one could go to it and stay, and the team starved. Change: need is bounded by the slots that the instance covers, and spare permits go to those too.

--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -225,6 +225,7 @@
 	// that is still on its way.
 	bound int64
 	need  int64
+	room  int64 // slots of the workers that the holder covers
 }
 
 func (s *Service) plan(team model.TeamID, term uint64) {
@@ -304,11 +305,22 @@
 		if !ok || applied < e.term {
 			return nil, false
 		}
-		list = append(list, holding{owner: o, bound: bound(load, e, o), need: load.Wanted})
+		room := s.room(o)
+		list = append(list, holding{owner: o, bound: bound(load, e, o), need: min(load.Wanted, room), room: room})
 	}
 	return list, true
 }
 
+// room returns the slots of the workers that a member covers.
+func (s *Service) room(o wire.Owner) int64 {
+	roster := s.ledger.Roster()
+	var slots int64
+	for _, id := range s.coverageOf(o).Workers {
+		slots += roster[id].Capacity.Slots
+	}
+	return slots
+}
+
 func (s *Service) report(o wire.Owner, team model.TeamID) (load wire.TeamLoad, applied uint64, ok bool) {
 	if o == s.env.Owner() {
 		return s.load(team), s.ownership.Applied(), true
@@ -384,16 +396,21 @@
 	return wire.Coverage{}
 }
 
-// split divides limit over the holders: to each its need as far as it goes round,
-// the rest in equal parts as room for sudden demand.
+// split divides limit over the holders of workers: to each its need as far as it
+// goes round, the rest in equal parts as room for sudden demand.
 func split(limit int64, holders []holding) []int64 {
 	targets := make([]int64, len(holders))
-	if limit <= 0 || len(holders) == 0 {
+	if limit <= 0 {
 		return targets
 	}
-	order := make([]int, len(holders))
-	for i := range order {
-		order[i] = i
+	var order []int
+	for i, h := range holders {
+		if h.room > 0 {
+			order = append(order, i)
+		}
+	}
+	if len(order) == 0 {
+		return targets
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return int(holders[a].need - holders[b].need) })
 	left := limit
