Do not take a running task for one whose outcome is lost

Cause: a worker's full report lists running tasks among those it has seen. The new holder of a worker remembered them as ended without an outcome and told their coordinators so, who ran repeatable ones again beside the first run; and the true outcome was not kept later. Change: only seen tasks that do not run are remembered as ended.

--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -155,6 +155,9 @@
 		s.restore(w, spec)
 	}
 	for _, id := range r.Seen {
+		if _, running := s.tasks[id]; running {
+			continue
+		}
 		s.remember(id, w.info.ID, model.Outcome{Task: id, Message: "outcome no longer kept"})
 	}
 	w.known = true
