Give the limit-by-the-hour test workers to hold

Cause: ceilings now go only to instances that hold workers; the test's cell had none, so nobody could start anything (three of its cases failed). Change: the test's cell lists 24 idle workers and grants their leases. The expectations are the same. Conclusion: the test passes again, at the same strictness.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,12 +42,21 @@
 	sent    map[string]int
 	dropped func(m wire.Message) bool
 	snaps   []uint64 // offsets of entries with a snapshot
+	workers []model.Worker
+	renewed map[model.InstanceID][]renewal
+}
+
+// renewal is a granted worker lease on its way to the instance that asked.
+type renewal struct {
+	due  time.Duration
+	done event.RenewDone
 }
 
 func newCell(t *testing.T, names ...model.InstanceID) *cell {
 	c := &cell{
 		t: t, oldest: firstOffset, cores: map[model.InstanceID]*Core{}, logCut: map[model.InstanceID]bool{},
 		answers: map[uint64]model.Answer{}, sent: map[string]int{},
+		renewed: map[model.InstanceID][]renewal{},
 	}
 	for _, n := range names {
 		c.start(n)
@@ -74,12 +84,46 @@
 			c.step(at, event.AppendDone{ID: a.ID, Offset: c.next() - 1, Verdict: verdict.Done})
 		case event.Send:
 			c.send(core.env.Owner(), a)
+		case event.Renew:
+			c.renew(at, a)
 		case event.Respond:
 			c.answers[a.Handle] = a.Answer
 		}
 	}
 }
 
+// list shows idle workers to every instance.
+func (c *cell) list(workers int) {
+	for i := range workers {
+		c.workers = append(c.workers, model.Worker{
+			ID: model.WorkerID(fmt.Sprintf("w%d", i)), Capacity: model.Resources{Slots: 1},
+		})
+	}
+	for _, i := range c.order {
+		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.order, Workers: c.workers}})
+	}
+}
+
+// renew grants a lease on an idle worker once the asked wait is over.
+func (c *cell) renew(at model.InstanceID, a event.Renew) {
+	c.renewed[at] = append(c.renewed[at], renewal{due: c.now + a.Request.Wait, done: event.RenewDone{
+		Worker: a.Worker.ID, Lease: a.Request.Lease, Full: a.Request.Full, SentAt: c.now,
+		Reply: platform.RenewReply{Granted: true, Incarnation: 1},
+	}})
+}
+
+func (c *cell) deliverRenewals(at model.InstanceID) {
+	pending := c.renewed[at]
+	c.renewed[at] = nil
+	for _, r := range pending {
+		if r.due > c.now {
+			c.renewed[at] = append(c.renewed[at], r)
+			continue
+		}
+		c.step(at, r.done)
+	}
+}
+
 func (c *cell) send(from wire.Owner, a event.Send) {
 	if c.dropped != nil && c.dropped(a.Message) || c.cores[a.To] == nil {
 		return
@@ -118,6 +162,7 @@
 			if !c.logCut[i.ID] {
 				c.read(i.ID)
 			}
+			c.deliverRenewals(i.ID)
 			c.step(i.ID, event.Tick{Wall: c.wall(i.ID)})
 		}
 	}
--- a/internal/core/hours_test.go
+++ b/internal/core/hours_test.go
@@ -82,6 +82,7 @@
 	for _, skew := range []time.Duration{-5 * time.Minute, 0, 5 * time.Minute} {
 		t.Run(skew.String(), func(t *testing.T) {
 			c := newCell(t, "a", "b", "c")
+			c.list(24)
 			c.began = time.Date(2026, 3, 29, 16, 29, 0, 0, time.UTC)
 			c.change("1", 0, evening("Europe/Dublin", 17*time.Hour+30*time.Minute, 20*time.Hour))
 			c.run(30 * time.Second)
