Read the list as seldom in scenarios as nodes do

Cause: nodes now read the instance list every 2 s, the test cell did so every 500 ms; the pause check of the ledger was made for the latter. Change: the cell reads it every 2 s; a gap of 2 s between ticks tells of a pause, and two listings are awaited for up to 6 s.

--- a/internal/service/ledger/freshness.go
+++ b/internal/service/ledger/freshness.go
@@ -11,13 +11,15 @@
 }
 
 const (
-	// pauseGap is a time between ticks that only a pause explains.
-	pauseGap = time.Second
+	// pauseGap is a time between ticks that only a pause explains. Together with
+	// the time between two reads of the list it stays below the few seconds in
+	// which a leaving worker may still get work.
+	pauseGap = 2 * time.Second
 	// newListings is how many listings are read after a pause: the first may
 	// have been asked for before it.
 	newListings = 2
 	// listingWait bounds the wait for them, for a list that is out.
-	listingWait = 3 * time.Second
+	listingWait = 6 * time.Second
 )
 
 func newFreshness() freshness { return freshness{listings: newListings} }
--- a/internal/testcell/instance.go
+++ b/internal/testcell/instance.go
@@ -41,7 +41,7 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	listInterval = 500 * time.Millisecond
+	listInterval = 2 * time.Second
 	readInterval = 20 * time.Millisecond
 	readWait     = time.Second
 	callTimeout  = 2 * time.Second
