Count the log's word from its question, and distrust what waited for a wake

Change: a log answer counts from the time at which it was asked; heartbeats heard within a second after a pause do not make the configuration fresh.

--- a/internal/capacity/cell_test.go
+++ b/internal/capacity/cell_test.go
@@ -183,7 +183,7 @@
 	data, err := wire.EncodeEntry(records)
 	require.NoError(c.tb, err)
 	c.offset++
-	return event.LogRead{Entries: []platform.Entry{{Offset: c.offset, Data: data}}, Oldest: 1, Next: c.offset + 1}
+	return event.LogRead{Entries: []platform.Entry{{Offset: c.offset, Data: data}}, Oldest: 1, Next: c.offset + 1, AskedAt: c.now}
 }
 
 // heartbeat returns the heartbeat of instance i with one line for each team.
@@ -236,7 +236,7 @@
 func (c *cell) settle() {
 	c.now += 100 * time.Millisecond
 	c.beats()
-	c.step(event.LogRead{Oldest: 1, Next: c.offset + 1})
+	c.step(event.LogRead{Oldest: 1, Next: c.offset + 1, AskedAt: c.now})
 	for _, a := range c.step(event.Tick{}) {
 		c.answer(a)
 	}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -151,7 +151,7 @@
 // read hands a core what the log keeps from its position on.
 func (c *cell) read(at model.InstanceID) {
 	from := max(c.cores[at].NextOffset(), c.oldest)
-	c.step(at, event.LogRead{Entries: c.log[min(from, c.next())-firstOffset:], Oldest: c.oldest, Next: c.next()})
+	c.step(at, event.LogRead{Entries: c.log[min(from, c.next())-firstOffset:], Oldest: c.oldest, Next: c.next(), AskedAt: c.now})
 }
 
 // run lets virtual time pass; every step each core reads the log, unless it is cut.
--- a/internal/core/logreader.go
+++ b/internal/core/logreader.go
@@ -59,7 +59,7 @@
 	}
 	r.lost = e.Oldest > r.next
 	for _, h := range r.logs {
-		h.OnLog(e.Oldest, e.Next)
+		h.OnLog(service.LogState{Oldest: e.Oldest, Next: e.Next, AskedAt: e.AskedAt})
 	}
 }
 
--- a/internal/event/env.go
+++ b/internal/event/env.go
@@ -27,6 +27,7 @@
 	Timing Timing
 
 	now     time.Duration
+	wokeAt  time.Duration
 	wall    time.Time
 	rng     *rand.Rand
 	actions []Action
@@ -72,12 +73,23 @@
 	return e.appends
 }
 
+// pauseGap is a time between steps that only a pause of the process explains:
+// ticks come far more often.
+const pauseGap = time.Second
+
 // Begin starts a step at now. Time never runs backwards.
 func (e *Env) Begin(now time.Duration) {
+	if now-e.now > pauseGap {
+		e.wokeAt = now
+	}
 	e.now = max(e.now, now)
 	e.actions = nil
 }
 
+// WokeAt returns when the last pause of this process ended, or its start. What
+// arrives just after may have waited for that, and be old.
+func (e *Env) WokeAt() time.Duration { return e.wokeAt }
+
 // Take ends the step and returns its actions.
 func (e *Env) Take() []Action {
 	taken := e.actions
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,7 @@
 	Entries []platform.Entry
 	Oldest  uint64
 	Next    uint64
+	AskedAt time.Duration // core time at which the read was asked
 }
 
 // AppendDone ends an Append. With MayHaveRun it is open whether the records are
--- a/internal/node/traffic.go
+++ b/internal/node/traffic.go
@@ -42,6 +42,7 @@
 func (n *Node) readLog() {
 	next := uint64(1)
 	for n.ctx.Err() == nil {
+		asked := n.now()
 		ctx, cancel := context.WithTimeout(n.ctx, readWait+callTimeout)
 		batch, err := n.cfg.Log.Read(ctx, n.cfg.Stream, next, readLimit, readWait)
 		cancel()
@@ -49,7 +50,7 @@
 			n.sleep(readRetry)
 			continue
 		}
-		n.post(event.LogRead{Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next})
+		n.post(event.LogRead{Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next, AskedAt: asked})
 		if k := len(batch.Entries); k > 0 {
 			next = batch.Entries[k-1].Offset + 1
 		}
--- a/internal/replay/drive_test.go
+++ b/internal/replay/drive_test.go
@@ -151,7 +151,7 @@
 		if d.unread || d.now%time.Second == 0 {
 			d.unread = false
 			from := min(d.core.NextOffset()-1, uint64(len(d.log)))
-			d.step(event.LogRead{Entries: d.log[from:], Oldest: 1, Next: uint64(len(d.log) + 1)})
+			d.step(event.LogRead{Entries: d.log[from:], Oldest: 1, Next: uint64(len(d.log) + 1), AskedAt: d.now})
 		}
 		if d.now >= d.listAt {
 			d.listAt = d.now + listEvery
--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -54,6 +54,9 @@
 }
 
 const (
+	// wakeSettle is how long after a pause heartbeats may have waited for its
+	// end, so that they tell nothing of the present.
+	wakeSettle    = time.Second
 	changeTimeout = 10 * time.Second
 	retryAfter    = time.Second
 )
@@ -79,10 +82,10 @@
 	return err
 }
 
-// OnLog notes that the log answered.
-func (s *Service) OnLog(_, next uint64) {
-	if s.applied+1 >= next {
-		s.logAt = s.env.Now()
+// OnLog notes that the log answered, as of the question.
+func (s *Service) OnLog(l service.LogState) {
+	if s.applied+1 >= l.Next {
+		s.logAt = max(s.logAt, l.AskedAt)
 	}
 }
 
@@ -123,7 +126,7 @@
 	}
 	heard, reached := false, false
 	for _, p := range s.peers {
-		if now-p.heardAt > limit {
+		if now-p.heardAt > limit || p.heardAt < s.env.WokeAt()+wakeSettle {
 			continue
 		}
 		if p.applied > s.applied {
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -71,8 +71,8 @@
 }
 
 // OnLog notes how far the log reaches.
-func (s *Service) OnLog(_, next uint64) {
-	s.head = next
+func (s *Service) OnLog(l service.LogState) {
+	s.head = l.Next
 	s.logAt = s.env.Now()
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,6 +3,8 @@
 package service
 
 import (
+	"time"
+
 	"pollenbend/internal/event"
 	"pollenbend/internal/model"
 	"pollenbend/internal/platform"
@@ -29,7 +31,15 @@
 
 // LogHandler is called after every answer of the log, with its oldest and next
 // offsets.
-type LogHandler interface{ OnLog(oldest, next uint64) }
+type LogHandler interface{ OnLog(LogState) }
+
+// LogState is what an answer of the log told of it. AskedAt is the time of the
+// question: the answer may have waited for this instance to wake from a pause.
+type LogState struct {
+	Oldest  uint64
+	Next    uint64
+	AskedAt time.Duration
+}
 
 // RecordHandler is called for every record in log order, the same on every
 // instance.
--- a/internal/service/snapshots/snapshots.go
+++ b/internal/service/snapshots/snapshots.go
@@ -61,7 +61,7 @@
 }
 
 // OnLog notes what the log keeps.
-func (s *Service) OnLog(oldest, next uint64) { s.oldest, s.next = oldest, next }
+func (s *Service) OnLog(l service.LogState) { s.oldest, s.next = l.Oldest, l.Next }
 
 // OnRecord notes where the last snapshot is.
 func (s *Service) OnRecord(offset uint64, r wire.Record) {
--- a/internal/testcell/instance.go
+++ b/internal/testcell/instance.go
@@ -31,6 +31,7 @@
 	nextRead    uint64
 	steadySince time.Duration // since when it runs and may reach the log
 	lastRead    time.Duration
+	askedAt     time.Duration // on the instance's clock, of the open read
 	reading     bool
 	version     uint64 // highest configuration version seen in this life
 }
@@ -141,7 +142,7 @@
 	in.begun, in.steadySince = c.now, c.now
 	in.drift = (2*c.rng.Float64() - 1) * maxDrift
 	in.appends, in.appending, in.reading = nil, false, false
-	in.nextRead, in.lastRead, in.version = 1, c.now, 0
+	in.nextRead, in.lastRead, in.askedAt, in.version = 1, c.now, 0, 0
 	var err error
 	in.core, err = core.New(core.Options{Self: in.info, Timing: c.options.Timing, Seed: c.rng.Uint64()})
 	if err != nil {
@@ -307,17 +308,21 @@
 		return
 	}
 	slow := c.log.Faults().Slow
+	asked := in.askedAt
 	in.reading = true
 	in.deliver(min(c.latency()+slow, readWait+callTimeout), func() {
 		in.reading = false
 		in.lastRead = c.now
+		in.askedAt = in.clock()
 		if slow > readWait+callTimeout {
 			return
 		}
 		if k := len(batch.Entries); k > 0 {
 			in.nextRead = batch.Entries[k-1].Offset + 1
 		}
-		in.step(event.LogRead{Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next})
+		in.step(event.LogRead{
+			Entries: batch.Entries, Oldest: batch.Oldest, Next: batch.Next, AskedAt: asked,
+		})
 	})
 }
 
