Remember refused starts beyond one heartbeat

Cause: a holder's need for a ceiling fell to nothing with every heartbeat, so a limit of one went back and forth between holders out of step with the coordinators' attempts, and a call could wait past its deadline while nothing ran. Change: need counts the refusals of the last two periods.

--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -73,6 +73,7 @@
 	sheds    map[model.TeamID][]shed
 	beat     uint64                 // of the last heartbeat sent
 	blocked  map[model.TeamID]int64 // starts refused since the last heartbeat
+	recent   map[model.TeamID]int64 // starts refused between the two heartbeats before
 	escrows  map[model.TeamID]*escrow
 	readyAt  [model.Shards]time.Duration // when a gained shard's owner may grant
 	nextPlan time.Duration
@@ -172,7 +173,7 @@
 func (s *Service) FillBeat(b *wire.Heartbeat) {
 	s.beat = b.Seq
 	b.Teams = s.loads()
-	clear(s.blocked)
+	s.recent, s.blocked = s.blocked, make(map[model.TeamID]int64)
 }
 
 func (s *Service) loads() []wire.TeamLoad {
@@ -198,7 +199,7 @@
 	return wire.TeamLoad{
 		Team: team, Running: running, Waiting: waiting, Usage: s.ledger.Usage(team),
 		Ceiling: h.max, GrantTerm: h.term, GrantSeq: h.seq,
-		Wanted: running + waiting + s.blocked[team],
+		Wanted: running + waiting + max(s.blocked[team], s.recent[team]),
 	}
 }
 
