Start gangs over several worker holders, all or none

Cause: the tasks of a gang were dispatched one by one like batch work. Change: a gang's coordinator asks worker holders in the order of their names to keep room with an expiry, and dispatches once all of its tasks are held. A start or task that fails stops the others; the whole gang runs again while it is repeatable. A gang for which the empty fleet is too small is refused. After: the scenarios under testdata/gang pass.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -23,6 +23,14 @@
 // TestScenario runs the scripts in testdata, each named for its failure and the
 // promise that must hold through it.
 func TestScenario(t *testing.T) {
+	runScripts(t, "testdata")
+}
+
+// TestGangScenario runs the scripts about gangs.
+func TestGangScenario(t *testing.T) { runScripts(t, "testdata/gang") }
+
+func runScripts(t *testing.T, dir string) {
+	t.Helper()
 	t.Logf("seed %d", scenarioSeed)
 	cmds := make(map[string]func(*testscript.TestScript, bool, []string))
 	for name, run := range commands {
@@ -34,7 +42,7 @@
 		}
 	}
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir: dir,
 		Setup: func(env *testscript.Env) error {
 			env.Values[stateKey{}] = newState(scenarioSeed, nil)
 			return nil
--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -29,6 +29,10 @@
 		s.env.Send(from.Instance, s.Locate(m))
 	case wire.CancelTask:
 		s.Cancel(m)
+	case wire.HoldTasks:
+		s.env.Send(from.Instance, s.HoldTasks(m))
+	case wire.ReleaseHolds:
+		s.ReleaseHolds(m)
 	case wire.FetchCoverage:
 		s.env.Send(from.Instance, s.coverage)
 	}
@@ -45,7 +49,7 @@
 	if known, ok := s.lookup(d.Task.ID); ok {
 		return known
 	}
-	if !s.limits.MayStart(d.Task.Team) {
+	if !s.limits.MayStart(d.Task.Team) || s.keptForGangs(&d.Task) {
 		st.Reason = ReasonLimit
 		return st
 	}
--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -36,6 +36,8 @@
 // Limits says whether one more task of a team may start here.
 type Limits interface {
 	MayStart(model.TeamID) bool
+	// Room returns how many of the wanted tasks of a team may start here.
+	Room(team model.TeamID, wanted int64) int64
 	// Shed tells that a task of the team runs on where it can't be seen from here.
 	Shed(model.TeamID)
 }
--- a/internal/service/ledger/placement.go
+++ b/internal/service/ledger/placement.go
@@ -20,6 +20,7 @@
 	keeper    *quarantine.Keeper
 	preempter *preempt.Planner
 	pending   map[model.TaskID]*pendingStart
+	gangHolds map[model.TaskID]model.TeamID // tasks of gangs for which room is kept
 }
 
 // pendingStart is an urgent task whose room is being made by stopping other work.
@@ -39,6 +40,7 @@
 		keeper:    quarantine.New(s.Fleet),
 		preempter: preempt.New(seed),
 		pending:   make(map[model.TaskID]*pendingStart),
+		gangHolds: make(map[model.TaskID]model.TeamID),
 	}
 }
 
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -151,6 +151,16 @@
 	return false
 }
 
+// Room returns how many of the wanted tasks of team may start here, and notes the
+// demand for the next heartbeat.
+func (s *Service) Room(team model.TeamID, wanted int64) int64 {
+	if !s.config.Limited(team) {
+		return wanted
+	}
+	s.blocked[team] = max(s.blocked[team], wanted)
+	return min(wanted, max(s.held[team].max-s.ledger.Running(team), 0))
+}
+
 // OnMessage applies grants.
 func (s *Service) OnMessage(_ wire.Owner, m wire.Message) {
 	if g, ok := m.(wire.Grant); ok {
--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -17,6 +17,7 @@
 	}
 	s.moved = false
 	s.refreshRooms()
+	s.stepGangs()
 	s.queue.Wake(s.largestRoom())
 	for {
 		t := s.queue.Pop()
@@ -180,6 +181,8 @@
 	switch m := m.(type) {
 	case wire.TaskState:
 		s.OnTaskState(from, m)
+	case wire.Held:
+		s.onHeld(from, m)
 	case wire.Located:
 		s.onLocated(from, m)
 	}
@@ -237,6 +240,10 @@
 		return
 	}
 	s.noteRefusal(from.Instance, e.task.Team, st.Reason)
+	if e.gang != nil {
+		s.setPhase(e, phaseGang)
+		return
+	}
 	e.holder = wire.Owner{}
 	s.setPhase(e, phaseWaiting)
 	s.queue.Return(&e.task, e.place)
@@ -265,6 +272,10 @@
 func (s *Service) onOutcome(e *entry, st wire.TaskState) {
 	out := st.Outcome
 	e.worker = st.Worker
+	if e.gang != nil {
+		s.onGangOutcome(e, out)
+		return
+	}
 	if s.runsAgain(e, out) {
 		e.run++
 		e.attempt = 0
--- a/internal/service/requests/jobtasks.go
+++ b/internal/service/requests/jobtasks.go
@@ -52,6 +52,9 @@
 	if f.Request.Service == "" {
 		t.Repeatable = true
 	}
+	if refusal := s.checkGang(&t, job.Count); refusal != nil {
+		return job, refusal
+	}
 	if !s.everFits(&t) {
 		return job, verdict.Refuse(verdict.CodeNeverFits, "no listed worker could ever run this: demand %+v, selector %+v", t.Demand, t.Require)
 	}
@@ -66,7 +69,14 @@
 	t.ID = model.TaskIDOf(t.Team, string(job.ID), index)
 	t.Index = index
 	if e, ok := s.entries[t.ID]; ok {
+		known := e.task.Kind == model.KindGang && e.phase == phaseFinished
 		e.task = t
+		if t.Kind == model.KindGang && e.gang == nil {
+			s.joinGang(e, job)
+			if !known {
+				s.startLocate(e)
+			}
+		}
 		return
 	}
 	e := &entry{
@@ -74,6 +84,9 @@
 		receivedAt: s.env.Now(), born: s.env.Now(),
 	}
 	s.entries[t.ID] = e
+	if t.Kind == model.KindGang {
+		s.joinGang(e, job)
+	}
 	if check {
 		s.startLocate(e)
 		return
@@ -88,7 +101,7 @@
 		return
 	}
 	e.canceled = true
-	if e.phase == phaseWaiting || e.phase == phaseBackoff {
+	if e.phase == phaseWaiting || e.phase == phaseBackoff || e.phase == phaseGang {
 		s.finish(e, s.unstarted(e, verdict.CodeCanceled, "canceled before it was started"))
 		return
 	}
@@ -110,10 +123,12 @@
 // Reason tells why a request waits.
 type Reason struct {
 	Phase       string                `json:"phase"`
-	TeamWaiting int                   `json:"team_waiting"` // tasks of the team that wait at this instance
-	TeamLevel   float64               `json:"team_level"`   // dominant part of the fleet over the share
-	AtLimit     bool                  `json:"at_limit"`     // a holder refused it lately for the team's upper limit
-	Here        scheduler.Explanation `json:"here"`         // by filter, on the workers held here
+	TeamWaiting int                   `json:"team_waiting"`        // tasks of the team that wait at this instance
+	TeamLevel   float64               `json:"team_level"`          // dominant part of the fleet over the share
+	AtLimit     bool                  `json:"at_limit"`            // a holder refused it lately for the team's upper limit
+	Here        scheduler.Explanation `json:"here"`                // by filter, on the workers held here
+	GangHeld    int                   `json:"gang_held,omitempty"` // tasks of its gang that had a place at the last try
+	GangSize    int                   `json:"gang_size,omitempty"`
 }
 
 // why explains an entry's wait as a JSON document.
@@ -125,6 +140,10 @@
 	for _, o := range s.members.Live() {
 		r.AtLimit = r.AtLimit || s.refused(o.Instance, e.task.Team)
 	}
+	if g := e.gang; g != nil {
+		r.AtLimit = r.AtLimit || g.limited
+		r.GangHeld, r.GangSize = g.found, g.count
+	}
 	body, err := json.Marshal(r)
 	if err != nil {
 		return nil
@@ -136,7 +155,7 @@
 func (s *Service) Why(ids []model.TaskID) []byte {
 	i := slices.IndexFunc(ids, func(id model.TaskID) bool {
 		e, ok := s.entries[id]
-		return ok && e.phase == phaseWaiting
+		return ok && (e.phase == phaseWaiting || e.phase == phaseGang)
 	})
 	if i < 0 {
 		return nil
--- a/internal/service/requests/memory.go
+++ b/internal/service/requests/memory.go
@@ -116,11 +116,14 @@
 		born: at - r.BornAge, receivedAt: at - r.WaitAge, deadline: at + r.Remaining, worker: r.Worker,
 	}
 	s.entries[e.base] = e
+	if e.task.Kind == model.KindGang && phase(r.Phase) != phaseFinished {
+		return // its job joins it to its gang, which finds it again
+	}
 	switch phase(r.Phase) {
 	case phaseFinished:
 		e.phase = phaseFinished
 		e.answer, e.finishedAt = r.Answer, at-r.EndAge
-		if e.task.Job != "" {
+		if e.task.Job != "" && e.task.Kind != model.KindGang {
 			s.jobs.TaskEnded(e.task, e.answer)
 		}
 	case phaseWaiting, phaseBackoff:
@@ -137,6 +140,7 @@
 }
 
 func (s *Service) lose(shard model.Shard) {
+	s.loseGangs(shard)
 	for id, e := range s.entries {
 		if e.shard == shard {
 			s.setPhase(e, phaseFinished)
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -48,6 +48,8 @@
 	Roster() map[model.WorkerID]model.Worker
 	Usage(model.TeamID) model.Resources
 	Explain(t *model.Task) scheduler.Explanation
+	HoldTasks(wire.HoldTasks) wire.Held
+	ReleaseHolds(wire.ReleaseHolds)
 }
 
 // Config describes services and teams.
@@ -86,6 +88,10 @@
 	locID   uint64
 	moved   bool // something happened that may let waiting tasks start
 
+	gangs      map[gangKey]*gang
+	gangsMoved bool // a gang may have something to do
+	holdID     uint64
+
 	backoffs []backoff
 	refusals map[refusal]time.Duration // until when a holder need not be asked
 	sharesAt time.Duration
@@ -108,6 +114,7 @@
 	phaseRunning
 	phaseBackoff // ended, and to be run again after a pause
 	phaseFinished
+	phaseGang // waits to start together with its gang
 )
 
 // entry is the memory of one request.
@@ -133,6 +140,8 @@
 	waiters      []waiter
 	answer       model.Answer
 	worker       model.WorkerID
+	gang         *gang // that the task belongs to, or nil
+	failed       bool  // the last run failed by itself
 }
 
 type waiter struct {
@@ -161,6 +170,7 @@
 		held:     make(map[model.Shard]*heldMemory),
 		locates:  make(map[uint64]*locate),
 		refusals: make(map[refusal]time.Duration),
+		gangs:    make(map[gangKey]*gang),
 	}
 }
 
@@ -328,6 +338,10 @@
 // enqueue makes a task wait for its team's turn. A task that finds its team's
 // queue full is refused: it has not run.
 func (s *Service) enqueue(e *entry) {
+	if e.gang != nil {
+		s.setPhase(e, phaseGang)
+		return
+	}
 	s.setPhase(e, phaseWaiting)
 	if err := s.queue.Push(&e.task); err != nil {
 		s.finish(e, s.unstarted(e, verdict.CodeOverloaded, err.Error()))
@@ -350,6 +364,11 @@
 	}
 	e.charged = is
 	e.phase = p
+	if e.gang != nil {
+		e.gang.changed = true
+		s.gangsMoved = true
+		s.moved = true
+	}
 }
 
 // finish gives a request its final answer and tells everyone who waits for it.
@@ -363,7 +382,7 @@
 	for _, w := range waiters {
 		s.reply(w, a)
 	}
-	if e.task.Job != "" {
+	if e.task.Job != "" && e.gang == nil {
 		s.jobs.TaskEnded(e.task, a)
 	}
 	s.moved = true
@@ -428,6 +447,8 @@
 		return "running"
 	case phaseBackoff:
 		return "waiting to run again"
+	case phaseGang:
+		return "waiting to start with its gang"
 	}
 	return "finished"
 }
@@ -455,8 +476,10 @@
 	}
 }
 
-func (s *Service) stop(e *entry) {
-	c := wire.CancelTask{Task: e.taskOf(), Mode: platform.StopKill}
+func (s *Service) stop(e *entry) { s.stopAs(e, platform.StopKill) }
+
+func (s *Service) stopAs(e *entry, mode platform.StopMode) {
+	c := wire.CancelTask{Task: e.taskOf(), Mode: mode}
 	if e.holder == s.env.Owner() {
 		s.ledger.Cancel(c)
 		return
@@ -474,6 +497,7 @@
 	}
 	s.retryLocates(now)
 	s.endBackoffs(now)
+	s.gangsMoved = true
 	if now-s.sharesAt >= s.env.Timing.Heartbeat {
 		s.sharesAt = now
 		s.refreshShares()
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -39,6 +39,9 @@
 	kindSnapshotState
 	kindMemory
 	kindMemoryKept
+	kindHoldTasks
+	kindHeld
+	kindReleaseHolds
 )
 
 func (Claim) recordKind() kind        { return kindClaim }
@@ -67,6 +70,9 @@
 func (KeysWithdrawn) messageKind() kind { return kindKeysWithdrawn }
 func (FetchSnapshot) messageKind() kind { return kindFetchSnapshot }
 func (SnapshotState) messageKind() kind { return kindSnapshotState }
+func (HoldTasks) messageKind() kind     { return kindHoldTasks }
+func (Held) messageKind() kind          { return kindHeld }
+func (ReleaseHolds) messageKind() kind  { return kindReleaseHolds }
 
 var recordTypes = typesByKind([]Record{
 	Claim{}, Handover{}, ConfigChange{}, JobAccepted{}, JobProgress{}, JobCanceled{}, Snapshot{},
@@ -75,7 +81,7 @@
 var messageTypes = typesByKind([]Message{
 	Heartbeat{}, Coverage{}, Grant{}, Forward{}, Reply{}, Dispatch{}, TaskState{},
 	Locate{}, Located{}, CancelTask{}, FetchLog{}, LogEntries{}, FetchCoverage{}, KeysWithdrawn{},
-	FetchSnapshot{}, SnapshotState{}, Memory{}, MemoryKept{},
+	FetchSnapshot{}, SnapshotState{}, Memory{}, MemoryKept{}, HoldTasks{}, Held{}, ReleaseHolds{},
 }, Message.messageKind)
 
 func typesByKind[T any](samples []T, kindOf func(T) kind) map[kind]reflect.Type {
