--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -36,6 +36,7 @@
 	"gang":          submitGang,
 	"expect-gang":   expectGang,
 	"expect-why":    expectWhy,
+	"expect-whole":  expectWhole,
 	"check":         func(s *state, _ *arguments) error { return s.check() },
 	"worker":        workerFault,
 	"log":           logFault,
--- a/internal/scenario/gang_test.go
+++ b/internal/scenario/gang_test.go
@@ -68,3 +68,21 @@
 	}
 	return a.err
 }
+
+// expectWhole wants all tasks of a gang to run, none, or, after a second in which
+// some may have come or gone, again all or none.
+func expectWhole(s *state, a *arguments) error {
+	c, err := s.call(a.word(0))
+	if err != nil {
+		return err
+	}
+	running, _ := gangHistory(s.cell, c)
+	if running == 0 || running == c.Request.Count {
+		return a.err
+	}
+	s.cell.Advance(time.Second)
+	if running, _ = gangHistory(s.cell, c); running != 0 && running != c.Request.Count {
+		return fmt.Errorf("gang %s: %d of %d tasks run", a.word(0), running, c.Request.Count)
+	}
+	return a.err
+}
