--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -241,6 +241,7 @@
 	}
 	s.noteRefusal(from.Instance, e.task.Team, st.Reason)
 	if e.gang != nil {
+		e.gang.until = max(e.gang.until, s.env.Now()+minGangPause)
 		s.setPhase(e, phaseGang)
 		return
 	}
