--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -74,6 +74,7 @@
 	beat     uint64                 // of the last heartbeat sent
 	blocked  map[model.TeamID]int64 // starts refused since the last heartbeat
 	recent   map[model.TeamID]int64 // starts refused between the two heartbeats before
+	asked    map[model.TeamID]asked
 	escrows  map[model.TeamID]*escrow
 	readyAt  [model.Shards]time.Duration // when a gained shard's owner may grant
 	nextPlan time.Duration
@@ -115,6 +116,7 @@
 		held:    make(map[model.TeamID]ceiling),
 		sheds:   make(map[model.TeamID][]shed),
 		blocked: make(map[model.TeamID]int64),
+		asked:   make(map[model.TeamID]asked),
 		escrows: make(map[model.TeamID]*escrow),
 	}
 }
@@ -181,6 +183,9 @@
 	for t := range s.held {
 		teams = append(teams, t)
 	}
+	for t := range s.asked {
+		teams = append(teams, t)
+	}
 	for t := range s.blocked {
 		teams = append(teams, t)
 	}
@@ -199,7 +204,7 @@
 	return wire.TeamLoad{
 		Team: team, Running: running, Waiting: waiting, Usage: s.ledger.Usage(team),
 		Ceiling: h.max, GrantTerm: h.term, GrantSeq: h.seq,
-		Wanted: running + waiting + max(s.blocked[team], s.recent[team]),
+		Wanted: running + max(waiting+max(s.blocked[team], s.recent[team]), s.asked[team].count),
 	}
 }
 
@@ -209,6 +214,7 @@
 		return
 	}
 	s.nextPlan = s.env.Now() + planInterval
+	s.forgetAsked()
 	for _, team := range s.config.LimitedTeams() {
 		term, ok := s.ownership.Mine(model.ShardOfTeam(team))
 		if !ok {
