Lower ceilings where they are held when a limit falls

Change: a grant names the limit that it is a part of. When an instance reads of a lower one, its ceiling falls in proportion at once, so the parts sum up to no more than the new limit without anyone asking. Nothing of a limited team starts while the configuration is not fresh. Ruled out: calling back without all reports; a holder that sleeps hears nothing.

--- a/internal/declare/policy.go
+++ b/internal/declare/policy.go
@@ -34,6 +34,19 @@
 	return slices.ContainsFunc(s.byTeam[id], func(p policy) bool { return p.Limit > 0 })
 }
 
+// MaxLimit returns the highest limit of the team at any hour, 0 when there is an
+// hour without one.
+func (s *State) MaxLimit(id model.TeamID) int64 {
+	limit := s.teams[id].Limit
+	if limit == 0 {
+		return 0
+	}
+	for _, p := range s.byTeam[id] {
+		limit = max(limit, p.Limit)
+	}
+	return limit
+}
+
 // policy is a declared policy with its time zone at hand.
 type policy struct {
 	model.Policy
--- a/internal/service/config/hours.go
+++ b/internal/service/config/hours.go
@@ -41,3 +41,7 @@
 	}
 	return teams
 }
+
+// MaxLimit returns the highest limit of a team at any hour, 0 when there is an
+// hour without one. It does not depend on the clock.
+func (s *Service) MaxLimit(id model.TeamID) int64 { return s.state.MaxLimit(id) }
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -31,6 +31,11 @@
 	// Limited reports whether a team has a limit at any hour, whatever the clock.
 	Limited(model.TeamID) bool
 	LimitedTeams() []model.TeamID
+	// MaxLimit returns the highest limit declared for any hour, 0 when there is an
+	// hour without one.
+	MaxLimit(model.TeamID) int64
+	// Fresh reports whether the declarations known here are recent.
+	Fresh() bool
 }
 
 // Ledger tells what runs here.
@@ -82,9 +87,10 @@
 
 // ceiling is this instance's part of a team's limit.
 type ceiling struct {
-	term uint64
-	seq  uint64
-	max  int64
+	term  uint64
+	seq   uint64
+	max   int64
+	limit int64 // that max is a part of
 }
 
 // escrow is the owner's account of one team's ceilings, for one term of its shard.
@@ -147,7 +153,7 @@
 	if !s.config.Limited(team) {
 		return true
 	}
-	if s.ledger.Running(team) < s.held[team].max {
+	if s.config.Fresh() && s.ledger.Running(team) < s.hold(team).max {
 		return true
 	}
 	s.blocked[team]++
@@ -162,13 +168,13 @@
 }
 
 func (s *Service) apply(g wire.Grant) {
-	h := s.held[g.Team]
+	h := s.hold(g.Team)
 	slot, _ := s.ownership.Owner(model.ShardOfTeam(g.Team))
 	if g.Term < slot.Term || g.Term < h.term || g.Term == h.term && g.Seq <= h.seq {
 		return
 	}
 	most := max(g.Ceiling-s.unknownSheds(g.Team, g.Beat), 0)
-	s.held[g.Team] = ceiling{term: g.Term, seq: g.Seq, max: most}
+	s.held[g.Team] = ceiling{term: g.Term, seq: g.Seq, max: most, limit: g.Limit}
 }
 
 // FillBeat reports running tasks, ceilings and demand by team.
@@ -199,7 +205,7 @@
 }
 
 func (s *Service) load(team model.TeamID) wire.TeamLoad {
-	h := s.held[team]
+	h := s.hold(team)
 	running, waiting := s.ledger.Running(team), s.demand.Waiting(team)
 	return wire.TeamLoad{
 		Team: team, Running: running, Waiting: waiting, Usage: s.ledger.Usage(team),
@@ -363,7 +369,7 @@
 	g := e.grants[to]
 	g = grant{seq: g.seq + 1, peak: max(g.peak, ceiling)}
 	e.grants[to] = g
-	msg := wire.Grant{Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling}
+	msg := wire.Grant{Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling, Limit: s.limit(team)}
 	if to == s.env.Owner() {
 		msg.Beat = currentBeat
 		s.apply(msg)
--- a/internal/service/limits/room.go
+++ b/internal/service/limits/room.go
@@ -24,7 +24,7 @@
 	if wanted >= s.asked[team].count {
 		s.asked[team] = asked{count: wanted, since: s.env.Now()}
 	}
-	return min(wanted, max(s.held[team].max-s.ledger.Running(team), 0))
+	return min(wanted, max(s.hold(team).max-s.ledger.Running(team), 0))
 }
 
 func (s *Service) forgetAsked() {
--- a/internal/service/limits/shed.go
+++ b/internal/service/limits/shed.go
@@ -19,7 +19,7 @@
 // Shed lowers a team's ceiling by one: a task of the team runs on, but on a worker
 // that is no longer held here.
 func (s *Service) Shed(team model.TeamID) {
-	h := s.held[team]
+	h := s.hold(team)
 	h.max = max(h.max-1, 0)
 	s.held[team] = h
 	s.sheds[team] = append(s.sheds[team], shed{beat: s.beat, n: 1})
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -53,6 +53,7 @@
 	Term    uint64       `cbor:"2,keyasint" json:"term"`
 	Seq     uint64       `cbor:"3,keyasint" json:"seq"`
 	Ceiling int64        `cbor:"4,keyasint" json:"ceiling"`
+	Limit   int64        `cbor:"6,keyasint" json:"limit"` // that the owner split
 	// Beat is the receiver's heartbeat on which the grant is based.
 	Beat uint64 `cbor:"5,keyasint,omitempty" json:"beat,omitempty"`
 }
