Count nothing that waited through a pause as news

Cause: an instance that woke from a pause handled heartbeats and log answers that had waited for it, took its declarations for fresh and took work with a key withdrawn 5 s before.

--- a/internal/service/config/config.go
+++ b/internal/service/config/config.go
@@ -31,6 +31,7 @@
 	state   *declare.State
 	applied uint64
 	logAt   time.Duration
+	pause   pause
 	peers   map[model.InstanceID]peerView
 	pending map[string]*change
 	appends map[uint64]string // append id to change id
@@ -81,6 +82,7 @@
 
 // OnLog notes that the log answered.
 func (s *Service) OnLog(_, next uint64) {
+	s.pause.note(s.env.Now())
 	if s.applied+1 >= next {
 		s.logAt = s.env.Now()
 	}
@@ -98,6 +100,7 @@
 
 // OnMessage notes what peers say of the log and of withdrawn keys.
 func (s *Service) OnMessage(from wire.Owner, m wire.Message) {
+	s.pause.note(s.env.Now())
 	switch m := m.(type) {
 	case wire.Heartbeat:
 		s.onHeartbeat(from, m)
@@ -118,12 +121,13 @@
 func (s *Service) Fresh() bool {
 	limit := s.env.Timing.ConfigFreshness
 	now := s.env.Now()
-	if s.logAt > 0 && now-s.logAt <= limit {
+	s.pause.note(now)
+	if s.logAt > 0 && now-s.logAt <= limit && s.pause.counts(s.logAt) {
 		return true
 	}
 	heard, reached := false, false
 	for _, p := range s.peers {
-		if now-p.heardAt > limit {
+		if now-p.heardAt > limit || !s.pause.counts(p.heardAt) {
 			continue
 		}
 		if p.applied > s.applied {
@@ -197,6 +201,7 @@
 
 // OnTick ends changes whose place in the log is still open at their deadline.
 func (s *Service) OnTick() {
+	s.pause.note(s.env.Now())
 	for _, id := range s.overdue() {
 		s.settle(id, s.pending[id], model.Answer{
 			ID: id, Verdict: verdict.MayHaveRun, Code: verdict.CodeInDoubt,
