Keep the memory of a handover within one message

Change: a transfer stops adding shards beyond 4,000 requests, and finished requests go without their payload. Conclusion: one shard with more than about 8,000 requests still does not fit; its memory is then lost as in a crash.

--- a/internal/service/handover/handover.go
+++ b/internal/service/handover/handover.go
@@ -36,6 +36,7 @@
 
 // Memory exports and imports what is remembered of requests.
 type Memory interface {
+	Remembered(model.Shard) int
 	Export(shards []wire.ShardTerm) ([]wire.ShardMemory, []wire.RequestMemory)
 	Import(m wire.Memory)
 }
@@ -74,7 +75,8 @@
 }
 
 const (
-	maxShards       = 4 // in one transfer, so that their memory fits one message
+	maxShards       = 4    // in one transfer
+	maxRequests     = 4000 // in one transfer beyond its first shard, so that they fit one message
 	sendTimeout     = time.Second
 	appendTimeout   = 4 * time.Second
 	pause           = 50 * time.Millisecond
@@ -146,11 +148,16 @@
 	if !s.members.Leaving() && !stable {
 		return to, nil
 	}
+	requests := 0
 	for _, st := range s.ownership.Owned() {
 		target, ok := ownership.Target(st.Shard, s.eligible)
 		if !ok || target == s.env.Owner() || len(shards) > 0 && target != to {
 			continue
 		}
+		requests += s.memory.Remembered(st.Shard)
+		if len(shards) > 0 && requests > maxRequests {
+			break
+		}
 		to = target
 		shards = append(shards, st)
 		if len(shards) == maxShards {
--- a/internal/service/requests/memory.go
+++ b/internal/service/requests/memory.go
@@ -54,11 +54,23 @@
 	}
 	m.Task.ID = e.base
 	if e.phase == phaseFinished {
+		m.Task.Payload = nil
 		m.EndAge = now - e.finishedAt
 	}
 	return m
 }
 
+// Remembered returns how many requests of a shard are remembered here.
+func (s *Service) Remembered(shard model.Shard) int {
+	n := 0
+	for _, e := range s.entries {
+		if e.shard == shard {
+			n++
+		}
+	}
+	return n
+}
+
 // Import keeps memory until the log hands its shards over.
 func (s *Service) Import(m wire.Memory) {
 	for _, shard := range m.Shards {
