--- a/internal/scenario/gang_test.go
+++ b/internal/scenario/gang_test.go
@@ -10,14 +10,16 @@
 	"pollenbend/internal/testcell"
 )
 
-// submitGang submits a gang of count tasks.
-func submitGang(s *state, a *arguments) error {
-	r := request(a)
-	r.Op, r.Count = model.OpSubmit, int(a.number(a.text("count", "1")))
-	r.Task.Kind = model.KindGang
-	via := model.InstanceID(a.text("via", "entry-1"))
-	s.calls[r.ID] = s.cell.Do(via, model.TeamID(a.text("team", "")), r)
-	return a.err
+// submitJob returns a command that submits a job of count tasks.
+func submitJob(kind model.Kind) func(*state, *arguments) error {
+	return func(s *state, a *arguments) error {
+		r := request(a)
+		r.Op, r.Count = model.OpSubmit, int(a.number(a.text("count", "1")))
+		r.Task.Kind = kind
+		via := model.InstanceID(a.text("via", "entry-1"))
+		s.calls[r.ID] = s.cell.Do(via, model.TeamID(a.text("team", "")), r)
+		return a.err
+	}
 }
 
 // expectGang compares how many tasks of a gang run now, and how often any of them
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -29,6 +29,9 @@
 // TestGangScenario runs the scripts about gangs.
 func TestGangScenario(t *testing.T) { runScripts(t, "testdata/gang") }
 
+// TestJobScenario runs the scripts about batch jobs and services.
+func TestJobScenario(t *testing.T) { runScripts(t, "testdata/job") }
+
 func runScripts(t *testing.T, dir string) {
 	t.Helper()
 	t.Logf("seed %d", scenarioSeed)
--- a/internal/service/jobs/jobs.go
+++ b/internal/service/jobs/jobs.go
@@ -4,9 +4,6 @@
 package jobs
 
 import (
-	"cmp"
-	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -70,12 +67,6 @@
 	deadline time.Duration
 }
 
-// ends are ended tasks that no progress record holds yet.
-type ends struct {
-	done   []int
-	failed []int
-}
-
 const (
 	submitTimeout = 5 * time.Second
 	flushInterval = time.Second
@@ -250,87 +241,6 @@
 	}
 }
 
-// TaskEnded notes a task's end for the next progress record.
-func (s *Service) TaskEnded(t model.Task, a model.Answer) {
-	k := key{t.Team, t.Job}
-	e, ok := s.ended[k]
-	if !ok {
-		e = &ends{}
-		s.ended[k] = e
-	}
-	if a.Verdict == verdict.Done && a.Code == verdict.CodeOK {
-		e.done = append(e.done, t.Index)
-	} else {
-		e.failed = append(e.failed, t.Index)
-	}
-}
-
-// OnTick writes progress records and ends submissions whose time is up.
-func (s *Service) OnTick() {
-	now := s.env.Now()
-	s.expireSubmissions(now)
-	s.forgetOld(now)
-	if now < s.flushAt || len(s.ended) == 0 || s.flushID != 0 && now < s.flushAt+flushTimeout {
-		return
-	}
-	s.flush(now)
-}
-
-// flush appends the ends gathered so far. Ends of an append that failed are
-// written again; folding them twice changes nothing.
-func (s *Service) flush(now time.Duration) {
-	s.flushAt = now + flushInterval
-	s.flushed = s.ended
-	s.ended = make(map[key]*ends)
-	var records []wire.Record
-	for _, k := range sortedKeys(s.flushed) {
-		e := s.flushed[k]
-		records = append(records, wire.JobProgress{Team: k.team, Job: k.id, Done: e.done, Failed: e.failed})
-	}
-	s.flushID = s.env.Append(records...)
-}
-
-// sortedKeys returns a map's keys in order, so that the same events always give
-// the same actions.
-func sortedKeys[V any](m map[key]V) []key {
-	return slices.SortedFunc(maps.Keys(m), func(a, b key) int {
-		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.id, b.id))
-	})
-}
-
-// OnAppendDone settles submissions that certainly are not in the log, and gathers
-// progress again that may not be.
-func (s *Service) OnAppendDone(d event.AppendDone) {
-	if d.ID == s.flushID {
-		s.flushID = 0
-		if d.Verdict != verdict.Done {
-			s.gatherAgain()
-		}
-		s.flushed = nil
-		return
-	}
-	keys := s.appends[d.ID]
-	delete(s.appends, d.ID)
-	if d.Verdict != verdict.NotRun {
-		return
-	}
-	for _, k := range keys {
-		s.refuse(k, verdict.Refuse(verdict.CodeUnavailable, "the log takes no jobs now").After(retryAfter))
-	}
-}
-
-func (s *Service) gatherAgain() {
-	for k, e := range s.flushed {
-		again, ok := s.ended[k]
-		if !ok {
-			again = &ends{}
-			s.ended[k] = again
-		}
-		again.done = append(again.done, e.done...)
-		again.failed = append(again.failed, e.failed...)
-	}
-}
-
 func (s *Service) refuse(k key, e *verdict.Error) {
 	w, ok := s.waiting[k]
 	if !ok {
@@ -385,65 +295,3 @@
 	w.callers = append(w.callers, c)
 	return true
 }
-
-// Document describes a job in status answers.
-type Document struct {
-	Count    int             `json:"count"`
-	Done     int             `json:"done"`
-	Failed   int             `json:"failed"`
-	Running  int             `json:"running"`
-	Waiting  int             `json:"waiting"`
-	Canceled bool            `json:"canceled,omitempty"`
-	Why      json.RawMessage `json:"why,omitempty"`
-}
-
-// Status returns the state of a job.
-func (s *Service) Status(team model.TeamID, id model.JobID, why bool) (model.Answer, bool) {
-	k := key{team, id}
-	j, ok := s.jobs[k]
-	if !ok {
-		return model.Answer{}, false
-	}
-	a := s.state(k, j)
-	if why {
-		a.Body = document(s.document(j, true))
-	}
-	return a, true
-}
-
-func (s *Service) state(k key, j *job) model.Answer {
-	a := model.Answer{ID: string(k.id), Verdict: verdict.Pending, Body: document(s.document(j, false))}
-	switch {
-	case j.endedAt == 0:
-	case j.canceled:
-		a.Verdict, a.Code = verdict.MayHaveRun, verdict.CodeCanceled
-	case j.failed > 0:
-		a.Verdict, a.Code = verdict.Done, verdict.CodeTaskFailed
-	default:
-		a.Verdict = verdict.Done
-	}
-	return a
-}
-
-func (s *Service) document(j *job, why bool) Document {
-	var ids []model.TaskID
-	for i := range j.spec.Count {
-		if _, ended := j.done[i]; !ended {
-			ids = append(ids, taskOf(j.spec, i))
-		}
-	}
-	d := Document{Count: j.spec.Count, Done: len(j.done) - j.failed, Failed: j.failed, Canceled: j.canceled}
-	d.Waiting, d.Running = s.tasks.Phases(ids)
-	if why {
-		d.Why = s.tasks.Why(ids)
-	}
-	return d
-}
-
-func document(d Document) []byte {
-	body, err := json.Marshal(d)
-	if err != nil {
-		return nil
-	}
-	return body
-}
--- /dev/null
+++ b/internal/service/jobs/status.go
@@ -0,0 +1,70 @@
+package jobs
+
+import (
+	"encoding/json"
+
+	"pollenbend/internal/model"
+	"pollenbend/internal/verdict"
+)
+
+// Document describes a job in status answers.
+type Document struct {
+	Count    int             `json:"count"`
+	Done     int             `json:"done"`
+	Failed   int             `json:"failed"`
+	Running  int             `json:"running"`
+	Waiting  int             `json:"waiting"`
+	Canceled bool            `json:"canceled,omitempty"`
+	Why      json.RawMessage `json:"why,omitempty"`
+}
+
+// Status returns the state of a job.
+func (s *Service) Status(team model.TeamID, id model.JobID, why bool) (model.Answer, bool) {
+	k := key{team, id}
+	j, ok := s.jobs[k]
+	if !ok {
+		return model.Answer{}, false
+	}
+	a := s.state(k, j)
+	if why {
+		a.Body = document(s.document(j, true))
+	}
+	return a, true
+}
+
+func (s *Service) state(k key, j *job) model.Answer {
+	a := model.Answer{ID: string(k.id), Verdict: verdict.Pending, Body: document(s.document(j, false))}
+	switch {
+	case j.endedAt == 0:
+	case j.canceled:
+		a.Verdict, a.Code = verdict.MayHaveRun, verdict.CodeCanceled
+	case j.failed > 0:
+		a.Verdict, a.Code = verdict.Done, verdict.CodeTaskFailed
+	default:
+		a.Verdict = verdict.Done
+	}
+	return a
+}
+
+func (s *Service) document(j *job, why bool) Document {
+	var ids []model.TaskID
+	for i := range j.spec.Count {
+		if _, ended := j.done[i]; !ended {
+			ids = append(ids, taskOf(j.spec, i))
+		}
+	}
+	d := Document{Count: j.spec.Count, Done: len(j.done) - j.failed, Failed: j.failed, Canceled: j.canceled}
+	d.Waiting, d.Running = s.tasks.Phases(ids)
+	if why {
+		d.Why = s.tasks.Why(ids)
+	}
+	return d
+}
+
+func document(d Document) []byte {
+	body, err := json.Marshal(d)
+	if err != nil {
+		return nil
+	}
+	return body
+}
--- a/internal/service/requests/jobtasks.go
+++ b/internal/service/requests/jobtasks.go
@@ -77,6 +77,9 @@
 				s.startLocate(e)
 			}
 		}
+		if t.Kind != model.KindGang && e.phase == phaseFinished {
+			s.jobs.TaskEnded(t, e.answer)
+		}
 		return
 	}
 	e := &entry{
