Send lost grants again, and only to the life they are meant for

A grant that was lost was never sent again. Change: a grant names the life it is meant for; one that is not confirmed within a second is sent again. Ruled out: demand that flickers; the reports held it steady.

--- a/internal/service/limits/escrow.go
+++ b/internal/service/limits/escrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"pollenbend/internal/model"
 	"pollenbend/internal/service"
@@ -17,10 +18,16 @@
 // grant is the last ceiling sent to a holder. Peak is the highest ceiling among
 // the grants that the holder has not confirmed: any of them may be in force there.
 type grant struct {
-	seq  uint64
-	peak int64
+	seq    uint64
+	peak   int64
+	last   int64         // ceiling of grant seq
+	sentAt time.Duration // of grant seq, 0 once it is confirmed
 }
 
+// regrantAfter is how long a grant may go unconfirmed before it is sent again: two
+// heartbeats with the default timing.
+const regrantAfter = time.Second
+
 // OnTick plans the ceilings of the teams that this instance keeps.
 func (s *Service) OnTick() {
 	if s.env.Now() < s.nextPlan {
@@ -75,10 +82,18 @@
 			s.grant(team, e, h.owner, h.bound+raise)
 		case target < h.bound-slack:
 			s.grant(team, e, h.owner, target)
+		case e.unconfirmed(h.owner, s.env.Now()):
+			s.grant(team, e, h.owner, e.grants[h.owner].last)
 		}
 	}
 }
 
+// unconfirmed reports whether the last grant to a holder may be lost.
+func (e *escrow) unconfirmed(to wire.Owner, now time.Duration) bool {
+	g := e.grants[to]
+	return g.sentAt > 0 && now-g.sentAt >= regrantAfter
+}
+
 // shortage returns how much the holders lack of their targets.
 func shortage(holdings []holding, targets []int64) int64 {
 	var short int64
@@ -164,9 +179,11 @@
 
 func (s *Service) grant(team model.TeamID, e *escrow, to wire.Owner, ceiling int64) {
 	g := e.grants[to]
-	g = grant{seq: g.seq + 1, peak: max(g.peak, ceiling)}
+	g = grant{seq: g.seq + 1, peak: max(g.peak, ceiling), last: ceiling, sentAt: s.env.Now()}
 	e.grants[to] = g
-	msg := wire.Grant{Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling, Limit: s.limit(team)}
+	msg := wire.Grant{
+		Team: team, Term: e.term, Seq: g.seq, Ceiling: ceiling, Limit: s.limit(team), To: to.Incarnation,
+	}
 	if to == s.env.Owner() {
 		msg.Beat = currentBeat
 		s.apply(msg)
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -155,6 +155,9 @@
 }
 
 func (s *Service) apply(g wire.Grant) {
+	if g.To != s.env.Self.Incarnation {
+		return
+	}
 	h := s.hold(g.Team)
 	slot, _ := s.ownership.Owner(model.ShardOfTeam(g.Team))
 	if g.Term < slot.Term || g.Term < h.term || g.Term == h.term && g.Seq <= h.seq {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -54,6 +54,8 @@
 	Seq     uint64       `cbor:"3,keyasint" json:"seq"`
 	Ceiling int64        `cbor:"4,keyasint" json:"ceiling"`
 	Limit   int64        `cbor:"6,keyasint" json:"limit"` // that the owner split
+	// To is the receiver's life that is meant; in a later one it has another account.
+	To model.Incarnation `cbor:"7,keyasint" json:"to"`
 	// Beat is the receiver's heartbeat on which the grant is based.
 	Beat uint64 `cbor:"5,keyasint,omitempty" json:"beat,omitempty"`
 }
