--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -129,6 +129,7 @@
 		Timeout: a.duration(a.text("timeout", "10s")),
 		Task: model.Task{
 			Demand:     model.Resources{Slots: a.number(a.text("slots", "1"))},
+			Class:      model.Class(a.text("class", "")),
 			Repeatable: a.flag("repeatable"), RunTime: a.duration(a.text("run", "100ms")),
 			Payload: []byte(a.text("payload", "payload of "+a.text("id", ""))),
 		},
