--- a/internal/service/ledger/ledger.go
+++ b/internal/service/ledger/ledger.go
@@ -62,6 +62,7 @@
 	usage   map[model.TeamID]model.Resources
 
 	freshness freshness
+	forgetAt  time.Duration // of the next look for what is past its retention
 	coverage  wire.Coverage
 	missed    map[model.InstanceID]bool // instances that may have missed task states
 }
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -29,8 +29,10 @@
 }
 
 const (
-	minRenewRetry = 100 * time.Millisecond
-	maxRenewRetry = 2 * time.Second
+	// forgetInterval is the time between looks for what is past its retention.
+	forgetInterval = time.Second
+	minRenewRetry  = 100 * time.Millisecond
+	maxRenewRetry  = 2 * time.Second
 	// leaseMargin is the part of a lease, in percent, on which the holder relies.
 	// The rest covers the drift between the two clocks.
 	leaseMargin = 95
@@ -64,7 +66,10 @@
 	s.startPending()
 	s.place.keeper.Tick(now)
 	s.place.scheduler.Fleet.ExpireHolds(now)
-	s.forgetOld(now)
+	if now >= s.forgetAt {
+		s.forgetAt = now + forgetInterval
+		s.forgetOld(now)
+	}
 	s.refreshCoverage()
 }
 
--- a/internal/service/limits/escrow.go
+++ b/internal/service/limits/escrow.go
@@ -35,13 +35,17 @@
 	}
 	s.nextPlan = s.env.Now() + planInterval
 	s.forgetAsked()
+	uncovered := int64(-1) // not counted yet
 	for _, team := range s.config.LimitedTeams() {
 		term, ok := s.ownership.Mine(model.ShardOfTeam(team))
 		if !ok {
 			delete(s.escrows, team)
 			continue
 		}
-		s.plan(team, term)
+		if uncovered < 0 {
+			uncovered = s.uncovered()
+		}
+		s.plan(team, term, uncovered)
 	}
 }
 
@@ -55,7 +59,9 @@
 	room  int64 // slots of the workers that the holder covers
 }
 
-func (s *Service) plan(team model.TeamID, term uint64) {
+// plan moves a team's ceilings towards what its holders need. Uncovered slots may
+// be running its tasks.
+func (s *Service) plan(team model.TeamID, term uint64, uncovered int64) {
 	if s.env.Now() < s.readyAt[model.ShardOfTeam(team)] {
 		return
 	}
@@ -64,7 +70,7 @@
 	if !ok {
 		return
 	}
-	limit := s.limit(team) - s.uncovered()
+	limit := s.limit(team) - uncovered
 	free := limit
 	for _, h := range holdings {
 		free -= h.bound
