List no worker as covered whose tasks are no longer counted

Cause: when a worker changed hands by plan, the old holder's next heartbeat left its tasks out of the count but still listed the worker as covered, because the list was renewed on the next tick only. Change: the list is renewed whenever it is told. Before: shard_handed_over_team_within_limit runs 2 of 1. Ruled out: grants to an earlier life, ceilings of an older limit (the trace shows neither).

--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -206,7 +206,7 @@
 // FillBeat adds what is free here.
 func (s *Service) FillBeat(b *wire.Heartbeat) {
 	b.Free = s.Free()
-	b.Coverage = s.coverage.Version
+	b.Coverage = s.Coverage().Version
 }
 
 // refreshCoverage gives the set of covered workers a new version when it has
@@ -235,5 +235,9 @@
 	return true
 }
 
-// Coverage returns the workers whose state is known here.
-func (s *Service) Coverage() wire.Coverage { return s.coverage }
+// Coverage returns the workers whose state is known here at this moment. What is
+// told of running tasks in the same heartbeat never lacks a worker that it lists.
+func (s *Service) Coverage() wire.Coverage {
+	s.refreshCoverage()
+	return s.coverage
+}
