Say "not run" only while a takeover would be known

Change: what is given up unstarted is "may have run" unless most instances are heard and the log's word is recent. Before: owner_paused_not_run_is_true fails. Conclusion: in a small window, between being cut off and noticing it after 3 s, the answer rests on a takeover taking longer than that.

--- a/internal/service/requests/expiry.go
+++ b/internal/service/requests/expiry.go
@@ -84,11 +84,16 @@
 }
 
 // unstarted gives up a task that is not started now. Its request has not run,
-// unless an earlier run had begun.
+// unless an earlier run had begun, or another instance may have taken the shard
+// over and run it without this one's knowledge.
 func (s *Service) unstarted(e *entry, code verdict.Code, message string) model.Answer {
 	a := model.Refusal(e.id, verdict.Refuse(code, "%s", message).After(retryAfter))
-	if e.run > 1 {
+	if e.run > 1 || !s.connected() {
 		a.Verdict = verdict.MayHaveRun
 	}
 	return a
 }
+
+// connected reports whether this instance would know if its shards had been taken
+// over: it hears most of the others, and its reading of the log is recent.
+func (s *Service) connected() bool { return s.config.Fresh() && s.members.Majority() }
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -37,6 +37,8 @@
 	Live() []wire.Owner
 	IsLive(wire.Owner) bool
 	Member(model.InstanceID) (*membership.Member, bool)
+	// Majority reports whether most of the listed instances are heard.
+	Majority() bool
 }
 
 // Ledger runs tasks on the workers held here.
@@ -56,6 +58,8 @@
 type Config interface {
 	Service(name string) (model.Service, bool)
 	Teams() []model.Team
+	// Fresh reports whether the log, or a peer that reads it, was heard lately.
+	Fresh() bool
 }
 
 // Handover tells which shards are being handed over.
