Sort map keys by the standard library

Cause: two services wrote out the loop that gathers a map's keys and sorts them. Change: slices.Sorted over maps.Keys, as elsewhere; behaviour is the same.

--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -192,14 +193,7 @@
 	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-func (s *Service) sortedMembers() []model.InstanceID {
-	ids := make([]model.InstanceID, 0, len(s.members))
-	for id := range s.members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (s *Service) sortedMembers() []model.InstanceID { return slices.Sorted(maps.Keys(s.members)) }
 
 // Live returns the members that do not count as dead, this instance included,
 // sorted.
--- a/internal/service/requests/dispatch.go
+++ b/internal/service/requests/dispatch.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -341,11 +342,4 @@
 	}
 }
 
-func (s *Service) sortedEntries() []model.TaskID {
-	ids := make([]model.TaskID, 0, len(s.entries))
-	for id := range s.entries {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (s *Service) sortedEntries() []model.TaskID { return slices.Sorted(maps.Keys(s.entries)) }
