--- /dev/null
+++ b/internal/cell/engine/advising.go
@@ -0,0 +1,275 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"pollenbend/internal/cell/advice"
+	"pollenbend/internal/cell/policy"
+)
+
+// adviceState is what the adviser has said of a step.
+type adviceState struct {
+	good    map[string]ticket // by worker; a worker that is not good has no ticket
+	asked   map[string]int64  // life of each worker that was asked about
+	busy    bool
+	retryAt time.Time
+}
+
+type ticket struct {
+	value string
+	life  int64
+	until time.Time
+}
+
+// arm is an instance that can call the adviser.
+type arm struct {
+	name string
+	advice.Arm
+}
+
+func (s *stepRun) ticket(worker string) string {
+	if s.advice == nil {
+		return ""
+	}
+	return s.advice.good[worker].value
+}
+
+func (s *stepRun) dropTicket(worker string) {
+	if s.advice == nil {
+		return
+	}
+	if t, ok := s.advice.good[worker]; ok {
+		t.until = time.Time{}
+		s.advice.good[worker] = t
+	}
+}
+
+// ticketMargin is the time that an order needs to reach its worker, taken off the
+// life of a ticket.
+const ticketMargin = 60 * time.Millisecond
+
+// ticketed returns those of workers that s has a valid ticket for.
+func (s *stepRun) ticketed(workers []*worker, now time.Time) []*worker {
+	if s.advice == nil {
+		return nil
+	}
+	var out []*worker
+	for _, w := range workers {
+		t, ok := s.advice.good[w.id]
+		if ok && t.life == w.life && now.Add(ticketMargin).Before(t.until) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// advise asks the adviser about workers for s if that could help to place it.
+func (e *Engine) advise(s *stepRun, q *policy.Queue, workers []*worker) {
+	if s.advice == nil {
+		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
+	}
+	a := s.advice
+	if a.busy || e.now.Before(a.retryAt) {
+		return
+	}
+	ask := e.worthAsking(s, q, workers)
+	if len(ask) == 0 {
+		return
+	}
+	cost := q.Advice.Of(len(ask))
+	chosen := e.chooseArm(cost)
+	if chosen == nil {
+		return
+	}
+	chosen.Take(e.now, cost)
+	a.busy = true
+	names := make([]string, len(ask))
+	for i, w := range ask {
+		names[i] = w.id
+	}
+	e.emit(&Ask{Arm: chosen.name, Step: s.name, Workers: names, Cost: cost, step: s, sent: e.now})
+}
+
+// worthAsking returns the workers that the adviser should be asked about now:
+// ones it was not asked about yet, or good ones with room whose ticket has lapsed.
+func (e *Engine) worthAsking(s *stepRun, q *policy.Queue, workers []*worker) []*worker {
+	a := s.advice
+	var fresh, lapsed []*worker
+	room, valid := 0, 0
+	for _, w := range workers {
+		t, good := a.good[w.id]
+		switch {
+		case good && t.life == w.life && e.now.Add(ticketMargin).Before(t.until):
+			valid += roomFor(s, w)
+		case good && t.life == w.life:
+			lapsed = append(lapsed, w)
+			room += roomFor(s, w)
+		case a.asked[w.id] != w.life || w.life == 0:
+			fresh = append(fresh, w)
+		}
+	}
+	need := s.waiting
+	if valid >= need {
+		return nil
+	}
+	if !s.spec.Gang && valid > 0 {
+		return nil // what can start does; the rest asks again later
+	}
+	if valid+room >= need || !s.spec.Gang && room > 0 {
+		return firstWithRoom(s, lapsed, need-valid)
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	return e.bestToAsk(s, q, fresh, lapsed)
+}
+
+func roomFor(s *stepRun, w *worker) int {
+	n := s.waiting
+	free := w.free()
+	if s.charge.CPU > 0 {
+		n = min(n, int(max(0, free.CPU)/s.charge.CPU))
+	}
+	if s.charge.MemMB > 0 {
+		n = min(n, int(max(0, free.MemMB)/s.charge.MemMB))
+	}
+	if s.spec.MaxPerWorker > 0 {
+		n = min(n, s.spec.MaxPerWorker)
+	}
+	return n
+}
+
+// firstWithRoom returns as many of workers as have room for need tasks, those with
+// the most room first.
+func firstWithRoom(s *stepRun, workers []*worker, need int) []*worker {
+	sort.SliceStable(workers, func(i, j int) bool { return roomFor(s, workers[i]) > roomFor(s, workers[j]) })
+	for i, w := range workers {
+		need -= roomFor(s, w)
+		if need <= 0 {
+			return workers[:min(len(workers), i+2)]
+		}
+	}
+	return workers
+}
+
+// mostAsked is how many workers the adviser takes in one call.
+const mostAsked = 100
+
+// spareAsked is how many workers are asked about beyond those that are expected
+// to suffice, since which of them are good is not known.
+const spareAsked = 4
+
+// bestToAsk returns the workers with the most room, as many as should hold enough
+// good ones.
+func (e *Engine) bestToAsk(s *stepRun, q *policy.Queue, fresh, lapsed []*worker) []*worker {
+	sort.SliceStable(fresh, func(i, j int) bool { return roomFor(s, fresh[i]) > roomFor(s, fresh[j]) })
+	share := e.goodShare(q.Name)
+	have := 0.0
+	for _, w := range lapsed {
+		have += float64(roomFor(s, w))
+	}
+	n := 0
+	for n < len(fresh) && n < mostAsked && have < float64(s.waiting)*askFactor {
+		have += share * float64(roomFor(s, fresh[n]))
+		n++
+	}
+	n = min(len(fresh), mostAsked, n+spareAsked)
+	return append(append([]*worker(nil), fresh[:n]...), lapsed[:min(len(lapsed), mostAsked-n)]...)
+}
+
+// askFactor is how much more room than needed is asked for, as room is taken by
+// others while the adviser thinks.
+const askFactor = 1.5
+
+// firstGoodShare is the share of workers taken to be good before the adviser has
+// said anything about a queue.
+const firstGoodShare = 0.4
+
+func (e *Engine) goodShare(queue string) float64 {
+	if share, ok := e.shares[queue]; ok {
+		return max(0.05, share)
+	}
+	return firstGoodShare
+}
+
+func (e *Engine) chooseArm(cost time.Duration) *arm {
+	plain := make([]*advice.Arm, len(e.arms))
+	for i, a := range e.arms {
+		plain[i] = &a.Arm
+	}
+	i := advice.Choose(plain, e.now, cost)
+	if i < 0 {
+		return nil
+	}
+	return e.arms[i]
+}
+
+// adviceRetry is the pause after a call to the adviser that failed.
+const adviceRetry = 30 * time.Millisecond
+
+func (e *Engine) advised(ev *Advised) {
+	s := ev.Ask.step
+	s.advice.busy = false
+	e.dirty = true
+	for _, a := range e.arms {
+		if a.name == ev.Ask.Arm {
+			a.Done(e.now, ev.Ask.Cost, ev.OK)
+		}
+	}
+	if !ev.OK {
+		s.advice.retryAt = e.now.Add(adviceRetry)
+		e.log.Warn("no advice", "step", s.name, "job", s.ref.Job, "arm", ev.Ask.Arm, "workers", len(ev.Ask.Workers), "after_ms", e.age(ev.Ask.sent))
+		return
+	}
+	fresh := 0
+	for _, id := range ev.Ask.Workers {
+		w := e.workers[id]
+		if w == nil {
+			continue
+		}
+		if s.advice.asked[id] != w.life {
+			fresh++
+		}
+		s.advice.asked[id] = w.life
+		if t, good := ev.Good[id]; good {
+			s.advice.good[id] = ticket{value: t, life: w.life, until: e.now.Add(ev.TTL)}
+		}
+	}
+	if fresh == len(ev.Ask.Workers) && fresh > 0 {
+		e.learnShare(s.job().queue, float64(len(ev.Good))/float64(fresh))
+	}
+	e.log.Debug("advice", "step", s.name, "arm", ev.Ask.Arm, "asked", len(ev.Ask.Workers), "good", len(ev.Good), "after_ms", e.age(ev.Ask.sent))
+}
+
+// shareWeight is the weight of one answer in the smoothed share of good workers.
+const shareWeight = 0.1
+
+func (e *Engine) learnShare(queue string, share float64) {
+	if e.shares == nil {
+		e.shares = make(map[string]float64)
+	}
+	old, known := e.shares[queue]
+	if !known {
+		old = firstGoodShare
+	}
+	e.shares[queue] = old + shareWeight*(share-old)
+}
+
+func (e *Engine) armsChanged(names []string) {
+	known := make(map[string]*arm, len(e.arms))
+	for _, a := range e.arms {
+		known[a.name] = a
+	}
+	arms := make([]*arm, 0, len(names))
+	for _, n := range names {
+		a := known[n]
+		if a == nil {
+			a = &arm{name: n}
+			e.log.Info("arm joined", "arm", n)
+		}
+		arms = append(arms, a)
+	}
+	e.arms = arms
+	e.dirty = true
+}
--- /dev/null
+++ b/internal/cell/engine/health.go
@@ -0,0 +1,46 @@
+package engine
+
+import "time"
+
+// health judges a worker by the outcomes of its tasks. It answers workers that
+// report themselves as sound and fail, or stall, what they start.
+type health struct {
+	failures   int // failed runs in a row
+	until      time.Time
+	penalty    time.Duration
+	probing    bool
+	rate       float64 // smoothed slowness of its tasks against their estimates
+	rateWeight float64
+}
+
+const (
+	// failuresToQuarantine is how many runs of different tasks fail in a row
+	// before a worker is left alone. Sound workers fail one run in twenty.
+	failuresToQuarantine = 2
+	firstQuarantine      = 2 * time.Second
+	longestQuarantine    = 8 * time.Second
+)
+
+func (h *health) quarantined(now time.Time) bool { return now.Before(h.until) }
+
+// succeeded notes a run that ended well.
+func (h *health) succeeded() {
+	h.failures = 0
+	h.penalty = 0
+}
+
+// failed notes a run that failed. It reports whether the worker is put under
+// quarantine now.
+func (h *health) failed(now time.Time) bool {
+	h.failures++
+	if h.failures < failuresToQuarantine || h.quarantined(now) {
+		return false
+	}
+	h.quarantine(now)
+	return true
+}
+
+func (h *health) quarantine(now time.Time) {
+	h.penalty = min(longestQuarantine, max(firstQuarantine, 2*h.penalty))
+	h.until = now.Add(h.penalty)
+}
--- /dev/null
+++ b/internal/cell/engine/jobs.go
@@ -0,0 +1,390 @@
+package engine
+
+import (
+	"time"
+
+	"pollenbend/internal/cell/record"
+)
+
+// Words for the state of a job.
+const (
+	StateQueued    = "queued"
+	StateRunning   = "running"
+	StateCompleted = "completed"
+	StateFailed    = "failed"
+	StateCanceled  = "canceled"
+)
+
+func (e *Engine) submit(ev *Submit) {
+	if j := e.jobs[ev.Spec.ID]; j != nil {
+		e.submitAgain(j, ev)
+		return
+	}
+	if why, after := e.admit(ev.Spec); why != "" {
+		e.log.Info("job refused", "job", ev.Spec.ID, "queue", ev.Spec.Queue, "team", ev.Spec.Team, "reason", why, "retry_ms", after.Milliseconds(), "open_steps", len(e.open))
+		ev.Reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
+		return
+	}
+	j := newJob(ev.Spec, e.wall())
+	j.arrived = e.now
+	j.overdue = !e.allow(ev.Spec.Team)
+	e.add(j)
+	e.put(record.JobKey(j.id), record.Encode(&record.Job{Spec: j.spec, Accepted: j.accepted}))
+	j.waiting = append(j.waiting, ev.Reply)
+	e.afterAppend(func() {
+		j.stored = true
+		for _, reply := range j.waiting {
+			reply(Answer{Outcome: OK})
+		}
+		j.waiting = nil
+		e.log.Info("job accepted", "job", j.id, "queue", j.queue, "team", j.team, "steps", len(ev.Spec.Steps), "after_ms", e.age(j.arrived))
+	})
+}
+
+// submitAgain answers a repeat of a submission.
+func (e *Engine) submitAgain(j *jobState, ev *Submit) {
+	if j.team != ev.Spec.Team {
+		ev.Reply(Answer{Outcome: Refused, Why: "the id is taken"})
+		return
+	}
+	if !j.stored {
+		j.waiting = append(j.waiting, ev.Reply)
+		return
+	}
+	ev.Reply(Answer{Outcome: OK})
+}
+
+// add takes a job in and opens its first steps.
+func (e *Engine) add(j *jobState) {
+	e.jobs[j.id] = j
+	if j.spec == nil {
+		return
+	}
+	if j.spec.Scheduled() {
+		e.timed = append(e.timed, j)
+		return
+	}
+	if !j.begun {
+		e.queued[j.queue]++
+	}
+	e.openSteps(j.occurrenceAt(0))
+}
+
+// openSteps opens the steps of o whose turn has come.
+func (e *Engine) openSteps(o *occurrence) {
+	for _, s := range o.steps {
+		if s.ready || s.left == 0 || !o.dependenciesDone(s) {
+			continue
+		}
+		s.ready = true
+		s.readyAt = e.now
+		e.open = append(e.open, s)
+		e.dirty = true
+	}
+}
+
+func (o *occurrence) dependenciesDone(s *stepRun) bool {
+	for _, d := range s.spec.DependsOn {
+		if o.steps[d].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// openDue opens the occurrences of scheduled jobs that are due.
+func (e *Engine) openDue() {
+	if len(e.timed) == 0 {
+		return
+	}
+	wall := e.wall()
+	for _, j := range e.timed {
+		if j.state.Final() {
+			continue
+		}
+		for k := range j.occ {
+			if j.spec.Due(k) > wall {
+				break
+			}
+			o := j.occurrenceAt(k)
+			if o.left > 0 {
+				e.openSteps(o)
+			}
+		}
+	}
+}
+
+func (e *Engine) cancel(ev *Cancel) {
+	j := e.jobs[ev.ID]
+	if j == nil || j.team != ev.Team {
+		ev.Reply(Answer{Outcome: NotFound})
+		return
+	}
+	if j.state == record.Open {
+		e.log.Info("job canceled", "job", j.id, "begun", j.begun)
+		e.finish(j, record.Canceled)
+	}
+	e.afterAppend(func() { ev.Reply(Answer{Outcome: OK}) })
+}
+
+func (e *Engine) status(ev *Status) {
+	j := e.jobs[ev.ID]
+	if j == nil || j.team != ev.Team || !j.stored {
+		ev.Reply(Answer{Outcome: NotFound})
+		return
+	}
+	ev.Reply(Answer{Outcome: OK, State: j.word()})
+}
+
+func (j *jobState) word() string {
+	switch j.shown {
+	case record.Completed:
+		return StateCompleted
+	case record.Failed:
+		return StateFailed
+	case record.Canceled:
+		return StateCanceled
+	}
+	if j.begun {
+		return StateRunning
+	}
+	return StateQueued
+}
+
+// taskBegun notes that a task of j has started.
+func (e *Engine) taskBegun(j *jobState) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	if j.spec != nil && !j.spec.Scheduled() {
+		e.queued[j.queue]--
+	}
+}
+
+// taskDone notes that t has ended well.
+func (e *Engine) taskDone(t *task) {
+	s := t.step
+	if t.done || s.spec.LongRunning {
+		return
+	}
+	members := []*task{t}
+	if s.spec.Gang {
+		members = s.tasks
+	}
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		if !m.live() {
+			s.waiting--
+		}
+		m.done = true
+		s.left--
+		for _, r := range m.runs {
+			if !s.spec.Gang && r.phase != stopping {
+				e.stop(r, "another copy is done")
+			}
+		}
+	}
+	e.touch(s)
+	e.dirty = true
+	if s.left == 0 {
+		e.stepDone(s)
+	}
+}
+
+func (e *Engine) stepDone(s *stepRun) {
+	o := s.occ
+	o.left--
+	e.log.Debug("step done", "step", s.name, "since_ready_ms", e.age(s.readyAt))
+	if o.left > 0 {
+		e.openSteps(o)
+		return
+	}
+	j := o.job
+	j.left--
+	if j.left == 0 && !j.state.Final() {
+		e.finish(j, record.Completed)
+	}
+}
+
+// finish ends a job and stops what still runs of it.
+func (e *Engine) finish(j *jobState, state record.State) {
+	j.state = state
+	j.ended = e.wall()
+	if !j.begun && !j.spec.Scheduled() {
+		e.queued[j.queue]--
+	}
+	j.begun = true
+	for _, o := range j.occ {
+		if o == nil {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.touched() {
+				e.put(record.StepKey(s.ref), nil)
+			}
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					if !t.done || !s.spec.Gang {
+						e.stop(r, "the job is over")
+					}
+				}
+			}
+		}
+	}
+	e.put(record.JobKey(j.id), record.Encode(&record.Job{State: state, Team: j.team, Queue: j.queue, Accepted: j.accepted, Ended: j.ended}))
+	e.afterAppend(func() {
+		j.shown = state
+		e.log.Info("job over", "job", j.id, "state", j.word(), "queue", j.queue, "since_arrival_ms", e.age(j.arrived))
+	})
+	e.ended = append(e.ended, j)
+	e.dirty = true
+}
+
+// touched reports whether a record of s may be stored.
+func (s *stepRun) touched() bool {
+	for _, t := range s.tasks {
+		if t.number > 0 || t.live() || t.done {
+			return true
+		}
+	}
+	return false
+}
+
+// expire forgets jobs that ended long ago.
+func (e *Engine) expire() {
+	n := 0
+	wall := e.wall()
+	for _, j := range e.ended {
+		if wall-j.ended < e.cfg.KeepEnded.Milliseconds() {
+			break
+		}
+		delete(e.jobs, j.id)
+		e.put(record.JobKey(j.id), nil)
+		n++
+	}
+	e.ended = e.ended[n:]
+	for k, at := range e.strays {
+		if e.now.Sub(at) > time.Minute {
+			delete(e.strays, k)
+		}
+	}
+}
+
+// endRun takes a run off its worker and decides what follows for its task.
+func (e *Engine) endRun(r *run, how How, checkpoint, source string) {
+	if r.gone {
+		return
+	}
+	t, s := r.task, r.task.step
+	j := s.job()
+	e.dropRun(r)
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+		if s.spec.Gang {
+			for _, m := range s.tasks {
+				m.checkpoint = checkpoint
+			}
+		}
+	}
+	e.log.Info("run ended", "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", how.String(),
+		"source", source, "ran_ms", e.age(r.begun), "percent", r.percent, "stop_reason", r.stopWhy)
+	e.judgeWorker(r, how)
+	e.touch(s)
+	e.dirty = true
+	if j.state.Final() {
+		return
+	}
+	switch how {
+	case EndedDone:
+		e.observe(r)
+		e.taskDone(t)
+	case EndedFailed:
+		e.taskFailed(t, r)
+	}
+	if s.spec.Gang && !t.done && how != EndedDone {
+		e.collapse(s, r.number)
+	}
+}
+
+func (e *Engine) dropRun(r *run) {
+	r.gone = true
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	delete(r.worker.runs, r)
+	r.worker.used = r.worker.used.Sub(r.charge)
+	team := t.step.job().team
+	e.usage[team] = e.usage[team].Sub(t.step.spec.Need)
+	if !t.done && !t.live() {
+		t.step.waiting++
+		e.reopen(t.step)
+	}
+}
+
+// reopen lists s again among the steps with tasks to place.
+func (e *Engine) reopen(s *stepRun) {
+	if !s.ready || s.job().state.Final() {
+		return
+	}
+	for _, o := range e.open {
+		if o == s {
+			return
+		}
+	}
+	e.open = append(e.open, s)
+}
+
+func (e *Engine) taskFailed(t *task, r *run) {
+	s := t.step
+	if s.spec.LongRunning {
+		return
+	}
+	j := s.job()
+	attempts := 1
+	if q := e.queueOf(j); q != nil {
+		attempts = max(1, q.Attempts)
+	}
+	t.failures++
+	t.lastWorker = r.worker.id
+	if s.spec.Gang {
+		// A gang fails as a whole, once for each of its runs.
+		for _, m := range s.tasks {
+			m.failures = max(m.failures, t.failures)
+		}
+	}
+	if t.failures >= attempts && !t.done {
+		e.log.Info("job failed", "job", j.id, "task", t.name, "failures", t.failures, "attempts", attempts)
+		e.finish(j, record.Failed)
+	}
+}
+
+// collapse stops what is left of a gang's run after one member ended early.
+func (e *Engine) collapse(s *stepRun, number int) {
+	for _, m := range s.tasks {
+		for _, r := range m.runs {
+			if r.number == number && r.phase != stopping {
+				e.stop(r, "another member of the gang ended")
+			}
+		}
+	}
+}
+
+// judgeWorker keeps the record of how well a worker runs tasks.
+func (e *Engine) judgeWorker(r *run, how How) {
+	w := r.worker
+	switch how {
+	case EndedDone:
+		w.health.succeeded()
+	case EndedFailed:
+		if w.health.failed(e.now) {
+			e.log.Warn("worker under quarantine", "worker", w.id, "failures", w.health.failures, "for_ms", w.health.penalty.Milliseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/node/leader.go
@@ -0,0 +1,433 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/cell/engine"
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
+)
+
+// leader runs the engine for one term. One goroutine owns the engine; others carry
+// out its actions and bring the results back as events.
+type leader struct {
+	n      *Node
+	rec    Leadership
+	events chan any
+	done   chan struct{} // closed when the term is over here
+	once   sync.Once
+	cancel context.CancelFunc
+	ctx    context.Context
+
+	sequence  int64 // of the next append
+	storeSeen atomic.Int64
+	failing   atomic.Int64 // since when the store refuses every call, zero if it does not
+
+	mu   sync.Mutex
+	arms map[string]*armState
+}
+
+// armState is an instance that pings this leader.
+type armState struct {
+	PingArgs
+	at time.Time
+}
+
+const (
+	// eventQueue is how many events may wait for the engine.
+	eventQueue = 8192
+	// eventBatch is how many events are taken in before actions go out.
+	eventBatch = 128
+	// tickEvery is how often the engine runs without an event.
+	tickEvery = 15 * time.Millisecond
+	// renewEvery is the pause between two renewals of the leadership record.
+	renewEvery = 500 * time.Millisecond
+	// pollWorkersEvery is the pause between two reads of the directory.
+	pollWorkersEvery = 300 * time.Millisecond
+	// armSilent is how long an instance that is silent still counts as an arm.
+	armSilent = 800 * time.Millisecond
+	// loadTimeout bounds one attempt to load the state.
+	loadTimeout = 8 * time.Second
+)
+
+// preparing reports whether this instance has claimed the leadership and is
+// loading its state.
+func (n *Node) preparing() bool {
+	k := n.known.Load()
+	return k != nil && k.Session == n.session
+}
+
+// lead prepares the engine and runs it until the term is over. next is the place
+// of the next leadership record.
+func (n *Node) lead(ctx context.Context, rec *Leadership, next int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := &leader{n: n, rec: *rec, events: make(chan any, eventQueue), done: make(chan struct{}),
+		cancel: cancel, ctx: ctx, arms: make(map[string]*armState), sequence: 1}
+	n.setLeader(rec)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		l.renew(next)
+	}()
+	e := l.prepare()
+	if e != nil {
+		n.leading.Store(l)
+		n.wake()
+		if p := n.policy.Load(); p != nil {
+			l.post(&engine.PolicyChanged{Policy: p})
+		}
+		go l.pollWorkers()
+		go l.watchArms()
+		l.run(e)
+	}
+	l.stop("term over")
+	n.leading.CompareAndSwap(l, nil)
+	n.known.CompareAndSwap(n.known.Load(), nil)
+	n.wake()
+	<-renewed
+}
+
+// stop ends the term here.
+func (l *leader) stop(why string) {
+	l.once.Do(func() {
+		l.n.log.Info("no longer leading", "term", l.rec.Term, "reason", why)
+		l.cancel()
+		close(l.done)
+	})
+}
+
+// prepare fences off earlier leaders and loads the state. It returns nil if the
+// term ended before that was done.
+func (l *leader) prepare() *engine.Engine {
+	start := time.Now()
+	if !l.fence() {
+		return nil
+	}
+	state, ok := l.load()
+	if !ok {
+		return nil
+	}
+	set := l.n.set.Engine
+	set.Term = l.rec.Term
+	e := engine.New(set, l.n.log, wallClock, time.Now())
+	if list, _, err := l.pollOnce(); err == nil {
+		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
+	}
+	e.Restore(state)
+	l.n.log.Info("leading", "term", l.rec.Term, "prepared_ms", time.Since(start).Milliseconds(), "jobs", len(state.Jobs))
+	return e
+}
+
+func wallClock() int64 { return time.Now().UnixMilli() }
+
+func (l *leader) fence() bool {
+	for l.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		err := l.n.ports.Store.Fence(ctx, l.rec.Term)
+		cancel()
+		if err == nil {
+			return true
+		}
+		l.n.log.Warn("cannot fence earlier leaders", "term", l.rec.Term, "reason", err.Error())
+		if errors.Is(err, ErrFenced) {
+			return false
+		}
+		sleep(l.ctx, storePause)
+	}
+	return false
+}
+
+func (l *leader) load() (engine.Restored, bool) {
+	for l.ctx.Err() == nil {
+		state := engine.Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
+		ctx, cancel := context.WithTimeout(l.ctx, loadTimeout)
+		err := l.n.ports.Store.Load(ctx, func(r record.Record) { l.restore(&state, r) })
+		cancel()
+		if err == nil {
+			return state, true
+		}
+		l.n.log.Warn("cannot load the state", "term", l.rec.Term, "reason", err.Error())
+		sleep(l.ctx, storePause)
+	}
+	return engine.Restored{}, false
+}
+
+func (l *leader) restore(state *engine.Restored, r record.Record) {
+	id, step, err := record.ParseKey(r.Key)
+	if err != nil {
+		l.n.log.Error("record of an unknown kind", "key", r.Key, "reason", err.Error())
+		return
+	}
+	if step != nil {
+		if len(r.Value) == 0 {
+			delete(state.Steps, *step)
+			return
+		}
+		kept := new(record.Step)
+		if err := record.Decode(r.Value, kept); err != nil {
+			l.n.log.Error("record cannot be read", "key", r.Key, "reason", err.Error())
+			return
+		}
+		state.Steps[*step] = kept
+		return
+	}
+	if len(r.Value) == 0 {
+		delete(state.Jobs, id)
+		return
+	}
+	kept := new(record.Job)
+	if err := record.Decode(r.Value, kept); err != nil {
+		l.n.log.Error("record cannot be read", "key", r.Key, "reason", err.Error())
+		return
+	}
+	state.Jobs[id] = kept
+}
+
+// run owns the engine until the term is over.
+func (l *leader) run(e *engine.Engine) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-ticker.C:
+		case ev := <-l.events:
+			l.handle(e, ev)
+			l.drain(e)
+		}
+		for _, action := range e.Settle(time.Now()) {
+			l.carryOut(action)
+		}
+	}
+}
+
+func (l *leader) handle(e *engine.Engine, ev any) {
+	start := time.Now()
+	e.Handle(start, ev)
+	l.n.stats.Events.Inc(1)
+}
+
+// drain takes in the events that wait, up to a batch.
+func (l *leader) drain(e *engine.Engine) {
+	for range eventBatch {
+		select {
+		case ev := <-l.events:
+			l.handle(e, ev)
+		default:
+			return
+		}
+	}
+}
+
+// post hands an event to the engine, unless the term is over.
+func (l *leader) post(event any) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
+
+// ask posts the event that event makes and waits for its answer. ok is false if
+// ctx or the term ended first.
+func (l *leader) ask(ctx context.Context, event func(func(engine.Answer)) any) (answer engine.Answer, ok bool) {
+	answers := make(chan engine.Answer, 1)
+	l.post(event(func(a engine.Answer) {
+		select {
+		case answers <- a:
+		default: // answered already
+		}
+	}))
+	select {
+	case a := <-answers:
+		return a, true
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	return engine.Answer{}, false
+}
+
+// renew rewrites the leadership record until the term is over.
+func (l *leader) renew(next int64) {
+	l.seen()
+	rec := l.rec
+	for l.ctx.Err() == nil {
+		sleep(l.ctx, renewEvery)
+		if l.ctx.Err() != nil {
+			return
+		}
+		rec.Beat++
+		ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		err := l.n.ports.Store.WriteLeadership(ctx, rec, next)
+		cancel()
+		if err == nil {
+			next++
+			l.seen()
+			continue
+		}
+		if l.ctx.Err() != nil {
+			return
+		}
+		l.refused(err)
+		now, _, place, found, readErr := l.n.readLeadership(l.ctx)
+		if readErr != nil {
+			continue
+		}
+		if found && now.Session != l.rec.Session {
+			l.stop("term " + now.Instance + " has begun")
+			return
+		}
+		next = place
+	}
+}
+
+func (l *leader) seen() {
+	l.n.mark(&l.n.storeSeen)
+	l.failing.Store(0)
+}
+
+func (l *leader) refused(err error) {
+	l.n.log.Warn("store call failed", "term", l.rec.Term, "reason", err.Error(), "last_answer_ms", l.n.since(&l.n.storeSeen).Milliseconds())
+	l.failing.CompareAndSwap(0, int64(time.Since(l.n.born)))
+}
+
+// resign lets another instance lead at once.
+func (l *leader) resign(ctx context.Context) {
+	l.stop("resigning")
+	_, _, next, _, err := l.n.readLeadership(ctx)
+	if err == nil {
+		rec := l.rec
+		rec.Resigned = true
+		err = l.n.ports.Store.WriteLeadership(ctx, rec, next)
+	}
+	if err != nil {
+		l.n.log.Warn("cannot resign", "term", l.rec.Term, "reason", err.Error())
+	}
+}
+
+// pinged notes an instance that follows this leader.
+func (l *leader) pinged(args *PingArgs) {
+	l.mu.Lock()
+	l.arms[args.Instance] = &armState{PingArgs: *args, at: time.Now()}
+	l.mu.Unlock()
+}
+
+// liveArms returns the instances that pinged lately, by name.
+func (l *leader) liveArms() []*armState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var live []*armState
+	for _, name := range slices.Sorted(maps.Keys(l.arms)) {
+		a := l.arms[name]
+		if time.Since(a.at) > armSilent {
+			delete(l.arms, name)
+			continue
+		}
+		if !a.Draining {
+			live = append(live, a)
+		}
+	}
+	return live
+}
+
+func (l *leader) armAddress(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.arms[name]; a != nil {
+		return a.Address
+	}
+	return ""
+}
+
+const (
+	// watchArmsEvery is how often the list of arms is worked out.
+	watchArmsEvery = 200 * time.Millisecond
+	// refusedBeforeHandover is how long the store may refuse this leader before an
+	// instance that reaches it takes over.
+	refusedBeforeHandover = 500 * time.Millisecond
+	// silentBeforeHandover is the same for a store that does not answer. It is
+	// longer than a slow answer takes.
+	silentBeforeHandover = 2 * time.Second
+	// armStoreAge is how recently an arm must have reached the store to take over.
+	armStoreAge = 1300 * time.Millisecond
+)
+
+// watchArms keeps the engine's list of arms and hands over when the store turns
+// this leader away but not others.
+func (l *leader) watchArms() {
+	var before []string
+	for l.ctx.Err() == nil {
+		live := l.liveArms()
+		names := []string{l.n.set.Instance}
+		for _, a := range live {
+			if a.Instance != l.n.set.Instance {
+				names = append(names, a.Instance)
+			}
+		}
+		if !slices.Equal(names, before) {
+			before = names
+			l.post(&engine.ArmsChanged{Arms: names})
+		}
+		l.considerHandover(live)
+		sleep(l.ctx, watchArmsEvery)
+	}
+}
+
+func (l *leader) considerHandover(live []*armState) {
+	failing := l.failing.Load()
+	refused := failing != 0 && time.Since(l.n.born)-time.Duration(failing) > refusedBeforeHandover
+	if !refused && l.n.since(&l.n.storeSeen) < silentBeforeHandover {
+		return
+	}
+	var best *armState
+	for _, a := range live {
+		if a.StoreAge+time.Since(a.at) > armStoreAge || a.Instance == l.n.set.Instance {
+			continue
+		}
+		if best == nil || a.CPUShare > best.CPUShare {
+			best = a
+		}
+	}
+	if best == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
+	defer cancel()
+	if err := l.n.peers.Get(best.Address).Call(ctx, serviceName+".TakeOver", &struct{}{}, &struct{}{}); err != nil {
+		l.n.log.Warn("handover failed", "to", best.Instance, "reason", err.Error())
+		return
+	}
+	l.n.log.Info("handed over", "to", best.Instance, "term", l.rec.Term, "store_silent_ms", l.n.since(&l.n.storeSeen).Milliseconds())
+	l.stop("handed over to " + best.Instance)
+}
+
+// pollWorkers keeps the engine's list of workers.
+func (l *leader) pollWorkers() {
+	for l.ctx.Err() == nil {
+		list, changed, err := l.pollOnce()
+		if err != nil {
+			l.refused(err)
+		} else if changed {
+			l.post(&engine.WorkersListed{Workers: list})
+		}
+		sleep(l.ctx, pollWorkersEvery)
+	}
+}
+
+func (l *leader) pollOnce() ([]engine.Listed, bool, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+	defer cancel()
+	list, changed, err := l.n.ports.Directory.Poll(ctx)
+	if err == nil {
+		l.seen()
+	}
+	return list, changed, err
+}
--- /dev/null
+++ b/internal/cell/record/record.go
@@ -0,0 +1,110 @@
+// Package record is the form in which jobs and their progress are kept in the
+// durable store: one record for each job and one for each of its steps. The
+// newest record of a key replaces the ones before.
+package record
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"pollenbend/internal/cell/job"
+)
+
+// Record is one entry of the store. An empty Value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// State is how a job stands.
+type State uint8
+
+// States of a job.
+const (
+	Open State = iota
+	Completed
+	Failed
+	Canceled
+)
+
+// Final reports whether a job in state s is over.
+func (s State) Final() bool { return s != Open }
+
+// Job is the record of a job. A job that is over keeps only its id, team, queue
+// and state.
+type Job struct {
+	Spec     *job.Spec `cbor:"1,keyasint,omitempty"`
+	State    State     `cbor:"2,keyasint,omitempty"`
+	Team     string    `cbor:"3,keyasint,omitempty"`
+	Queue    string    `cbor:"4,keyasint,omitempty"`
+	Accepted int64     `cbor:"5,keyasint,omitempty"` // Unix milliseconds, by the clock of the instance that accepted
+	Ended    int64     `cbor:"6,keyasint,omitempty"` // Unix milliseconds
+}
+
+// Task is how one task stands.
+type Task struct {
+	_          struct{} `cbor:",toarray"`
+	Done       bool
+	Run        int    // number of the last run
+	Failures   int    // runs that ended as failed
+	Worker     string // where the last run was sent, empty once its end is known
+	Life       int64  // of that worker
+	Checkpoint string
+}
+
+// Step is how the tasks of a step stand. Copy, where set, is a second run of
+// the task at that index.
+type Step struct {
+	Tasks  []Task       `cbor:"1,keyasint"`
+	Copies map[int]Task `cbor:"2,keyasint,omitempty"`
+}
+
+const (
+	jobPrefix  = "j/"
+	stepPrefix = "s/"
+)
+
+// JobKey returns the key of the record of a job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// StepKey returns the key of the record of a step.
+func StepKey(ref job.StepRef) string { return stepPrefix + ref.String() }
+
+// ParseKey tells what a key names: a job if step is nil. It returns an error for a
+// key of another form.
+func ParseKey(key string) (id string, step *job.StepRef, err error) {
+	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
+		return id, nil, nil
+	}
+	name, ok := strings.CutPrefix(key, stepPrefix)
+	if !ok {
+		return "", nil, errors.Newf("unknown key %q", key)
+	}
+	task, err := job.ParseTask(name + ".0")
+	if err != nil {
+		return "", nil, errors.Wrapf(err, "key %q", key)
+	}
+	return task.Job, &task.StepRef, nil
+}
+
+// Encode returns the bytes of v, a Job or a Step.
+func Encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		// The types above have only fields that the codec knows.
+		panic(fmt.Sprintf("encode %T: %v", v, err))
+	}
+	return data
+}
+
+// Decode fills v from data. It returns an error for data of another form.
+func Decode(data []byte, v any) error {
+	return errors.Wrapf(cbor.Unmarshal(data, v), "decode %T", v)
+}
+
+// KeepEnded is how long the state of a job that is over can be asked for.
+const KeepEnded = 150 * time.Second
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,7 +33,7 @@
 
 func commands() []command {
 	return []command{
-		serveCommand(), standinCommand(), devCommand(),
+		serveCommand(), platformCommand(), standinCommand(), devCommand(),
 		checkCommand(), diffCommand(), applyCommand(), keysCommand(),
 		submitCommand(), statusCommand(), cancelCommand(),
 		cellCommand(), drainCommand(), timelineCommand(), replayCommand(),
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,26 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"pollenbend/internal/logsink"
+	"pollenbend/platform"
+)
+
+func platformCommand() command {
+	sub := subcommand("platform", "Run one instance on the users' platform, by its settings file.")
+	return command{sub: sub, run: func(ctx context.Context, out, errOut io.Writer) int {
+		sink := logsink.New(out)
+		defer sink.Close()
+		logger := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: slog.LevelInfo}))
+		if err := platform.Run(ctx, logger); err != nil {
+			logger.Error("instance failed", "reason", err.Error())
+			fmt.Fprintln(errOut, "platform:", err)
+			return ExitUsage
+		}
+		return ExitDone
+	}}
+}
