Bound placement rounds, order by what can end in time, admit by expected end

Change: rounds look at a window of steps and rest eight times as long as they take; a leader hands over only to an instance that reached the store later than it did; silent workers get no longer lease; gangs hold room; admission refuses what would end too late.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollenbend/internal/cell/advice"
+	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
 )
 
@@ -92,7 +93,7 @@
 }
 
 // worthAsking returns the workers that the adviser should be asked about now:
-// ones it was not asked about yet, or good ones with room whose ticket has lapsed.
+// good ones with room whose ticket has lapsed, or ones it was not asked about yet.
 func (e *Engine) worthAsking(s *stepRun, q *policy.Queue, workers []*worker) []*worker {
 	a := s.advice
 	var fresh, lapsed []*worker
@@ -101,33 +102,29 @@
 		t, good := a.good[w.id]
 		switch {
 		case good && t.life == w.life && e.now.Add(ticketMargin).Before(t.until):
-			valid += roomFor(s, w)
+			valid += roomFor(s, w, w.free())
 		case good && t.life == w.life:
-			lapsed = append(lapsed, w)
-			room += roomFor(s, w)
+			if n := roomFor(s, w, w.free()); n > 0 {
+				lapsed = append(lapsed, w)
+				room += n
+			}
 		case a.asked[w.id] != w.life || w.life == 0:
 			fresh = append(fresh, w)
 		}
 	}
 	need := s.waiting
-	if valid >= need {
-		return nil
-	}
-	if !s.spec.Gang && valid > 0 {
+	if valid >= need || !s.spec.Gang && valid > 0 {
 		return nil // what can start does; the rest asks again later
 	}
 	if valid+room >= need || !s.spec.Gang && room > 0 {
 		return firstWithRoom(s, lapsed, need-valid)
 	}
-	if len(fresh) == 0 {
-		return nil
-	}
-	return e.bestToAsk(s, q, fresh, lapsed)
+	return e.bestToAsk(s, q, fresh)
 }
 
-func roomFor(s *stepRun, w *worker) int {
+// roomFor returns how many waiting tasks of s fit into free.
+func roomFor(s *stepRun, w *worker, free job.Resources) int {
 	n := s.waiting
-	free := w.free()
 	if s.charge.CPU > 0 {
 		n = min(n, int(max(0, free.CPU)/s.charge.CPU))
 	}
@@ -135,53 +132,75 @@
 		n = min(n, int(max(0, free.MemMB)/s.charge.MemMB))
 	}
 	if s.spec.MaxPerWorker > 0 {
-		n = min(n, s.spec.MaxPerWorker)
+		n = min(n, s.spec.MaxPerWorker-s.present(w))
 	}
-	return n
+	return max(0, n)
 }
 
 // firstWithRoom returns as many of workers as have room for need tasks, those with
 // the most room first.
 func firstWithRoom(s *stepRun, workers []*worker, need int) []*worker {
-	sort.SliceStable(workers, func(i, j int) bool { return roomFor(s, workers[i]) > roomFor(s, workers[j]) })
+	sort.SliceStable(workers, func(i, j int) bool {
+		return roomFor(s, workers[i], workers[i].free()) > roomFor(s, workers[j], workers[j].free())
+	})
 	for i, w := range workers {
-		need -= roomFor(s, w)
+		need -= roomFor(s, w, w.free())
 		if need <= 0 {
-			return workers[:min(len(workers), i+2)]
+			return workers[:min(len(workers), i+1+spareLapsed)]
 		}
 	}
 	return workers
 }
 
-// mostAsked is how many workers the adviser takes in one call.
-const mostAsked = 100
-
-// spareAsked is how many workers are asked about beyond those that are expected
-// to suffice, since which of them are good is not known.
-const spareAsked = 4
+const (
+	// mostAsked is how many workers the adviser takes in one call.
+	mostAsked = 100
+	// leastAsked is how many are asked about at least. A call costs far more by
+	// itself than by its workers.
+	leastAsked = 12
+	// spareLapsed is how many workers tickets are renewed for beyond those needed,
+	// as room may be taken while the adviser answers.
+	spareLapsed = 2
+	// askFactor is how much more room than needed is asked about. A gang waits for
+	// room on its good workers, so it asks about more of them.
+	askFactor     = 1.5
+	askFactorGang = 3
+	// laterRoom is the part of a worker's room in use that counts as room when
+	// workers are asked about ahead of time.
+	laterRoom = 0.3
+)
 
 // bestToAsk returns the workers with the most room, as many as should hold enough
-// good ones.
-func (e *Engine) bestToAsk(s *stepRun, q *policy.Queue, fresh, lapsed []*worker) []*worker {
-	sort.SliceStable(fresh, func(i, j int) bool { return roomFor(s, fresh[i]) > roomFor(s, fresh[j]) })
+// good ones. Steps that cannot wait for an answer later ask ahead of room.
+func (e *Engine) bestToAsk(s *stepRun, q *policy.Queue, fresh []*worker) []*worker {
+	ahead := s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCall
+	score := make(map[*worker]float64, len(fresh))
+	ranked := fresh[:0]
+	for _, w := range fresh {
+		v := float64(roomFor(s, w, w.free()))
+		if ahead {
+			v += laterRoom * (float64(roomFor(s, w, w.capacity)) - v)
+		}
+		if v <= 0 {
+			continue
+		}
+		score[w] = v
+		ranked = append(ranked, w)
+	}
+	sort.SliceStable(ranked, func(i, j int) bool { return score[ranked[i]] > score[ranked[j]] })
 	share := e.goodShare(q.Name)
-	have := 0.0
-	for _, w := range lapsed {
-		have += float64(roomFor(s, w))
+	want := float64(s.waiting) * askFactor
+	if s.spec.Gang {
+		want = float64(s.waiting) * askFactorGang
 	}
-	n := 0
-	for n < len(fresh) && n < mostAsked && have < float64(s.waiting)*askFactor {
-		have += share * float64(roomFor(s, fresh[n]))
+	n, have := 0, 0.0
+	for n < len(ranked) && n < mostAsked && (have < want || n < leastAsked) {
+		have += share * score[ranked[n]]
 		n++
 	}
-	n = min(len(fresh), mostAsked, n+spareAsked)
-	return append(append([]*worker(nil), fresh[:n]...), lapsed[:min(len(lapsed), mostAsked-n)]...)
+	return ranked[:n]
 }
 
-// askFactor is how much more room than needed is asked for, as room is taken by
-// others while the adviser thinks.
-const askFactor = 1.5
-
 // firstGoodShare is the share of workers taken to be good before the adviser has
 // said anything about a queue.
 const firstGoodShare = 0.4
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -17,26 +17,31 @@
 
 // Config holds the bounds that the platform and the settings give.
 type Config struct {
-	Term          int64         // number of this leadership, higher than all before
-	Lease         time.Duration // how long runs go on without contact to the leader
-	MaxLease      time.Duration // longest lease that workers grant
-	LapseMargin   time.Duration // added to a lease before its runs count as gone
-	StopTime      time.Duration // longest time that a stop takes
-	GangWait      time.Duration // how long members of a gang wait for each other
-	Restore       time.Duration // time to resume from a checkpoint
-	FarPenalty    float64       // how many times as long a task takes away from its data
-	Early         time.Duration // how much before its time an occurrence may start
-	LookWait      time.Duration // how long a worker may hold back the answer to a look
-	LookRetry     time.Duration // pause after a look without an answer
-	IdleLook      time.Duration // pause between looks at a worker that runs nothing
-	UnlistedLooks time.Duration // how long an idle worker is looked at after it left the directory
-	ForgetWorker  time.Duration // when an idle worker that left the directory is dropped
-	StopRetry     time.Duration // pause between stops of the same run
-	SettleStart   time.Duration // when a confirmed run has to be in the reports
-	Planning      time.Duration // least time between two rounds of placement
-	KeepEnded     time.Duration // how long the state of a job that is over can be asked for
+	Term          int64            // number of this leadership, higher than all before
+	Lease         time.Duration    // how long runs go on without contact to the leader
+	MaxLease      time.Duration    // longest lease that workers grant
+	LapseMargin   time.Duration    // added to a lease before its runs count as gone
+	StopTime      time.Duration    // longest time that a stop takes
+	GangWait      time.Duration    // how long members of a gang wait for each other
+	Restore       time.Duration    // time to resume from a checkpoint
+	FarPenalty    float64          // how many times as long a task takes away from its data
+	Early         time.Duration    // how much before its time an occurrence may start
+	LookWait      time.Duration    // how long a worker may hold back the answer to a look
+	LookRetry     time.Duration    // pause after a look without an answer
+	IdleLook      time.Duration    // pause between looks at a worker that runs nothing
+	UnlistedLooks time.Duration    // how long an idle worker is looked at after it left the directory
+	ForgetWorker  time.Duration    // when an idle worker that left the directory is dropped
+	StopRetry     time.Duration    // pause between stops of the same run
+	SettleStart   time.Duration    // when a confirmed run has to be in the reports
+	Planning      time.Duration    // least time between two rounds of placement
+	KeepEnded     time.Duration    // how long the state of a job that is over can be asked for
+	Clock         func() time.Time // measures how long a round of placement takes
 }
 
+// planningRest is how much longer than a round of placement the pause after it is,
+// so that placement takes a bounded part of the processor however long the queue.
+const planningRest = 8
+
 // Engine is the state of a cell. It is used by one goroutine.
 type Engine struct {
 	cfg    Config
@@ -49,22 +54,25 @@
 	deposed bool
 	actions []any
 
-	jobs    map[string]*jobState
-	open    []*stepRun // steps whose turn has come and that have tasks to place
-	timed   []*jobState
-	ended   []*jobState // in the order in which they ended
-	workers map[string]*worker
-	order   []*worker // in the order in which they were found
-	strays  map[string]time.Time
-	usage   map[string]job.Resources // by team
-	queued  map[string]int           // accepted jobs of a queue that have not begun
-	arms    []*arm
-	pace    pace
-	owed    map[string]*allowance
-	shares  map[string]float64 // of workers that the adviser finds good, by queue
+	jobs     map[string]*jobState
+	open     []*stepRun // steps whose turn has come and that have tasks to place
+	timed    []*jobState
+	ended    []*jobState // in the order in which they ended
+	workers  map[string]*worker
+	order    []*worker // in the order in which they were found
+	strays   map[string]time.Time
+	usage    map[string]job.Resources // by team
+	queued   map[string]int           // accepted jobs of a queue that have not begun
+	arms     []*arm
+	pace     pace
+	owed     map[string]*allowance
+	backlog  map[int]float64    // core-seconds of accepted work that is not done, by priority
+	arriving map[int]*arrivals  // work that arrives, by priority
+	shares   map[string]float64 // of workers that the adviser finds good, by queue
 
 	dirty     bool // placement may find something to do
 	planned   time.Time
+	planTook  time.Duration
 	batch     *Append
 	inFlight  bool
 	dirtyStep map[*stepRun]struct{}
@@ -79,6 +87,7 @@
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
 		strays: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), owed: make(map[string]*allowance),
+		backlog: make(map[int]float64), arriving: make(map[int]*arrivals),
 		batch: &Append{}, dirtyStep: make(map[*stepRun]struct{}),
 	}
 }
@@ -127,10 +136,12 @@
 		e.expire()
 		e.retryStops()
 		e.openDue()
-		if e.dirty && now.Sub(e.planned) >= e.cfg.Planning {
+		if e.dirty && now.Sub(e.planned) >= max(e.cfg.Planning, planningRest*e.planTook) {
 			e.dirty = false
 			e.planned = now
+			begun := e.cfg.Clock()
 			e.place()
+			e.planTook = e.cfg.Clock().Sub(begun)
 		}
 		e.lookAtWorkers()
 		e.flush()
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -72,6 +72,7 @@
 
 // openSteps opens the steps of o whose turn has come.
 func (e *Engine) openSteps(o *occurrence) {
+	e.addBacklog(o)
 	for _, s := range o.steps {
 		if s.ready || s.left == 0 || !o.dependenciesDone(s) {
 			continue
@@ -181,6 +182,7 @@
 		}
 		m.done = true
 		s.left--
+		e.takeBacklog(s, 1)
 		for _, r := range m.runs {
 			if !s.spec.Gang && r.phase != stopping {
 				e.stop(r, "another copy is done")
@@ -221,6 +223,7 @@
 		if o == nil {
 			continue
 		}
+		e.dropBacklog(o)
 		for _, s := range o.steps {
 			if s.touched() {
 				e.put(record.StepKey(s.ref), nil)
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -4,7 +4,9 @@
 	"sort"
 	"time"
 
+	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/placement"
 	"pollenbend/internal/cell/policy"
 	"pollenbend/internal/cell/record"
@@ -13,12 +15,134 @@
 // place starts what fits, most urgent steps first.
 func (e *Engine) place() {
 	e.compactOpen()
-	sort.SliceStable(e.open, func(i, j int) bool { return e.before(e.open[i], e.open[j]) })
+	e.sortOpen()
+	rooms := make(map[string]*room)
 	for _, s := range e.open {
-		if s.open() {
-			e.placeStep(s)
+		q := e.queueOf(s.job())
+		if q == nil || !s.open() {
+			continue // no service is declared for the queue now
+		}
+		r := rooms[q.Service]
+		if r == nil {
+			r = e.roomOf(q.Service)
+			rooms[q.Service] = r
+		}
+		if r.window > 0 {
+			e.placeStep(s, q, r)
+		}
+	}
+}
+
+// sortOpen brings the open steps into the order of service.
+func (e *Engine) sortOpen() {
+	for _, s := range e.open {
+		s.key = ordering.KeyOf(e.orderOf(s), e.now)
+	}
+	sort.SliceStable(e.open, func(i, j int) bool { return ordering.Before(e.open[i].key, e.open[j].key) })
+}
+
+func (e *Engine) orderOf(s *stepRun) ordering.Step {
+	j := s.job()
+	o := ordering.Step{Overdue: j.overdue, Priority: lowestPriority, Arrived: e.arrivalOf(s), Left: e.chainFrom(s)}
+	if q := e.queueOf(j); q != nil {
+		o.Priority = q.Priority
+		o.Objective = objective(q, e.chainOf(j))
+	}
+	return o
+}
+
+// arrivalOf returns when the occurrence of s was due.
+func (e *Engine) arrivalOf(s *stepRun) time.Time {
+	if s.occ.due == 0 {
+		return s.job().arrived
+	}
+	return e.now.Add(time.Duration(s.occ.due-e.wall()) * time.Millisecond)
+}
+
+// objective returns how long a job of q may take.
+func objective(q *policy.Queue, chain time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(chain)) + q.LatencyTarget
+}
+
+// chainOf returns the longest chain of work of a job, by its estimates.
+func (e *Engine) chainOf(j *jobState) time.Duration {
+	if j.chain == 0 {
+		j.chain = e.chainOfSpec(j.spec)
+	}
+	return j.chain
+}
+
+func (e *Engine) chainOfSpec(spec *job.Spec) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(spec.Steps))
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		begin := time.Duration(0)
+		for _, d := range s.DependsOn {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + e.pace.expect(spec.Queue, s.Estimate)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// chainFrom returns the longest chain of work from s on.
+func (e *Engine) chainFrom(s *stepRun) time.Duration {
+	spec := s.job().spec
+	return e.chainAfter(spec, s.ref.Step)
+}
+
+func (e *Engine) chainAfter(spec *job.Spec, step int) time.Duration {
+	after := time.Duration(0)
+	for i := step + 1; i < len(spec.Steps); i++ {
+		for _, d := range spec.Steps[i].DependsOn {
+			if d == step {
+				after = max(after, e.chainAfter(spec, i))
+			}
 		}
 	}
+	return after + e.pace.expect(spec.Queue, spec.Steps[step].Estimate)
+}
+
+// room is what the workers of a service have free in one round of placement.
+type room struct {
+	workers []*worker
+	most    job.Resources // largest free amount of each kind on one worker
+	window  int64         // CPU of the steps that are still looked at
+	holding int64         // CPU that may still be held for gangs
+}
+
+const (
+	// windowOfFree and windowOfAll bound the steps that are looked at in a round by
+	// their CPU, against what is free and against the whole service: enough to fill
+	// the room that is there and what comes free while an adviser answers.
+	windowOfFree = 1.5
+	windowOfAll  = 0.15
+	// holdOfAll is the part of a service's CPU that may be kept free for gangs that
+	// wait for their room to come together.
+	holdOfAll = 0.12
+)
+
+func (e *Engine) roomOf(service string) *room {
+	r := &room{}
+	var free, all int64
+	for _, w := range e.order {
+		if w.service != service || !w.usable(e.now) {
+			continue
+		}
+		w.held = job.Resources{}
+		f := w.free()
+		r.workers = append(r.workers, w)
+		r.most.CPU = max(r.most.CPU, f.CPU)
+		r.most.MemMB = max(r.most.MemMB, f.MemMB)
+		r.most.GPU = max(r.most.GPU, f.GPU)
+		free += max(0, f.CPU)
+		all += w.capacity.CPU
+	}
+	r.window = int64(windowOfFree*float64(free) + windowOfAll*float64(all))
+	r.holding = int64(holdOfAll * float64(all))
+	return r
 }
 
 // compactOpen drops steps that have nothing left to place.
@@ -33,35 +157,11 @@
 	e.open = kept
 }
 
-// before orders steps: what the team is owed, priority, then the earlier arrival.
-func (e *Engine) before(a, b *stepRun) bool {
-	ja, jb := a.job(), b.job()
-	if ja.overdue != jb.overdue {
-		return !ja.overdue
-	}
-	pa, pb := e.priority(ja), e.priority(jb)
-	if pa != pb {
-		return pa < pb
-	}
-	return ja.arrived.Before(jb.arrived)
-}
-
 // lowestPriority is that of jobs whose queue is gone.
 const lowestPriority = 1 << 20
 
-func (e *Engine) priority(j *jobState) int {
-	if q := e.queueOf(j); q != nil {
-		return q.Priority
-	}
-	return lowestPriority
-}
-
 // placeStep places the waiting tasks of s as far as possible.
-func (e *Engine) placeStep(s *stepRun) {
-	q := e.queueOf(s.job())
-	if q == nil {
-		return // no service is declared for the queue now
-	}
+func (e *Engine) placeStep(s *stepRun, q *policy.Queue, r *room) {
 	tasks := s.waitingTasks()
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return // members of the last run are still being stopped
@@ -70,7 +170,8 @@
 	if len(tasks) == 0 {
 		return
 	}
-	workers := e.eligible(s, q)
+	r.window -= max(1, s.charge.CPU*int64(len(tasks)))
+	workers := s.eligible(r)
 	if q.Advice != nil {
 		e.advise(s, q, workers)
 		workers = s.ticketed(workers, e.now)
@@ -80,6 +181,63 @@
 		t, w := tasks[i], workers[index]
 		e.plan(t, w, e.nextNumber(s, t), s.ticket(w.id))
 	}
+	if len(chosen) == 0 {
+		e.hold(s, r, len(tasks))
+	}
+}
+
+// hold keeps room free on workers that a waiting gang can use, so that it comes
+// together there instead of being taken by smaller tasks.
+func (e *Engine) hold(s *stepRun, r *room, count int) {
+	if !s.spec.Gang || count < 2 || r.holding <= 0 {
+		return
+	}
+	need := count
+	for _, w := range e.holdOn(s, r) {
+		n := min(need, s.most(w))
+		if n <= 0 {
+			continue
+		}
+		held := s.charge.Times(n)
+		w.held = w.held.Add(held)
+		r.holding -= held.CPU
+		need -= n
+		if need == 0 || r.holding <= 0 {
+			return
+		}
+	}
+}
+
+// most returns how many tasks of s the whole of w could run beside what is held.
+func (s *stepRun) most(w *worker) int {
+	n := s.spec.Count
+	all := w.capacity.Sub(w.held)
+	if s.charge.CPU > 0 {
+		n = min(n, int(max(0, all.CPU)/s.charge.CPU))
+	}
+	if s.charge.MemMB > 0 {
+		n = min(n, int(max(0, all.MemMB)/s.charge.MemMB))
+	}
+	return n
+}
+
+// holdOn returns the workers on which a gang waits for room, those with the most
+// first.
+func (e *Engine) holdOn(s *stepRun, r *room) []*worker {
+	var on []*worker
+	for _, w := range r.workers {
+		if s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
+			continue
+		}
+		if s.advice != nil {
+			if t, good := s.advice.good[w.id]; !good || t.life != w.life {
+				continue
+			}
+		}
+		on = append(on, w)
+	}
+	sort.SliceStable(on, func(i, j int) bool { return on[i].free().CPU > on[j].free().CPU })
+	return on
 }
 
 func (e *Engine) request(s *stepRun, count int) placement.Request {
@@ -151,14 +309,11 @@
 	return tasks[:n]
 }
 
-// eligible returns the workers that may be given tasks of s.
-func (e *Engine) eligible(s *stepRun, q *policy.Queue) []*worker {
-	var out []*worker
-	for _, w := range e.order {
-		if w.service != q.Service || !w.usable(e.now) || !s.charge.Fits(w.free()) {
-			continue
-		}
-		if s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
+// eligible returns the workers that may be given tasks of s, with room or without.
+func (s *stepRun) eligible(r *room) []*worker {
+	out := make([]*worker, 0, len(r.workers))
+	for _, w := range r.workers {
+		if !s.charge.Fits(w.capacity) || s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
 			continue
 		}
 		out = append(out, w)
@@ -176,7 +331,33 @@
 	if why := e.neverFits(spec, q); why != "" {
 		return why, 0
 	}
-	return "", 0
+	if spec.Scheduled() {
+		return "", 0
+	}
+	chain := e.chainOfSpec(spec)
+	d := admission.Decide(admission.Job{Chain: chain, Objective: objective(q, chain), Overdue: !e.peekAllowance(spec.Team)}, e.loadFor(q))
+	return d.Why, d.RetryAfter
+}
+
+// loadFor returns what a job of q meets now.
+func (e *Engine) loadFor(q *policy.Queue) admission.Load {
+	l := admission.Load{}
+	for _, w := range e.order {
+		if w.service == q.Service && w.usable(e.now) {
+			l.Capacity += float64(w.capacity.CPU) / 1000
+		}
+	}
+	for priority, work := range e.backlog {
+		if priority <= q.Priority {
+			l.Ahead += work
+		}
+	}
+	for priority, r := range e.arriving {
+		if priority < q.Priority {
+			l.Higher += r.rate(e.now)
+		}
+	}
+	return l
 }
 
 // neverFits says why no worker, or no limit, could ever hold a step of the job.
@@ -218,6 +399,17 @@
 // allowanceSpan is how much of a team's owed rate it may send at once.
 const allowanceSpan = time.Second
 
+// peekAllowance reports whether one more job of team would be within what it is
+// owed.
+func (e *Engine) peekAllowance(name string) bool {
+	team := e.policy.Team(name)
+	a := e.owed[name]
+	if team == nil || team.Weight <= 0 || a == nil {
+		return true
+	}
+	return a.tokens+team.Weight*e.now.Sub(a.at).Seconds() >= 1
+}
+
 // allow reports whether one more job of team is within what it is owed.
 func (e *Engine) allow(name string) bool {
 	team := e.policy.Team(name)
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/record"
 )
 
@@ -24,6 +25,7 @@
 	occ      []*occurrence
 	left     int // occurrences that are not done
 	arrived  time.Time
+	chain    time.Duration // longest chain of work, by the estimates
 }
 
 // occurrence is one run through the steps of a job.
@@ -33,6 +35,9 @@
 	due   int64 // Unix milliseconds, zero for a job without times
 	steps []*stepRun
 	left  int // steps that are not done
+
+	counted  bool // in the backlog, under priority
+	priority int
 }
 
 // stepRun is a step of one occurrence.
@@ -50,6 +55,8 @@
 	dirty   bool
 	advice  *adviceState
 	charge  job.Resources
+	work    float64 // expected core-seconds of one task
+	key     ordering.Key
 }
 
 // task is one task of a step.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -17,6 +17,7 @@
 	labels   []string
 	capacity job.Resources
 	used     job.Resources
+	held     job.Resources // kept free for gangs, in this round of placement
 	runs     map[*run]struct{}
 
 	listed   bool
@@ -85,7 +86,8 @@
 	return end
 }
 
-func (w *worker) free() job.Resources { return w.capacity.Sub(w.used) }
+// free returns what is left for new tasks.
+func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.held) }
 
 func (w *worker) hasLabel(label string) bool {
 	for _, l := range w.labels {
@@ -226,7 +228,9 @@
 	}
 	w.lookSoon = false
 	deadline := int64(0)
-	if len(w.runs) > 0 && w.looked {
+	if len(w.runs) > 0 && w.looked && w.silent == 0 {
+		// A worker that does not answer gets no longer lease, so that its runs are
+		// certainly over some time after the last answer.
 		deadline = w.lease(e.cfg.Lease, e.now)
 	}
 	e.emit(&Look{Worker: w.id, Address: w.address, Life: w.life, Deadline: deadline, Cursor: w.cursor, Wait: wait})
@@ -263,6 +267,11 @@
 	}
 	w.noteClock(ev.Report.Clock, ev.Sent, e.now)
 	w.looked = true
+	for _, r := range w.sortedRuns() {
+		if r.life != 0 && w.life != 0 && r.life != w.life {
+			e.endRun(r, EndedLapsed, "", "worker restarted")
+		}
+	}
 	e.applyEnds(w, ev.Report)
 	e.applyRunning(w, ev)
 	if first {
@@ -448,7 +457,7 @@
 // had run out.
 func (e *Engine) lapsed() {
 	for _, w := range e.order {
-		if len(w.runs) == 0 || w.silent == 0 {
+		if len(w.runs) == 0 {
 			continue
 		}
 		end := w.lapseAt
@@ -459,7 +468,7 @@
 			continue
 		}
 		for _, r := range w.sortedRuns() {
-			if r.phase == planned && !r.restored {
+			if r.begunNever() {
 				continue
 			}
 			e.endRun(r, EndedLapsed, "", "lease lapsed without contact")
--- a/internal/cell/node/entry.go
+++ b/internal/cell/node/entry.go
@@ -19,6 +19,9 @@
 	// noLeaderRetry is when a caller should come back after that: about the time of
 	// a takeover.
 	noLeaderRetry = time.Second
+	// leaderSilent is how long the leader may be silent before new requests are no
+	// longer sent to it.
+	leaderSilent = pingEvery + pingTimeout
 	// retryPause is the pause between two attempts to reach the leader.
 	retryPause = 25 * time.Millisecond
 )
@@ -98,7 +101,7 @@
 		return answer, true, ok
 	}
 	rec := n.known.Load()
-	if rec == nil || rec.Session == n.session {
+	if rec == nil || rec.Session == n.session || n.since(&n.heard) > leaderSilent {
 		return engine.Answer{}, false, false
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -48,7 +48,7 @@
 	// tickEvery is how often the engine runs without an event.
 	tickEvery = 15 * time.Millisecond
 	// renewEvery is the pause between two renewals of the leadership record.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
 	// pollWorkersEvery is the pause between two reads of the directory.
 	pollWorkersEvery = 300 * time.Millisecond
 	// armSilent is how long an instance that is silent still counts as an arm.
@@ -356,8 +356,9 @@
 	// silentBeforeHandover is the same for a store that does not answer. It is
 	// longer than a slow answer takes.
 	silentBeforeHandover = 2 * time.Second
-	// armStoreAge is how recently an arm must have reached the store to take over.
-	armStoreAge = 1300 * time.Millisecond
+	// armStoreMargin is how much later than this leader's last answer from the store
+	// an arm must have had one to take over: more than the age of what pings tell.
+	armStoreMargin = 400 * time.Millisecond
 )
 
 // watchArms keeps the engine's list of arms and hands over when the store turns
@@ -384,12 +385,13 @@
 func (l *leader) considerHandover(live []*armState) {
 	failing := l.failing.Load()
 	refused := failing != 0 && time.Since(l.n.born)-time.Duration(failing) > refusedBeforeHandover
-	if !refused && l.n.since(&l.n.storeSeen) < silentBeforeHandover {
+	silent := l.n.since(&l.n.storeSeen)
+	if !refused && silent < silentBeforeHandover {
 		return
 	}
 	var best *armState
 	for _, a := range live {
-		if a.StoreAge+time.Since(a.at) > armStoreAge || a.Instance == l.n.set.Instance {
+		if a.StoreAge+time.Since(a.at) > silent-armStoreMargin || a.Instance == l.n.set.Instance {
 			continue
 		}
 		if best == nil || a.CPUShare > best.CPUShare {
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -203,9 +203,9 @@
 
 const (
 	// pingEvery is the pause between pings of the leader.
-	pingEvery = 250 * time.Millisecond
+	pingEvery = 200 * time.Millisecond
 	// pingTimeout bounds a ping.
-	pingTimeout = 600 * time.Millisecond
+	pingTimeout = 500 * time.Millisecond
 	// refusedPings is how often in a row the leader's address must refuse
 	// connections before its process counts as ended.
 	refusedPings = 2
@@ -213,10 +213,10 @@
 	refusedPause = 40 * time.Millisecond
 	// silentBeforeLook is how long the leader may be silent before the store is
 	// asked whether it still renews its record.
-	silentBeforeLook = 900 * time.Millisecond
+	silentBeforeLook = 500 * time.Millisecond
 	// staleLeader is how long the leader's record may stay the same while the
-	// leader does not answer.
-	staleLeader = 1800 * time.Millisecond
+	// leader does not answer: two renewals, and a third for a slow store.
+	staleLeader = 3 * renewEvery
 )
 
 // follow pings the leader until it has changed or is gone.
@@ -258,13 +258,16 @@
 		case !found || now.Session != rec.Session || now.Resigned:
 			return
 		case seenSince.IsZero() || place != seenAt:
+			if seenSince.IsZero() && place == seenAt {
+				n.log.Warn("leader is silent", "leader", rec.Instance, "term", rec.Term, "last_answer_ms", time.Since(lastOK).Milliseconds())
+			}
 			seenAt, seenSince = place, time.Now()
-			sleep(ctx, pingEvery)
+			sleep(ctx, retryPause)
 		case time.Since(seenSince) > staleLeader:
 			n.campaign(ctx, next, "the leader is silent and does not renew")
 			return
 		default:
-			sleep(ctx, pingEvery)
+			sleep(ctx, retryPause)
 		}
 	}
 }
