Admit by the work that waits for room

Change: admission counts only tasks that wait, and only when they need more than is free; three failures of tasks that had not failed elsewhere are needed.

--- a/internal/cell/admission/admission.go
+++ b/internal/cell/admission/admission.go
@@ -9,7 +9,9 @@
 // Load is what a new job meets.
 type Load struct {
 	Capacity float64 // cores of the usable workers
-	Ahead    float64 // core-seconds of accepted work that comes before the job
+	Free     float64 // cores that no task has
+	Waiting  float64 // cores of the tasks that wait and come before the job
+	Ahead    float64 // core-seconds of these tasks
 	Higher   float64 // cores that newly arriving work of higher priority takes
 }
 
@@ -48,9 +50,10 @@
 		return Decision{Why: "no worker is usable", RetryAfter: shortestRetry}
 	}
 	rate := max(l.Capacity*packing-l.Higher, l.Capacity*leastShare)
-	// Work that fits beside what runs does not wait for it.
-	queued := max(0, l.Ahead-l.Capacity*j.Chain.Seconds())
-	wait := time.Duration(queued / rate * float64(time.Second))
+	wait := time.Duration(0)
+	if l.Waiting > l.Free {
+		wait = time.Duration(l.Ahead / rate * float64(time.Second))
+	}
 	slack := j.Objective - j.Chain
 	d := Decision{Wait: wait}
 	switch {
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -3,63 +3,93 @@
 import (
 	"math"
 	"time"
+
+	"pollenbend/internal/cell/admission"
+	"pollenbend/internal/cell/policy"
 )
 
-// addBacklog counts the work of an occurrence that has become due.
-func (e *Engine) addBacklog(o *occurrence) {
+// demand is what waits for room, and what arrives, at one priority.
+type demand struct {
+	cpu   int64   // of the tasks that wait, in thousandths of a core
+	work  float64 // core-seconds of the tasks that wait
+	cores float64 // averaged rate at which work arrives
+	at    time.Time
+}
+
+// arrivalSpan is the time over which the rate of arriving work is averaged: a few
+// times the length of a task.
+const arrivalSpan = 10 * time.Second
+
+func (d *demand) rate(now time.Time) float64 {
+	return d.cores * math.Exp(-now.Sub(d.at).Seconds()/arrivalSpan.Seconds())
+}
+
+func (e *Engine) demandAt(priority int) *demand {
+	d := e.demands[priority]
+	if d == nil {
+		d = &demand{at: e.now}
+		e.demands[priority] = d
+	}
+	return d
+}
+
+// arrived counts the work of an occurrence that has become due.
+func (e *Engine) arrived(o *occurrence) {
 	q := e.queueOf(o.job)
 	if q == nil || o.counted {
 		return
 	}
 	o.counted = true
-	o.priority = q.Priority
 	total := 0.0
 	for _, s := range o.steps {
-		if s.spec.LongRunning {
-			continue
+		if !s.spec.LongRunning {
+			total += e.workOf(s) * float64(s.left)
 		}
-		s.work = float64(s.charge.CPU) / 1000 * e.pace.expect(o.job.queue, s.spec.Estimate).Seconds()
-		total += s.work * float64(s.left)
-	}
-	e.backlog[o.priority] += total
-	r := e.arriving[o.priority]
-	if r == nil {
-		r = &arrivals{at: e.now}
-		e.arriving[o.priority] = r
 	}
-	r.add(e.now, total)
+	d := e.demandAt(q.Priority)
+	d.cores = d.rate(e.now) + total/arrivalSpan.Seconds()
+	d.at = e.now
 }
 
-// takeBacklog counts n tasks of s as done.
-func (e *Engine) takeBacklog(s *stepRun, n int) {
-	if s.occ.counted {
-		e.backlog[s.occ.priority] -= s.work * float64(n)
-	}
+// workOf returns the expected core-seconds of one task of s.
+func (e *Engine) workOf(s *stepRun) float64 {
+	return float64(s.charge.CPU) / 1000 * e.pace.expect(s.job().queue, s.spec.Estimate).Seconds()
 }
 
-// dropBacklog takes off all that is left of an occurrence.
-func (e *Engine) dropBacklog(o *occurrence) {
-	for _, s := range o.steps {
-		e.takeBacklog(s, s.left)
+// measureWaiting works out what waits for room at each priority.
+func (e *Engine) measureWaiting() {
+	for _, d := range e.demands {
+		d.cpu, d.work = 0, 0
+	}
+	for _, s := range e.open {
+		q := e.queueOf(s.job())
+		if q == nil || !s.open() || s.job().overdue {
+			continue
+		}
+		d := e.demandAt(q.Priority)
+		d.cpu += int64(s.waiting) * s.charge.CPU
+		d.work += float64(s.waiting) * e.workOf(s)
 	}
-	o.counted = false
-}
-
-// arrivalSpan is the time over which the rate of arriving work is averaged: a few
-// times the length of a task.
-const arrivalSpan = 10 * time.Second
-
-// arrivals averages the work that arrives, in cores.
-type arrivals struct {
-	cores float64
-	at    time.Time
-}
-
-func (a *arrivals) rate(now time.Time) float64 {
-	return a.cores * math.Exp(-now.Sub(a.at).Seconds()/arrivalSpan.Seconds())
 }
 
-func (a *arrivals) add(now time.Time, work float64) {
-	a.cores = a.rate(now) + work/arrivalSpan.Seconds()
-	a.at = now
+// loadFor returns what a job of q meets now.
+func (e *Engine) loadFor(q *policy.Queue) admission.Load {
+	e.measureWaiting()
+	l := admission.Load{}
+	for _, w := range e.order {
+		if w.service == q.Service && w.usable(e.now) {
+			l.Capacity += float64(w.capacity.CPU) / 1000
+			l.Free += float64(w.capacity.CPU-w.used.CPU) / 1000
+		}
+	}
+	for priority, d := range e.demands {
+		if priority <= q.Priority {
+			l.Waiting += float64(d.cpu) / 1000
+			l.Ahead += d.work
+		}
+		if priority < q.Priority {
+			l.Higher += d.rate(e.now)
+		}
+	}
+	return l
 }
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -54,21 +54,20 @@
 	deposed bool
 	actions []any
 
-	jobs     map[string]*jobState
-	open     []*stepRun // steps whose turn has come and that have tasks to place
-	timed    []*jobState
-	ended    []*jobState // in the order in which they ended
-	workers  map[string]*worker
-	order    []*worker // in the order in which they were found
-	strays   map[string]time.Time
-	usage    map[string]job.Resources // by team
-	queued   map[string]int           // accepted jobs of a queue that have not begun
-	arms     []*arm
-	pace     pace
-	owed     map[string]*allowance
-	backlog  map[int]float64    // core-seconds of accepted work that is not done, by priority
-	arriving map[int]*arrivals  // work that arrives, by priority
-	shares   map[string]float64 // of workers that the adviser finds good, by queue
+	jobs    map[string]*jobState
+	open    []*stepRun // steps whose turn has come and that have tasks to place
+	timed   []*jobState
+	ended   []*jobState // in the order in which they ended
+	workers map[string]*worker
+	order   []*worker // in the order in which they were found
+	strays  map[string]time.Time
+	usage   map[string]job.Resources // by team
+	queued  map[string]int           // accepted jobs of a queue that have not begun
+	arms    []*arm
+	pace    pace
+	owed    map[string]*allowance
+	demands map[int]*demand    // by priority
+	shares  map[string]float64 // of workers that the adviser finds good, by queue
 
 	dirty     bool // placement may find something to do
 	planned   time.Time
@@ -87,8 +86,8 @@
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
 		strays: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), owed: make(map[string]*allowance),
-		backlog: make(map[int]float64), arriving: make(map[int]*arrivals),
-		batch: &Append{}, dirtyStep: make(map[*stepRun]struct{}),
+		demands: make(map[int]*demand),
+		batch:   &Append{}, dirtyStep: make(map[*stepRun]struct{}),
 	}
 }
 
--- a/internal/cell/engine/health.go
+++ b/internal/cell/engine/health.go
@@ -5,24 +5,27 @@
 // health judges a worker by the outcomes of its tasks. It answers workers that
 // report themselves as sound and fail, or stall, what they start.
 type health struct {
-	failures   int // failed runs in a row
-	until      time.Time
-	penalty    time.Duration
-	probing    bool
-	rate       float64 // smoothed slowness of its tasks against their estimates
-	rateWeight float64
+	failures int // failed runs in a row
+	until    time.Time
+	penalty  time.Duration
 }
 
 const (
 	// failuresToQuarantine is how many runs of different tasks fail in a row
 	// before a worker is left alone. Sound workers fail one run in twenty.
-	failuresToQuarantine = 2
+	failuresToQuarantine = 3
 	firstQuarantine      = 2 * time.Second
 	longestQuarantine    = 8 * time.Second
 )
 
 func (h *health) quarantined(now time.Time) bool { return now.Before(h.until) }
 
+// failurePenalty is how much slower a worker is ranked for each failure in a row.
+const failurePenalty = 0.3
+
+// slowness returns how much longer than on a sound worker a task is taken to last.
+func (h *health) slowness() float64 { return 1 + failurePenalty*float64(h.failures) }
+
 // succeeded notes a run that ended well.
 func (h *health) succeeded() {
 	h.failures = 0
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -72,7 +72,7 @@
 
 // openSteps opens the steps of o whose turn has come.
 func (e *Engine) openSteps(o *occurrence) {
-	e.addBacklog(o)
+	e.arrived(o)
 	for _, s := range o.steps {
 		if s.ready || s.left == 0 || !o.dependenciesDone(s) {
 			continue
@@ -182,7 +182,6 @@
 		}
 		m.done = true
 		s.left--
-		e.takeBacklog(s, 1)
 		for _, r := range m.runs {
 			if !s.spec.Gang && r.phase != stopping {
 				e.stop(r, "another copy is done")
@@ -223,7 +222,6 @@
 		if o == nil {
 			continue
 		}
-		e.dropBacklog(o)
 		for _, s := range o.steps {
 			if s.touched() {
 				e.put(record.StepKey(s.ref), nil)
@@ -386,6 +384,9 @@
 	case EndedDone:
 		w.health.succeeded()
 	case EndedFailed:
+		if r.task.failures > 0 && r.task.lastWorker != w.id {
+			return // it failed elsewhere too: the task is more likely at fault
+		}
 		if w.health.failed(e.now) {
 			e.log.Warn("worker under quarantine", "worker", w.id, "failures", w.health.failures, "for_ms", w.health.penalty.Milliseconds())
 		}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -250,7 +250,7 @@
 func (e *Engine) candidates(s *stepRun, workers []*worker) []placement.Candidate {
 	out := make([]placement.Candidate, len(workers))
 	for i, w := range workers {
-		out[i] = placement.Candidate{Free: w.free(), Rack: w.rack, Slowness: 1}
+		out[i] = placement.Candidate{Free: w.free(), Rack: w.rack, Slowness: w.health.slowness()}
 		if s.spec.MaxPerWorker > 0 {
 			out[i].Present = s.present(w)
 		}
@@ -339,27 +339,6 @@
 	return d.Why, d.RetryAfter
 }
 
-// loadFor returns what a job of q meets now.
-func (e *Engine) loadFor(q *policy.Queue) admission.Load {
-	l := admission.Load{}
-	for _, w := range e.order {
-		if w.service == q.Service && w.usable(e.now) {
-			l.Capacity += float64(w.capacity.CPU) / 1000
-		}
-	}
-	for priority, work := range e.backlog {
-		if priority <= q.Priority {
-			l.Ahead += work
-		}
-	}
-	for priority, r := range e.arriving {
-		if priority < q.Priority {
-			l.Higher += r.rate(e.now)
-		}
-	}
-	return l
-}
-
 // neverFits says why no worker, or no limit, could ever hold a step of the job.
 func (e *Engine) neverFits(spec *job.Spec, q *policy.Queue) string {
 	if len(e.order) == 0 || e.now.Sub(e.started) < e.cfg.MaxLease {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -36,8 +36,7 @@
 	steps []*stepRun
 	left  int // steps that are not done
 
-	counted  bool // in the backlog, under priority
-	priority int
+	counted bool // among what has arrived
 }
 
 // stepRun is a step of one occurrence.
@@ -55,7 +54,6 @@
 	dirty   bool
 	advice  *adviceState
 	charge  job.Resources
-	work    float64 // expected core-seconds of one task
 	key     ordering.Key
 }
 
