Refuse jobs at once while the store does not store them

Cause: during a store outage the leader held submissions until the caller's time was up and answered 504; after a slow claim another instance took the leadership from the winner, which did not know yet that it had won; just after a takeover jobs were refused since no worker had answered yet; a stop refused as old was sent again for ever; a worker that fell silent right after the first look counted as lapsed too early.

Change: an append that was certainly not stored returns to the engine, which refuses the jobs in it; a claim under way counts as leading; capacity counts listed workers; the first look assumes the longest lease; steps that wait for long say why in the log.

--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -77,7 +77,7 @@
 	e.measureWaiting()
 	l := admission.Load{}
 	for _, w := range e.order {
-		if w.service == q.Service && w.usable(e.now) {
+		if w.service == q.Service && w.listed && !w.draining && w.silent == 0 && !w.health.quarantined(e.now) {
 			l.Capacity += float64(w.capacity.CPU) / 1000
 			l.Free += float64(w.capacity.CPU-w.used.CPU) / 1000
 		}
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -12,7 +12,6 @@
 
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
-	"pollenbend/internal/cell/record"
 )
 
 // Config holds the bounds that the platform and the settings give.
@@ -72,8 +71,12 @@
 	dirty     bool // placement may find something to do
 	planned   time.Time
 	planTook  time.Duration
+	toldAt    time.Time // when the log said last why a step waits
 	batch     *Append
 	inFlight  bool
+	sentAt    time.Time // when the append in flight was sent
+	storeDown time.Time // since when the store refuses appends, zero if it does not
+	retryAt   time.Time // when the next append may be sent
 	dirtyStep map[*stepRun]struct{}
 	dirtyList []*stepRun
 }
@@ -121,6 +124,8 @@
 		e.advised(ev)
 	case *Appended:
 		e.appended(ev)
+	case *StoreAnswered:
+		e.storeBack()
 	case *ArmsChanged:
 		e.armsChanged(ev.Arms)
 	case *Tick:
@@ -143,6 +148,7 @@
 			e.planTook = e.cfg.Clock().Sub(begun)
 		}
 		e.lookAtWorkers()
+		e.refuseUnstored()
 		e.flush()
 	}
 	actions := e.actions
@@ -186,61 +192,6 @@
 	reply(Answer{Outcome: Refused, Why: "another leader has taken over"})
 }
 
-// put adds a record to the next append.
-func (e *Engine) put(key string, value []byte) {
-	e.batch.Records = append(e.batch.Records, record.Record{Key: key, Value: value})
-}
-
-// afterAppend has f called once all that was recorded so far is stored.
-func (e *Engine) afterAppend(f func()) { e.batch.post = append(e.batch.post, f) }
-
-// touch has the record of s written with the next append.
-func (e *Engine) touch(s *stepRun) {
-	if _, there := e.dirtyStep[s]; there || s.job().state.Final() {
-		return
-	}
-	e.dirtyStep[s] = struct{}{}
-	e.dirtyList = append(e.dirtyList, s)
-}
-
-// flush sends the next append once the one before has ended.
-func (e *Engine) flush() {
-	if e.inFlight {
-		return
-	}
-	for _, s := range e.dirtyList {
-		if !s.job().state.Final() {
-			e.put(record.StepKey(s.ref), s.encode())
-		}
-	}
-	clear(e.dirtyStep)
-	e.dirtyList = e.dirtyList[:0]
-	if len(e.batch.Records) == 0 && len(e.batch.post) == 0 {
-		return
-	}
-	batch := e.batch
-	e.batch = &Append{}
-	if len(batch.Records) == 0 {
-		for _, f := range batch.post {
-			f()
-		}
-		return
-	}
-	e.inFlight = true
-	e.emit(batch)
-}
-
-func (e *Engine) appended(ev *Appended) {
-	e.inFlight = false
-	if !ev.OK {
-		e.stepDown("the store has seen a newer leader")
-		return
-	}
-	for _, f := range ev.Append.post {
-		f()
-	}
-}
-
 func (e *Engine) policyChanged(p *policy.Policy) {
 	if p.Version <= e.policy.Version {
 		return
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -25,13 +25,23 @@
 		ev.Reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
 		return
 	}
+	if why := e.unstorable(); why != "" {
+		after := e.storeRetryAfter()
+		e.log.Info("job refused", "job", ev.Spec.ID, "queue", ev.Spec.Queue, "team", ev.Spec.Team, "reason", why, "retry_ms", after.Milliseconds())
+		ev.Reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
+		return
+	}
 	j := newJob(ev.Spec, e.wall())
 	j.arrived = e.now
 	j.overdue = !e.allow(ev.Spec.Team)
 	e.add(j)
 	e.put(record.JobKey(j.id), record.Encode(&record.Job{Spec: j.spec, Accepted: j.accepted}))
 	j.waiting = append(j.waiting, ev.Reply)
+	e.batch.jobs = append(e.batch.jobs, j)
 	e.afterAppend(func() {
+		if e.jobs[j.id] != j {
+			return // refused meanwhile
+		}
 		j.stored = true
 		for _, reply := range j.waiting {
 			reply(Answer{Outcome: OK})
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -139,7 +139,7 @@
 	}
 	w := r.worker
 	switch ev.Refusal {
-	case Accepted:
+	case Accepted, OldRun: // a newer run there rules this one out as well
 		if r.stopped.IsZero() {
 			r.stopped = e.now
 		}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -30,9 +30,34 @@
 		if r.window > 0 {
 			e.placeStep(s, q, r)
 		}
+		e.tellWait(s, r)
 	}
 }
 
+const (
+	// tellWaitAfter is how long a step waits before the log says why, and the pause
+	// between two such lines of a step.
+	tellWaitAfter = 3 * time.Second
+	// tellWaitEvery bounds such lines over all steps.
+	tellWaitEvery = 50 * time.Millisecond
+)
+
+// tellWait logs what a step that waits for long waits for.
+func (e *Engine) tellWait(s *stepRun, r *room) {
+	if !s.open() || e.now.Sub(s.readyAt) < tellWaitAfter || e.now.Sub(s.toldAt) < tellWaitAfter || e.now.Sub(e.toldAt) < tellWaitEvery {
+		return
+	}
+	s.toldAt, e.toldAt = e.now, e.now
+	good, valid, asked, busy := 0, 0, 0, false
+	if a := s.advice; a != nil {
+		good, asked, busy = len(a.good), len(a.asked), a.busy
+		valid = len(s.ticketed(r.workers, e.now))
+	}
+	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.age(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
+		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", r.most.CPU, "workers", len(r.workers), "asked", asked, "good", good,
+		"tickets", valid, "asking", busy, "team_cpu", e.usage[s.job().team].CPU, "window_left", r.window)
+}
+
 // sortOpen brings the open steps into the order of service.
 func (e *Engine) sortOpen() {
 	for _, s := range e.open {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -50,7 +50,8 @@
 	waiting int // tasks that are neither done nor have a run
 	ready   bool
 	readyAt time.Time
-	gangRun int // number of the gang's last run
+	toldAt  time.Time // when the log said last why it waits
+	gangRun int       // number of the gang's last run
 	dirty   bool
 	advice  *adviceState
 	charge  job.Resources
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -88,6 +88,16 @@
 // String returns the word used in logs.
 func (r Refusal) String() string { return refusalNames[r] }
 
+// AppendOutcome is what is known of an append.
+type AppendOutcome uint8
+
+// Outcomes of an append.
+const (
+	Stored AppendOutcome = iota
+	NotStored
+	Superseded // another leader has taken over
+)
+
 // Events.
 type (
 	// Submit asks to accept a job. Reply is called once.
@@ -146,9 +156,11 @@
 	}
 	// Appended is the outcome of an Append.
 	Appended struct {
-		Append *Append
-		OK     bool // false: another leader has taken over
+		Append  *Append
+		Outcome AppendOutcome
 	}
+	// StoreAnswered tells that the store is in reach again.
+	StoreAnswered struct{}
 	// ArmsChanged brings the instances that can call the adviser.
 	ArmsChanged struct{ Arms []string }
 	// Tick lets time pass.
@@ -161,6 +173,7 @@
 	Append struct {
 		Records []record.Record
 		post    []func()
+		jobs    []*jobState // whose acceptance is among the records
 	}
 	// Start orders a worker to run a task.
 	Start struct {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -266,6 +266,11 @@
 		e.dirty = true
 	}
 	w.noteClock(ev.Report.Clock, ev.Sent, e.now)
+	if first {
+		// An earlier leader may have asked for the longest lease just before.
+		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
+		w.updateLapse()
+	}
 	w.looked = true
 	for _, r := range w.sortedRuns() {
 		if r.life != 0 && w.life != 0 && r.life != w.life {
--- a/internal/cell/node/carryout.go
+++ b/internal/cell/node/carryout.go
@@ -61,20 +61,24 @@
 // append stores a batch. It tries until the outcome is certain.
 func (l *leader) append(a *engine.Append) {
 	begun := time.Now()
-	for _, part := range split(a.Records) {
-		if !l.appendPart(part) {
-			if l.ctx.Err() == nil {
-				l.post(&engine.Appended{Append: a, OK: false})
-			}
+	for i, part := range split(a.Records) {
+		outcome, certain := l.appendPart(part, i == 0)
+		if !certain {
+			return // the term is over
+		}
+		if outcome != engine.Stored {
+			l.post(&engine.Appended{Append: a, Outcome: outcome})
 			return
 		}
 	}
 	l.n.stats.Append.UpdateSince(begun)
-	l.post(&engine.Appended{Append: a, OK: true})
+	l.post(&engine.Appended{Append: a, Outcome: engine.Stored})
 }
 
-// appendPart reports whether the records are stored; if not, the term is over.
-func (l *leader) appendPart(records []record.Record) bool {
+// appendPart appends records. A first part that the store has refused, with no
+// attempt whose outcome is open, is given back as not stored.
+func (l *leader) appendPart(records []record.Record, first bool) (outcome engine.AppendOutcome, certain bool) {
+	open := false
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
 		err := l.n.ports.Store.Append(ctx, l.rec.Term, l.sequence, records)
@@ -83,17 +87,22 @@
 		case err == nil:
 			l.sequence++
 			l.seen()
-			return true
+			return engine.Stored, true
 		case errors.Is(err, ErrFenced):
 			l.n.log.Warn("append refused", "term", l.rec.Term, "sequence", l.sequence, "reason", err.Error())
-			return false
+			return engine.Superseded, true
+		}
+		if l.ctx.Err() != nil {
+			break
 		}
-		if l.ctx.Err() == nil {
-			l.refused(err)
+		l.refused(err)
+		open = open || !errors.Is(err, ErrNotDone)
+		if first && !open {
+			return engine.NotStored, true
 		}
 		sleep(l.ctx, appendPause)
 	}
-	return false
+	return engine.NotStored, false
 }
 
 // split cuts records into parts of at most appendBytes.
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -71,7 +71,6 @@
 	defer cancel()
 	l := &leader{n: n, rec: *rec, events: make(chan any, eventQueue), done: make(chan struct{}),
 		cancel: cancel, ctx: ctx, arms: make(map[string]*armState), sequence: 1}
-	n.setLeader(rec)
 	renewed := make(chan struct{})
 	go func() {
 		defer close(renewed)
@@ -270,6 +269,9 @@
 		cancel()
 		if err == nil {
 			next++
+			if l.failing.Load() != 0 {
+				l.post(&engine.StoreAnswered{})
+			}
 			l.seen()
 			continue
 		}
@@ -295,8 +297,10 @@
 }
 
 func (l *leader) refused(err error) {
+	if !l.failing.CompareAndSwap(0, int64(time.Since(l.n.born))) {
+		return // told already
+	}
 	l.n.log.Warn("store call failed", "term", l.rec.Term, "reason", err.Error(), "last_answer_ms", l.n.since(&l.n.storeSeen).Milliseconds())
-	l.failing.CompareAndSwap(0, int64(time.Since(l.n.born)))
 }
 
 // resign lets another instance lead at once.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -52,6 +52,7 @@
 	storeSeen atomic.Int64
 	born      time.Time
 	draining  atomic.Bool
+	claiming  atomic.Bool // a claim is under way; its record may be stored already
 	takeOver  chan struct{}
 
 	mu      sync.Mutex
@@ -312,6 +313,8 @@
 // claim tries to become the leader and leads until deposed.
 func (n *Node) claim(ctx context.Context, next int64, why string) {
 	rec := Leadership{Instance: n.set.Instance, Session: n.session, Address: n.set.Address}
+	n.claiming.Store(true)
+	defer n.claiming.Store(false)
 	writing, cancel := context.WithTimeout(ctx, storeTimeout)
 	err := n.ports.Store.WriteLeadership(writing, rec, next)
 	cancel()
@@ -329,6 +332,8 @@
 	n.mark(&n.storeSeen)
 	rec.Term = next + 1
 	n.log.Info("claimed the leadership", "term", rec.Term, "reason", why)
+	n.setLeader(&rec)
+	n.claiming.Store(false)
 	n.lead(ctx, &rec, next+1)
 }
 
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -117,7 +117,7 @@
 		reply.Policy = p.Version
 	}
 	l := n.leading.Load()
-	reply.Leading = l != nil || n.preparing()
+	reply.Leading = l != nil || n.preparing() || n.claiming.Load()
 	if l != nil {
 		l.pinged(args)
 	}
