Count only what can still end in time against new jobs

Change: admission counts steps that can still end in time, measured at most every 25 ms; work beyond a team's allowance comes last; a line on the load every two seconds.

--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -1,16 +1,20 @@
 package engine
 
 import (
+	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/admission"
+	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
 )
 
 // demand is what waits for room, and what arrives, at one priority.
 type demand struct {
-	cpu   int64   // of the tasks that wait, in thousandths of a core
+	cpu   int64   // of the tasks that wait and can end in time, in thousandths of a core
 	work  float64 // core-seconds of the tasks that wait
 	cores float64 // averaged rate at which work arrives
 	at    time.Time
@@ -49,6 +53,14 @@
 	d := e.demandAt(q.Priority)
 	d.cores = d.rate(e.now) + total/arrivalSpan.Seconds()
 	d.at = e.now
+	if !o.job.overdue {
+		d.work += total
+		for _, s := range o.steps {
+			if len(s.spec.DependsOn) == 0 {
+				d.cpu += int64(s.left) * s.charge.CPU
+			}
+		}
+	}
 }
 
 // workOf returns the expected core-seconds of one task of s.
@@ -56,8 +68,17 @@
 	return float64(s.charge.CPU) / 1000 * e.pace.expect(s.job().queue, s.spec.Estimate).Seconds()
 }
 
-// measureWaiting works out what waits for room at each priority.
+// measureEvery is how long the measure of what waits holds. Jobs accepted meanwhile
+// are added to it.
+const measureEvery = 25 * time.Millisecond
+
+// measureWaiting works out what waits for room at each priority and can still end in
+// time.
 func (e *Engine) measureWaiting() {
+	if e.now.Sub(e.measured) < measureEvery {
+		return
+	}
+	e.measured = e.now
 	for _, d := range e.demands {
 		d.cpu, d.work = 0, 0
 	}
@@ -66,6 +87,9 @@
 		if q == nil || !s.open() || s.job().overdue {
 			continue
 		}
+		if ordering.BandOf(e.orderOf(s), e.now) != ordering.InTime {
+			continue // it is served after what can still end in time
+		}
 		d := e.demandAt(q.Priority)
 		d.cpu += int64(s.waiting) * s.charge.CPU
 		d.work += float64(s.waiting) * e.workOf(s)
@@ -93,3 +117,35 @@
 	}
 	return l
 }
+
+// tellLoadEvery is the pause between two lines on the load of the cell.
+const tellLoadEvery = 2 * time.Second
+
+// tellLoad logs what is free and what waits.
+func (e *Engine) tellLoad() {
+	if e.now.Sub(e.loadToldAt) < tellLoadEvery {
+		return
+	}
+	e.loadToldAt = e.now
+	e.measureWaiting()
+	listed, usable, runs := 0, 0, 0
+	var capacity, used int64
+	for _, w := range e.order {
+		runs += len(w.runs)
+		if w.listed {
+			listed++
+		}
+		if w.usable(e.now) {
+			usable++
+			capacity += w.capacity.CPU
+			used += w.used.CPU
+		}
+	}
+	attrs := []any{"jobs", len(e.jobs), "open_steps", len(e.open), "runs", runs, "listed", listed, "usable", usable,
+		"cpu", capacity, "cpu_used", used, "round_us", e.planTook.Microseconds(), "arms", len(e.arms)}
+	for _, priority := range slices.Sorted(maps.Keys(e.demands)) {
+		d := e.demands[priority]
+		attrs = append(attrs, fmt.Sprintf("waiting_cpu_%d", priority), d.cpu, fmt.Sprintf("arriving_cores_%d", priority), int(d.rate(e.now)))
+	}
+	e.log.Info("load", attrs...)
+}
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -72,17 +72,19 @@
 	demands map[int]*demand    // by priority
 	shares  map[string]float64 // of workers that the adviser finds good, by queue
 
-	dirty     bool // placement may find something to do
-	planned   time.Time
-	planTook  time.Duration
-	toldAt    time.Time // when the log said last why a step waits
-	batch     *Append
-	inFlight  bool
-	sentAt    time.Time // when the append in flight was sent
-	storeDown time.Time // since when the store refuses appends, zero if it does not
-	retryAt   time.Time // when the next append may be sent
-	dirtyStep map[*stepRun]struct{}
-	dirtyList []*stepRun
+	dirty      bool // placement may find something to do
+	planned    time.Time
+	planTook   time.Duration
+	measured   time.Time // when what waits was measured last
+	toldAt     time.Time // when the log said last why a step waits
+	loadToldAt time.Time // when the log said last what the load is
+	batch      *Append
+	inFlight   bool
+	sentAt     time.Time // when the append in flight was sent
+	storeDown  time.Time // since when the store refuses appends, zero if it does not
+	retryAt    time.Time // when the next append may be sent
+	dirtyStep  map[*stepRun]struct{}
+	dirtyList  []*stepRun
 }
 
 // New returns an engine without jobs or workers. wall reads the time of day.
@@ -156,6 +158,7 @@
 		}
 		e.lookAtWorkers()
 		e.refuseUnstored()
+		e.tellLoad()
 		e.flush()
 	}
 	actions := e.actions
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -53,7 +53,6 @@
 	readyAt time.Time
 	toldAt  time.Time // when the log said last why it waits
 	gangRun int       // number of the gang's last run
-	dirty   bool
 	advice  *adviceState
 	charge  job.Resources
 	key     ordering.Key
@@ -83,8 +82,6 @@
 	doubtful              // the worker cannot be asked; it may run until its lease lapses
 )
 
-var phaseNames = [...]string{"planned", "ordered", "running", "stopping", "doubtful"}
-
 // run is one run of a task on a worker.
 type run struct {
 	task      *task
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -26,9 +26,8 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 
-	sequence  int64 // of the next append
-	storeSeen atomic.Int64
-	failing   atomic.Int64 // since when the store refuses every call, zero if it does not
+	sequence int64        // of the next append
+	failing  atomic.Int64 // since when the store refuses every call, zero if it does not
 
 	mu   sync.Mutex
 	arms map[string]*armState
--- a/internal/cell/ordering/ordering.go
+++ b/internal/cell/ordering/ordering.go
@@ -56,10 +56,10 @@
 // Before reports whether a is served before b.
 func Before(a, b Key) bool {
 	switch {
-	case a.band != b.band:
-		return a.band < b.band
 	case a.overdue != b.overdue:
 		return !a.overdue
+	case a.band != b.band:
+		return a.band < b.band
 	case a.priority != b.priority:
 		return a.priority < b.priority
 	}
