--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -9,6 +9,9 @@
 const (
 	// appendPause is the pause after an append that the store refused.
 	appendPause = 60 * time.Millisecond
+	// appendEvery is the least time between two appends. Calls to the store are
+	// dear, and records that come within it share one.
+	appendEvery = 20 * time.Millisecond
 	// slowStore is how long an append may be under way before new jobs are refused.
 	// A store that is a hundred times slower than usual still answers in that time.
 	slowStore = 700 * time.Millisecond
@@ -37,7 +40,7 @@
 
 // flush sends the next append once the one before has ended.
 func (e *Engine) flush() {
-	if e.inFlight || e.now.Before(e.retryAt) {
+	if e.inFlight || e.now.Before(e.retryAt) || e.now.Sub(e.sentAt) < appendEvery {
 		return
 	}
 	for _, s := range e.dirtyList {
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -45,7 +45,7 @@
 	// eventBatch is how many events are taken in before actions go out.
 	eventBatch = 128
 	// tickEvery is how often the engine runs without an event.
-	tickEvery = 15 * time.Millisecond
+	tickEvery = 10 * time.Millisecond
 	// renewEvery is the pause between two renewals of the leadership record.
 	renewEvery = 400 * time.Millisecond
 	// pollWorkersEvery is the pause between two reads of the directory.
