Stop stalled runs, copy slow ones, empty draining workers

Cause: runs on workers that hang or turn slow while they report themselves as sound were waited for; runs on draining workers ended with them and lost their progress. A leader that lost power was replaced after two seconds.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -75,6 +75,7 @@
 	dirty      bool // placement may find something to do
 	planned    time.Time
 	planTook   time.Duration
+	watched    time.Time // when stragglers were looked for last
 	measured   time.Time // when what waits was measured last
 	toldAt     time.Time // when the log said last why a step waits
 	loadToldAt time.Time // when the log said last what the load is
@@ -145,6 +146,7 @@
 		e.lapsed()
 		e.expire()
 		e.retryStops()
+		e.watch()
 		e.openDue()
 		if len(e.open) > 0 && now.Sub(e.planned) >= replanEvery {
 			e.dirty = true
--- a/internal/cell/engine/health.go
+++ b/internal/cell/engine/health.go
@@ -8,6 +8,7 @@
 	failures int // failed runs in a row
 	until    time.Time
 	penalty  time.Duration
+	stalls   int // stalled runs in a row
 }
 
 const (
@@ -24,11 +25,11 @@
 const failurePenalty = 0.3
 
 // slowness returns how much longer than on a sound worker a task is taken to last.
-func (h *health) slowness() float64 { return 1 + failurePenalty*float64(h.failures) }
+func (h *health) slowness() float64 { return 1 + failurePenalty*float64(h.failures+h.stalls) }
 
 // succeeded notes a run that ended well.
 func (h *health) succeeded() {
-	h.failures = 0
+	h.failures, h.stalls = 0, 0
 	h.penalty = 0
 }
 
@@ -43,6 +44,20 @@
 	return true
 }
 
+// stallsToQuarantine is how many runs in a row stall before a worker is left alone.
+const stallsToQuarantine = 2
+
+// stalled notes a run that made no progress. It reports whether the worker is put
+// under quarantine now.
+func (h *health) stalled(now time.Time) bool {
+	h.stalls++
+	if h.stalls < stallsToQuarantine || h.quarantined(now) {
+		return false
+	}
+	h.quarantine(now)
+	return true
+}
+
 func (h *health) quarantine(now time.Time) {
 	h.penalty = min(longestQuarantine, max(firstQuarantine, 2*h.penalty))
 	h.until = now.Add(h.penalty)
--- /dev/null
+++ b/internal/cell/engine/heavy_test.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// heavyDay hands in more work than the fleet can do, several times its room at
+// once, as after an outage of all instances.
+func heavyDay(w *world, span time.Duration) (urgent []string) {
+	for end := w.now.Add(span); w.now.Before(end); {
+		for range 3 {
+			urgent = append(urgent, w.submit("urgent", "a", tasks(2, 1500, 800*time.Millisecond)))
+		}
+		if w.rand.IntN(4) == 0 {
+			w.submit("advised", "a", gang(6, 2500, 5*time.Second))
+		}
+		if w.rand.IntN(2) == 0 {
+			w.submit("batch", "a", tasks(10, 1000, 3*time.Second))
+		}
+		w.run(50 * time.Millisecond)
+	}
+	return urgent
+}
+
+// Load: three times what the fleet holds, most of it urgent. Urgent jobs that are
+// accepted are served in time; what is refused is told when to come back.
+func TestUrgentJobsAreServedInTimeOnAFullFleet(t *testing.T) {
+	w := newWorld(t, 24, 7)
+	w.run(time.Second)
+	urgent := heavyDay(w, 6*time.Second)
+	accepted, inTime, refused := 0, 0, 0
+	w.run(2 * time.Second)
+	for _, id := range urgent {
+		switch {
+		case w.ok[id]:
+			accepted++
+			if took, over := w.took[id]; over && took <= 1450*time.Millisecond {
+				inTime++
+			}
+		case w.refused[id]:
+			refused++
+			assert.Positive(t, w.answers[id].RetryAfter)
+		}
+	}
+	t.Logf("accepted %d, in time %d, refused %d", accepted, inTime, refused)
+	assert.Equal(t, len(urgent), accepted+refused)
+	assert.GreaterOrEqual(t, float64(inTime), 0.8*float64(accepted))
+}
+
+func BenchmarkHeavyDay(b *testing.B) {
+	for b.Loop() {
+		w := newWorld(&testing.T{}, 48, 7)
+		w.run(time.Second)
+		heavyDay(w, 4*time.Second)
+	}
+}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -32,6 +32,7 @@
 		}
 		e.tellWait(s, r)
 	}
+	e.placeCopies(rooms)
 }
 
 const (
@@ -136,6 +137,7 @@
 	most    job.Resources // largest free amount of each kind on one worker
 	window  int64         // CPU of the steps that are still looked at
 	holding int64         // CPU that may still be held for gangs
+	copies  int64         // CPU that may still be spent on second copies
 }
 
 const (
@@ -167,6 +169,7 @@
 	}
 	r.window = int64(windowOfFree*float64(free) + windowOfAll*float64(all))
 	r.holding = int64(holdOfAll * float64(all))
+	r.copies = int64(copiesOfAll * float64(all))
 	return r
 }
 
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -38,6 +38,8 @@
 	ok        map[string]bool // accepted jobs
 	killed    map[string]time.Time
 	answers   map[string]Answer
+	sent      map[string]time.Time     // when a job was handed in
+	took      map[string]time.Duration // until its last task ended
 
 	storeRefuses bool
 	storeSilent  bool
@@ -172,7 +174,8 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: begin, begin: begin, policy: simPolicy(),
 		stored: make(map[string][]byte), workers: make(map[string]*simWorker), tasks: make(map[string]*simTask),
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), ok: make(map[string]bool),
-		killed: make(map[string]time.Time), answers: make(map[string]Answer), arms: []string{"i1", "i2", "i3"},
+		killed: make(map[string]time.Time), answers: make(map[string]Answer),
+		sent: make(map[string]time.Time), took: make(map[string]time.Duration), arms: []string{"i1", "i2", "i3"},
 		gangs: make(map[string]*simGang),
 	}
 	for i := range workers {
@@ -309,6 +312,8 @@
 	s.barred[r.task] = max(s.barred[r.task], r.run)
 	if how == EndedDone {
 		w.tasks[r.task].reached = true
+		id := strings.SplitN(r.task, ".", 2)[0]
+		w.took[id] = w.now.Sub(w.sent[id])
 	}
 	s.numbers++
 	s.ended = append(s.ended, RunEnd{Number: s.numbers, Task: r.task, Run: r.run, How: how})
@@ -629,7 +634,10 @@
 	r := &Report{Life: s.life, Clock: w.now.UnixMilli(), Ended: slices.Clone(s.ended)}
 	for _, name := range sortedKeys(s.runs) {
 		u := s.runs[name]
-		percent := int(100 * w.now.Sub(u.begun) / max(1, u.length))
+		percent := int(100 * float64(w.now.Sub(u.worksFrom())) / (float64(max(1, u.length)) * s.slow))
+		if u.gang != nil && u.gang.since.IsZero() {
+			percent = 0
+		}
 		r.Running = append(r.Running, RunStatus{Task: name, Run: u.run, Percent: min(99, percent)})
 	}
 	return r
@@ -641,6 +649,7 @@
 	spec := &job.Spec{ID: id, Queue: queue, Team: team, Payload: "p", Steps: steps}
 	w.must(spec.Validate())
 	w.specs[id] = spec
+	w.sent[id] = w.now
 	w.send(spec)
 	return id
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -206,7 +206,7 @@
 	// pingEvery is the pause between pings of the leader.
 	pingEvery = 200 * time.Millisecond
 	// pingTimeout bounds a ping.
-	pingTimeout = 500 * time.Millisecond
+	pingTimeout = 300 * time.Millisecond
 	// refusedPings is how often in a row the leader's address must refuse
 	// connections before its process counts as ended.
 	refusedPings = 2
@@ -214,10 +214,10 @@
 	refusedPause = 40 * time.Millisecond
 	// silentBeforeLook is how long the leader may be silent before the store is
 	// asked whether it still renews its record.
-	silentBeforeLook = 500 * time.Millisecond
+	silentBeforeLook = 300 * time.Millisecond
 	// staleLeader is how long the leader's record may stay the same while the
-	// leader does not answer: two renewals, and a third for a slow store.
-	staleLeader = 3 * renewEvery
+	// leader does not answer: two renewals, and some time for a slow store.
+	staleLeader = 900 * time.Millisecond
 )
 
 // follow pings the leader until it has changed or is gone.
