--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -151,7 +151,7 @@
 
 func (e *Engine) placeCopy(r *run, q *policy.Queue, rm *room) {
 	s := r.task.step
-	if rm.copies < s.charge.CPU || len(e.withinLimit(s, []*task{r.task})) == 0 {
+	if rm.copies <= 0 || len(e.withinLimit(s, []*task{r.task})) == 0 {
 		return
 	}
 	workers := s.eligible(rm)
