Plan only with tickets that outlast the append

Change: a ticket must outlast the smoothed time to store beside its margin, and an order whose ticket has lapsed is not sent.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -29,11 +29,12 @@
 	advice.Arm
 }
 
-func (s *stepRun) ticket(worker string) string {
+// ticket returns the ticket of s for a worker; the zero ticket if none is needed.
+func (s *stepRun) ticket(worker string) ticket {
 	if s.advice == nil {
-		return ""
+		return ticket{}
 	}
-	return s.advice.good[worker].value
+	return s.advice.good[worker]
 }
 
 func (s *stepRun) dropTicket(worker string) {
@@ -47,18 +48,24 @@
 }
 
 // ticketMargin is the time that an order needs to reach its worker, taken off the
-// life of a ticket.
+// life of a ticket beside the time that its record needs to be stored.
 const ticketMargin = 60 * time.Millisecond
 
+// ticketHolds reports whether a ticket will still be valid when an order that is
+// planned now reaches its worker.
+func (e *Engine) ticketHolds(t ticket) bool {
+	return e.now.Add(ticketMargin + e.storing).Before(t.until)
+}
+
 // ticketed returns those of workers that s has a valid ticket for.
-func (s *stepRun) ticketed(workers []*worker, now time.Time) []*worker {
+func (e *Engine) ticketed(s *stepRun, workers []*worker) []*worker {
 	if s.advice == nil {
 		return nil
 	}
 	var out []*worker
 	for _, w := range workers {
 		t, ok := s.advice.good[w.id]
-		if ok && t.life == w.life && now.Add(ticketMargin).Before(t.until) {
+		if ok && t.life == w.life && e.ticketHolds(t) {
 			out = append(out, w)
 		}
 	}
@@ -101,7 +108,7 @@
 	for _, w := range workers {
 		t, good := a.good[w.id]
 		switch {
-		case good && t.life == w.life && e.now.Add(ticketMargin).Before(t.until):
+		case good && t.life == w.life && e.ticketHolds(t):
 			valid += roomFor(s, w, w.free())
 		case good && t.life == w.life:
 			if n := roomFor(s, w, w.free()); n > 0 {
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -81,9 +81,10 @@
 	loadToldAt time.Time // when the log said last what the load is
 	batch      *Append
 	inFlight   bool
-	sentAt     time.Time // when the append in flight was sent
-	storeDown  time.Time // since when the store refuses appends, zero if it does not
-	retryAt    time.Time // when the next append may be sent
+	storing    time.Duration // smoothed time until an append is stored
+	sentAt     time.Time     // when the append in flight was sent
+	storeDown  time.Time     // since when the store refuses appends, zero if it does not
+	retryAt    time.Time     // when the next append may be sent
 	dirtyStep  map[*stepRun]struct{}
 	dirtyList  []*stepRun
 }
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -6,14 +6,14 @@
 
 // plan reserves room for a run of t on w and has its record stored; the order
 // goes out after that.
-func (e *Engine) plan(t *task, w *worker, number int, ticket string) {
+func (e *Engine) plan(t *task, w *worker, number int, pass ticket) {
 	s := t.step
 	if !t.live() {
 		s.waiting--
 	}
 	t.number = number
 	s.gangRun = max(s.gangRun, number)
-	r := &run{task: t, worker: w, life: w.life, number: number, charge: s.charge, ticket: ticket, phase: planned}
+	r := &run{task: t, worker: w, life: w.life, number: number, charge: s.charge, ticket: pass, phase: planned}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 	e.touch(s)
@@ -38,6 +38,10 @@
 		e.endRun(r, EndedStopped, "", "not ordered")
 		return
 	}
+	if r.ticket.value != "" && !e.now.Before(r.ticket.until) {
+		e.endRun(r, EndedStopped, "", "ticket lapsed before the record was stored")
+		return
+	}
 	if w.draining && !w.leaves.IsZero() && !t.step.spec.Gang {
 		e.endRun(r, EndedStopped, "", "worker drains")
 		return
@@ -48,7 +52,7 @@
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Life: r.life, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Deadline: w.lease(e.cfg.Lease, e.now),
-		Checkpoint: t.checkpoint, Ticket: r.ticket, run: r,
+		Checkpoint: t.checkpoint, Ticket: r.ticket.value, run: r,
 	})
 }
 
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -52,7 +52,7 @@
 	good, valid, asked, busy := 0, 0, 0, false
 	if a := s.advice; a != nil {
 		good, asked, busy = len(a.good), len(a.asked), a.busy
-		valid = len(s.ticketed(r.workers, e.now))
+		valid = len(e.ticketed(s, r.workers))
 	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.age(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
 		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", r.most.CPU, "workers", len(r.workers), "asked", asked, "good", good,
@@ -202,7 +202,7 @@
 	workers := s.eligible(r)
 	if q.Advice != nil {
 		e.advise(s, q, workers)
-		workers = s.ticketed(workers, e.now)
+		workers = e.ticketed(s, workers)
 	}
 	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
 	for i, index := range chosen {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -90,7 +90,7 @@
 	number    int
 	phase     phase
 	charge    job.Resources
-	ticket    string
+	ticket    ticket
 	sent      bool      // an order has gone out, from this leader or an earlier one
 	begun     time.Time // when this leader sent the order
 	stopWhy   string
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -12,6 +12,8 @@
 	// appendEvery is the least time between two appends. Calls to the store are
 	// dear, and records that come within it share one.
 	appendEvery = 20 * time.Millisecond
+	// storingWeight is the weight of one append in the smoothed time to store.
+	storingWeight = 0.3
 	// slowStore is how long an append may be under way before new jobs are refused.
 	// A store that is a hundred times slower than usual still answers in that time.
 	slowStore = 700 * time.Millisecond
@@ -75,6 +77,7 @@
 		e.notStored(ev.Append)
 	default:
 		e.storeBack()
+		e.storing += time.Duration(storingWeight * float64(e.now.Sub(e.sentAt)-e.storing))
 		for _, f := range ev.Append.post {
 			f()
 		}
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -156,7 +156,7 @@
 	}
 	workers := s.eligible(rm)
 	if q.Advice != nil {
-		workers = s.ticketed(workers, e.now)
+		workers = e.ticketed(s, workers)
 	}
 	for _, w := range workers {
 		if w == r.worker || !s.charge.Fits(w.free()) || w.health.failures > 0 {
