--- /dev/null
+++ b/internal/cell/admission/admission_test.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestDecide(t *testing.T) {
+	urgent := Job{Chain: 800 * time.Millisecond, Objective: 1450 * time.Millisecond}
+	batch := Job{Chain: 3 * time.Second, Objective: 15 * time.Second}
+	overdue := batch
+	overdue.Overdue = true
+	for _, c := range []struct {
+		name   string
+		job    Job
+		load   Load
+		accept bool
+	}{
+		{"idle fleet", urgent, Load{Capacity: 100, Free: 100}, true},
+		{"what waits fits into what is free", urgent, Load{Capacity: 100, Free: 50, Waiting: 40, Ahead: 400}, true},
+		{"a queue that is too long for urgent work", urgent, Load{Capacity: 100, Free: 5, Waiting: 90, Ahead: 90}, false},
+		{"the same queue before batch work", batch, Load{Capacity: 100, Free: 5, Waiting: 90, Ahead: 90}, true},
+		{"higher priorities take nearly all", batch, Load{Capacity: 100, Free: 0, Waiting: 300, Ahead: 300, Higher: 85}, false},
+		{"beyond the allowance on a fleet with room", overdue, Load{Capacity: 100, Free: 50, Waiting: 10, Ahead: 30}, true},
+		{"beyond the allowance on a full fleet", overdue, Load{Capacity: 100, Free: 0, Waiting: 50, Ahead: 50}, false},
+		{"no worker", urgent, Load{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := Decide(c.job, c.load)
+			assert.Equal(t, c.accept, d.Accept)
+			assert.Equal(t, c.accept, d.Why == "")
+			if !c.accept {
+				assert.GreaterOrEqual(t, d.RetryAfter, time.Second, "callers learn when to come back")
+			}
+		})
+	}
+}
+
+// Load: a queue that takes ten seconds to drain. Who is refused is told to come back
+// when the job could still be done in time, not before.
+func TestRetryAfterGrowsWithTheQueue(t *testing.T) {
+	j := Job{Chain: time.Second, Objective: 2 * time.Second}
+	short := Decide(j, Load{Capacity: 100, Waiting: 200, Ahead: 200})
+	long := Decide(j, Load{Capacity: 100, Waiting: 900, Ahead: 900})
+	assert.False(t, short.Accept)
+	assert.Greater(t, long.RetryAfter, short.RetryAfter)
+	assert.LessOrEqual(t, long.RetryAfter, longestRetry)
+}
