--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -12,6 +12,7 @@
 // adviceState is what the adviser has said of a step.
 type adviceState struct {
 	good    map[string]ticket // by worker; a worker that is not good has no ticket
+	order   []string          // the workers in good, in the order in which they were found
 	asked   map[string]int64  // life of each worker that was asked about
 	busy    bool
 	retryAt time.Time
@@ -57,15 +58,27 @@
 	return e.now.Add(ticketMargin + e.storing).Before(t.until)
 }
 
-// ticketed returns those of workers that s has a valid ticket for.
-func (e *Engine) ticketed(s *stepRun, workers []*worker) []*worker {
+// ticketed returns the usable workers that s has a valid ticket for.
+func (e *Engine) ticketed(s *stepRun) []*worker {
+	var out []*worker
+	for _, w := range e.goodFor(s) {
+		if w.usable(e.now) && e.ticketHolds(s.advice.good[w.id]) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// goodFor returns the workers that the adviser found good for s, in the order in
+// which it did.
+func (e *Engine) goodFor(s *stepRun) []*worker {
 	if s.advice == nil {
 		return nil
 	}
-	var out []*worker
-	for _, w := range workers {
-		t, ok := s.advice.good[w.id]
-		if ok && t.life == w.life && e.ticketHolds(t) {
+	out := make([]*worker, 0, len(s.advice.order))
+	for _, id := range s.advice.order {
+		w := e.workers[id]
+		if w != nil && s.advice.good[id].life == w.life {
 			out = append(out, w)
 		}
 	}
@@ -73,7 +86,7 @@
 }
 
 // advise asks the adviser about workers for s if that could help to place it.
-func (e *Engine) advise(s *stepRun, q *policy.Queue, workers []*worker) {
+func (e *Engine) advise(s *stepRun, q *policy.Queue, r *room) {
 	if s.advice == nil {
 		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
 	}
@@ -81,7 +94,10 @@
 	if a.busy || e.now.Before(a.retryAt) {
 		return
 	}
-	ask := e.worthAsking(s, q, workers)
+	if e.chooseArm(q.Advice.Base) == nil {
+		return // no arm could take the call, whatever it asks
+	}
+	ask := e.worthAsking(s, q, r)
 	if len(ask) == 0 {
 		return
 	}
@@ -101,22 +117,21 @@
 
 // worthAsking returns the workers that the adviser should be asked about now:
 // good ones with room whose ticket has lapsed, or ones it was not asked about yet.
-func (e *Engine) worthAsking(s *stepRun, q *policy.Queue, workers []*worker) []*worker {
-	a := s.advice
-	var fresh, lapsed []*worker
+func (e *Engine) worthAsking(s *stepRun, q *policy.Queue, r *room) []*worker {
+	var lapsed []*worker
 	room, valid := 0, 0
-	for _, w := range workers {
-		t, good := a.good[w.id]
+	for _, w := range e.goodFor(s) {
+		n := 0
+		if w.usable(e.now) {
+			n = roomFor(s, w, w.free())
+		}
 		switch {
-		case good && t.life == w.life && e.ticketHolds(t):
-			valid += roomFor(s, w, w.free())
-		case good && t.life == w.life:
-			if n := roomFor(s, w, w.free()); n > 0 {
-				lapsed = append(lapsed, w)
-				room += n
-			}
-		case a.asked[w.id] != w.life || w.life == 0:
-			fresh = append(fresh, w)
+		case n == 0:
+		case e.ticketHolds(s.advice.good[w.id]):
+			valid += n
+		default:
+			lapsed = append(lapsed, w)
+			room += n
 		}
 	}
 	need := s.waiting
@@ -126,6 +141,12 @@
 	if valid+room >= need || !s.spec.Gang && room > 0 {
 		return firstWithRoom(s, lapsed, need-valid)
 	}
+	var fresh []*worker
+	for _, w := range s.eligible(r) {
+		if s.advice.asked[w.id] != w.life || w.life == 0 {
+			fresh = append(fresh, w)
+		}
+	}
 	return e.bestToAsk(s, q, fresh)
 }
 
@@ -259,6 +280,9 @@
 		}
 		s.advice.asked[id] = w.life
 		if t, good := ev.Good[id]; good {
+			if _, known := s.advice.good[id]; !known {
+				s.advice.order = append(s.advice.order, id)
+			}
 			s.advice.good[id] = ticket{value: t, life: w.life, until: e.now.Add(ev.TTL)}
 		}
 	}
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -81,6 +81,7 @@
 	loadToldAt time.Time // when the log said last what the load is
 	batch      *Append
 	inFlight   bool
+	stopsTried time.Time     // when stops without an answer were sent again last
 	storing    time.Duration // smoothed time until an append is stored
 	sentAt     time.Time     // when the append in flight was sent
 	storeDown  time.Time     // since when the store refuses appends, zero if it does not
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -160,6 +160,10 @@
 
 // retryStops sends stops again that have had no answer.
 func (e *Engine) retryStops() {
+	if e.now.Sub(e.stopsTried) < e.cfg.StopRetry/8 {
+		return
+	}
+	e.stopsTried = e.now
 	for _, w := range e.order {
 		if len(w.runs) == 0 {
 			continue
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -52,7 +52,7 @@
 	good, valid, asked, busy := 0, 0, 0, false
 	if a := s.advice; a != nil {
 		good, asked, busy = len(a.good), len(a.asked), a.busy
-		valid = len(e.ticketed(s, r.workers))
+		valid = len(e.ticketed(s))
 	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.age(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
 		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", r.most.CPU, "workers", len(r.workers), "asked", asked, "good", good,
@@ -199,10 +199,12 @@
 		return
 	}
 	r.window -= max(1, s.charge.CPU*int64(len(tasks)))
-	workers := s.eligible(r)
+	var workers []*worker
 	if q.Advice != nil {
-		e.advise(s, q, workers)
-		workers = e.ticketed(s, workers)
+		e.advise(s, q, r)
+		workers = e.ticketed(s)
+	} else {
+		workers = s.eligible(r)
 	}
 	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
 	for i, index := range chosen {
@@ -253,16 +255,14 @@
 // first.
 func (e *Engine) holdOn(s *stepRun, r *room) []*worker {
 	var on []*worker
-	for _, w := range r.workers {
-		if s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
-			continue
-		}
-		if s.advice != nil {
-			if t, good := s.advice.good[w.id]; !good || t.life != w.life {
-				continue
+	if s.advice == nil {
+		on = s.eligible(r)
+	} else {
+		for _, w := range e.goodFor(s) {
+			if w.usable(e.now) {
+				on = append(on, w)
 			}
 		}
-		on = append(on, w)
 	}
 	sort.SliceStable(on, func(i, j int) bool { return on[i].free().CPU > on[j].free().CPU })
 	return on
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -154,9 +154,11 @@
 	if rm.copies <= 0 || len(e.withinLimit(s, []*task{r.task})) == 0 {
 		return
 	}
-	workers := s.eligible(rm)
+	var workers []*worker
 	if q.Advice != nil {
-		workers = e.ticketed(s, workers)
+		workers = e.ticketed(s)
+	} else {
+		workers = s.eligible(rm)
 	}
 	for _, w := range workers {
 		if w == r.worker || !s.charge.Fits(w.free()) || w.health.failures > 0 {
