--- /dev/null
+++ b/internal/soak/store_test.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// store is a stand-in of the platform's log with keyed topics of one partition.
+type store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	rand   *rand.Rand
+	grown  chan struct{} // closed at each append
+	// mode is how the store misbehaves: "", "refuse", "silent", "slow" or "lose" (the
+	// answers of appends).
+	mode string
+}
+
+type topic struct {
+	records [][2]string // key, value
+	epoch   int64
+	seq     int64
+}
+
+func newStore(seed uint64) *store {
+	return &store{topics: make(map[string]*topic), rand: rand.New(rand.NewPCG(seed, 2)), grown: make(chan struct{})}
+}
+
+func (s *store) setMode(mode string) {
+	s.mu.Lock()
+	s.mode = mode
+	s.mu.Unlock()
+}
+
+func (s *store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// put adds a record as the operator or a worker would.
+func (s *store) put(name, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records = append(t.records, [2]string{key, value})
+	close(s.grown)
+	s.grown = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	mode := s.mode
+	lose := mode == "lose" && s.rand.IntN(3) == 0
+	s.mu.Unlock()
+	switch mode {
+	case "refuse":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "silent":
+		<-r.Context().Done()
+		return
+	case "slow":
+		time.Sleep(150 * time.Millisecond)
+	}
+	q := r.URL.Query()
+	switch r.URL.Path {
+	case "/-/log-append":
+		s.append(w, r, lose)
+	case "/-/log-read":
+		s.read(w, r)
+	case "/-/log-newest":
+		s.newest(w, q.Get("topic"))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) append(w http.ResponseWriter, r *http.Request, lose bool) {
+	q := r.URL.Query()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	status, answer := s.appendLocked(q.Get("topic"), q.Get("at"), q.Get("epoch"), q.Get("seq"), body)
+	s.mu.Unlock()
+	if lose {
+		<-r.Context().Done()
+		return
+	}
+	reply(w, status, answer)
+}
+
+func reply(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer) // a caller that is gone loses its answer
+}
+
+func (s *store) appendLocked(name, at, epoch, seq string, body []byte) (int, any) {
+	t := s.topic(name)
+	end := int64(len(t.records))
+	if at != "" && at != strconv.FormatInt(end, 10) {
+		return http.StatusPreconditionFailed, map[string]int64{"end": end}
+	}
+	if epoch != "" {
+		e, _ := strconv.ParseInt(epoch, 10, 64)
+		n, _ := strconv.ParseInt(seq, 10, 64)
+		switch {
+		case e < t.epoch:
+			return http.StatusConflict, map[string]any{"reason": "fenced"}
+		case e > t.epoch:
+			t.epoch, t.seq = e, n-1
+		}
+		if len(body) > 0 {
+			if n == t.seq {
+				return http.StatusOK, map[string]int64{"offset": end, "end": end} // a repeat
+			}
+			if n != t.seq+1 {
+				return http.StatusConflict, map[string]any{"reason": "seq", "seq": t.seq + 1}
+			}
+			t.seq = n
+		} else {
+			t.seq = n
+		}
+	}
+	for len(body) >= 4 {
+		size := int(binary.BigEndian.Uint32(body))
+		record := body[4 : 4+size]
+		key := 1 + int(record[0])
+		t.records = append(t.records, [2]string{string(record[1:key]), string(record[key:])})
+		body = body[4+size:]
+	}
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return http.StatusOK, map[string]int64{"offset": end, "end": int64(len(t.records))}
+}
+
+func (s *store) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.Atoi(q.Get("from"))
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		records := s.topic(q.Get("topic")).records
+		grown := s.grown
+		s.mu.Unlock()
+		if len(records) > from || wait == 0 {
+			out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+			out = binary.BigEndian.AppendUint64(out, 0)
+			for _, rec := range records[min(from, len(records)):] {
+				out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec[0])+len(rec[1])))
+				out = append(out, byte(len(rec[0])))
+				out = append(out, rec[0]...)
+				out = append(out, rec[1]...)
+			}
+			_, _ = w.Write(out) // a caller that is gone loses its answer
+			return
+		}
+		select {
+		case <-grown:
+		case <-timeout:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) newest(w http.ResponseWriter, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	last := make(map[string]int)
+	for i, rec := range t.records {
+		last[rec[0]] = i
+	}
+	items := []map[string]any{}
+	for i, rec := range t.records {
+		if last[rec[0]] == i && rec[1] != "" {
+			items = append(items, map[string]any{"key": rec[0], "offset": i, "value": base64.StdEncoding.EncodeToString([]byte(rec[1]))})
+		}
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "end": len(t.records)})
+}
