Slow the store in the random faults; note a failed trial of appends side by side

Change kept: the test world can delay the store's answers, and a cancellation whose answer was lost counts as asked for.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -229,8 +229,7 @@
 			continue
 		}
 		state := w.state(id)
-		_, canceled := w.killed[id]
-		over := state == StateCompleted || state == StateFailed || canceled && state == StateCanceled
+		over := state == StateCompleted || state == StateFailed || w.unwanted[id] && state == StateCanceled
 		assert.True(t, over, "seed %d: job %s is %s at the end", seed, id, state)
 	}
 	return w
@@ -239,7 +238,7 @@
 // strike brings about a fault, now and then.
 func (w *world) strike() {
 	id := w.ids[w.rand.IntN(len(w.ids))]
-	switch w.rand.IntN(24) {
+	switch w.rand.IntN(27) {
 	case 0:
 		w.lead()
 	case 1:
@@ -259,6 +258,9 @@
 	case 6:
 		w.workers[id].slow = 5
 		w.after(3*time.Second, func() { w.workers[id].slow = 1 })
+	case 8, 9:
+		w.storeDelay = time.Duration(w.rand.IntN(300)) * time.Millisecond
+		w.after(3*time.Second, func() { w.storeDelay = 0 })
 	case 7:
 		w.adviceFails = true
 		w.after(time.Second, func() { w.adviceFails = false })
@@ -267,6 +269,7 @@
 
 func (w *world) heal() {
 	w.storeRefuses, w.storeSilent, w.adviceFails, w.lateOrders = false, false, false, 0
+	w.storeDelay = 0
 	w.engine.Handle(w.now, &StoreAnswered{})
 	for _, s := range w.workers {
 		s.dark, s.slow = false, 1
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -38,11 +38,14 @@
 	ok        map[string]bool // accepted jobs
 	killed    map[string]time.Time
 	answers   map[string]Answer
+	unwanted  map[string]bool          // jobs that a cancel was sent for; its answer may be lost
 	sent      map[string]time.Time     // when a job was handed in
 	took      map[string]time.Duration // until its last task ended
 
 	storeRefuses bool
 	storeSilent  bool
+	storeDelay   time.Duration    // on the way to the store, and on the way back
+	open         map[*Append]bool // an attempt had no certain outcome
 	adviceFails  bool
 	lateOrders   float64 // share of orders that are carried out late, without an answer
 	failing      float64 // share of runs that fail
@@ -174,7 +177,7 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: begin, begin: begin, policy: simPolicy(),
 		stored: make(map[string][]byte), workers: make(map[string]*simWorker), tasks: make(map[string]*simTask),
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), ok: make(map[string]bool),
-		killed: make(map[string]time.Time), answers: make(map[string]Answer),
+		killed: make(map[string]time.Time), answers: make(map[string]Answer), unwanted: make(map[string]bool),
 		sent: make(map[string]time.Time), took: make(map[string]time.Duration), arms: []string{"i1", "i2", "i3"},
 		gangs: make(map[string]*simGang),
 	}
@@ -191,6 +194,7 @@
 // lead starts a new leader on what is stored. The one before is forgotten.
 func (w *world) lead() {
 	w.term++
+	w.open = make(map[*Append]bool)
 	cfg := simConfig()
 	cfg.Term = w.term
 	cfg.Clock = func() time.Time { return w.now }
@@ -395,20 +399,29 @@
 	return good
 }
 
+// appendRecords stores a batch as the platform does: not for a leader that a later
+// one has fenced off.
 func (w *world) appendRecords(e *Engine, a *Append) {
-	switch {
-	case w.storeRefuses:
-		w.to(e, simTick, &Appended{Append: a, Outcome: NotStored})
-		return
-	case w.storeSilent:
-		w.after(100*time.Millisecond, func() {
+	again := func() {
+		w.after(50*time.Millisecond, func() {
 			if w.engine == e {
 				w.appendRecords(e, a)
 			}
 		})
+	}
+	switch {
+	case w.storeRefuses && !w.open[a]:
+		w.to(e, simTick, &Appended{Append: a, Outcome: NotStored})
+		return
+	case w.storeRefuses:
+		again()
+		return
+	case w.storeSilent:
+		w.open[a] = true
+		again()
 		return
 	}
-	w.after(2*simTick, func() {
+	w.after(2*simTick+w.storeDelay, func() {
 		if w.engine != e {
 			return // a later leader has fenced this one off
 		}
@@ -419,7 +432,7 @@
 			}
 			w.stored[r.Key] = r.Value
 		}
-		e.Handle(w.now, &Appended{Append: a, Outcome: Stored})
+		w.to(e, w.storeDelay, &Appended{Append: a, Outcome: Stored})
 	})
 }
 
@@ -680,6 +693,7 @@
 // cancel cancels a job; the time counts from the answer.
 func (w *world) cancel(id string) {
 	e := w.engine
+	w.unwanted[id] = true
 	e.Handle(w.now, &Cancel{ID: id, Team: w.specs[id].Team, Reply: func(Answer) {
 		if w.engine == e {
 			w.killed[id] = w.now
