--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -22,9 +22,7 @@
 	LapseMargin   time.Duration    // added to a lease before its runs count as gone
 	StopTime      time.Duration    // longest time that a stop takes
 	GangWait      time.Duration    // how long members of a gang wait for each other
-	Restore       time.Duration    // time to resume from a checkpoint
 	FarPenalty    float64          // how many times as long a task takes away from its data
-	Early         time.Duration    // how much before its time an occurrence may start
 	LookWait      time.Duration    // how long a worker may hold back the answer to a look
 	LookRetry     time.Duration    // pause after a look without an answer
 	IdleLook      time.Duration    // pause between looks at a worker that runs nothing
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -340,7 +340,11 @@
 			}
 		}
 	}
-	e.log.Info("run ended", "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", how.String(),
+	what := "run ended"
+	if !r.sent {
+		what = "run dropped" // no order has gone out
+	}
+	e.log.Info(what, "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", how.String(),
 		"source", source, "ran_ms", e.age(r.begun), "percent", r.percent, "stop_reason", r.stopWhy)
 	e.judgeWorker(r, how)
 	e.touch(s)
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -146,12 +146,12 @@
 	gone := make(map[string]bool, len(e.batch.jobs))
 	for _, j := range e.batch.jobs {
 		gone[j.id] = true
-		e.forget(j)
 		e.log.Info("job refused", "job", j.id, "queue", j.queue, "team", j.team, "reason", why, "retry_ms", after.Milliseconds())
 		for _, reply := range j.waiting {
 			reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
 		}
 		j.waiting = nil
+		e.forget(j)
 	}
 	e.batch.jobs = nil
 	kept := e.batch.Records[:0]
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -144,7 +144,7 @@
 func simConfig() Config {
 	return Config{
 		Lease: 6 * time.Second, MaxLease: 10 * time.Second, LapseMargin: 100 * time.Millisecond, StopTime: 200 * time.Millisecond,
-		GangWait: 3 * time.Second, Restore: 600 * time.Millisecond, FarPenalty: 2, Early: 250 * time.Millisecond,
+		GangWait: 3 * time.Second, FarPenalty: 2,
 		LookWait: time.Second, LookRetry: 150 * time.Millisecond, IdleLook: 2 * time.Second, UnlistedLooks: 15 * time.Second,
 		ForgetWorker: 30 * time.Second, StopRetry: time.Second, SettleStart: 500 * time.Millisecond,
 		Planning: 4 * time.Millisecond, KeepEnded: 150 * time.Second,
