Look soon again at a worker with runs that nobody knows

Cause: such a worker is closed until its unknown runs are gone, but with nothing else to run it was looked at only every two seconds. Found by a planted fault that the random faults did not catch.

Change: looked at every 50 ms; TestUnknownRunClosesItsWorker fails before, and with the check left out.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -149,6 +149,23 @@
 	assert.Equal(t, StateCompleted, w.state(first))
 }
 
+// A run that nobody knows takes room of a size that nobody knows: nothing is placed
+// beside it until it has been stopped.
+func TestUnknownRunClosesItsWorker(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	s := w.workers["w00"]
+	s.lease = w.now.Add(5 * time.Second)
+	ghost := "00000000000000ff.0.0.0"
+	r := &simRun{task: ghost, run: 1, begun: w.now, length: 4 * time.Second, need: job.Resources{CPU: 6000}}
+	s.runs[ghost] = r
+	w.tasks[ghost] = &simTask{runs: map[string]*simRun{"w00": r}}
+	w.specs["00000000000000ff"] = &job.Spec{Team: "a"}
+	id := w.submit("batch", "a", tasks(1, 6000, 500*time.Millisecond))
+	w.run(2 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id), "after the unknown run was stopped")
+	assert.Empty(t, s.runs)
+}
+
 // The last step of a quiet cell gets no advice once and must be asked about again
 // without any other event.
 func TestAdviceIsAskedForAgainWithoutAnEvent(t *testing.T) {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -237,6 +237,9 @@
 	e.emit(&Look{Worker: w.id, Address: w.address, Life: w.life, Deadline: deadline, Cursor: w.cursor, Wait: wait})
 }
 
+// strayLook is the pause between looks at a worker with runs that nobody knows.
+const strayLook = 50 * time.Millisecond
+
 // looked takes in the outcome of a look.
 func (e *Engine) looked(ev *Looked) {
 	w := e.workers[ev.Worker]
@@ -287,7 +290,10 @@
 		return
 	}
 	w.lookNext = e.now
-	if len(w.runs) == 0 {
+	switch {
+	case w.strays > 0:
+		w.lookNext = e.now.Add(strayLook) // the worker is closed until they are gone
+	case len(w.runs) == 0:
 		w.lookNext = e.now.Add(e.cfg.IdleLook)
 	}
 }
