--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -149,6 +149,24 @@
 	assert.Equal(t, StateCompleted, w.state(first))
 }
 
+// A job whose every step depends on all steps before it has more paths than can be
+// counted; the engine must not walk them.
+func TestJobWithAllDependencies(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	var steps []job.Step
+	for i := range job.MaxSteps {
+		s := tasks(1, 1000, 10*time.Millisecond)
+		for d := range i {
+			s.DependsOn = append(s.DependsOn, d)
+		}
+		steps = append(steps, s)
+	}
+	id := w.submit("batch", "a", steps...)
+	w.run(10 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+}
+
 // A run that nobody knows takes room of a size that nobody knows: nothing is placed
 // beside it until it has been stopped.
 func TestUnknownRunClosesItsWorker(t *testing.T) {
