Count a job as begun when a report overtakes the answer to its start

A worker's report that shows a run before the start is answered set the job to begun without taking it off the queue's count, so the number of pending jobs stayed too high for good.

Change: both ways go through taskBegun.

Figures: TestJobSeenRunningIsNoLongerPending counts 1 pending job before, 0 after.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -149,6 +149,19 @@
 	assert.Equal(t, StateCompleted, w.state(first))
 }
 
+// The report of a worker overtakes its answer to the start.
+func TestJobSeenRunningIsNoLongerPending(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	w.answerDelay = 400 * time.Millisecond
+	id := w.submit("batch", "a", tasks(2, 1000, 300*time.Millisecond))
+	w.run(2 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	pending := -1
+	w.engine.Handle(w.now, &Pending{Queue: "batch", Reply: func(a Answer) { pending = a.Pending }})
+	assert.Zero(t, pending)
+}
+
 // A job whose every step depends on all steps before it has more paths than can be
 // counted; the engine must not walk them.
 func TestJobWithAllDependencies(t *testing.T) {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -104,7 +104,7 @@
 func (e *Engine) runSeen(r *run, s *RunStatus) {
 	if r.phase == ordered || r.phase == doubtful || r.phase == planned && r.restored {
 		r.phase = running
-		r.task.step.job().begun = true
+		e.taskBegun(r.task.step.job())
 	}
 	r.restored = false
 	if s.Checkpoint != "" {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -42,6 +42,7 @@
 	sent      map[string]time.Time     // when a job was handed in
 	took      map[string]time.Duration // until its last task ended
 
+	answerDelay  time.Duration // on the way back from an order
 	storeRefuses bool
 	storeSilent  bool
 	storeDelay   time.Duration    // on the way to the store, and on the way back
@@ -448,9 +449,7 @@
 		w.after(2*time.Second+time.Duration(w.rand.Int64N(int64(8*time.Second))), func() { do(s) })
 		return
 	}
-	w.after(simTick, func() {
-		w.to(e, 0, do(s))
-	})
+	w.after(simTick, func() { w.to(e, w.answerDelay, do(s)) })
 }
 
 func (w *world) start(s *simWorker, a *Start, sent time.Time) any {
