Keep one copy of what the platform's code had written twice

Waiting was written three times; how many tasks fit a worker three times, twice without GPUs; the longest chain of a job forwards and backwards; refusing a job three times; reading records, choosing the strongest instance and counting strikes twice each. A lease's lapse was stored beside what it follows from.

Change: internal/wait, Resources.CountIn, units.CeilSeconds; engine.refuse, tails and worker.lapses; keep and strongest in node; health.struck. One difference in behaviour: room for tasks that need GPUs now counts GPUs when workers are asked about and held. An unstorable job's log line also tells the open steps.

Ruled out: one HTTP client or server with the older cell's; their bounds differ, and the older cell is to shrink.

--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/admission"
@@ -21,7 +22,7 @@
 	if spec.Scheduled() {
 		return "", 0
 	}
-	chain := e.chainOfSpec(spec)
+	chain := slices.Max(e.tailsOf(spec))
 	d := admission.Decide(admission.Job{Chain: chain, Objective: objective(q, chain), Overdue: !e.peekAllowance(spec.Team)}, e.loadFor(q))
 	return d.Why, d.RetryAfter
 }
--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -152,13 +152,7 @@
 
 // roomFor returns how many waiting tasks of s fit into free.
 func roomFor(s *stepRun, w *worker, free job.Resources) int {
-	n := s.waiting
-	if s.charge.CPU > 0 {
-		n = min(n, int(max(0, free.CPU)/s.charge.CPU))
-	}
-	if s.charge.MemMB > 0 {
-		n = min(n, int(max(0, free.MemMB)/s.charge.MemMB))
-	}
+	n := s.charge.CountIn(free, s.waiting)
 	if s.spec.MaxPerWorker > 0 {
 		n = min(n, s.spec.MaxPerWorker-s.present(w))
 	}
--- a/internal/cell/engine/chains.go
+++ b/internal/cell/engine/chains.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -21,35 +22,17 @@
 }
 
 // chainOf returns the longest chain of work of a job, by its estimates.
-func (e *Engine) chainOf(j *jobState) time.Duration {
-	if j.chain == 0 {
-		j.chain = e.chainOfSpec(j.spec)
-	}
-	return j.chain
-}
-
-func (e *Engine) chainOfSpec(spec *job.Spec) time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(spec.Steps))
-	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		begin := time.Duration(0)
-		for _, d := range s.DependsOn {
-			begin = max(begin, ends[d])
-		}
-		ends[i] = begin + e.pace.expect(spec.Queue, s.Estimate)
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
+func (e *Engine) chainOf(j *jobState) time.Duration { return slices.Max(e.tails(j)) }
 
 // chainFrom returns the longest chain of work from s on.
-func (e *Engine) chainFrom(s *stepRun) time.Duration {
-	j := s.job()
+func (e *Engine) chainFrom(s *stepRun) time.Duration { return e.tails(s.job())[s.ref.Step] }
+
+// tails returns what tailsOf does for a job. It is worked out on first use.
+func (e *Engine) tails(j *jobState) []time.Duration {
 	if j.tails == nil {
 		j.tails = e.tailsOf(j.spec)
 	}
-	return j.tails[s.ref.Step]
+	return j.tails
 }
 
 // tailsOf returns the longest chain of work from each step on. Steps depend on
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -135,7 +135,6 @@
 		e.storeBack()
 	case *ArmsChanged:
 		e.armsChanged(ev.Arms)
-	case *Tick:
 	}
 }
 
--- a/internal/cell/engine/health.go
+++ b/internal/cell/engine/health.go
@@ -37,11 +37,7 @@
 // quarantine now.
 func (h *health) failed(now time.Time) bool {
 	h.failures++
-	if h.failures < failuresToQuarantine || h.quarantined(now) {
-		return false
-	}
-	h.quarantine(now)
-	return true
+	return h.struck(h.failures, failuresToQuarantine, now)
 }
 
 // stallsToQuarantine is how many runs in a row stall before a worker is left alone.
@@ -51,7 +47,12 @@
 // under quarantine now.
 func (h *health) stalled(now time.Time) bool {
 	h.stalls++
-	if h.stalls < stallsToQuarantine || h.quarantined(now) {
+	return h.struck(h.stalls, stallsToQuarantine, now)
+}
+
+// struck puts the worker under quarantine once count reaches most, unless it is.
+func (h *health) struck(count, most int, now time.Time) bool {
+	if count < most || h.quarantined(now) {
 		return false
 	}
 	h.quarantine(now)
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/record"
 )
 
@@ -20,15 +21,12 @@
 		e.submitAgain(j, ev)
 		return
 	}
-	if why, after := e.admit(ev.Spec); why != "" {
-		e.log.Info("job refused", "job", ev.Spec.ID, "queue", ev.Spec.Queue, "team", ev.Spec.Team, "reason", why, "retry_ms", after.Milliseconds(), "open_steps", len(e.open))
-		ev.Reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
-		return
+	why, after := e.admit(ev.Spec)
+	if why == "" {
+		why, after = e.unstorable()
 	}
-	if why := e.unstorable(); why != "" {
-		after := e.storeRetryAfter()
-		e.log.Info("job refused", "job", ev.Spec.ID, "queue", ev.Spec.Queue, "team", ev.Spec.Team, "reason", why, "retry_ms", after.Milliseconds())
-		ev.Reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
+	if why != "" {
+		e.refuse(ev.Spec, why, after, ev.Reply)
 		return
 	}
 	j := newJob(ev.Spec, e.wall())
@@ -51,6 +49,14 @@
 	})
 }
 
+// refuse tells everyone who handed a job in that it is not accepted.
+func (e *Engine) refuse(spec *job.Spec, why string, after time.Duration, replies ...func(Answer)) {
+	e.log.Info("job refused", "job", spec.ID, "queue", spec.Queue, "team", spec.Team, "reason", why, "retry_ms", after.Milliseconds(), "open_steps", len(e.open))
+	for _, reply := range replies {
+		reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
+	}
+}
+
 // submitAgain answers a repeat of a submission.
 func (e *Engine) submitAgain(j *jobState, ev *Submit) {
 	if j.team != ev.Spec.Team {
@@ -162,13 +168,14 @@
 	return StateQueued
 }
 
-// taskBegun notes that a task of j has started.
+// taskBegun notes that a task of j has started, or that none ever will: j no longer
+// counts as waiting.
 func (e *Engine) taskBegun(j *jobState) {
 	if j.begun {
 		return
 	}
 	j.begun = true
-	if j.spec != nil && !j.spec.Scheduled() {
+	if !j.spec.Scheduled() {
 		e.queued[j.queue]--
 	}
 }
@@ -177,10 +184,7 @@
 func (e *Engine) finish(j *jobState, state record.State) {
 	j.state = state
 	j.ended = e.wall()
-	if !j.begun && !j.spec.Scheduled() {
-		e.queued[j.queue]--
-	}
-	j.begun = true
+	e.taskBegun(j)
 	e.put(record.JobKey(j.id), record.Encode(j.record()))
 	j.eachStep(func(s *stepRun) {
 		for _, t := range s.tasks {
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -63,7 +63,7 @@
 		e.newLife(w, ev.Life, "answer to a start")
 	}
 	if ev.Refusal != Unknown && ev.Clock > 0 {
-		w.noteClock(ev.Clock, r.begun, e.now)
+		w.noteClock(ev.Clock, e.now)
 	}
 	if r.gone {
 		return
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -166,7 +166,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		end := w.lapseAt
+		end := w.lapses()
 		if !w.looked {
 			end = e.started.Add(e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift))
 		}
--- a/internal/cell/engine/room.go
+++ b/internal/cell/engine/room.go
@@ -56,7 +56,7 @@
 	}
 	need := count
 	for _, w := range e.holdOn(s, r) {
-		n := min(need, s.most(w))
+		n := s.charge.CountIn(w.capacity.Sub(w.held), need)
 		if n <= 0 {
 			continue
 		}
@@ -70,19 +70,6 @@
 	}
 }
 
-// most returns how many tasks of s the whole of w could run beside what is held.
-func (s *stepRun) most(w *worker) int {
-	n := s.spec.Count
-	all := w.capacity.Sub(w.held)
-	if s.charge.CPU > 0 {
-		n = min(n, int(max(0, all.CPU)/s.charge.CPU))
-	}
-	if s.charge.MemMB > 0 {
-		n = min(n, int(max(0, all.MemMB)/s.charge.MemMB))
-	}
-	return n
-}
-
 // holdOn returns the workers on which a gang waits for room, those with the most
 // first.
 func (e *Engine) holdOn(s *stepRun, r *room) []*worker {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -26,7 +26,6 @@
 	occ       []*occurrence
 	left      int // occurrences that are not done
 	arrived   time.Time
-	chain     time.Duration   // longest chain of work, by the estimates
 	tails     []time.Duration // longest chain of work from each step on
 }
 
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/record"
@@ -110,22 +111,25 @@
 
 // refuseUnstored refuses the jobs that wait behind an append without an answer.
 func (e *Engine) refuseUnstored() {
-	if e.inFlight && e.now.Sub(e.sentAt) > slowStore && len(e.batch.jobs) > 0 {
+	if e.storeSilent() {
 		e.refuseBatch("the store does not answer")
 	}
 }
 
-// unstorable says why no job can be accepted now, if so.
-func (e *Engine) unstorable() string {
+// unstorable says why no job can be accepted now, if so, and when to come back.
+func (e *Engine) unstorable() (string, time.Duration) {
 	switch {
 	case !e.storeDown.IsZero():
-		return "the store is not in reach"
-	case e.inFlight && e.now.Sub(e.sentAt) > slowStore:
-		return "the store does not answer"
+		return "the store is not in reach", e.storeRetryAfter()
+	case e.storeSilent():
+		return "the store does not answer", e.storeRetryAfter()
 	}
-	return ""
+	return "", 0
 }
 
+// storeSilent reports whether the append under way has had no answer for too long.
+func (e *Engine) storeSilent() bool { return e.inFlight && e.now.Sub(e.sentAt) > slowStore }
+
 // storeRetryAfter returns when callers should come back: later the longer the store
 // has been away.
 func (e *Engine) storeRetryAfter() time.Duration {
@@ -146,10 +150,7 @@
 	gone := make(map[string]bool, len(e.batch.jobs))
 	for _, j := range e.batch.jobs {
 		gone[j.id] = true
-		e.log.Info("job refused", "job", j.id, "queue", j.queue, "team", j.team, "reason", why, "retry_ms", after.Milliseconds())
-		for _, reply := range j.waiting {
-			reply(Answer{Outcome: Refused, Why: why, RetryAfter: after})
-		}
+		e.refuse(j.spec, why, after, j.waiting...)
 		j.waiting = nil
 		e.forget(j)
 	}
@@ -166,34 +167,17 @@
 
 // forget drops a job that was never stored, with the runs that were planned for it.
 func (e *Engine) forget(j *jobState) {
-	if !j.begun && !j.spec.Scheduled() {
-		e.queued[j.queue]--
-	}
-	j.begun, j.compacted = true, true
+	e.taskBegun(j)
+	j.compacted = true
 	j.state = record.Canceled
 	delete(e.jobs, j.id)
-	for _, o := range j.occ {
-		if o == nil {
-			continue
-		}
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				for _, r := range append([]*run(nil), t.runs...) {
-					e.endRun(r, EndedStopped, "", "job not stored")
-				}
+	j.eachStep(func(s *stepRun) {
+		for _, t := range s.tasks {
+			for _, r := range slices.Clone(t.runs) {
+				e.endRun(r, EndedStopped, "", "job not stored")
 			}
 		}
-	}
-	e.timed = withoutJob(e.timed, j)
+	})
+	e.timed = slices.DeleteFunc(e.timed, func(other *jobState) bool { return other == j })
 	e.dirty = true
 }
-
-func withoutJob(jobs []*jobState, j *jobState) []*jobState {
-	kept := jobs[:0]
-	for _, other := range jobs {
-		if other != j {
-			kept = append(kept, other)
-		}
-	}
-	return kept
-}
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -163,8 +163,6 @@
 	StoreAnswered struct{}
 	// ArmsChanged brings the instances that can call the adviser.
 	ArmsChanged struct{ Arms []string }
-	// Tick lets time pass.
-	Tick struct{}
 )
 
 // Actions.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -28,7 +28,6 @@
 	clock    int64     // of the worker, ms, at the last answer
 	clockAt  time.Time // when that answer came
 	leaseEnd int64     // latest lease asked for, on the worker's clock, ms
-	lapseAt  time.Time // when all that it runs has certainly lapsed if it is not reached again
 	looked   bool      // it has answered this leader in this life
 	lookBusy bool
 	lookSent time.Time
@@ -57,20 +56,20 @@
 }
 
 // noteClock takes over what an answer said of the clock.
-func (w *worker) noteClock(clock int64, sent, at time.Time) {
+func (w *worker) noteClock(clock int64, at time.Time) {
 	if clock <= 0 {
 		return
 	}
 	w.clock, w.clockAt = clock, at
 	w.answered = at
 	w.silent = 0
-	w.updateLapse()
 }
 
-// updateLapse works out when the longest lease asked for has certainly ended.
-func (w *worker) updateLapse() {
+// lapses returns when all that the worker runs has certainly lapsed if it is not
+// reached again.
+func (w *worker) lapses() time.Time {
 	left := time.Duration(float64(w.leaseEnd-w.clock)/(1-clockDrift)) * time.Millisecond
-	w.lapseAt = w.clockAt.Add(max(0, left))
+	return w.clockAt.Add(max(0, left))
 }
 
 // lease returns the deadline to ask for.
@@ -81,7 +80,6 @@
 	end := w.now(at) + length.Milliseconds()
 	if end > w.leaseEnd {
 		w.leaseEnd = end
-		w.updateLapse()
 	}
 	return end
 }
@@ -175,7 +173,6 @@
 	w.draining = false
 	w.cursor, w.seen = 0, 0
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
-	w.lapseAt = time.Time{}
 	w.lookNext = e.now
 	w.health = health{}
 	e.dirty = true
@@ -269,11 +266,10 @@
 		e.log.Info("worker answers again", "worker", w.id, "silent_ms", e.age(w.answered))
 		e.dirty = true
 	}
-	w.noteClock(ev.Report.Clock, ev.Sent, e.now)
+	w.noteClock(ev.Report.Clock, e.now)
 	if first {
 		// An earlier leader may have asked for the longest lease just before.
 		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
-		w.updateLapse()
 	}
 	w.looked = true
 	for _, r := range w.sortedRuns() {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -302,14 +303,7 @@
 	}
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (w *world) end(s *simWorker, r *simRun, how How) {
 	delete(s.runs, r.task)
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -37,6 +37,16 @@
 	return r.CPU <= free.CPU && r.MemMB <= free.MemMB && r.GPU <= free.GPU
 }
 
+// CountIn returns how many times r fits into free, at most most.
+func (r Resources) CountIn(free Resources, most int) int {
+	for _, kind := range [...][2]int64{{r.CPU, free.CPU}, {r.MemMB, free.MemMB}, {r.GPU, free.GPU}} {
+		if kind[0] > 0 {
+			most = min(most, int(max(0, kind[1])/kind[0]))
+		}
+	}
+	return most
+}
+
 // Within reports whether r exceeds no limit. A limit of zero is none.
 func (r Resources) Within(limit Resources) bool {
 	return (limit.CPU == 0 || r.CPU <= limit.CPU) &&
--- a/internal/cell/node/carryout.go
+++ b/internal/cell/node/carryout.go
@@ -8,6 +8,8 @@
 
 	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/cell/record"
+
+	"pollenbend/internal/wait"
 )
 
 const (
@@ -100,7 +102,7 @@
 		if first && !open {
 			return engine.NotStored, true
 		}
-		sleep(l.ctx, appendPause)
+		wait.For(l.ctx, appendPause)
 	}
 	return engine.NotStored, false
 }
--- a/internal/cell/node/entry.go
+++ b/internal/cell/node/entry.go
@@ -10,6 +10,8 @@
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/peer"
 	"pollenbend/internal/verdict"
+
+	"pollenbend/internal/wait"
 )
 
 const (
@@ -72,7 +74,7 @@
 		if !inDoubt && time.Since(start) > noLeaderWait {
 			return engine.Answer{}, giveUp(false, verdict.CodeUnavailable, "no leader in reach")
 		}
-		pause(ctx, changed, retryPause)
+		wait.Until(ctx, changed, retryPause)
 	}
 }
 
@@ -83,16 +85,6 @@
 	return verdict.Refuse(code, "%s", message).After(noLeaderRetry)
 }
 
-func pause(ctx context.Context, changed <-chan struct{}, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-t.C:
-	}
-}
-
 // attempt asks the leader once. sent tells whether the request may have had an
 // effect; ok whether there is an answer.
 func (n *Node) attempt(ctx context.Context, changed <-chan struct{}, method string, args any, event func(func(engine.Answer)) any) (answer engine.Answer, sent, ok bool) {
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// considerHandover hands over when the store turns this leader away but not others, or
+// when a much stronger instance could lead.
 func (l *leader) considerHandover(live []*armState) {
 	failing := l.failing.Load()
 	refused := failing != 0 && time.Since(l.n.born)-time.Duration(failing) > refusedBeforeHandover
@@ -14,18 +16,12 @@
 		l.yieldToStronger(live)
 		return
 	}
-	strongest := l.n.set.CPUShare
-	var best *armState
+	best := l.strongest(live, func(a *armState) bool { return a.StoreAge+time.Since(a.at) <= silent-armStoreMargin })
+	top := l.n.set.CPUShare
 	for _, a := range live {
-		strongest = max(strongest, a.CPUShare)
-		if a.StoreAge+time.Since(a.at) > silent-armStoreMargin || a.Instance == l.n.set.Instance {
-			continue
-		}
-		if best == nil || a.CPUShare > best.CPUShare {
-			best = a
-		}
+		top = max(top, a.CPUShare)
 	}
-	if best == nil || best.CPUShare < strongest/strongerFactor && silent < waitForStrong {
+	if best == nil || best.CPUShare < top/strongerFactor && silent < waitForStrong {
 		return
 	}
 	l.handOver(best)
@@ -49,18 +45,24 @@
 	if time.Since(l.begun) < settledTerm {
 		return
 	}
+	best := l.strongest(live, func(a *armState) bool {
+		return a.CPUShare >= l.n.set.CPUShare*strongerFactor && a.StoreAge <= silentBeforeHandover
+	})
+	if best != nil {
+		l.handOver(best)
+	}
+}
+
+// strongest returns the arm with the most processor of those that fit, other than
+// this instance, or nil.
+func (l *leader) strongest(live []*armState, fits func(*armState) bool) *armState {
 	var best *armState
 	for _, a := range live {
-		if a.CPUShare < l.n.set.CPUShare*strongerFactor || a.StoreAge > silentBeforeHandover {
-			continue
-		}
-		if best == nil || a.CPUShare > best.CPUShare {
+		if a.Instance != l.n.set.Instance && fits(a) && (best == nil || a.CPUShare > best.CPUShare) {
 			best = a
 		}
 	}
-	if best != nil {
-		l.handOver(best)
-	}
+	return best
 }
 
 func (l *leader) handOver(to *armState) {
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pollenbend/internal/cell/engine"
+
+	"pollenbend/internal/wait"
 )
 
 // leader runs the engine for one term. One goroutine owns the engine; others carry
@@ -85,7 +87,7 @@
 	}
 	l.stop("term over")
 	n.leading.CompareAndSwap(l, nil)
-	n.known.CompareAndSwap(n.known.Load(), nil)
+	n.known.Store(nil)
 	n.wake()
 	<-renewed
 }
@@ -228,7 +230,7 @@
 			l.post(&engine.ArmsChanged{Arms: names})
 		}
 		l.considerHandover(live)
-		sleep(l.ctx, watchArmsEvery)
+		wait.For(l.ctx, watchArmsEvery)
 	}
 }
 
@@ -241,7 +243,7 @@
 		} else if changed {
 			l.post(&engine.WorkersListed{Workers: list})
 		}
-		sleep(l.ctx, pollWorkersEvery)
+		wait.For(l.ctx, pollWorkersEvery)
 	}
 }
 
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -15,6 +15,8 @@
 	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/cell/peer"
 	"pollenbend/internal/cell/policy"
+
+	"pollenbend/internal/wait"
 )
 
 // Settings are what one instance knows from its settings.
@@ -175,7 +177,7 @@
 		if k := n.known.Load(); k != nil {
 			n.ping(ctx, k) // the leader may be in reach though the store is not
 		}
-		sleep(ctx, storePause)
+		wait.For(ctx, storePause)
 		return
 	}
 	switch {
@@ -230,7 +232,7 @@
 		switch verdict {
 		case pingLeads:
 			refused, lastOK, seenSince = 0, time.Now(), time.Time{}
-			if n.sleepOrTakeOver(ctx, pingEvery) {
+			if wait.Until(ctx, n.takeOver, pingEvery) {
 				n.campaignNow(ctx, "asked to take over")
 				return
 			}
@@ -244,18 +246,18 @@
 				n.challenge(ctx, rec, "the leader's process has ended")
 				return
 			}
-			sleep(ctx, refusedPause)
+			wait.For(ctx, refusedPause)
 			continue
 		}
 		if time.Since(lastOK) < silentBeforeLook {
-			sleep(ctx, refusedPause)
+			wait.For(ctx, refusedPause)
 			continue
 		}
 		now, place, next, found, err := n.readLeadership(ctx)
 		switch {
 		case err != nil:
 			seenSince = time.Time{}
-			sleep(ctx, storePause)
+			wait.For(ctx, storePause)
 		case !found || now.Session != rec.Session || now.Resigned:
 			return
 		case seenSince.IsZero() || place != seenAt:
@@ -263,12 +265,12 @@
 				n.log.Warn("leader is silent", "leader", rec.Instance, "term", rec.Term, "last_answer_ms", time.Since(lastOK).Milliseconds())
 			}
 			seenAt, seenSince = place, time.Now()
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		case time.Since(seenSince) > staleLeader:
 			n.campaign(ctx, next, "the leader is silent and does not renew")
 			return
 		default:
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -278,7 +280,7 @@
 	now, _, next, found, err := n.readLeadership(ctx)
 	if err != nil {
 		n.log.Warn("cannot read who leads", "reason", err.Error())
-		sleep(ctx, storePause)
+		wait.For(ctx, storePause)
 		return
 	}
 	if found && now.Session != rec.Session {
@@ -302,11 +304,11 @@
 
 func (n *Node) campaign(ctx context.Context, next int64, why string) {
 	if n.draining.Load() {
-		sleep(ctx, pingEvery)
+		wait.For(ctx, pingEvery)
 		return
 	}
 	share := max(0.1, min(1, n.set.CPUShare))
-	sleep(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
+	wait.For(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
 	n.claim(ctx, next, why)
 }
 
@@ -325,7 +327,7 @@
 		n.log.Warn("claim without an answer", "reason", err.Error())
 		now, at, _, found, err := n.readLeadership(ctx)
 		if err != nil || !found || at != next || now.Session != n.session {
-			sleep(ctx, storePause)
+			wait.For(ctx, storePause)
 			return
 		}
 	}
@@ -337,28 +339,5 @@
 	n.lead(ctx, &rec, next+1)
 }
 
-// sleepOrTakeOver waits; it reports whether another instance asked this one to
-// take over.
-func (n *Node) sleepOrTakeOver(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-n.takeOver:
-		return true
-	}
-	return false
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // StoreSeen notes that the store has answered this instance.
 func (n *Node) StoreSeen() { n.mark(&n.storeSeen) }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -9,6 +9,8 @@
 	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/record"
+
+	"pollenbend/internal/wait"
 )
 
 // prepare fences off earlier leaders and loads the state. It returns nil if the
@@ -47,7 +49,7 @@
 		if errors.Is(err, ErrFenced) {
 			return false
 		}
-		sleep(l.ctx, storePause)
+		wait.For(l.ctx, storePause)
 	}
 	return false
 }
@@ -62,7 +64,7 @@
 			return state, true
 		}
 		l.n.log.Warn("cannot load the state", "term", l.rec.Term, "reason", err.Error())
-		sleep(l.ctx, storePause)
+		wait.For(l.ctx, storePause)
 	}
 	return engine.Restored{}, false
 }
@@ -74,28 +76,27 @@
 		return
 	}
 	if step != nil {
-		if len(r.Value) == 0 {
-			delete(state.Steps, *step)
-			return
-		}
-		kept := new(record.Step)
-		if err := record.Decode(r.Value, kept); err != nil {
-			l.n.log.Error("record cannot be read", "key", r.Key, "reason", err.Error())
-			return
-		}
-		state.Steps[*step] = kept
-		return
-	}
-	if len(r.Value) == 0 {
-		delete(state.Jobs, id)
-		return
+		err = keep(state.Steps, *step, r.Value)
+	} else {
+		err = keep(state.Jobs, id, r.Value)
 	}
-	kept := new(record.Job)
-	if err := record.Decode(r.Value, kept); err != nil {
+	if err != nil {
 		l.n.log.Error("record cannot be read", "key", r.Key, "reason", err.Error())
-		return
 	}
-	state.Jobs[id] = kept
+}
+
+// keep takes the newest value of a key into m. An empty value drops the key.
+func keep[K comparable, V any](m map[K]*V, key K, value []byte) error {
+	if len(value) == 0 {
+		delete(m, key)
+		return nil
+	}
+	kept := new(V)
+	if err := record.Decode(value, kept); err != nil {
+		return err
+	}
+	m[key] = kept
+	return nil
 }
 
 // renew rewrites the leadership record until the term is over.
@@ -103,7 +104,7 @@
 	l.seen()
 	rec := l.rec
 	for l.ctx.Err() == nil {
-		sleep(l.ctx, renewEvery)
+		wait.For(l.ctx, renewEvery)
 		if l.ctx.Err() != nil {
 			return
 		}
--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,17 +36,6 @@
 // NewClient returns a client for the instance that listens at address.
 func NewClient(address string) *Client { return &Client{address: address} }
 
-// Close ends the connection. The next call opens another.
-func (c *Client) Close() {
-	c.mu.Lock()
-	conn := c.conn
-	c.conn = nil
-	c.mu.Unlock()
-	if conn != nil {
-		_ = conn.Close() // the connection is given up; there is nothing left to lose
-	}
-}
-
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,7 +45,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		if isRefused(err) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return nil, errors.Mark(errors.Wrapf(err, "dial %s", c.address), ErrRefused)
 		}
 		return nil, errors.Wrapf(err, "dial %s", c.address)
--- a/internal/cell/placement/placement.go
+++ b/internal/cell/placement/placement.go
@@ -127,15 +127,7 @@
 
 // room returns how many tasks of req fit on c.
 func room(req Request, c *Candidate) int {
-	n := req.Count
-	limit := func(free, need int64) {
-		if need > 0 {
-			n = min(n, int(max(0, free)/need))
-		}
-	}
-	limit(c.Free.CPU, req.Need.CPU)
-	limit(c.Free.MemMB, req.Need.MemMB)
-	limit(c.Free.GPU, req.Need.GPU)
+	n := req.Need.CountIn(c.Free, req.Count)
 	if req.MaxPerWorker > 0 {
 		n = min(n, req.MaxPerWorker-c.Present)
 	}
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -105,6 +104,3 @@
 func Decode(data []byte, v any) error {
 	return errors.Wrapf(cbor.Unmarshal(data, v), "decode %T", v)
 }
-
-// KeepEnded is how long the state of a job that is over can be asked for.
-const KeepEnded = 150 * time.Second
--- a/internal/httpapi/answer.go
+++ b/internal/httpapi/answer.go
@@ -12,6 +12,7 @@
 
 	"pollenbend/internal/httpapi/wire"
 	"pollenbend/internal/model"
+	"pollenbend/internal/units"
 	"pollenbend/internal/verdict"
 )
 
@@ -131,7 +132,7 @@
 	h.Set("Cache-Control", "no-store")
 	h.Set(wire.HeaderInstance, string(a.cfg.InstanceID))
 	if ans.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(ceilSeconds(ans.RetryAfter), 10))
+		h.Set("Retry-After", strconv.FormatInt(units.CeilSeconds(ans.RetryAfter), 10))
 	}
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
@@ -178,8 +179,6 @@
 	return b.Bytes(), nil
 }
 
-func ceilSeconds(d time.Duration) int64 { return int64((d + time.Second - 1) / time.Second) }
-
 func ceilMillis(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
 func writeText(w http.ResponseWriter, status int, text string) {
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -197,3 +197,6 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (t TimeOfDay) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// CeilSeconds returns d in whole seconds, rounded up.
+func CeilSeconds(d time.Duration) int64 { return int64((d + time.Second - 1) / time.Second) }
