Admit jobs into room that waiting gangs cannot use

The admission counted 2,900 cores of gangs that wait for advised workers as work ahead of every batch job, though gangs cannot use that room and the batch job starts in it at once. Ruled out: team limits (none was reached), the store (it answered), memory.

Change: the load says how many cores tasks like the job's fit into now that nothing which waits could take in the last round of placement; a job that fits there is accepted. Test: gangs of large tasks wait, small batch jobs arrive; before, all but the first were refused.

--- a/internal/cell/admission/admission.go
+++ b/internal/cell/admission/admission.go
@@ -13,10 +13,12 @@
 	Waiting  float64 // cores of the tasks that wait and come before the job
 	Ahead    float64 // core-seconds of these tasks
 	Higher   float64 // cores that newly arriving work of higher priority takes
+	Open     float64 // cores that tasks like the job's fit into and that nothing that waits can take
 }
 
 // Job is what has to be decided on.
 type Job struct {
+	Cores     float64       // of the tasks that it starts with
 	Chain     time.Duration // its longest chain of work on an idle fleet
 	Objective time.Duration // from its arrival to its end
 	Overdue   bool          // beyond what its team is owed
@@ -51,7 +53,7 @@
 	}
 	rate := max(l.Capacity*packing-l.Higher, l.Capacity*leastShare)
 	wait := time.Duration(0)
-	if l.Waiting > l.Free {
+	if l.Waiting > l.Free && j.Cores >= l.Open {
 		wait = time.Duration(l.Ahead / rate * float64(time.Second))
 	}
 	slack := j.Objective - j.Chain
--- a/internal/cell/admission/admission_test.go
+++ b/internal/cell/admission/admission_test.go
@@ -10,6 +10,8 @@
 func TestDecide(t *testing.T) {
 	urgent := Job{Chain: 800 * time.Millisecond, Objective: 1450 * time.Millisecond}
 	batch := Job{Chain: 3 * time.Second, Objective: 15 * time.Second}
+	small := batch
+	small.Cores = 10
 	overdue := batch
 	overdue.Overdue = true
 	for _, c := range []struct {
@@ -25,6 +27,8 @@
 		{"higher priorities take nearly all", batch, Load{Capacity: 100, Free: 0, Waiting: 300, Ahead: 300, Higher: 85}, false},
 		{"beyond the allowance on a fleet with room", overdue, Load{Capacity: 100, Free: 50, Waiting: 10, Ahead: 30}, true},
 		{"beyond the allowance on a full fleet", overdue, Load{Capacity: 100, Free: 0, Waiting: 50, Ahead: 50}, false},
+		{"gangs wait before it, but it fits into room that they cannot use", small, Load{Capacity: 100, Free: 30, Waiting: 300, Ahead: 900, Higher: 90, Open: 20}, true},
+		{"the same with too little such room", small, Load{Capacity: 100, Free: 30, Waiting: 300, Ahead: 900, Higher: 90, Open: 5}, false},
 		{"no worker", urgent, Load{}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -23,7 +23,13 @@
 		return "", 0
 	}
 	chain := slices.Max(e.tailsOf(spec))
-	d := admission.Decide(admission.Job{Chain: chain, Objective: objective(q, chain), Overdue: !e.peekAllowance(spec.Team)}, e.loadFor(q))
+	l := e.loadFor(q)
+	first := widest(spec)
+	l.Open = e.openRoom(first, q)
+	d := admission.Decide(admission.Job{
+		Cores: float64(first.Charge().CPU) / 1000 * float64(first.Count), Chain: chain,
+		Objective: objective(q, chain), Overdue: !e.peekAllowance(spec.Team),
+	}, l)
 	return d.Why, d.RetryAfter
 }
 
--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -18,6 +18,9 @@
 	retryAt time.Time
 }
 
+// first reports whether the adviser has not answered yet for the first time.
+func (a *adviceState) first() bool { return a != nil && a.busy && len(a.asked) == 0 }
+
 type ticket struct {
 	value string
 	life  int64
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollenbend/internal/cell/admission"
+	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
 )
@@ -15,6 +16,7 @@
 // demand is what waits for room, and what arrives, at one priority.
 type demand struct {
 	cpu   int64   // of the tasks that wait and can end in time, in thousandths of a core
+	fresh int64   // the part of cpu that no round of placement has had a chance to place
 	work  float64 // core-seconds of the tasks that wait
 	cores float64 // averaged rate at which work arrives
 	at    time.Time
@@ -58,6 +60,7 @@
 		for _, s := range o.steps {
 			if len(s.spec.DependsOn) == 0 {
 				d.cpu += int64(s.left) * s.charge.CPU
+				d.fresh += int64(s.left) * s.charge.CPU
 			}
 		}
 	}
@@ -80,7 +83,7 @@
 	}
 	e.measured = e.now
 	for _, d := range e.demands {
-		d.cpu, d.work = 0, 0
+		d.cpu, d.fresh, d.work = 0, 0, 0
 	}
 	for _, s := range e.open {
 		q := e.queueOf(s.job())
@@ -92,6 +95,9 @@
 		}
 		d := e.demandAt(q.Priority)
 		d.cpu += int64(s.waiting) * s.charge.CPU
+		if !s.tried || s.advice.first() {
+			d.fresh += int64(s.waiting) * s.charge.CPU
+		}
 		d.work += float64(s.waiting) * e.workOf(s)
 	}
 }
@@ -118,6 +124,43 @@
 	return l
 }
 
+// widest returns the step of a job that asks for the most cores of those that start
+// at once.
+func widest(spec *job.Spec) *job.Step {
+	best := &spec.Steps[0] // no step depends on a later one
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		if len(s.DependsOn) == 0 && s.Charge().CPU*int64(s.Count) > best.Charge().CPU*int64(best.Count) {
+			best = s
+		}
+	}
+	return best
+}
+
+// openRoom returns the cores that tasks of s fit into now and that would stay
+// unused without them. What was looked at in a round of placement and still waits
+// could not take them, for want of advice or of room for a whole gang, so only what
+// was not looked at yet is taken off.
+func (e *Engine) openRoom(s *job.Step, q *policy.Queue) float64 {
+	charge := s.Charge()
+	n := 0
+	for _, w := range e.order {
+		if w.service == q.Service && w.usable(e.now) && (s.Label == "" || w.hasLabel(s.Label)) {
+			n += charge.CountIn(w.free(), s.Count)
+		}
+	}
+	open := float64(n) * float64(charge.CPU) / 1000
+	if q.Advice != nil {
+		open *= e.goodShare(q.Name)
+	}
+	for priority, d := range e.demands {
+		if priority <= q.Priority {
+			open -= float64(d.fresh) / 1000
+		}
+	}
+	return open
+}
+
 // tellLoadEvery is the pause between two lines on the load of the cell.
 const tellLoadEvery = 2 * time.Second
 
--- a/internal/cell/engine/heavy_test.go
+++ b/internal/cell/engine/heavy_test.go
@@ -57,3 +57,26 @@
 		heavyDay(w, 4*time.Second)
 	}
 }
+
+// Load: gangs of large tasks wait, most of the fleet's room is in pieces too small
+// for them. A batch job of small tasks is accepted, starts in that room and is in
+// time, though far more work of a higher priority waits than is free.
+func TestBatchIsAdmittedIntoRoomThatWaitingGangsCannotUse(t *testing.T) {
+	w := newWorld(t, 24, 7)
+	w.run(time.Second)
+	for range 8 {
+		w.submit("gangs", "a", gang(8, 5000, 5*time.Second))
+	}
+	w.run(2 * time.Second)
+	var batch []string
+	for range 8 {
+		batch = append(batch, w.submit("batch", "a", tasks(8, 1000, 3*time.Second)))
+		w.run(500 * time.Millisecond)
+	}
+	w.run(12 * time.Second)
+	for _, id := range batch {
+		assert.True(t, w.ok[id], "there was room for the job: %s", w.answers[id].Why)
+		assert.LessOrEqual(t, w.took[id], 15*time.Second)
+		assert.Positive(t, w.took[id])
+	}
+}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -99,6 +99,7 @@
 	if len(tasks) == 0 {
 		return
 	}
+	s.tried = true
 	r.window -= max(1, s.charge.CPU*int64(len(tasks)))
 	var workers []*worker
 	if q.Advice != nil {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -52,6 +52,7 @@
 	ready   bool
 	readyAt time.Time
 	toldAt  time.Time // when the log said last why it waits
+	tried   bool      // a round of placement had a chance to place its tasks
 	gangRun int       // number of the gang's last run
 	advice  *adviceState
 	charge  job.Resources
