Send an unanswered start again instead of ending the run

Ruled out: workers at fault, the adviser, the store.

Change: a start without an answer within 250 ms is sent once more under the same run number, which a worker takes once; an answer that the number is used up is then no longer proof that the task has not run, so the worker's list decides.

Tests: a gang outlives a lost order; a run that ended before its order was sent again is not run twice.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -337,3 +337,29 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { randomFaults(t, seed) })
 	}
 }
+
+// An order without an answer is sent again under the same number, as the worker
+// takes it once: the other members of a gang need not start anew.
+func TestGangOutlivesALostOrder(t *testing.T) {
+	w := newWorld(t, 8, 3)
+	w.run(time.Second)
+	w.loseStarts = 1
+	id := w.submit("gangs", "a", gang(6, 4000, time.Second))
+	w.run(1800 * time.Millisecond)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 6, w.starts)
+	w.run(12 * time.Second) // the lost order is carried out late, to no effect
+	assert.Equal(t, 6, w.starts)
+}
+
+// A run whose answer was lost ends before the order is sent again. Its end counts,
+// and the task is not run a second time.
+func TestRunEndsBeforeItsOrderIsSentAgain(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.run(time.Second)
+	w.loseAnswers = 1
+	id := w.submit("batch", "a", tasks(1, 1000, 100*time.Millisecond))
+	w.run(3 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 1, w.starts)
+}
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -49,13 +49,42 @@
 	r.phase = ordered
 	r.sent, r.begun = true, e.now
 	w.lookNext = e.now // it may have been idle, and is looked at seldom then
+	e.emitStart(r, firstOrderTimeout)
+}
+
+const (
+	// firstOrderTimeout bounds the first attempt at a start. A sound worker answers
+	// within a few milliseconds, and the order may be repeated: a worker takes a run
+	// once.
+	firstOrderTimeout = 250 * time.Millisecond
+	// orderTimeout bounds any other order.
+	orderTimeout = 700 * time.Millisecond
+)
+
+func (e *Engine) emitStart(r *run, timeout time.Duration) {
+	w, t := r.worker, r.task
+	r.orders++
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Life: r.life, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Deadline: w.lease(e.cfg.Lease, e.now),
-		Checkpoint: t.checkpoint, Ticket: r.ticket.value, run: r,
+		Checkpoint: t.checkpoint, Ticket: r.ticket.value, Timeout: timeout, run: r,
 	})
 }
 
+// startAgain sends the order for r a second time, if it is still wanted and the
+// worker would still take it.
+func (e *Engine) startAgain(r *run) bool {
+	w, t := r.worker, r.task
+	if r.orders > 1 || r.phase != ordered || w.life != r.life || !w.listed || t.done || t.step.job().state.Final() {
+		return false
+	}
+	if r.ticket.value != "" && !e.now.Before(r.ticket.until) {
+		return false
+	}
+	e.emitStart(r, orderTimeout)
+	return true
+}
+
 func (e *Engine) startAnswered(ev *StartAnswered) {
 	r := ev.Start.run
 	w := r.worker
@@ -82,11 +111,14 @@
 		return
 	}
 	e.log.Warn("start not confirmed", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
-		"reason", ev.Refusal.String(), "order_ms", e.age(r.begun))
+		"reason", ev.Refusal.String(), "orders", r.orders, "order_ms", e.age(r.begun))
 	switch ev.Refusal {
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
 	case Unknown:
+		if e.startAgain(r) {
+			return
+		}
 		w.health.failures++
 		if r.phase == ordered {
 			r.phase = doubtful
@@ -103,7 +135,12 @@
 		w.looked = false
 		w.lookNext = e.now
 	case OldRun:
-		// A run with this number or a higher one has ended there.
+		// A run with this number or a higher one has ended there. If the order was
+		// sent twice, it may be this run, and the worker lists how it ended.
+		if r.orders > 1 {
+			e.stop(r, "run number is used up")
+			return
+		}
 		e.endRun(r, EndedStopped, "", "run number is used up")
 	default:
 		e.endRun(r, EndedStopped, "", ev.Refusal.String())
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -93,7 +93,8 @@
 	charge    job.Resources
 	ticket    ticket
 	sent      bool      // an order has gone out, from this leader or an earlier one
-	begun     time.Time // when this leader sent the order
+	orders    int       // times that this leader has sent the order
+	begun     time.Time // when it did so first
 	stopWhy   string
 	stopSent  time.Time
 	stopBusy  bool      // a stop is under way
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -184,6 +184,7 @@
 		Deadline   int64 // on the worker's clock, in ms
 		Checkpoint string
 		Ticket     string
+		Timeout    time.Duration // for an answer
 		run        *run
 	}
 	// Stop orders a worker to end a run.
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -50,6 +50,8 @@
 	open         map[*Append]bool // an attempt had no certain outcome
 	adviceFails  bool
 	lateOrders   float64 // share of orders that are carried out late, without an answer
+	loseStarts   int     // so many starts are carried out late, without an answer
+	loseAnswers  int     // so many starts are carried out, but not answered
 	failing      float64 // share of runs that fail
 	starts       int
 	arms         []string
@@ -366,9 +368,22 @@
 		w.appendRecords(e, a)
 	case *Start:
 		sent := w.now
-		w.order(e, a.Worker, func(s *simWorker) any { return w.start(s, a, sent) }, &StartAnswered{Start: a, Refusal: Unknown})
+		do := func(s *simWorker) any { return w.start(s, a, sent) }
+		unanswered := &StartAnswered{Start: a, Refusal: Unknown}
+		switch {
+		case w.loseStarts > 0:
+			w.loseStarts--
+			w.to(e, a.Timeout, unanswered)
+			w.after(5*time.Second, func() { do(w.workers[a.Worker]) })
+		case w.loseAnswers > 0:
+			w.loseAnswers--
+			w.to(e, a.Timeout, unanswered)
+			w.after(simTick, func() { do(w.workers[a.Worker]) })
+		default:
+			w.order(e, a.Worker, a.Timeout, do, unanswered)
+		}
 	case *Stop:
-		w.order(e, a.Worker, func(s *simWorker) any { return w.stop(s, a) }, &StopAnswered{Stop: a, Refusal: Unknown})
+		w.order(e, a.Worker, orderTimeout, func(s *simWorker) any { return w.stop(s, a) }, &StopAnswered{Stop: a, Refusal: Unknown})
 	case *Look:
 		w.look(e, a)
 	case *Ask:
@@ -432,14 +447,14 @@
 }
 
 // order carries an order to a worker. It may get no answer and be carried out late.
-func (w *world) order(e *Engine, id string, do func(*simWorker) any, unanswered any) {
+func (w *world) order(e *Engine, id string, timeout time.Duration, do func(*simWorker) any, unanswered any) {
 	s := w.workers[id]
 	if s.dark {
-		w.to(e, 700*time.Millisecond, unanswered)
+		w.to(e, timeout, unanswered)
 		return
 	}
 	if w.rand.Float64() < w.lateOrders {
-		w.to(e, 700*time.Millisecond, unanswered)
+		w.to(e, timeout, unanswered)
 		w.after(2*time.Second+time.Duration(w.rand.Int64N(int64(8*time.Second))), func() { do(s) })
 		return
 	}
--- a/internal/cell/node/carryout.go
+++ b/internal/cell/node/carryout.go
@@ -33,7 +33,7 @@
 		go l.append(a)
 	case *engine.Start:
 		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
 			begun := time.Now()
 			ev := l.n.ports.Workers.Start(ctx, l.rec.Term, a)
