Let peers tell who leads, and probe the store before a handover

Besides, a leader that the store turned away waited up to 1.4 s for proof that another instance reaches it.

Change: the leader tells the addresses of all instances with its pings; an instance without the store asks some of them who leads. A leader that the store turns away says so in its pings, and who pings it tries the store at once. Calls to a peer no longer queue behind a dial beyond their deadline.

Tests: the election now has its own, in virtual time on pipes and a store in memory.

--- /dev/null
+++ b/internal/cell/node/cluster_test.go
@@ -0,0 +1,370 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/cell/engine"
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/peer"
+	"pollenbend/internal/cell/policy"
+	"pollenbend/internal/cell/record"
+)
+
+// cluster runs instances in one process and in virtual time, on a network of pipes
+// and a store in memory.
+type cluster struct {
+	t     *testing.T
+	store *memory
+	mu    sync.Mutex
+	nodes map[string]*member
+	cut   map[string]bool // instances that no other reaches
+}
+
+type member struct {
+	*Node
+	address string
+	cancel  context.CancelFunc
+	gone    chan struct{}
+	conns   chan net.Conn
+	access  *access
+	pipes   []*pipe
+}
+
+// _ starts the goroutine that the metrics library shares between all meters. It
+// must not belong to the virtual time of one test.
+var _ = NewStats()
+
+// play runs f on a cluster of n instances in virtual time.
+func play(t *testing.T, n int, f func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, store: newMemory(), nodes: make(map[string]*member), cut: make(map[string]bool)}
+		for i := range n {
+			c.start(fmt.Sprintf("i%d", i))
+		}
+		defer func() {
+			for _, m := range c.all() {
+				c.kill(m)
+			}
+			time.Sleep(20 * time.Second) // calls under way run into their timeouts
+		}()
+		time.Sleep(2 * time.Second)
+		f(t, c)
+	})
+}
+
+func (c *cluster) all() []*member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []*member
+	for i := range 100 {
+		if m := c.nodes[fmt.Sprintf("i%d", i)]; m != nil {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+func (c *cluster) start(name string) *member {
+	m := &member{address: name + ":1", gone: make(chan struct{}), conns: make(chan net.Conn), access: &access{memory: c.store}}
+	set := Settings{
+		Instance: name, Address: m.address, CPUShare: 1,
+		Engine: engine.Config{
+			Lease: 6 * time.Second, MaxLease: 10 * time.Second, LapseMargin: 100 * time.Millisecond, StopTime: 200 * time.Millisecond,
+			GangWait: 3 * time.Second, FarPenalty: 2, LookWait: time.Second, LookRetry: 150 * time.Millisecond, IdleLook: 2 * time.Second,
+			UnlistedLooks: 15 * time.Second, ForgetWorker: 30 * time.Second, StopRetry: time.Second, SettleStart: 500 * time.Millisecond,
+			Planning: 4 * time.Millisecond, KeepEnded: 150 * time.Second, Clock: time.Now,
+		},
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return c.dial(ctx, m, address) },
+	}
+	ports := Ports{Store: m.access, Directory: directory{m.access}, Workers: oneWorker{}, Policies: fixedPolicy{m}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if testing.Verbose() {
+		log = slog.New(slog.NewTextHandler(c.t.Output(), nil))
+	}
+	m.Node = New(set, ports, NewStats(), log.With("i", name))
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	c.mu.Lock()
+	c.nodes[name] = m
+	c.mu.Unlock()
+	go func() {
+		m.Run(ctx, m)
+		close(m.gone)
+	}()
+	return m
+}
+
+// kill ends an instance without notice.
+func (c *cluster) kill(m *member) {
+	c.mu.Lock()
+	delete(c.nodes, m.set.Instance)
+	pipes := m.pipes
+	c.mu.Unlock()
+	m.access.set(refuses)
+	m.cancel()
+	<-m.gone
+	for _, p := range pipes {
+		_ = p.Conn.Close()
+	}
+}
+
+// leader returns the only instance that leads, or nil.
+func (c *cluster) leader() *member {
+	var leads *member
+	for _, m := range c.all() {
+		if m.leading.Load() == nil {
+			continue
+		}
+		if leads != nil {
+			c.t.Errorf("both %s and %s lead", leads.set.Instance, m.set.Instance)
+		}
+		leads = m
+	}
+	return leads
+}
+
+// follower returns an instance that does not lead.
+func (c *cluster) follower() *member {
+	for _, m := range c.all() {
+		if m.leading.Load() == nil {
+			return m
+		}
+	}
+	return nil
+}
+
+// dial connects two instances. One that is cut off is not answered.
+func (c *cluster) dial(ctx context.Context, from *member, address string) (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	var to *member
+	for _, m := range c.all() {
+		if m.address == address {
+			to = m
+		}
+	}
+	if to == nil {
+		return nil, errors.Mark(errors.New("refused"), peer.ErrRefused)
+	}
+	here, there := net.Pipe()
+	a, b := &pipe{Conn: here, c: c, ends: [2]string{from.set.Instance, to.set.Instance}}, &pipe{Conn: there, c: c, ends: [2]string{from.set.Instance, to.set.Instance}}
+	c.mu.Lock()
+	from.pipes, to.pipes = append(from.pipes, a), append(to.pipes, b)
+	c.mu.Unlock()
+	select {
+	case to.conns <- b:
+		return a, nil
+	case <-to.gone:
+		return nil, errors.Mark(errors.New("refused"), peer.ErrRefused)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept implements net.Listener.
+func (m *member) Accept() (net.Conn, error) {
+	select {
+	case conn := <-m.conns:
+		return conn, nil
+	case <-m.gone:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (m *member) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (m *member) Addr() net.Addr { return nil }
+
+// pipe loses what is written while one of its ends is cut off.
+type pipe struct {
+	net.Conn
+	c    *cluster
+	ends [2]string
+}
+
+// Write implements net.Conn.
+func (p *pipe) Write(b []byte) (int, error) {
+	p.c.mu.Lock()
+	lost := p.c.cut[p.ends[0]] || p.c.cut[p.ends[1]]
+	p.c.mu.Unlock()
+	if lost {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+// memory is a store.
+type memory struct {
+	mu      sync.Mutex
+	leaders []Leadership
+	term    int64
+	seq     int64
+	records map[string][]byte
+}
+
+func newMemory() *memory { return &memory{records: make(map[string][]byte)} }
+
+// mode is how the store treats an instance.
+type mode int
+
+const (
+	serves mode = iota
+	refuses
+	silent
+)
+
+// access is the store as one instance sees it.
+type access struct {
+	*memory
+	mu   sync.Mutex
+	mode mode
+}
+
+func (a *access) set(m mode) {
+	a.mu.Lock()
+	a.mode = m
+	a.mu.Unlock()
+}
+
+const storeAnswers = 4 * time.Millisecond
+
+func (a *access) call(ctx context.Context, f func() error) error {
+	time.Sleep(storeAnswers)
+	a.mu.Lock()
+	mode := a.mode
+	a.mu.Unlock()
+	switch mode {
+	case refuses:
+		return errors.Mark(errors.New("refused"), ErrNotDone)
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	a.memory.mu.Lock()
+	defer a.memory.mu.Unlock()
+	return f()
+}
+
+// ReadLeadership implements Store.
+func (a *access) ReadLeadership(ctx context.Context) (rec Leadership, at, next int64, found bool, err error) {
+	err = a.call(ctx, func() error {
+		next = int64(len(a.leaders))
+		if next > 0 {
+			rec, at, found = a.leaders[next-1], next-1, true
+		}
+		return nil
+	})
+	return rec, at, next, found, err
+}
+
+// WriteLeadership implements Store.
+func (a *access) WriteLeadership(ctx context.Context, rec Leadership, next int64) error {
+	return a.call(ctx, func() error {
+		if next != int64(len(a.leaders)) {
+			return ErrConflict
+		}
+		a.leaders = append(a.leaders, rec)
+		return nil
+	})
+}
+
+// Fence implements Store.
+func (a *access) Fence(ctx context.Context, term int64) error {
+	return a.call(ctx, func() error {
+		if term < a.term {
+			return ErrFenced
+		}
+		a.term, a.seq = term, 0
+		return nil
+	})
+}
+
+// Append implements Store.
+func (a *access) Append(ctx context.Context, term, sequence int64, records []record.Record) error {
+	return a.call(ctx, func() error {
+		if term < a.term {
+			return ErrFenced
+		}
+		if sequence <= a.seq {
+			return nil // a repeat
+		}
+		a.seq = sequence
+		for _, r := range records {
+			a.records[r.Key] = r.Value
+		}
+		return nil
+	})
+}
+
+// Load implements Store.
+func (a *access) Load(ctx context.Context, f func(record.Record)) error {
+	return a.call(ctx, func() error {
+		for key, value := range a.records {
+			f(record.Record{Key: key, Value: value})
+		}
+		return nil
+	})
+}
+
+// directory lists a single worker.
+type directory struct{ *access }
+
+// Poll implements Directory.
+func (d directory) Poll(ctx context.Context) ([]engine.Listed, bool, error) {
+	if err := d.call(ctx, func() error { return nil }); err != nil {
+		return nil, false, err
+	}
+	return []engine.Listed{{ID: "w", Life: 1, Address: "w:1", Service: "s", Capacity: job.Resources{CPU: 64000, MemMB: 64000}}}, true, nil
+}
+
+// oneWorker takes every order.
+type oneWorker struct{}
+
+// Start implements Workers.
+func (oneWorker) Start(_ context.Context, _ int64, order *engine.Start) *engine.StartAnswered {
+	return &engine.StartAnswered{Start: order, Life: 1, Clock: time.Now().UnixMilli()}
+}
+
+// Stop implements Workers.
+func (oneWorker) Stop(_ context.Context, _ int64, order *engine.Stop) *engine.StopAnswered {
+	return &engine.StopAnswered{Stop: order, Life: 1}
+}
+
+// Look implements Workers.
+func (oneWorker) Look(_ context.Context, _ int64, order *engine.Look) *engine.Looked {
+	sent := time.Now()
+	time.Sleep(order.Wait)
+	return &engine.Looked{Worker: order.Worker, Life: 1, Sent: sent, Report: &engine.Report{Life: 1, Clock: time.Now().UnixMilli()}}
+}
+
+// fixedPolicy declares one queue. It reads the store as the platform's does.
+type fixedPolicy struct{ m *member }
+
+// Watch implements Policies.
+func (p fixedPolicy) Watch(ctx context.Context, f func(*policy.Policy)) {
+	f((&policy.Policy{
+		Version:  1,
+		Queues:   []policy.Queue{{Name: "q", Service: "s", Attempts: 2, Stretch: 4, LatencyTarget: 3 * time.Second}},
+		Services: []policy.Service{{Name: "s"}}, Teams: []policy.Team{{Name: "a", Weight: 50}},
+	}).Index())
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		if p.m.access.call(call, func() error { return nil }) == nil {
+			p.m.StoreSeen()
+		}
+		<-call.Done()
+		cancel()
+	}
+}
+
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -228,6 +228,7 @@
 		if !slices.Equal(names, before) {
 			before = names
 			l.post(&engine.ArmsChanged{Arms: names})
+			l.n.others.Store(instancesOf(live))
 		}
 		l.considerHandover(live)
 		wait.For(l.ctx, watchArmsEvery)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -24,6 +24,7 @@
 	Instance string
 	Address  string  // for peers
 	CPUShare float64 // of a core
+	Dial     peer.Dial
 	Engine   engine.Config
 }
 
@@ -48,6 +49,7 @@
 	policy  atomic.Pointer[policy.Policy]
 	leading atomic.Pointer[leader]
 	known   atomic.Pointer[Leadership]
+	others  atomic.Pointer[instances]
 	// heard is when the leader last answered, in nanoseconds since born.
 	heard atomic.Int64
 	// storeSeen is when the store last answered, in nanoseconds since born.
@@ -69,7 +71,7 @@
 	}
 	n := &Node{
 		set: set, ports: ports, log: log, stats: stats, session: hex.EncodeToString(raw[:]),
-		peers: peer.NewPool(), born: time.Now(), takeOver: make(chan struct{}, 1), changed: make(chan struct{}),
+		peers: peer.NewPool(set.Dial), born: time.Now(), takeOver: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	n.storeSeen.Store(-int64(time.Hour))
 	n.heard.Store(-int64(time.Hour))
@@ -169,14 +171,20 @@
 // storePause is the pause after a failed call to the store.
 const storePause = 100 * time.Millisecond
 
+// storeAway is how long the store must have been silent before other instances are
+// asked first who leads: longer than the pause between two answers of a store in
+// reach.
+const storeAway = 2 * time.Second
+
 // round reads who leads and follows that leader, or tries to lead.
 func (n *Node) round(ctx context.Context) {
+	if n.since(&n.storeSeen) > storeAway && n.followPeers(ctx) {
+		return
+	}
 	rec, at, next, found, err := n.readLeadership(ctx)
 	if err != nil {
 		n.log.Warn("cannot read who leads", "reason", err.Error())
-		if k := n.known.Load(); k != nil {
-			n.ping(ctx, k) // the leader may be in reach though the store is not
-		}
+		n.followPeers(ctx)
 		wait.For(ctx, storePause)
 		return
 	}
@@ -256,8 +264,7 @@
 		now, place, next, found, err := n.readLeadership(ctx)
 		switch {
 		case err != nil:
-			seenSince = time.Time{}
-			wait.For(ctx, storePause)
+			return // other instances may know of another leader
 		case !found || now.Session != rec.Session || now.Resigned:
 			return
 		case seenSince.IsZero() || place != seenAt:
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -42,6 +42,7 @@
 	StoreAge time.Duration // since the store last answered there
 	CPUShare float64
 	Draining bool
+	Others   uint64 // version of the list of instances that is known there
 }
 
 // PingReply tells about the instance that was pinged.
@@ -49,6 +50,10 @@
 	Session string
 	Leading bool
 	Policy  int64
+	Others  *instances // unless the instance that pings knows this version
+	// StoreAway tells that the leader cannot reach the store, and would hand over to
+	// an instance that can.
+	StoreAway bool
 }
 
 // AdviseArgs asks an instance to call the adviser.
@@ -120,6 +125,10 @@
 	reply.Leading = l != nil || n.preparing() || n.claiming.Load()
 	if l != nil {
 		l.pinged(args)
+		if known := n.others.Load(); known != nil && known.Version != args.Others {
+			reply.Others = known
+		}
+		reply.StoreAway = l.failing.Load() != 0
 	}
 	if args.Policy > reply.Policy {
 		go n.fetchPolicy(args.Address)
@@ -187,6 +196,9 @@
 	if p := n.policy.Load(); p != nil {
 		args.Policy = p.Version
 	}
+	if o := n.others.Load(); o != nil {
+		args.Others = o.Version
+	}
 	var reply PingReply
 	err := n.peers.Get(rec.Address).Call(ctx, serviceName+".Ping", &args, &reply)
 	switch {
@@ -198,6 +210,15 @@
 		return pingOther
 	}
 	n.mark(&n.heard)
+	if reply.Others != nil {
+		n.others.Store(reply.Others)
+	}
+	if reply.StoreAway {
+		// Tells with the next ping whether the store answers here.
+		if _, _, _, _, err := n.readLeadership(ctx); err != nil {
+			n.log.Info("the store does not answer here either", "leader", rec.Instance, "reason", err.Error())
+		}
+	}
 	if reply.Policy > args.Policy {
 		n.fetchPolicy(rec.Address)
 	}
--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -24,34 +24,61 @@
 // ErrRefused tells that no process listens at the address: it has ended.
 var ErrRefused = errors.New("connection refused")
 
+// Dial opens a connection to another instance. It returns an error marked
+// ErrRefused if no process listens there.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dial of instances on a network.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrRefused)
+	}
+	return conn, errors.Wrapf(err, "dial %s", address)
+}
+
 // Client calls one other instance. It opens its connection on the first call and
 // again after a failure.
 type Client struct {
 	address string
+	dial    Dial
+	dialing chan struct{} // held by the call that opens the connection
 	mu      sync.Mutex
 	conn    *rpc.Client
 	heard   time.Time // when the last answer came
 }
 
-// NewClient returns a client for the instance that listens at address.
-func NewClient(address string) *Client { return &Client{address: address} }
-
+// connect returns the open connection, or opens one. Calls that come meanwhile wait
+// for it no longer than their contexts allow.
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		return c.conn, nil
+	if conn := c.current(); conn != nil {
+		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	select {
+	case c.dialing <- struct{}{}:
+		defer func() { <-c.dialing }()
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", c.address)
+	}
+	if conn := c.current(); conn != nil {
+		return conn, nil
+	}
+	raw, err := c.dial(ctx, c.address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, errors.Mark(errors.Wrapf(err, "dial %s", c.address), ErrRefused)
-		}
-		return nil, errors.Wrapf(err, "dial %s", c.address)
+		return nil, err
 	}
-	c.conn = rpc.NewClient(raw)
-	return c.conn, nil
+	conn := rpc.NewClient(raw)
+	c.mu.Lock()
+	c.conn = conn
+	c.mu.Unlock()
+	return conn, nil
+}
+
+func (c *Client) current() *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn
 }
 
 // ErrNotSent marks a failure before the call was sent: it has had no effect.
@@ -106,12 +133,13 @@
 
 // Pool keeps one client for each address.
 type Pool struct {
+	dial    Dial
 	mu      sync.Mutex
 	clients map[string]*Client
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{clients: make(map[string]*Client)} }
+// NewPool returns a pool whose clients open their connections with dial.
+func NewPool(dial Dial) *Pool { return &Pool{dial: dial, clients: make(map[string]*Client)} }
 
 // Get returns the client for address.
 func (p *Pool) Get(address string) *Client {
@@ -119,7 +147,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[address]
 	if c == nil {
-		c = NewClient(address)
+		c = &Client{address: address, dial: p.dial, dialing: make(chan struct{}, 1)}
 		p.clients[address] = c
 	}
 	return c
