Write log lines in pieces that a pipe takes whole, and keep room for rare lines

Cause: of each write of the log only the first 8 KB arrived at the reader, with the last line cut, so half of the lines of a busy leader were missing, among them those that tell who leads. The sink wrote all lines of 50 ms at once. Ruled out: its own rate limit, which counts what it leaves out (72 to 131 lines at a takeover).

Change: lines are written in pieces of at most 4,096 bytes, which a pipe takes whole; lines about no single job or worker have a rate of their own, so that a burst of requests does not push them out. A test for each.

--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -367,4 +367,3 @@
 		cancel()
 	}
 }
-
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -15,7 +15,7 @@
 	return command{sub: sub, run: func(ctx context.Context, out, errOut io.Writer) int {
 		sink := logsink.New(out)
 		defer sink.Close()
-		logger := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: slog.LevelInfo}))
+		logger := slog.New(sink.Handler(slog.LevelInfo))
 		if err := platform.Run(ctx, logger); err != nil {
 			logger.Error("instance failed", "reason", err.Error())
 			fmt.Fprintln(errOut, "platform:", err)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -15,6 +16,8 @@
 	queueLines = 4096
 	// linesPerSecond bounds the volume. A line is about 250 bytes.
 	linesPerSecond = 1500
+	// reservedPerSecond bounds lines that are about no single job or worker.
+	reservedPerSecond = 200
 	// flushEvery is how long lines are gathered before they are written at once.
 	flushEvery = 50 * time.Millisecond
 )
@@ -28,6 +31,12 @@
 	done    chan struct{}
 	once    sync.Once
 
+	many, few rate
+}
+
+// rate counts lines by the second.
+type rate struct {
+	most   int // in a second
 	mu     sync.Mutex
 	second time.Time
 	count  int
@@ -36,13 +45,16 @@
 // New returns a sink that writes to out until it is closed.
 func New(out io.Writer) *Sink {
 	s := &Sink{out: out, lines: make(chan []byte, queueLines), closed: make(chan struct{}), done: make(chan struct{})}
+	s.many.most, s.few.most = linesPerSecond, reservedPerSecond
 	go s.run()
 	return s
 }
 
 // Write takes one line. It never blocks and never fails.
-func (s *Sink) Write(line []byte) (int, error) {
-	if !s.withinRate() {
+func (s *Sink) Write(line []byte) (int, error) { return s.write(line, &s.many) }
+
+func (s *Sink) write(line []byte, r *rate) (int, error) {
+	if !r.allows() {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
@@ -54,14 +66,14 @@
 	return len(line), nil
 }
 
-func (s *Sink) withinRate() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now := time.Now(); now.Sub(s.second) >= time.Second {
-		s.second, s.count = now, 0
+func (r *rate) allows() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); now.Sub(r.second) >= time.Second {
+		r.second, r.count = now, 0
 	}
-	s.count++
-	return s.count <= linesPerSecond
+	r.count++
+	return r.count <= r.most
 }
 
 // Close writes what waits and ends the sink. Lines that come later are lost.
@@ -86,15 +98,34 @@
 		if n := s.dropped.Swap(0); n > 0 {
 			buffer = fmt.Appendf(buffer, `{"time":%q,"level":"WARN","msg":"log lines left out","count":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
 		}
-		if _, err := s.out.Write(buffer); err != nil {
-			s.dropped.Add(1) // there is nowhere else to tell it
-		}
+		s.flush(buffer)
 		if !open {
 			return
 		}
 	}
 }
 
+// atomicWrite is how many bytes a pipe takes whole (PIPE_BUF). Readers of longer
+// writes may see lines cut or mixed with those of others.
+const atomicWrite = 4096
+
+// flush writes whole lines, in pieces that a pipe takes whole.
+func (s *Sink) flush(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > atomicWrite {
+			n = bytes.LastIndexByte(lines[:atomicWrite], '\n') + 1
+			if n == 0 { // a single line is longer
+				n = bytes.IndexByte(lines, '\n') + 1
+			}
+		}
+		if _, err := s.out.Write(lines[:n]); err != nil {
+			s.dropped.Add(1) // there is nowhere else to tell it
+		}
+		lines = lines[n:]
+	}
+}
+
 // gather adds the lines that come within flushEvery. It reports whether more may
 // come.
 func (s *Sink) gather(buffer *[]byte) bool {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -60,3 +62,54 @@
 	require.NoError(t, err)
 	assert.Empty(t, out.String())
 }
+
+// Load: a burst of lines about jobs beyond the rate. Who leads is told all the same.
+func TestBurstOfRequestsLeavesRoomForOtherLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		s := New(&out)
+		log := slog.New(s.Handler(slog.LevelInfo)).With("instance", "i1")
+		for i := range 2 * linesPerSecond {
+			log.Info("job accepted", "job", i)
+		}
+		log.Info("leading", "term", 7)
+		s.Close()
+		assert.Contains(t, out.String(), `"msg":"leading","instance":"i1","term":7`)
+		assert.Equal(t, linesPerSecond, strings.Count(out.String(), "job accepted"))
+		assert.Contains(t, out.String(), `"count":1500`)
+	})
+}
+
+// pieces notes the length of each write.
+type pieces struct {
+	bytes.Buffer
+	sizes []int
+}
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.sizes = append(p.sizes, len(b))
+	return p.Buffer.Write(b)
+}
+
+// A pipe takes writes of up to 4,096 bytes whole: lines are written in such pieces,
+// and none is cut.
+func TestLinesAreWrittenInPiecesThatAPipeTakesWhole(t *testing.T) {
+	out := &pieces{}
+	s := New(out)
+	var want strings.Builder
+	for i := range 200 {
+		line := strings.Repeat("x", 100+i) + "\n"
+		want.WriteString(line)
+		_, err := s.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	long := strings.Repeat("y", 9000) + "\n"
+	want.WriteString(long)
+	_, err := s.Write([]byte(long))
+	require.NoError(t, err)
+	s.Close()
+	assert.Equal(t, want.String(), out.String())
+	for _, n := range out.sizes {
+		assert.True(t, n <= 4096 || n == len(long), "%d bytes", n)
+	}
+}
