Notice a lost report of a worker sooner

Ruled out: the workers, which had listed the ends, and the leader's queue of events.

Change: a worker may hold back its answer for 600 ms (1 s before) and take 300 ms longer (700 ms); the first look after a lost one goes out at once. Stops have 300 ms and are sent again after 400 ms. A test that plays a lost report fails before.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -363,3 +363,15 @@
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.Equal(t, 1, w.starts)
 }
+
+// The report that would list the ends of an urgent job is lost. The next one comes
+// soon enough for the job to be in time.
+func TestReportIsLost(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.run(time.Second)
+	id := w.submit("urgent", "a", tasks(2, 1000, 800*time.Millisecond))
+	w.run(300 * time.Millisecond)
+	w.loseLooks = 2
+	w.run(1150 * time.Millisecond)
+	assert.Equal(t, StateCompleted, w.state(id))
+}
--- a/internal/cell/engine/orders.go
+++ b/internal/cell/engine/orders.go
@@ -57,8 +57,10 @@
 	// within a few milliseconds, and the order may be repeated: a worker takes a run
 	// once.
 	firstOrderTimeout = 250 * time.Millisecond
-	// orderTimeout bounds any other order.
+	// orderTimeout bounds the second attempt.
 	orderTimeout = 700 * time.Millisecond
+	// stopTimeout bounds a stop, which is sent again until it is confirmed.
+	stopTimeout = 300 * time.Millisecond
 )
 
 func (e *Engine) emitStart(r *run, timeout time.Duration) {
@@ -166,7 +168,7 @@
 	}
 	r.stopBusy = true
 	r.stopSent = e.now
-	e.emit(&Stop{Worker: r.worker.id, Address: r.worker.address, Life: r.life, Task: r.task.name, Run: r.number, run: r})
+	e.emit(&Stop{Worker: r.worker.id, Address: r.worker.address, Life: r.life, Task: r.task.name, Run: r.number, Timeout: stopTimeout, run: r})
 }
 
 func (e *Engine) stopAnswered(ev *StopAnswered) {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -132,7 +132,7 @@
 	}
 	e.strays[key] = e.now
 	e.log.Warn("stopping a run that is not wanted", "task", s.Task, "run", s.Run, "worker", w.id, "task_known", t != nil)
-	e.emit(&Stop{Worker: w.id, Address: w.address, Life: w.life, Task: s.Task, Run: s.Run})
+	e.emit(&Stop{Timeout: stopTimeout, Worker: w.id, Address: w.address, Life: w.life, Task: s.Task, Run: s.Run})
 }
 
 // missing deals with a run that the worker neither runs nor lists as ended.
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -194,6 +194,7 @@
 		Life    int64
 		Task    string
 		Run     int
+		Timeout time.Duration // for an answer
 		run     *run
 	}
 	// Look extends the lease of all that a worker runs, confirms the ends up to
@@ -204,7 +205,8 @@
 		Life     int64
 		Deadline int64 // on the worker's clock; zero to leave the lease alone
 		Cursor   int64
-		Wait     time.Duration
+		Wait     time.Duration // the worker may hold back its answer as long
+		Timeout  time.Duration // for an answer
 	}
 	// Ask calls the adviser of a step from the instance Arm.
 	Ask struct {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -231,9 +231,14 @@
 		// certainly over some time after the last answer.
 		deadline = w.lease(e.cfg.Lease, e.now)
 	}
-	e.emit(&Look{Worker: w.id, Address: w.address, Life: w.life, Deadline: deadline, Cursor: w.cursor, Wait: wait})
+	e.emit(&Look{Worker: w.id, Address: w.address, Life: w.life, Deadline: deadline, Cursor: w.cursor, Wait: wait, Timeout: wait + lookSlack})
 }
 
+// lookSlack is how much longer than it may hold back its answer a worker may take.
+// It answers within a few milliseconds when it is sound, and an end that it lists
+// goes unseen until the next look.
+const lookSlack = 300 * time.Millisecond
+
 // strayLook is the pause between looks at a worker with runs that nobody knows.
 const strayLook = 50 * time.Millisecond
 
@@ -298,6 +303,7 @@
 	w.silent++
 	w.lookNext = e.now.Add(e.cfg.LookRetry)
 	if w.silent == 1 {
+		w.lookNext = e.now // the answer may have been lost, and ends with it
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.life, "runs", len(w.runs), "last_answer_ms", e.age(w.answered))
 	}
 	if ev.OtherLife && ev.Life == w.life && w.life != 0 {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -51,6 +51,7 @@
 	adviceFails  bool
 	lateOrders   float64 // share of orders that are carried out late, without an answer
 	loseStarts   int     // so many starts are carried out late, without an answer
+	loseLooks    int     // so many looks that may be held back are not answered
 	loseAnswers  int     // so many starts are carried out, but not answered
 	failing      float64 // share of runs that fail
 	starts       int
@@ -149,8 +150,8 @@
 	return Config{
 		Lease: 6 * time.Second, MaxLease: 10 * time.Second, LapseMargin: 100 * time.Millisecond, StopTime: 200 * time.Millisecond,
 		GangWait: 3 * time.Second, FarPenalty: 2,
-		LookWait: time.Second, LookRetry: 150 * time.Millisecond, IdleLook: 2 * time.Second, UnlistedLooks: 15 * time.Second,
-		ForgetWorker: 30 * time.Second, StopRetry: time.Second, SettleStart: 500 * time.Millisecond,
+		LookWait: 600 * time.Millisecond, LookRetry: 150 * time.Millisecond, IdleLook: 2 * time.Second, UnlistedLooks: 15 * time.Second,
+		ForgetWorker: 30 * time.Second, StopRetry: 400 * time.Millisecond, SettleStart: 500 * time.Millisecond,
 		Planning: 4 * time.Millisecond, KeepEnded: 150 * time.Second,
 	}
 }
@@ -383,7 +384,7 @@
 			w.order(e, a.Worker, a.Timeout, do, unanswered)
 		}
 	case *Stop:
-		w.order(e, a.Worker, orderTimeout, func(s *simWorker) any { return w.stop(s, a) }, &StopAnswered{Stop: a, Refusal: Unknown})
+		w.order(e, a.Worker, a.Timeout, func(s *simWorker) any { return w.stop(s, a) }, &StopAnswered{Stop: a, Refusal: Unknown})
 	case *Look:
 		w.look(e, a)
 	case *Ask:
@@ -601,7 +602,7 @@
 	s := w.workers[a.Worker]
 	sent := w.now
 	if s.dark {
-		w.to(e, 700*time.Millisecond+a.Wait, &Looked{Worker: a.Worker, Life: a.Life, Sent: sent})
+		w.to(e, a.Timeout, &Looked{Worker: a.Worker, Life: a.Life, Sent: sent})
 		return
 	}
 	w.after(simTick, func() {
@@ -614,15 +615,19 @@
 			s.lease = end
 		}
 		w.confirm(s, a.Cursor)
-		answered := false
+		answered, lost := false, false
 		answer := func() {
-			if answered || s.dark || s.life != a.Life {
+			if a.Wait > 0 && w.loseLooks > 0 {
+				w.loseLooks--
+				lost = true
+			}
+			if lost || answered || s.dark || s.life != a.Life {
 				return
 			}
 			answered = true
 			w.to(e, simTick, &Looked{Worker: a.Worker, Life: a.Life, Sent: sent, Report: w.report(s)})
 		}
-		w.after(a.Wait+700*time.Millisecond, func() {
+		w.after(a.Timeout, func() {
 			if !answered && w.engine == e {
 				answered = true
 				e.Handle(w.now, &Looked{Worker: a.Worker, Life: a.Life, Sent: sent})
--- a/internal/cell/node/carryout.go
+++ b/internal/cell/node/carryout.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// orderTimeout bounds an order to a worker, which answers within a few
-	// milliseconds when it is sound.
-	orderTimeout = 700 * time.Millisecond
 	// appendTimeout bounds one attempt to append.
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause after an append that had no effect.
@@ -42,13 +39,13 @@
 		}()
 	case *engine.Stop:
 		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
 			l.post(l.n.ports.Workers.Stop(ctx, l.rec.Term, a))
 		}()
 	case *engine.Look:
 		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, orderTimeout+a.Wait)
+			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
 			l.n.stats.Looks.Inc(1)
 			l.post(l.n.ports.Workers.Look(ctx, l.rec.Term, a))
