Keep the leader through an outage of the store, and weak instances out of the lead

When the store came back after 4 s of silence, the leader's append still hung for up to 1.5 s, so the first instance that reached the store was given the leadership: one with a fifth of a core and a link of 10 Mbit/s, which did not get its 4,000 jobs loaded in 5 to 12 s.

Change: a leader tries the store once more before it hands over; a weak instance gets the leadership only after 2.5 s in which no strong one reached the store, and gives strong ones a second to claim it. An append without an answer for 400 ms has the store probed, and is made again as soon as that answers.

Tests: strong instances lead; the leader stays when the store comes back (fails before with a silent store).

--- a/internal/cell/node/carryout.go
+++ b/internal/cell/node/carryout.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// appendTimeout bounds one attempt to append.
+	// appendTimeout bounds one attempt to append, also to a slow store.
 	appendTimeout = 1500 * time.Millisecond
+	// appendSuspect is how long an attempt may go without an answer before the store
+	// is probed: if it answers, the attempt was swallowed by an outage.
+	appendSuspect = 400 * time.Millisecond
 	// appendPause is the pause after an append that had no effect.
 	appendPause = 20 * time.Millisecond
 	// adviceSlack is how much longer than promised the adviser may take.
@@ -80,7 +83,9 @@
 	open := false
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
+		suspect := time.AfterFunc(appendSuspect, func() { l.giveUpIfSwallowed(ctx, cancel) })
 		err := l.n.ports.Store.Append(ctx, l.rec.Term, l.sequence, records)
+		suspect.Stop()
 		cancel()
 		switch {
 		case err == nil:
@@ -104,6 +109,19 @@
 	return engine.NotStored, false
 }
 
+// giveUpIfSwallowed probes the store until ctx, that of an attempt to append, ends.
+// Once the store answers at its usual speed it ends the attempt, which is then made
+// again.
+func (l *leader) giveUpIfSwallowed(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		if l.reachesStore() {
+			cancel()
+			return
+		}
+		wait.For(ctx, appendPause)
+	}
+}
+
 // split cuts records into parts of at most appendBytes.
 func split(records []record.Record) [][]record.Record {
 	var parts [][]record.Record
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -49,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{t: t, store: newMemory(), nodes: make(map[string]*member), cut: make(map[string]bool)}
 		for i := range n {
-			c.start(fmt.Sprintf("i%d", i))
+			c.start(fmt.Sprintf("i%d", i), 1)
 		}
 		defer func() {
 			for _, m := range c.all() {
@@ -74,10 +74,11 @@
 	return all
 }
 
-func (c *cluster) start(name string) *member {
+// start starts an instance with a share of a core.
+func (c *cluster) start(name string, share float64) *member {
 	m := &member{address: name + ":1", gone: make(chan struct{}), conns: make(chan net.Conn), access: &access{memory: c.store}}
 	set := Settings{
-		Instance: name, Address: m.address, CPUShare: 1,
+		Instance: name, Address: m.address, CPUShare: share,
 		Engine: engine.Config{
 			Lease: 6 * time.Second, MaxLease: 10 * time.Second, LapseMargin: 100 * time.Millisecond, StopTime: 200 * time.Millisecond,
 			GangWait: 3 * time.Second, FarPenalty: 2, LookWait: time.Second, LookRetry: 150 * time.Millisecond, IdleLook: 2 * time.Second,
--- a/internal/cell/node/gossip.go
+++ b/internal/cell/node/gossip.go
@@ -13,10 +13,11 @@
 type instances struct {
 	Version   uint64
 	Addresses []string
+	Strongest float64 // largest share of a core
 }
 
-func instancesOf(live []*armState) *instances {
-	o := &instances{}
+func instancesOf(live []*armState, own float64) *instances {
+	o := &instances{Strongest: strongest(live, own)}
 	hash := fnv.New64a()
 	for _, a := range live {
 		o.Addresses = append(o.Addresses, a.Address)
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -13,26 +13,59 @@
 	silent := l.n.since(&l.n.storeSeen)
 	cutOff := refused || silent > silentBeforeHandover
 	if !cutOff {
+		l.onlyWeak = time.Time{}
 		l.yieldToStronger(live)
 		return
 	}
-	best := l.strongest(live, func(a *armState) bool { return a.StoreAge+time.Since(a.at) <= silent-armStoreMargin })
-	top := l.n.set.CPUShare
-	for _, a := range live {
-		top = max(top, a.CPUShare)
-	}
-	if best == nil || best.CPUShare < top/strongerFactor && silent < waitForStrong {
+	best := l.strongestThat(live, func(a *armState) bool { return a.StoreAge+time.Since(a.at) <= silent-armStoreMargin })
+	if best == nil {
+		l.onlyWeak = time.Time{}
 		return
 	}
+	if best.CPUShare < strongest(live, l.n.set.CPUShare)/strongerFactor {
+		if l.onlyWeak.IsZero() {
+			l.onlyWeak = time.Now()
+		}
+		if time.Since(l.onlyWeak) < waitForStrong {
+			return
+		}
+	}
+	if l.reachesStore() {
+		return // it has come back here as well
+	}
 	l.handOver(best)
 }
 
+// probeTimeout bounds a try of the store, many times what a sound store takes.
+const probeTimeout = 200 * time.Millisecond
+
+// reachesStore tries whether the store answers this leader again.
+func (l *leader) reachesStore() bool {
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
+	defer cancel()
+	if _, _, _, _, err := l.n.readLeadership(ctx); err != nil {
+		l.n.log.Debug("store probed in vain", "term", l.rec.Term, "reason", err.Error())
+		return false
+	}
+	l.seen()
+	return true
+}
+
+// strongest returns the largest share of a core of the instances in live and of own.
+func strongest(live []*armState, own float64) float64 {
+	for _, a := range live {
+		own = max(own, a.CPUShare)
+	}
+	return own
+}
+
 const (
 	// strongerFactor is how much more of a core an instance must have to count as
 	// stronger than another.
 	strongerFactor = 1.5
-	// waitForStrong is how long a leader that the store turns away waits for a strong
-	// instance to reach the store before it hands over to a weak one.
+	// waitForStrong is how long only weak instances must have reached the store before
+	// a leader that does not hands over to one of them. They take seconds to load the
+	// state of a large cell.
 	waitForStrong = 2500 * time.Millisecond
 	// settledTerm is how long a term lasts at least before it is handed to a stronger
 	// instance.
@@ -45,7 +78,7 @@
 	if time.Since(l.begun) < settledTerm {
 		return
 	}
-	best := l.strongest(live, func(a *armState) bool {
+	best := l.strongestThat(live, func(a *armState) bool {
 		return a.CPUShare >= l.n.set.CPUShare*strongerFactor && a.StoreAge <= silentBeforeHandover
 	})
 	if best != nil {
@@ -53,9 +86,9 @@
 	}
 }
 
-// strongest returns the arm with the most processor of those that fit, other than
+// strongestThat returns the arm with the most processor of those that fit, other than
 // this instance, or nil.
-func (l *leader) strongest(live []*armState, fits func(*armState) bool) *armState {
+func (l *leader) strongestThat(live []*armState, fits func(*armState) bool) *armState {
 	var best *armState
 	for _, a := range live {
 		if a.Instance != l.n.set.Instance && fits(a) && (best == nil || a.CPUShare > best.CPUShare) {
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -24,6 +24,7 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 
+	onlyWeak time.Time    // since when only weak instances reach the store, if so
 	begun    time.Time    // when the term began here
 	sequence int64        // of the next append
 	failing  atomic.Int64 // since when the store refuses every call, zero if it does not
@@ -228,7 +229,7 @@
 		if !slices.Equal(names, before) {
 			before = names
 			l.post(&engine.ArmsChanged{Arms: names})
-			l.n.others.Store(instancesOf(live))
+			l.n.others.Store(instancesOf(live, l.n.set.CPUShare))
 		}
 		l.considerHandover(live)
 		wait.For(l.ctx, watchArmsEvery)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -305,9 +305,16 @@
 	n.claim(ctx, next, why)
 }
 
-// campaignDelay is how long an instance with a whole core waits before it claims.
-// A weaker one waits in proportion longer, so that strong instances lead.
-const campaignDelay = 25 * time.Millisecond
+const (
+	// campaignDelay is how long an instance with a whole core waits before it claims.
+	// A weaker one waits in proportion longer, so that strong instances lead.
+	campaignDelay = 25 * time.Millisecond
+	// weakDelay is added for an instance that is much weaker than others of the cell.
+	// These notice within two pings that the leader is gone.
+	weakDelay = time.Second
+	// weakLook is the pause between looks whether one of them leads by then.
+	weakLook = 100 * time.Millisecond
+)
 
 func (n *Node) campaign(ctx context.Context, next int64, why string) {
 	if n.draining.Load() {
@@ -316,9 +323,23 @@
 	}
 	share := max(0.1, min(1, n.set.CPUShare))
 	wait.For(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
+	if o := n.others.Load(); o != nil && n.set.CPUShare < o.Strongest/strongerFactor && n.claimedByOther(ctx, next) {
+		return
+	}
 	n.claim(ctx, next, why)
 }
 
+// claimedByOther leaves the leadership to stronger instances for weakDelay. It reports
+// whether one of them took it.
+func (n *Node) claimedByOther(ctx context.Context, next int64) bool {
+	for begun := time.Now(); ctx.Err() == nil && time.Since(begun) < weakDelay; wait.For(ctx, weakLook) {
+		if _, _, now, _, err := n.readLeadership(ctx); err == nil && now != next {
+			return true
+		}
+	}
+	return false
+}
+
 // claim tries to become the leader and leads until deposed.
 func (n *Node) claim(ctx context.Context, next int64, why string) {
 	rec := Leadership{Instance: n.set.Instance, Session: n.session, Address: n.set.Address}
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,3 +168,60 @@
 		assert.LessOrEqual(t, time.Since(begun), noLeaderWait+100*time.Millisecond)
 	})
 }
+
+// Weak instances take seconds to load a large state, so they leave the leadership to
+// strong ones, and follow them as soon as these lead.
+func TestStrongInstancesLead(t *testing.T) {
+	play(t, 3, func(t *testing.T, c *cluster) {
+		var weak []*member
+		for i := range 6 {
+			weak = append(weak, c.start(fmt.Sprintf("i%d", 10+i), 0.2))
+		}
+		time.Sleep(time.Second)
+		for range 2 {
+			c.kill(c.leader())
+			for _, m := range weak {
+				submitted(t, m, "job-"+m.set.Instance, takeoverBound)
+			}
+			assert.InDelta(t, 1, c.leader().set.CPUShare, 0)
+			time.Sleep(time.Second)
+		}
+		c.kill(c.leader())
+		submitted(t, weak[0], "last", callerBound) // only weak ones are left
+	})
+}
+
+// The store is away for all instances, and comes back for all. Its leader goes on,
+// and hands over to nobody.
+func TestLeaderStaysWhenTheStoreComesBack(t *testing.T) {
+	for name, mode := range map[string]mode{"refused": refuses, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 3, func(t *testing.T, c *cluster) {
+				for i := range 6 {
+					c.start(fmt.Sprintf("i%d", 10+i), 0.2)
+				}
+				time.Sleep(time.Second)
+				old := c.leader()
+				for _, m := range c.all() {
+					m.access.set(mode)
+				}
+				_, err := old.Submit(shortly(t), spec("lost"))
+				t.Log("submitted into the outage:", err)
+				time.Sleep(150 * time.Millisecond)
+				for _, m := range c.all() {
+					m.access.set(serves)
+				}
+				submitted(t, c.follower(), "after", time.Second) // though an append was under way
+				time.Sleep(3 * time.Second)
+				assert.Same(t, old, c.leader())
+			})
+		})
+	}
+}
+
+// shortly returns a context that lasts as long as a caller waits.
+func shortly(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), callerBound)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -114,9 +114,6 @@
 		cancel()
 		if err == nil {
 			next++
-			if l.failing.Load() != 0 {
-				l.post(&engine.StoreAnswered{})
-			}
 			l.seen()
 			continue
 		}
@@ -136,9 +133,12 @@
 	}
 }
 
+// seen notes that the store has answered this leader.
 func (l *leader) seen() {
 	l.n.mark(&l.n.storeSeen)
-	l.failing.Store(0)
+	if l.failing.Swap(0) != 0 {
+		l.post(&engine.StoreAnswered{})
+	}
 }
 
 func (l *leader) refused(err error) {
