Ask about wide gangs by several calls, and keep advice through a change of leaders

Only a quarter of the workers may run them, a call to the adviser about 100 workers takes 1.6 s, a ticket lasts 1.5 s, and a step had one call at a time: the first tickets lapsed while the rest were asked for, and each new leader began anew. Ruled out: room, limits, arms (12 of 24 busy).

Change: up to three calls side by side ask for a gang; tickets that would lapse during a call are renewed with it; what the adviser has said of a step that waits is kept with the step's record, so that the next leader only renews tickets.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -14,12 +14,29 @@
 	good    map[string]ticket // by worker; a worker that is not good has no ticket
 	order   []string          // the workers in good, in the order in which they were found
 	asked   map[string]int64  // life of each worker that was asked about
-	busy    bool
+	calls   int               // under way
 	retryAt time.Time
 }
 
 // first reports whether the adviser has not answered yet for the first time.
-func (a *adviceState) first() bool { return a != nil && a.busy && len(a.asked) == 0 }
+func (a *adviceState) first() bool { return a != nil && a.calls > 0 && len(a.asked) == 0 }
+
+// advised returns the state of the advice for s.
+func (s *stepRun) advised() *adviceState {
+	if s.advice == nil {
+		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
+	}
+	return s.advice
+}
+
+// known notes that a worker is good for s.
+func (s *stepRun) known(worker string, t ticket) {
+	a := s.advised()
+	if _, there := a.good[worker]; !there {
+		a.order = append(a.order, worker)
+	}
+	a.good[worker], a.asked[worker] = t, t.life
+}
 
 type ticket struct {
 	value string
@@ -56,16 +73,16 @@
 const ticketMargin = 60 * time.Millisecond
 
 // ticketHolds reports whether a ticket will still be valid when an order that is
-// planned now reaches its worker.
-func (e *Engine) ticketHolds(t ticket) bool {
-	return e.now.Add(ticketMargin + e.storing).Before(t.until)
+// planned at that time reaches its worker.
+func (e *Engine) ticketHolds(t ticket, at time.Time) bool {
+	return at.Add(ticketMargin + e.storing).Before(t.until)
 }
 
 // ticketed returns the usable workers that s has a valid ticket for.
 func (e *Engine) ticketed(s *stepRun) []*worker {
 	var out []*worker
 	for _, w := range e.goodFor(s) {
-		if w.usable(e.now) && e.ticketHolds(s.advice.good[w.id]) {
+		if w.usable(e.now) && e.ticketHolds(s.advice.good[w.id], e.now) {
 			out = append(out, w)
 		}
 	}
@@ -90,57 +107,81 @@
 
 // advise asks the adviser about workers for s if that could help to place it.
 func (e *Engine) advise(s *stepRun, q *policy.Queue, r *room) {
-	if s.advice == nil {
-		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
-	}
-	a := s.advice
-	if a.busy || e.now.Before(a.retryAt) {
+	a := s.advised()
+	if a.calls > 0 || e.now.Before(a.retryAt) {
 		return
 	}
 	if e.chooseArm(q.Advice.Base) == nil {
 		return // no arm could take the call, whatever it asks
 	}
 	ask := e.worthAsking(s, q, r)
-	if len(ask) == 0 {
-		return
+	for _, part := range split(ask, callsFor(s, len(ask))) {
+		if !e.call(s, q, part) {
+			return // the rest is asked about later
+		}
 	}
+}
+
+const (
+	// callSize is about how many workers a call names, where several calls ask for a
+	// gang at a time: with fewer, a call costs little less.
+	callSize = 60
+	// mostCalls bounds the calls for a gang at a time, which leave other steps without
+	// an arm.
+	mostCalls = 3
+)
+
+// callsFor returns how many calls side by side ask about n workers for s. A gang
+// starts after the last of its answers, and the tickets of the first last little
+// longer than a call.
+func callsFor(s *stepRun, n int) int {
+	if !s.spec.Gang {
+		return 1
+	}
+	return min(mostCalls, (n+callSize-1)/callSize)
+}
+
+// split cuts workers into n parts of about the same length. It deals them out in
+// turn, so that each part has some of the best.
+func split(workers []*worker, n int) [][]*worker {
+	parts := make([][]*worker, min(n, len(workers)))
+	for i, w := range workers {
+		parts[i%len(parts)] = append(parts[i%len(parts)], w)
+	}
+	return parts
+}
+
+// call has an arm ask about workers for s. It reports whether there is an arm.
+func (e *Engine) call(s *stepRun, q *policy.Queue, ask []*worker) bool {
 	cost := q.Advice.Of(len(ask))
 	chosen := e.chooseArm(cost)
 	if chosen == nil {
-		return
+		return false
 	}
 	chosen.Take(e.now, cost)
-	a.busy = true
+	s.advice.calls++
 	names := make([]string, len(ask))
 	for i, w := range ask {
 		names[i] = w.id
 	}
 	e.emit(&Ask{Arm: chosen.name, Step: s.name, Workers: names, Cost: cost, step: s, sent: e.now})
+	return true
 }
 
 // worthAsking returns the workers that the adviser should be asked about now:
 // good ones with room whose ticket has lapsed, or ones it was not asked about yet.
 func (e *Engine) worthAsking(s *stepRun, q *policy.Queue, r *room) []*worker {
-	var lapsed []*worker
-	room, valid := 0, 0
-	for _, w := range e.goodFor(s) {
-		n := 0
-		if w.usable(e.now) {
-			n = roomFor(s, w, w.free())
-		}
-		switch {
-		case n == 0:
-		case e.ticketHolds(s.advice.good[w.id]):
-			valid += n
-		default:
-			lapsed = append(lapsed, w)
-			room += n
-		}
-	}
 	need := s.waiting
-	if valid >= need || !s.spec.Gang && valid > 0 {
+	if valid, _, _ := e.ticketRoom(s, e.now); valid >= need || !s.spec.Gang && valid > 0 {
 		return nil // what can start does; the rest asks again later
 	}
+	// A gang starts once it has all of its tickets, so those count that outlast the
+	// call that brings the rest.
+	by := e.now
+	if s.spec.Gang {
+		by = by.Add(q.Advice.Of(min(need, mostAsked)))
+	}
+	valid, room, lapsed := e.ticketRoom(s, by)
 	if valid+room >= need || !s.spec.Gang && room > 0 {
 		return firstWithRoom(s, lapsed, need-valid)
 	}
@@ -153,6 +194,26 @@
 	return e.bestToAsk(s, q, fresh)
 }
 
+// ticketRoom returns how many waiting tasks of s have room now on good workers whose
+// tickets hold until by, and on the other good workers, with the latter.
+func (e *Engine) ticketRoom(s *stepRun, by time.Time) (valid, lapsed int, on []*worker) {
+	for _, w := range e.goodFor(s) {
+		if !w.usable(e.now) {
+			continue
+		}
+		n := roomFor(s, w, w.free())
+		switch {
+		case n == 0:
+		case e.ticketHolds(s.advice.good[w.id], by):
+			valid += n
+		default:
+			lapsed += n
+			on = append(on, w)
+		}
+	}
+	return valid, lapsed, on
+}
+
 // roomFor returns how many waiting tasks of s fit into free.
 func roomFor(s *stepRun, w *worker, free job.Resources) int {
 	n := s.charge.CountIn(free, s.waiting)
@@ -219,7 +280,11 @@
 		want = float64(s.waiting) * askFactorGang
 	}
 	n, have := 0, 0.0
-	for n < len(ranked) && n < mostAsked && (have < want || n < leastAsked) {
+	most := mostAsked
+	if s.spec.Gang {
+		most *= mostCalls
+	}
+	for n < len(ranked) && n < most && (have < want || n < leastAsked) {
 		have += share * score[ranked[n]]
 		n++
 	}
@@ -254,7 +319,7 @@
 
 func (e *Engine) advised(ev *Advised) {
 	s := ev.Ask.step
-	s.advice.busy = false
+	s.advice.calls--
 	e.dirty = true
 	for _, a := range e.arms {
 		if a.name == ev.Ask.Arm {
@@ -277,12 +342,12 @@
 		}
 		s.advice.asked[id] = w.life
 		if t, good := ev.Good[id]; good {
-			if _, known := s.advice.good[id]; !known {
-				s.advice.order = append(s.advice.order, id)
-			}
-			s.advice.good[id] = ticket{value: t, life: w.life, until: e.now.Add(ev.TTL)}
+			s.known(id, ticket{value: t, life: w.life, until: e.now.Add(ev.TTL)})
 		}
 	}
+	if fresh > 0 && s.waiting > 0 && ev.Ask.Cost >= advice.LongCall {
+		e.touch(s) // the next leader need not ask for this again
+	}
 	if fresh == len(ev.Ask.Workers) && fresh > 0 {
 		e.learnShare(s.job().queue, float64(len(ev.Good))/float64(fresh))
 	}
--- a/internal/cell/engine/heavy_test.go
+++ b/internal/cell/engine/heavy_test.go
@@ -80,3 +80,24 @@
 		assert.Positive(t, w.took[id])
 	}
 }
+
+// Load: gangs wait for room on their good workers when the leader is lost. The next
+// leader knows these workers: it has their tickets renewed and does not ask about the
+// whole fleet again, which would take several calls a gang.
+func TestAdviceOutlivesItsLeader(t *testing.T) {
+	w := newWorld(t, 60, 7)
+	w.run(time.Second)
+	filler := w.submit("batch", "a", tasks(60, 8000, time.Minute))
+	w.run(500 * time.Millisecond)
+	id := w.submit("advised", "a", gang(12, 5000, time.Second))
+	w.run(4 * time.Second)
+	first := w.asked
+	assert.Greater(t, first, 24)
+	w.asked = 0
+	w.lead()
+	w.run(200 * time.Millisecond)
+	w.cancel(filler)
+	w.run(3 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.LessOrEqual(t, w.asked, 12+spareLapsed)
+}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -110,11 +110,29 @@
 			t.number = max(t.number, c.Run)
 		}
 	}
+	e.restoreAdvice(s, rec)
 	if s.left == 0 {
 		s.occ.left--
 	}
 }
 
+// restoreAdvice takes over what the adviser has told an earlier leader. The tickets
+// are gone with it.
+func (e *Engine) restoreAdvice(s *stepRun, rec *record.Step) {
+	if len(rec.Asked) == 0 {
+		return
+	}
+	asked := rec.Asked.Set()
+	for _, w := range e.order {
+		if asked(w.id) {
+			s.advised().asked[w.id] = w.life
+		}
+	}
+	for _, g := range rec.Good {
+		s.known(g.Worker, ticket{life: g.Life})
+	}
+}
+
 func (e *Engine) restoreRun(t *task, kept *record.Task) {
 	w := e.workers[kept.Worker]
 	if w == nil {
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -46,14 +46,14 @@
 		return
 	}
 	s.toldAt, e.toldAt = e.now, e.now
-	good, valid, asked, busy := 0, 0, 0, false
+	good, valid, asked, calls := 0, 0, 0, 0
 	if a := s.advice; a != nil {
-		good, asked, busy = len(a.good), len(a.asked), a.busy
+		good, asked, calls = len(a.good), len(a.asked), a.calls
 		valid = len(e.ticketed(s))
 	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.age(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
 		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", r.most.CPU, "workers", len(r.workers), "asked", asked, "good", good,
-		"tickets", valid, "asking", busy, "team_cpu", e.usage[s.job().team].CPU, "window_left", r.window)
+		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "window_left", r.window)
 }
 
 // sortOpen brings the open steps into the order of service.
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -168,5 +170,13 @@
 		}
 		r.Tasks[i] = out
 	}
+	if s.advice != nil && s.waiting > 0 {
+		for _, id := range s.advice.order {
+			r.Good = append(r.Good, record.Good{Worker: id, Life: s.advice.good[id].life})
+		}
+		for _, id := range slices.Sorted(maps.Keys(s.advice.asked)) {
+			r.Asked.Add(id)
+		}
+	}
 	return record.Encode(&r)
 }
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -48,13 +48,14 @@
 	storeSilent  bool
 	storeDelay   time.Duration    // on the way to the store, and on the way back
 	open         map[*Append]bool // an attempt had no certain outcome
+	asked        int              // workers that the adviser was asked about
 	adviceFails  bool
 	goodFor      func(step job.StepRef, worker string) bool // nil for four workers in ten
-	lateOrders   float64 // share of orders that are carried out late, without an answer
-	loseStarts   int     // so many starts are carried out late, without an answer
-	loseLooks    int     // so many looks that may be held back are not answered
-	loseAnswers  int     // so many starts are carried out, but not answered
-	failing      float64 // share of runs that fail
+	lateOrders   float64                                    // share of orders that are carried out late, without an answer
+	loseStarts   int                                        // so many starts are carried out late, without an answer
+	loseLooks    int                                        // so many looks that may be held back are not answered
+	loseAnswers  int                                        // so many starts are carried out, but not answered
+	failing      float64                                    // share of runs that fail
 	starts       int
 	arms         []string
 	gangs        map[string]*simGang // by step and run
@@ -400,6 +401,7 @@
 }
 
 func (w *world) advise(a *Ask) map[string]string {
+	w.asked += len(a.Workers)
 	good := make(map[string]string)
 	if w.goodFor != nil {
 		task, err := job.ParseTask(a.Step + ".0")
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -4,9 +4,11 @@
 package record
 
 import (
+	"encoding/binary"
 	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -56,12 +58,42 @@
 }
 
 // Step is how the tasks of a step stand. Copy, where set, is a second run of
-// the task at that index.
+// the task at that index. Good, and Asked, the
+// workers that the adviser was asked about, are kept while tasks wait, as advice is
+// slow to get.
 type Step struct {
 	Tasks  []Task       `cbor:"1,keyasint"`
 	Copies map[int]Task `cbor:"2,keyasint,omitempty"`
+	Good   []Good       `cbor:"3,keyasint,omitempty"`
+	Asked  Names        `cbor:"4,keyasint,omitempty"`
 }
 
+// Good is a worker that the adviser has found good for a step, in that life. The
+// answer holds for as long as the worker lives; its ticket does not.
+type Good struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Life   int64
+}
+
+// Names is a set of names in four bytes each. That it holds one that was not added is
+// as unlikely as one in some million, with some hundreds of names.
+type Names []byte
+
+// Add adds a name.
+func (n *Names) Add(name string) { *n = binary.BigEndian.AppendUint32(*n, short(name)) }
+
+// Set returns a function that tells whether a name was added.
+func (n Names) Set() func(name string) bool {
+	set := make(map[uint32]bool, len(n)/4)
+	for i := 0; i+3 < len(n); i += 4 {
+		set[binary.BigEndian.Uint32(n[i:])] = true
+	}
+	return func(name string) bool { return set[short(name)] }
+}
+
+func short(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 const (
 	jobPrefix  = "j/"
 	stepPrefix = "s/"
