--- a/internal/scheduler/hours/hours_test.go
+++ b/internal/declare/hours_test.go
@@ -1,4 +1,4 @@
-package hours
+package declare
 
 import (
 	"testing"
@@ -16,10 +16,19 @@
 	return out
 }
 
-func policy(zone string, from, until time.Duration) model.Policy {
+func peak(zone string, from, until time.Duration) model.Policy {
 	return model.Policy{Name: "peak", Team: "a", TimeZone: zone, From: from, Until: until, Share: 9, Limit: 90}
 }
 
+// teamWith declares two teams and the policies.
+func teamWith(t *testing.T, policies ...model.Policy) *State {
+	t.Helper()
+	s := NewState()
+	put := model.Declarations{Teams: []model.Team{{Name: "a", Share: 1, Limit: 10}, {Name: "b", Share: 1}}, Policies: policies}
+	require.Equal(t, Accepted, s.Apply(1, model.Change{ID: "a", Put: put}).Outcome)
+	return s
+}
+
 // TestClockChange reads policies on both days on which the clocks change in 2026:
 // forward on 29 March, back on 25 October, both at 01:00 UTC.
 func TestClockChange(t *testing.T) {
@@ -56,34 +65,26 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			rules, err := Compile([]model.Policy{policy(tt.zone, tt.from, tt.until)})
-			require.NoError(t, err)
+			s := teamWith(t, peak(tt.zone, tt.from, tt.until))
 			want := model.Team{Name: "a", Share: 1, Limit: 10}
 			if tt.want {
 				want = model.Team{Name: "a", Share: 9, Limit: 90}
 			}
-			require.Equal(t, want, rules.Resolve(model.Team{Name: "a", Share: 1, Limit: 10}, at(t, tt.utc)))
+			team, ok := s.TeamAt("a", at(t, tt.utc))
+			require.True(t, ok)
+			require.Equal(t, want, team)
 		})
 	}
 }
 
-func TestResolveLeavesOtherTeamsAndUnsetFieldsAlone(t *testing.T) {
-	night := model.Policy{Name: "night", Team: "a", TimeZone: "UTC", From: 0, Until: 12 * time.Hour, Limit: 5}
-	rules, err := Compile([]model.Policy{policy("UTC", 0, 24*time.Hour), night})
-	require.NoError(t, err)
+// Of several policies in force the one that is last by name wins in each field; other
+// teams and fields that a policy does not set stay as they are.
+func TestPoliciesLeaveOtherTeamsAndUnsetFieldsAlone(t *testing.T) {
+	night := model.Policy{Name: "zz-night", Team: "a", TimeZone: "UTC", From: 0, Until: 12 * time.Hour, Limit: 5}
+	s := teamWith(t, peak("UTC", 0, 24*time.Hour), night)
 	morning := at(t, "2026-06-01T06:00:00Z")
-	require.Equal(t, model.Team{Name: "a", Share: 9, Limit: 5}, rules.Resolve(model.Team{Name: "a", Share: 1}, morning))
-	require.Equal(t, model.Team{Name: "b", Share: 1}, rules.Resolve(model.Team{Name: "b", Share: 1}, morning))
-}
-
-func TestCompileRefusesWrongPolicies(t *testing.T) {
-	for _, p := range []model.Policy{
-		policy("Europe/Atlantis", 0, time.Hour),
-		policy("UTC", time.Hour, time.Hour),
-		policy("UTC", -time.Hour, time.Hour),
-		policy("UTC", 0, 25*time.Hour),
-	} {
-		_, err := Compile([]model.Policy{p})
-		require.Error(t, err)
-	}
+	team, _ := s.TeamAt("a", morning)
+	require.Equal(t, model.Team{Name: "a", Share: 9, Limit: 5}, team)
+	other, _ := s.TeamAt("b", morning)
+	require.Equal(t, model.Team{Name: "b", Share: 1}, other)
 }
