Say "may have run" of a request whose shard is being handed over

With a log that answers after 3 s, a caller's time was up in between and the old owner answered "not run"; the next owner had the request in its memory and started it 2.7 s later. Ruled out by the trace: a late dispatch of the old owner (its ledger had refused the last one), the gateway, a second call under the same id.

Change: a request is said not to have run only while its shard is owned here and not being handed over.

--- a/internal/service/requests/expiry.go
+++ b/internal/service/requests/expiry.go
@@ -85,10 +85,10 @@
 
 // unstarted gives up a task that is not started now. Its request has not run,
 // unless an earlier run had begun, or another instance may have taken the shard
-// over and run it without this one's knowledge.
+// over, with the request in its memory, and run it without this one's knowledge.
 func (s *Service) unstarted(e *entry, code verdict.Code, message string) model.Answer {
 	a := model.Refusal(e.id, verdict.Refuse(code, "%s", message).After(retryAfter))
-	if e.run > 1 || !s.connected() {
+	if _, mine := s.ownership.Mine(e.shard); e.run > 1 || !s.connected() || !mine || s.handover.Frozen(e.shard) {
 		a.Verdict = verdict.MayHaveRun
 	}
 	return a
