--- a/internal/service/limits/escrow.go
+++ b/internal/service/limits/escrow.go
@@ -30,6 +30,9 @@
 
 // OnTick plans the ceilings of the teams that this instance keeps.
 func (s *Service) OnTick() {
+	if !s.members.Majority() {
+		s.giveUpRoom()
+	}
 	if s.env.Now() < s.nextPlan {
 		return
 	}
@@ -49,6 +52,15 @@
 	}
 }
 
+// giveUpRoom lowers this instance's ceilings to what runs under them. Instances that
+// do not hear it may take it for dead and grant the rest to others.
+func (s *Service) giveUpRoom() {
+	for team, h := range s.held {
+		h.max = min(h.max, s.ledger.Running(team))
+		s.held[team] = h
+	}
+}
+
 // holding is what the owner believes of one holder of ceilings.
 type holding struct {
 	owner wire.Owner
--- a/internal/service/limits/limits.go
+++ b/internal/service/limits/limits.go
@@ -58,6 +58,7 @@
 type Members interface {
 	Live() []wire.Owner
 	Member(model.InstanceID) (*membership.Member, bool)
+	Majority() bool
 }
 
 // Demand tells how many tasks of a team wait at this instance.
