--- /dev/null
+++ b/internal/cell/record/record_test.go
@@ -0,0 +1,58 @@
+package record
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/job"
+)
+
+func TestNames(t *testing.T) {
+	var n Names
+	for i := range 350 {
+		n.Add(fmt.Sprintf("worker-%d", i))
+	}
+	assert.Len(t, n, 4*350)
+	has := n.Set()
+	for i := range 350 {
+		assert.True(t, has(fmt.Sprintf("worker-%d", i)))
+		assert.False(t, has(fmt.Sprintf("other-%d", i)))
+	}
+	assert.False(t, Names("abc").Set()("worker-0"), "a cut entry names nobody")
+}
+
+func TestStepRoundTrip(t *testing.T) {
+	in := &Step{
+		Tasks: []Task{{Run: 2, Worker: "w1", Life: 7}, {Done: true, Run: 1, Checkpoint: "c"}},
+		Good:  []Good{{Worker: "w1", Life: 7}, {Worker: "w2", Life: 9}},
+	}
+	in.Asked.Add("w3")
+	out := new(Step)
+	require.NoError(t, Decode(Encode(in), out))
+	assert.Equal(t, in, out)
+
+	// A record of before, without advice.
+	out = new(Step)
+	require.NoError(t, Decode(Encode(&Step{Tasks: in.Tasks}), out))
+	assert.Empty(t, out.Asked)
+	assert.Empty(t, out.Good)
+}
+
+func TestKeys(t *testing.T) {
+	ref := job.StepRef{Job: "5c0e7a21d94b36f8", Occurrence: 3, Step: 1}
+	id, step, err := ParseKey(StepKey(ref))
+	require.NoError(t, err)
+	assert.Equal(t, ref.Job, id)
+	assert.Equal(t, ref, *step)
+	id, step, err = ParseKey(JobKey("x"))
+	require.NoError(t, err)
+	assert.Equal(t, "x", id)
+	assert.Nil(t, step)
+	for _, key := range []string{"", "z/x", "s/x", "s/x.1"} {
+		_, _, err := ParseKey(key)
+		assert.Error(t, err, key)
+	}
+}
