Name no more workers in a call than the adviser takes

Cause: found on reading: a batch step of more than 98 tasks whose tickets had lapsed asked for all of them in one call, 152 in the test, though the adviser takes 100; the call was refused and made again. Change: such calls are split like those for gangs. The test fails before.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -21,8 +21,8 @@
 // first reports whether the adviser has not answered yet for the first time.
 func (a *adviceState) first() bool { return a != nil && a.calls > 0 && len(a.asked) == 0 }
 
-// advised returns the state of the advice for s.
-func (s *stepRun) advised() *adviceState {
+// adviceSoFar returns the state of the advice for s, which is empty at first.
+func (s *stepRun) adviceSoFar() *adviceState {
 	if s.advice == nil {
 		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
 	}
@@ -31,7 +31,7 @@
 
 // known notes that a worker is good for s.
 func (s *stepRun) known(worker string, t ticket) {
-	a := s.advised()
+	a := s.adviceSoFar()
 	if _, there := a.good[worker]; !there {
 		a.order = append(a.order, worker)
 	}
@@ -107,7 +107,7 @@
 
 // advise asks the adviser about workers for s if that could help to place it.
 func (e *Engine) advise(s *stepRun, q *policy.Queue, r *room) {
-	a := s.advised()
+	a := s.adviceSoFar()
 	if a.calls > 0 || e.now.Before(a.retryAt) {
 		return
 	}
@@ -135,10 +135,11 @@
 // starts after the last of its answers, and the tickets of the first last little
 // longer than a call.
 func callsFor(s *stepRun, n int) int {
-	if !s.spec.Gang {
-		return 1
+	size := mostAsked
+	if s.spec.Gang {
+		size = callSize
 	}
-	return min(mostCalls, (n+callSize-1)/callSize)
+	return min(mostCalls, (n+size-1)/size)
 }
 
 // split cuts workers into n parts of about the same length. It deals them out in
@@ -232,10 +233,11 @@
 	for i, w := range workers {
 		need -= roomFor(s, w, w.free())
 		if need <= 0 {
-			return workers[:min(len(workers), i+1+spareLapsed)]
+			workers = workers[:min(len(workers), i+1+spareLapsed)]
+			break
 		}
 	}
-	return workers
+	return workers[:min(len(workers), mostCalls*mostAsked)]
 }
 
 const (
--- a/internal/cell/engine/gangs_test.go
+++ b/internal/cell/engine/gangs_test.go
@@ -93,3 +93,28 @@
 	}
 	assert.GreaterOrEqual(t, len(e.worthAsking(s, q, e.roomOf("s"))), 8)
 }
+
+// The adviser takes a hundred workers in a call: a batch step with more lapsed
+// tickets asks for them by several calls.
+func TestCallNamesNoMoreWorkersThanTheAdviserTakes(t *testing.T) {
+	w := advisedFleet(t, 350, 36)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(150, 20000, time.Second))
+	w.run(20 * time.Millisecond) // the first call is under way
+	e := w.engine
+	s := e.jobs[id].occ[0].steps[0]
+	s.advice = nil
+	for _, name := range w.ids {
+		s.known(name, ticket{life: e.workers[name].life})
+	}
+	e.actions = nil
+	e.advise(s, w.policy.Queue("batch"), e.roomOf("s"))
+	asks := 0
+	for _, action := range e.actions {
+		if a, ok := action.(*Ask); ok {
+			asks++
+			assert.LessOrEqual(t, len(a.Workers), mostAsked)
+		}
+	}
+	assert.Equal(t, 2, asks)
+}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -125,7 +125,7 @@
 	asked := rec.Asked.Set()
 	for _, w := range e.order {
 		if asked(w.id) {
-			s.advised().asked[w.id] = w.life
+			s.adviceSoFar().asked[w.id] = w.life
 		}
 	}
 	for _, g := range rec.Good {
