Hand the leadership to a chosen instance at SIGTERM

Change: it has the strongest instance that reaches the store claim at once, an instance whose request finds that its leader does not lead any more looks again at once, and one that drains looks every 50 ms. The test on draining, made stricter (100 ms instead of 0.5 s), fails before.

--- a/internal/cell/node/entry.go
+++ b/internal/cell/node/entry.go
@@ -109,6 +109,10 @@
 	err := n.peers.Get(rec.Address).Call(ctx, serviceName+"."+method, args, &reply)
 	switch {
 	case err == nil && reply.NotLeading:
+		select {
+		case n.doubt <- struct{}{}:
+		default: // noted already
+		}
 		return engine.Answer{}, false, false
 	case err == nil:
 		return reply.Answer, true, true
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -98,14 +98,28 @@
 	return best
 }
 
-func (l *leader) handOver(to *armState) {
+// successor returns the strongest instance that reaches the store, or nil if only
+// much weaker ones do.
+func (l *leader) successor() *armState {
+	live := l.liveArms()
+	best := l.strongestThat(live, func(a *armState) bool { return a.StoreAge+time.Since(a.at) <= storeAway })
+	if best != nil && best.CPUShare < strongest(live, l.n.set.CPUShare)/strongerFactor {
+		return nil
+	}
+	return best
+}
+
+// handOver has an instance claim the leadership, and ends the term here. It reports
+// whether that instance was reached.
+func (l *leader) handOver(to *armState) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
 	defer cancel()
 	if err := l.n.peers.Get(to.Address).Call(ctx, serviceName+".TakeOver", &struct{}{}, &struct{}{}); err != nil {
 		l.n.log.Warn("handover failed", "to", to.Instance, "reason", err.Error())
-		return
+		return false
 	}
 	l.n.log.Info("handed over", "to", to.Instance, "term", l.rec.Term, "store_silent_ms", l.n.since(&l.n.storeSeen).Milliseconds(),
 		"cpu_share", to.CPUShare)
 	l.stop("handed over to " + to.Instance)
+	return true
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -58,6 +58,7 @@
 	draining  atomic.Bool
 	claiming  atomic.Bool // a claim is under way; its record may be stored already
 	takeOver  chan struct{}
+	doubt     chan struct{} // the instance that is followed may not lead any more
 
 	mu      sync.Mutex
 	changed chan struct{} // closed when the leader changes
@@ -71,7 +72,7 @@
 	}
 	n := &Node{
 		set: set, ports: ports, log: log, stats: stats, session: hex.EncodeToString(raw[:]),
-		peers: peer.NewPool(set.Dial), born: time.Now(), takeOver: make(chan struct{}, 1), changed: make(chan struct{}),
+		peers: peer.NewPool(set.Dial), born: time.Now(), takeOver: make(chan struct{}, 1), doubt: make(chan struct{}, 1), changed: make(chan struct{}),
 	}
 	n.storeSeen.Store(-int64(time.Hour))
 	n.heard.Store(-int64(time.Hour))
@@ -240,7 +241,7 @@
 		switch verdict {
 		case pingLeads:
 			refused, lastOK, seenSince = 0, time.Now(), time.Time{}
-			if wait.Until(ctx, n.takeOver, pingEvery) {
+			if n.rest(ctx) {
 				n.campaignNow(ctx, "asked to take over")
 				return
 			}
@@ -282,6 +283,23 @@
 	}
 }
 
+// rest waits until the next ping is due: at once if a request has found that the
+// instance that is followed does not lead. It reports whether this instance is asked
+// to take over.
+func (n *Node) rest(ctx context.Context) bool {
+	t := time.NewTimer(pingEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-n.doubt:
+		wait.For(ctx, retryPause) // many requests may find it at a time
+	case <-n.takeOver:
+		return true
+	}
+	return false
+}
+
 // challenge campaigns if rec is still the newest record.
 func (n *Node) challenge(ctx context.Context, rec *Leadership, why string) {
 	now, _, next, found, err := n.readLeadership(ctx)
@@ -312,13 +330,16 @@
 	// weakDelay is added for an instance that is much weaker than others of the cell.
 	// These notice within two pings that the leader is gone.
 	weakDelay = time.Second
+	// drainingLook is the pause between looks who leads, of an instance that will not
+	// lead itself but still passes requests on.
+	drainingLook = 50 * time.Millisecond
 	// weakLook is the pause between looks whether one of them leads by then.
 	weakLook = 100 * time.Millisecond
 )
 
 func (n *Node) campaign(ctx context.Context, next int64, why string) {
 	if n.draining.Load() {
-		wait.For(ctx, pingEvery)
+		wait.For(ctx, drainingLook)
 		return
 	}
 	share := max(0.1, min(1, n.set.CPUShare))
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -141,9 +141,12 @@
 func TestDrainedLeaderIsReplaced(t *testing.T) {
 	play(t, 4, func(t *testing.T, c *cluster) {
 		old := c.leader()
+		begun := time.Now()
 		old.Drain(context.Background())
-		time.Sleep(500 * time.Millisecond)
+		submitted(t, c.follower(), "next", 100*time.Millisecond) // no ping has to find out first
+		assert.Less(t, time.Since(begun), 100*time.Millisecond)
 		assert.NotSame(t, old, c.leader())
+		time.Sleep(100 * time.Millisecond)
 		assert.False(t, old.Ready())
 		submitted(t, old, "late", 100*time.Millisecond)
 	})
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -148,8 +148,12 @@
 	l.n.log.Warn("store call failed", "term", l.rec.Term, "reason", err.Error(), "last_answer_ms", l.n.since(&l.n.storeSeen).Milliseconds())
 }
 
-// resign lets another instance lead at once.
+// resign lets another instance lead at once: the strongest one, or else whichever
+// sees first that nobody leads.
 func (l *leader) resign(ctx context.Context) {
+	if to := l.successor(); to != nil && l.handOver(to) {
+		return
+	}
 	l.stop("resigning")
 	_, _, next, _, err := l.n.readLeadership(ctx)
 	if err == nil {
