Give a new term the whole list of workers

The instance that had led first led again. Its directory was as at its first term, said so, and returned no list, so the new term began and stayed without workers. Ruled out: the handovers themselves, the store, admission.

Tests: the directory polled twice (fails before); an instance that leads twice.

--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,7 +88,7 @@
 		},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return c.dial(ctx, m, address) },
 	}
-	ports := Ports{Store: m.access, Directory: directory{m.access}, Workers: oneWorker{}, Policies: fixedPolicy{m}}
+	ports := Ports{Store: m.access, Directory: directory{m.access, new(atomic.Bool)}, Workers: oneWorker{}, Policies: fixedPolicy{m}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if testing.Verbose() {
 		log = slog.New(slog.NewTextHandler(c.t.Output(), nil))
@@ -328,15 +329,19 @@
 	})
 }
 
-// directory lists a single worker.
-type directory struct{ *access }
+// directory lists a single worker. It tells of it as changed once in the life of its
+// instance, as the platform's does.
+type directory struct {
+	*access
+	told *atomic.Bool
+}
 
 // Poll implements Directory.
 func (d directory) Poll(ctx context.Context) ([]engine.Listed, bool, error) {
 	if err := d.call(ctx, func() error { return nil }); err != nil {
 		return nil, false, err
 	}
-	return []engine.Listed{{ID: "w", Life: 1, Address: "w:1", Service: "s", Capacity: job.Resources{CPU: 64000, MemMB: 64000}}}, true, nil
+	return []engine.Listed{{ID: "w", Life: 1, Address: "w:1", Service: "s", Capacity: job.Resources{CPU: 64000, MemMB: 64000}}}, !d.told.Swap(true), nil
 }
 
 // oneWorker takes every order.
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -25,6 +25,7 @@
 	ctx    context.Context
 
 	onlyWeak time.Time    // since when only weak instances reach the store, if so
+	listed   bool         // the engine has had the list of workers in this term
 	begun    time.Time    // when the term began here
 	sequence int64        // of the next append
 	failing  atomic.Int64 // since when the store refuses every call, zero if it does not
@@ -245,7 +246,8 @@
 		list, changed, err := l.pollOnce()
 		if err != nil {
 			l.refused(err)
-		} else if changed {
+		} else if changed || !l.listed {
+			l.listed = true
 			l.post(&engine.WorkersListed{Workers: list})
 		}
 		wait.For(l.ctx, pollWorkersEvery)
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -255,3 +255,19 @@
 		assert.Same(t, old, c.leader())
 	})
 }
+
+// An instance that has led before leads again. Its directory is as it was at its
+// first term; the new term knows the workers all the same.
+func TestInstanceLeadsTwice(t *testing.T) {
+	play(t, 2, func(t *testing.T, c *cluster) {
+		first := c.leader()
+		submitted(t, first, "first", 100*time.Millisecond)
+		first.access.set(refuses)
+		submitted(t, c.follower(), "second", callerBound)
+		first.access.set(serves)
+		time.Sleep(3 * time.Second)
+		c.kill(c.leader())
+		submitted(t, first, "third", takeoverBound)
+		assert.Same(t, first, c.leader())
+	})
+}
--- a/internal/cell/node/ports.go
+++ b/internal/cell/node/ports.go
@@ -54,7 +54,8 @@
 
 // Directory lists the workers.
 type Directory interface {
-	// Poll returns the whole list. changed is false if it is as it was.
+	// Poll returns the whole list. changed is false if it is as it was at the poll
+	// before, which an earlier term of this instance may have made.
 	Poll(ctx context.Context) (list []engine.Listed, changed bool, err error)
 }
 
