Drop the kept advice of a job that is canceled before it starts

Cause: found on reading. Since advice is kept in the record of a step that waits, a step may have a record before any of its tasks has run; the clean-up of a job that is over still went by runs alone, so such records stayed in the store for good. Change: a step that has asked the adviser counts as recorded. The test, a gang that is canceled while it waits for room, fails before.

--- a/internal/cell/engine/heavy_test.go
+++ b/internal/cell/engine/heavy_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
 )
 
 // heavyDay hands in more work than the fleet can do, several times its room at
@@ -101,3 +104,19 @@
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.LessOrEqual(t, w.asked, 12+spareLapsed)
 }
+
+// A job is canceled while its gang waits for room: what the adviser has said of it
+// leaves the store with it.
+func TestAdviceOfACanceledJobIsDropped(t *testing.T) {
+	w := newWorld(t, 60, 7)
+	w.run(time.Second)
+	w.submit("batch", "a", tasks(60, 8000, time.Minute))
+	w.run(500 * time.Millisecond)
+	id := w.submit("advised", "a", gang(12, 5000, time.Second))
+	w.run(4 * time.Second)
+	step := record.StepKey(job.StepRef{Job: id})
+	assert.Contains(t, w.stored, step)
+	w.cancel(id)
+	w.run(time.Second)
+	assert.NotContains(t, w.stored, step)
+}
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -253,6 +253,9 @@
 
 // touched reports whether a record of s may be stored.
 func (s *stepRun) touched() bool {
+	if s.advice != nil {
+		return true // the adviser's answers are kept before a task starts
+	}
 	for _, t := range s.tasks {
 		if t.number > 0 || t.live() || t.done {
 			return true
