Share what the engine and the node had written twice

No change of behaviour. The engine asked in three places whether an empty worker could run a task (now worker.mayHold), chose workers with or without advice in two (allowed), and filtered the adviser's good workers in three (goodFor does). A submission walked over all workers twice to weigh the load; once does. The node asked in three places whether an instance is weak (now weak), and kept a term's first list of workers in the leader though one loop alone needs it.

--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -23,9 +23,8 @@
 		return "", 0
 	}
 	chain := slices.Max(e.tailsOf(spec))
-	l := e.loadFor(q)
 	first := widest(spec)
-	l.Open = e.openRoom(first, q)
+	l := e.loadFor(q, first)
 	d := admission.Decide(admission.Job{
 		Cores: float64(first.Charge().CPU) / 1000 * float64(first.Count), Chain: chain,
 		Objective: objective(q, chain), Overdue: !e.peekAllowance(spec.Team),
@@ -56,7 +55,7 @@
 
 func (e *Engine) someWorkerFits(s *job.Step, q *policy.Queue) bool {
 	for _, w := range e.order {
-		if w.service == q.Service && s.Charge().Fits(w.capacity) && (s.Label == "" || w.hasLabel(s.Label)) {
+		if w.service == q.Service && w.mayHold(s) {
 			return true
 		}
 	}
--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -82,15 +82,15 @@
 func (e *Engine) ticketed(s *stepRun) []*worker {
 	var out []*worker
 	for _, w := range e.goodFor(s) {
-		if w.usable(e.now) && e.ticketHolds(s.advice.good[w.id], e.now) {
+		if e.ticketHolds(s.advice.good[w.id], e.now) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
-// goodFor returns the workers that the adviser found good for s, in the order in
-// which it did.
+// goodFor returns the usable workers that the adviser found good for s, in the order
+// in which it did.
 func (e *Engine) goodFor(s *stepRun) []*worker {
 	if s.advice == nil {
 		return nil
@@ -98,7 +98,7 @@
 	out := make([]*worker, 0, len(s.advice.order))
 	for _, id := range s.advice.order {
 		w := e.workers[id]
-		if w != nil && s.advice.good[id].life == w.life {
+		if w != nil && s.advice.good[id].life == w.life && w.usable(e.now) {
 			out = append(out, w)
 		}
 	}
@@ -199,9 +199,6 @@
 // tickets hold until by, and on the other good workers, with the latter.
 func (e *Engine) ticketRoom(s *stepRun, by time.Time) (valid, lapsed int, on []*worker) {
 	for _, w := range e.goodFor(s) {
-		if !w.usable(e.now) {
-			continue
-		}
 		n := roomFor(s, w, w.free())
 		switch {
 		case n == 0:
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -102,20 +102,37 @@
 	}
 }
 
-// loadFor returns what a job of q meets now.
-func (e *Engine) loadFor(q *policy.Queue) admission.Load {
+// loadFor returns what a job of q meets now that starts with tasks of first.
+//
+// Open room is what these tasks fit into now and that would stay unused without them.
+// What was looked at in a round of placement and still waits could not take it, for
+// want of advice or of room for a whole gang, so only what was not looked at yet is
+// taken off.
+func (e *Engine) loadFor(q *policy.Queue, first *job.Step) admission.Load {
 	e.measureWaiting()
 	l := admission.Load{}
+	charge, fit := first.Charge(), 0
 	for _, w := range e.order {
-		if w.service == q.Service && w.listed && !w.draining && w.silent == 0 && !w.health.quarantined(e.now) {
+		if w.service != q.Service {
+			continue
+		}
+		if w.listed && !w.draining && w.silent == 0 && !w.health.quarantined(e.now) {
 			l.Capacity += float64(w.capacity.CPU) / 1000
 			l.Free += float64(w.capacity.CPU-w.used.CPU) / 1000
 		}
+		if w.usable(e.now) && w.mayHold(first) {
+			fit += charge.CountIn(w.free(), first.Count)
+		}
+	}
+	l.Open = float64(fit) * float64(charge.CPU) / 1000
+	if q.Advice != nil {
+		l.Open *= e.goodShare(q.Name)
 	}
 	for priority, d := range e.demands {
 		if priority <= q.Priority {
 			l.Waiting += float64(d.cpu) / 1000
 			l.Ahead += d.work
+			l.Open -= float64(d.fresh) / 1000
 		}
 		if priority < q.Priority {
 			l.Higher += d.rate(e.now)
@@ -137,30 +154,6 @@
 	return best
 }
 
-// openRoom returns the cores that tasks of s fit into now and that would stay
-// unused without them. What was looked at in a round of placement and still waits
-// could not take them, for want of advice or of room for a whole gang, so only what
-// was not looked at yet is taken off.
-func (e *Engine) openRoom(s *job.Step, q *policy.Queue) float64 {
-	charge := s.Charge()
-	n := 0
-	for _, w := range e.order {
-		if w.service == q.Service && w.usable(e.now) && (s.Label == "" || w.hasLabel(s.Label)) {
-			n += charge.CountIn(w.free(), s.Count)
-		}
-	}
-	open := float64(n) * float64(charge.CPU) / 1000
-	if q.Advice != nil {
-		open *= e.goodShare(q.Name)
-	}
-	for priority, d := range e.demands {
-		if priority <= q.Priority {
-			open -= float64(d.fresh) / 1000
-		}
-	}
-	return open
-}
-
 // tellLoadEvery is the pause between two lines on the load of the cell.
 const tellLoadEvery = 2 * time.Second
 
--- a/internal/cell/engine/room.go
+++ b/internal/cell/engine/room.go
@@ -77,11 +77,7 @@
 	if s.advice == nil {
 		on = s.eligible(r)
 	} else {
-		for _, w := range e.goodFor(s) {
-			if w.usable(e.now) {
-				on = append(on, w)
-			}
-		}
+		on = e.goodFor(s)
 	}
 	sort.SliceStable(on, func(i, j int) bool { return on[i].free().CPU > on[j].free().CPU })
 	return on
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -101,13 +101,10 @@
 	}
 	s.tried = true
 	r.window -= max(1, s.charge.CPU*int64(len(tasks)))
-	var workers []*worker
 	if q.Advice != nil {
 		e.advise(s, q, r)
-		workers = e.ticketed(s)
-	} else {
-		workers = s.eligible(r)
 	}
+	workers := e.allowed(s, q, r)
 	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
@@ -187,14 +184,21 @@
 	return tasks[:n]
 }
 
+// allowed returns the workers that may be sent tasks of s now, with room or without.
+func (e *Engine) allowed(s *stepRun, q *policy.Queue, r *room) []*worker {
+	if q.Advice != nil {
+		return e.ticketed(s)
+	}
+	return s.eligible(r)
+}
+
 // eligible returns the workers that may be given tasks of s, with room or without.
 func (s *stepRun) eligible(r *room) []*worker {
 	out := make([]*worker, 0, len(r.workers))
 	for _, w := range r.workers {
-		if !s.charge.Fits(w.capacity) || s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
-			continue
+		if w.mayHold(s.spec) {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
 	return out
 }
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -154,13 +154,7 @@
 	if rm.copies <= 0 || len(e.withinLimit(s, []*task{r.task})) == 0 {
 		return
 	}
-	var workers []*worker
-	if q.Advice != nil {
-		workers = e.ticketed(s)
-	} else {
-		workers = s.eligible(rm)
-	}
-	for _, w := range workers {
+	for _, w := range e.allowed(s, q, rm) {
 		if w == r.worker || !s.charge.Fits(w.free()) || w.health.failures > 0 {
 			continue
 		}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -87,13 +88,9 @@
 // free returns what is left for new tasks.
 func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.held) }
 
-func (w *worker) hasLabel(label string) bool {
-	for _, l := range w.labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+// mayHold reports whether w could run a task of s when it is empty.
+func (w *worker) mayHold(s *job.Step) bool {
+	return s.Charge().Fits(w.capacity) && (s.Label == "" || slices.Contains(w.labels, s.Label))
 }
 
 // rackOf returns the label that names a rack.
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -22,7 +22,7 @@
 		l.onlyWeak = time.Time{}
 		return
 	}
-	if best.CPUShare < strongest(live, l.n.set.CPUShare)/strongerFactor {
+	if weak(best.CPUShare, strongest(live, l.n.set.CPUShare)) {
 		if l.onlyWeak.IsZero() {
 			l.onlyWeak = time.Now()
 		}
@@ -59,6 +59,10 @@
 	return own
 }
 
+// weak reports whether an instance with that share of a core should leave the
+// leadership to the strongest of its cell.
+func weak(share, strongest float64) bool { return share < strongest/strongerFactor }
+
 const (
 	// strongerFactor is how much more of a core an instance must have to count as
 	// stronger than another.
@@ -103,7 +107,7 @@
 func (l *leader) successor() *armState {
 	live := l.liveArms()
 	best := l.strongestThat(live, func(a *armState) bool { return a.StoreAge+time.Since(a.at) <= storeAway })
-	if best != nil && best.CPUShare < strongest(live, l.n.set.CPUShare)/strongerFactor {
+	if best != nil && weak(best.CPUShare, strongest(live, l.n.set.CPUShare)) {
 		return nil
 	}
 	return best
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -25,7 +25,6 @@
 	ctx    context.Context
 
 	onlyWeak time.Time    // since when only weak instances reach the store, if so
-	listed   bool         // the engine has had the list of workers in this term
 	begun    time.Time    // when the term began here
 	sequence int64        // of the next append
 	failing  atomic.Int64 // since when the store refuses every call, zero if it does not
@@ -242,12 +241,13 @@
 
 // pollWorkers keeps the engine's list of workers.
 func (l *leader) pollWorkers() {
+	told := false // the engine has had the list of this term
 	for l.ctx.Err() == nil {
 		list, changed, err := l.pollOnce()
 		if err != nil {
 			l.refused(err)
-		} else if changed || !l.listed {
-			l.listed = true
+		} else if changed || !told {
+			told = true
 			l.post(&engine.WorkersListed{Workers: list})
 		}
 		wait.For(l.ctx, pollWorkersEvery)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -344,7 +344,7 @@
 	}
 	share := max(0.1, min(1, n.set.CPUShare))
 	wait.For(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
-	if o := n.others.Load(); o != nil && n.set.CPUShare < o.Strongest/strongerFactor && n.claimedByOther(ctx, next) {
+	if o := n.others.Load(); o != nil && weak(n.set.CPUShare, o.Strongest) && n.claimedByOther(ctx, next) {
 		return
 	}
 	n.claim(ctx, next, why)
