--- a/internal/cell/engine/world_orders_test.go
+++ b/internal/cell/engine/world_orders_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
