Keep the reply of a call that timed out apart from its late answer

And rpc.ErrShutdown counted as 'not sent' although net/rpc also gives it to the pending calls of a connection that this side closes, so a refusal could say 'not run' of a submission that had run.

Change: each call decodes into a value of its own, copied on success. ErrShutdown means 'not sent' only on a connection that this instance has not closed.

--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,13 +47,19 @@
 	dial      Dial
 	dialing   chan struct{} // held by the call that opens the connection
 	mu        sync.Mutex
-	conn      *rpc.Client
+	conn      *connection
 	lastReply time.Time // when the last answer came
 }
 
+// connection is a connection to the other instance.
+type connection struct {
+	*rpc.Client
+	closed atomic.Bool // this instance has closed it
+}
+
 // connect returns the open connection, or opens one. Other calls wait for it to open, at
 // most until their contexts end.
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	if conn := c.current(); conn != nil {
 		return conn, nil
 	}
@@ -68,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := rpc.NewClient(transport)
+	conn := &connection{Client: rpc.NewClient(transport)}
 	c.mu.Lock()
 	c.conn = conn
 	c.mu.Unlock()
@@ -76,7 +84,7 @@
 }
 
 // current returns the open connection, or nil.
-func (c *Client) current() *rpc.Client {
+func (c *Client) current() *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.conn
@@ -87,17 +95,23 @@
 var ErrNotSent = errors.New("not sent")
 
 // Call calls method and waits for its reply until ctx ends. After an error that is not
-// marked ErrNotSent the call may or may not have had an effect. If ctx ends and the
-// connection has brought no reply since the call was sent, Call closes the connection.
+// marked ErrNotSent the call may or may not have had an effect, and reply, a pointer, is
+// unchanged. If ctx ends and the connection has brought no reply since the call was sent,
+// Call closes the connection.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
 	sent := time.Now()
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// The answer may still be decoded after ctx has ended.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.Go(method, args, decoded.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
+		}
 		return c.handleResult(conn, call.Error)
 	case <-ctx.Done():
 		c.mu.Lock()
@@ -112,7 +126,7 @@
 
 // handleResult handles the result of a call on conn. An error of the connection closes
 // it; an error that the peer returned does not.
-func (c *Client) handleResult(conn *rpc.Client, err error) error {
+func (c *Client) handleResult(conn *connection, err error) error {
 	var fromPeer rpc.ServerError
 	if err == nil || errors.As(err, &fromPeer) {
 		c.mu.Lock()
@@ -120,20 +134,24 @@
 		c.mu.Unlock()
 		return errors.Wrap(err, c.address)
 	}
+	// net/rpc returns ErrShutdown for a call on a connection that has ended, which is not
+	// sent, and for the pending calls of a connection that this instance closes.
+	notSent := errors.Is(err, rpc.ErrShutdown) && !conn.closed.Load()
 	c.closeConn(conn)
-	if errors.Is(err, rpc.ErrShutdown) { // taken to mean that conn was closed before the call was sent
+	if notSent {
 		return errors.Mark(errors.Wrap(err, c.address), ErrNotSent)
 	}
 	return errors.Wrap(err, c.address)
 }
 
 // closeConn closes conn. The next call opens another connection.
-func (c *Client) closeConn(conn *rpc.Client) {
+func (c *Client) closeConn(conn *connection) {
 	c.mu.Lock()
 	if c.conn == conn {
 		c.conn = nil
 	}
 	c.mu.Unlock()
+	conn.closed.Store(true)
 	_ = conn.Close() // the connection is no longer used, so the error does not matter
 }
 
--- /dev/null
+++ b/internal/cell/peer/peer_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Echo answers when release is closed.
+type Echo struct{ received, release chan struct{} }
+
+func newEcho() *Echo { return &Echo{received: make(chan struct{}, 8), release: make(chan struct{})} }
+
+// EchoReply is the answer of Say.
+type EchoReply struct{ Words []string }
+
+// Say answers with the words of args.
+func (e *Echo) Say(args *[]string, reply *EchoReply) error {
+	e.received <- struct{}{}
+	<-e.release
+	reply.Words = *args
+	return nil
+}
+
+// startEcho serves an Echo on loopback and returns its address.
+func startEcho(t *testing.T, e *Echo) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = Serve(l, "Echo", e) }()
+	return l.Addr().String()
+}
+
+// An answer that arrives after its call has timed out does not change the reply of that
+// call. The race detector reports a violation.
+func TestLateAnswerLeavesReplyUnchanged(t *testing.T) {
+	e := newEcho()
+	address := startEcho(t, e)
+	client := NewPool(DialTCP).Get(address)
+	ctx, cancel := context.WithCancel(t.Context())
+	var reply EchoReply
+	failed := make(chan error)
+	go func() { failed <- client.Call(ctx, "Echo.Say", &[]string{"late"}, &reply) }()
+	<-e.received
+	client.mu.Lock()
+	client.lastReply = time.Now().Add(time.Hour) // keeps the connection open
+	client.mu.Unlock()
+	cancel()
+	require.Error(t, <-failed)
+	close(e.release)
+	assert.Empty(t, reply.Words)
+	var next EchoReply
+	require.NoError(t, client.Call(t.Context(), "Echo.Say", &[]string{"next"}, &next))
+	assert.Equal(t, []string{"next"}, next.Words)
+	assert.Empty(t, reply.Words)
+}
+
+// eofConn is a connection whose Read returns io.EOF after Close.
+type eofConn struct{ net.Conn }
+
+func (c eofConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, net.ErrClosed) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// A call that has been sent may have had an effect, also if this instance closes the
+// connection before the answer.
+func TestPendingCallOnClosedConnectionMayHaveRun(t *testing.T) {
+	e := newEcho()
+	defer close(e.release)
+	address := startEcho(t, e)
+	client := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := DialTCP(ctx, address)
+		return eofConn{conn}, err
+	}).Get(address)
+	failed := make(chan error)
+	go func() { failed <- client.Call(t.Context(), "Echo.Say", &[]string{"sent"}, &EchoReply{}) }()
+	<-e.received
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-e.received
+		cancel()
+	}()
+	require.Error(t, client.Call(ctx, "Echo.Say", &[]string{"times out"}, &EchoReply{}))
+	err := <-failed
+	require.Error(t, err)
+	assert.False(t, errors.Is(err, ErrNotSent), "%v", err)
+}
