Index workers by free CPU, so that a placement round costs what it places

Starts fell by half, so the queue never drained.

Ruled out: the leader's processor (0.38 of 0.8 cores on average), its link and its memory at this size.

Change: a pool for each service lists workers by whole free cores and is updated as runs come and go; steps are placed on a best-fitting sample where the fleet is larger than 400 workers; workers to ask the adviser about are taken from those with the most room, less where other calls about them are pending. Runs of a worker are a list, the urgency of a step is worked out once, checks of leases and renewals run every 20 and 4 ms instead of after each batch of events.

Left: a round still grows with the number of workers under the benchmark's load.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -1,7 +1,8 @@
 package engine
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/advice"
@@ -156,6 +157,15 @@
 	return parts
 }
 
+// callClass returns the index in worker.pendingAsks of calls about a queue with the given
+// fixed duration of a call: steps with short and with long calls compete among themselves.
+func callClass(base time.Duration) int {
+	if base >= advice.LongCallThreshold {
+		return 1
+	}
+	return 0
+}
+
 // callAdviser has a delegate call the adviser about workers for s. It reports whether a
 // delegate could take the call. expectedDuration is the expected duration of the call.
 func (e *Engine) callAdviser(s *stepState, q *policy.Queue, ask []*worker) bool {
@@ -169,8 +179,9 @@
 	names := make([]string, len(ask))
 	for i, w := range ask {
 		names[i] = w.id
+		w.pendingAsks[callClass(q.Advice.Base)]++
 	}
-	e.emit(&AdviceCall{Delegate: chosen.name, Step: s.name, Workers: names, ExpectedDuration: expectedDuration, step: s, sentAt: e.now})
+	e.emit(&AdviceCall{Delegate: chosen.name, Step: s.name, Workers: names, ExpectedDuration: expectedDuration, asked: ask, class: callClass(q.Advice.Base), step: s, sentAt: e.now})
 	return true
 }
 
@@ -191,13 +202,7 @@
 	if validTasks+expiredTasks >= need || !s.spec.Gang && expiredTasks > 0 {
 		return largestFirst(s, expiredWorkers, need-validTasks)
 	}
-	var unasked []*worker
-	for _, w := range s.eligible(round) {
-		if s.advice.asked[w.id] != w.incarnation || w.incarnation == 0 {
-			unasked = append(unasked, w)
-		}
-	}
-	return e.rankForAdvice(s, q, unasked)
+	return e.rankForAdvice(s, q, round)
 }
 
 // ticketCapacity returns how many waiting tasks of s fit now on good workers whose
@@ -231,8 +236,8 @@
 // tasks first, and spareRenewedTickets more. It returns at most as many workers as
 // maxCalls calls accept.
 func largestFirst(s *stepState, workers []*worker, need int) []*worker {
-	sort.SliceStable(workers, func(i, j int) bool {
-		return tasksThatFit(s, workers[i], workers[i].free()) > tasksThatFit(s, workers[j], workers[j].free())
+	slices.SortStableFunc(workers, func(a, b *worker) int {
+		return cmp.Compare(tasksThatFit(s, b, b.free()), tasksThatFit(s, a, a.free()))
 	})
 	for i, w := range workers {
 		need -= tasksThatFit(s, w, w.free())
@@ -263,15 +268,26 @@
 	usedCapacityRatio = 0.3
 )
 
-// rankForAdvice returns the workers with the most available capacity, as many as are
-// expected to include enough good ones. Gangs, steps of the highest priority and steps
-// whose calls to the adviser are long ask in advance: for them, workers whose capacity is
-// in use count too.
-func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, unasked []*worker) []*worker {
+// maxRankedWorkers is the maximum number of workers among which rankForAdvice chooses.
+const maxRankedWorkers = 400
+
+// rankForAdvice returns workers that the adviser was not asked about yet for s: those with
+// the most available capacity, as many as are expected to include enough good ones.
+// Gangs, steps of the highest priority and steps whose calls to the adviser are long ask
+// in advance: for them, workers whose capacity is in use count too. Capacity counts less
+// the more other calls about the worker are pending, as their steps compete for it.
+func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	ahead := s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold
-	score := make(map[*worker]float64, len(unasked))
-	ranked := unasked[:0]
-	for _, w := range unasked {
+	class := callClass(q.Advice.Base)
+	var ranked []*worker
+	score := make([]float64, 0, maxRankedWorkers) // by rankIndex
+	for w := range round.mostFree() {
+		if len(ranked) == maxRankedWorkers || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
+			break
+		}
+		if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w.id] == w.incarnation {
+			continue
+		}
 		capacity := float64(tasksThatFit(s, w, w.free()))
 		if ahead {
 			capacity += usedCapacityRatio * (float64(tasksThatFit(s, w, w.capacity)) - capacity)
@@ -279,10 +295,11 @@
 		if capacity <= 0 {
 			continue
 		}
-		score[w] = capacity
+		w.rankIndex = len(score)
+		score = append(score, capacity/float64(1+w.pendingAsks[class]))
 		ranked = append(ranked, w)
 	}
-	sort.SliceStable(ranked, func(i, j int) bool { return score[ranked[i]] > score[ranked[j]] })
+	slices.SortStableFunc(ranked, func(a, b *worker) int { return cmp.Compare(score[b.rankIndex], score[a.rankIndex]) })
 	share := e.goodShare(q.Name)
 	want := float64(s.waiting) * askMultiplier
 	if s.spec.Gang {
@@ -294,7 +311,7 @@
 		limit *= maxCalls
 	}
 	for n < len(ranked) && n < limit && (expected < want || n < minWorkersAsked) {
-		expected += share * score[ranked[n]]
+		expected += share * score[ranked[n].rankIndex]
 		n++
 	}
 	return ranked[:n]
@@ -316,11 +333,7 @@
 // chooseDelegate returns the delegate for a call with the given expected duration, or nil
 // if none can take it.
 func (e *Engine) chooseDelegate(expectedDuration time.Duration) *delegate {
-	loads := make([]*advice.Delegate, len(e.delegates))
-	for i, d := range e.delegates {
-		loads[i] = &d.Delegate
-	}
-	i := advice.Choose(loads, e.now, expectedDuration)
+	i := advice.Choose(e.delegateLoads, e.now, expectedDuration)
 	if i < 0 {
 		return nil
 	}
@@ -334,6 +347,9 @@
 func (e *Engine) adviceAnswered(ev *AdviceAnswered) {
 	s := ev.Call.step
 	s.advice.callsInFlight--
+	for _, w := range ev.Call.asked {
+		w.pendingAsks[ev.Call.class]--
+	}
 	e.needsPlacement = true
 	for _, d := range e.delegates {
 		if d.name == ev.Call.Delegate {
@@ -399,5 +415,9 @@
 		delegates = append(delegates, d)
 	}
 	e.delegates = delegates
+	e.delegateLoads = e.delegateLoads[:0]
+	for _, d := range delegates {
+		e.delegateLoads = append(e.delegateLoads, &d.Delegate)
+	}
 	e.needsPlacement = true
 }
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -91,7 +91,7 @@
 		if q == nil || !s.open() || s.job().overEntitlement {
 			continue
 		}
-		if ordering.TimelinessOf(e.orderingStep(s), e.now) != ordering.InTime {
+		if ordering.TimelinessOf(s.urgency, e.now) != ordering.InTime {
 			continue // steps that can still end in time are placed before it
 		}
 		d := e.demandAt(q.Priority)
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -23,8 +23,8 @@
 // reserve adds the charge of r to the resources used on its worker, and the need of its
 // task to the usage of its team.
 func (e *Engine) reserve(r *run) {
-	r.worker.runs[r] = struct{}{}
-	r.worker.used = r.worker.used.Add(r.charge)
+	r.worker.runs = append(r.worker.runs, r)
+	r.worker.setUsed(r.worker.used.Add(r.charge))
 	team := r.task.step.job().team
 	e.usage[team] = e.usage[team].Add(r.task.step.spec.Need)
 }
@@ -216,7 +216,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		for r := range w.runs {
+		for _, r := range w.runs {
 			if r.phase == stopping && !r.stopInFlight && r.startSent && r.stopConfirmedAt.IsZero() && e.now.Sub(r.stopSentAt) > e.cfg.StopRetryDelay {
 				e.sendStop(r)
 			}
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"slices"
+
 	"pollenbend/internal/cell/record"
 )
 
@@ -99,14 +101,9 @@
 func (e *Engine) removeRun(r *run) {
 	r.ended = true
 	t := r.task
-	for i, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			break
-		}
-	}
-	delete(r.worker.runs, r)
-	r.worker.used = r.worker.used.Sub(r.charge)
+	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
+	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(other *run) bool { return other == r })
+	r.worker.setUsed(r.worker.used.Sub(r.charge))
 	team := t.step.job().team
 	e.usage[team] = e.usage[team].Sub(t.step.spec.Need)
 	if !t.done && !t.hasRuns() {
@@ -120,12 +117,7 @@
 	if !s.ready || s.job().state.Final() {
 		return
 	}
-	for _, o := range e.openSteps {
-		if o == s {
-			return
-		}
-	}
-	e.openSteps = append(e.openSteps, s)
+	e.open(s)
 }
 
 // taskFailed counts a failure of t, and fails the job when its attempts are used up.
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -7,9 +7,9 @@
 
 import (
 	"log/slog"
-	"sort"
 	"time"
 
+	"pollenbend/internal/cell/advice"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
 )
@@ -63,31 +63,37 @@
 	endedJobs       []*jobState  // ordered by the time at which they ended
 	workers         map[string]*worker
 	workerList      []*worker                // in the order in which they were found
+	pools           map[string]*pool         // by service
+	heldWorkers     []*worker                // workers on which the last placement round held resources for gangs
+	stragglers      []*run                   // runs for whose tasks a speculative run is worth starting
 	unknownRunStops map[string]time.Time     // when a stop was last sent for an unknown run, by task
 	usage           map[string]job.Resources // by team
 	queued          map[string]int           // jobs without a schedule that have not started, by queue
 	delegates       []*delegate
+	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
 
-	needsPlacement   bool          // placement may have work to do
-	placedAt         time.Time     // when the last placement round started
-	placementTook    time.Duration // duration of the last placement round
-	runsCheckedAt    time.Time     // when checkRuns last ran
-	demandMeasuredAt time.Time     // when measureDemand last ran
-	waitLoggedAt     time.Time     // when logWait last logged a step
-	loadLoggedAt     time.Time     // when logLoad last logged the load
-	batch            *Append
-	appendInFlight   bool
-	stopsRetriedAt   time.Time               // when retryStops last ran
-	storeLatency     time.Duration           // smoothed duration of an append
-	appendSentAt     time.Time               // when the last append was sent
-	storeDownSince   time.Time               // since when the store refuses appends; zero if it accepts them
-	appendRetryAt    time.Time               // when the next append may be sent
-	dirtySteps       map[*stepState]struct{} // steps whose records the next append writes
-	dirtyStepList    []*stepState            // the same in the order in which they were marked
+	needsPlacement    bool          // placement may have work to do
+	placedAt          time.Time     // when the last placement round started
+	placementTook     time.Duration // duration of the last placement round
+	runsCheckedAt     time.Time     // when checkRuns last ran
+	leasesCheckedAt   time.Time     // when expireLeases last ran
+	renewalsCheckedAt time.Time     // when sendRenewals last ran
+	demandMeasuredAt  time.Time     // when measureDemand last ran
+	waitLoggedAt      time.Time     // when logWait last logged a step
+	loadLoggedAt      time.Time     // when logLoad last logged the load
+	batch             *Append
+	appendInFlight    bool
+	stopsRetriedAt    time.Time               // when retryStops last ran
+	storeLatency      time.Duration           // smoothed duration of an append
+	appendSentAt      time.Time               // when the last append was sent
+	storeDownSince    time.Time               // since when the store refuses appends; zero if it accepts them
+	appendRetryAt     time.Time               // when the next append may be sent
+	dirtySteps        map[*stepState]struct{} // steps whose records the next append writes
+	dirtyStepList     []*stepState            // the same in the order in which they were marked
 }
 
 // New returns an engine without jobs or workers. wall returns the wall clock time in
@@ -99,8 +105,8 @@
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
 		unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), entitlements: make(map[string]*tokenBucket),
-		demands: make(map[int]*demand),
-		batch:   &Append{}, dirtySteps: make(map[*stepState]struct{}),
+		demands: make(map[int]*demand), pools: make(map[string]*pool),
+		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
 }
 
@@ -215,6 +221,9 @@
 	}
 	e.log.Info("declarations applied", "version", p.Version, "before", e.policy.Version, "queues", len(p.Queues), "teams", len(p.Teams))
 	e.policy = p
+	for _, s := range e.openSteps {
+		s.urgency = e.urgencyOf(s)
+	}
 	e.needsPlacement = true
 }
 
@@ -231,13 +240,3 @@
 	}
 	return j.occurrenceAt(ref.Occurrence).steps[ref.Step].tasks[ref.Index]
 }
-
-func sortRuns(runs []*run) {
-	sort.Slice(runs, func(i, j int) bool {
-		a, b := runs[i], runs[j]
-		if a.task.name != b.task.name {
-			return a.task.name < b.task.name
-		}
-		return a.number < b.number
-	})
-}
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -96,11 +96,21 @@
 		}
 		s.ready = true
 		s.readyAt = e.now
-		e.openSteps = append(e.openSteps, s)
+		e.open(s)
 		e.needsPlacement = true
 	}
 }
 
+// open adds s to the open steps unless it is one of them.
+func (e *Engine) open(s *stepState) {
+	if s.inOpenSteps {
+		return
+	}
+	s.inOpenSteps = true
+	s.urgency = e.urgencyOf(s)
+	e.openSteps = append(e.openSteps, s)
+}
+
 // dependenciesDone reports whether all steps that s depends on are done.
 func (o *occurrence) dependenciesDone(s *stepState) bool {
 	for _, d := range s.spec.DependsOn {
--- /dev/null
+++ b/internal/cell/engine/large_test.go
@@ -0,0 +1,232 @@
+package engine
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
+)
+
+// largePolicy returns the declarations of a large fleet: urgent jobs of a few tasks, wide
+// batch jobs, and wide gangs, each of which needs the adviser's tickets.
+func largePolicy() *policy.Policy {
+	ttl := 1500 * time.Millisecond
+	p := &policy.Policy{
+		Version: 1,
+		Queues: []policy.Queue{
+			{Name: "urgent", Service: "s", Priority: 0, Attempts: 3, Stretch: 1.5, LatencyTarget: 300 * time.Millisecond,
+				Advice: &policy.AdviceCost{Base: 9 * time.Millisecond, PerWorker: 130 * time.Microsecond, TicketTTL: ttl}},
+			{Name: "gangs", Service: "s", Priority: 1, Attempts: 2, Stretch: 2.2, LatencyTarget: time.Second,
+				Advice: &policy.AdviceCost{Base: 620 * time.Millisecond, PerWorker: 8800 * time.Microsecond, TicketTTL: ttl}},
+			{Name: "batch", Service: "s", Priority: 2, Attempts: 2, Stretch: 4, LatencyTarget: 3 * time.Second,
+				Advice: &policy.AdviceCost{Base: 140 * time.Millisecond, PerWorker: 2 * time.Millisecond, TicketTTL: ttl}},
+		},
+		Services: []policy.Service{{Name: "s"}},
+		Teams:    []policy.Team{{Name: "a"}},
+	}
+	return p.Index()
+}
+
+// newLargeWorld returns a world with workers of 32 cores and 128 GB and one delegate for
+// every seven workers.
+func newLargeWorld(t testing.TB, workers int) *world {
+	w := newWorld(t, workers, 7)
+	w.policy = largePolicy()
+	w.delegates = nil
+	for i := range workers / 7 {
+		w.delegates = append(w.delegates, fmt.Sprintf("i%03d", i))
+	}
+	for _, s := range w.workers {
+		s.capacity = job.Resources{CPU: 32_000, MemMB: 131_072}
+	}
+	w.startLeader()
+	w.run(time.Second)
+	return w
+}
+
+// submitFleetLoad submits the mix of jobs that keeps four fifths of the workers' CPU in
+// use. multiplier scales the rate of urgent jobs.
+func submitFleetLoad(w *world, span time.Duration, multiplier float64) {
+	scale := float64(len(w.ids)) / 1100
+	rates := map[string]float64{"urgent": 177 * scale * multiplier, "gangs": 5.3 * scale, "batch": 11.2 * scale}
+	for end := w.now.Add(span); w.now.Before(end); w.run(simTick) {
+		for _, queue := range sortedKeys(rates) {
+			for n := w.arrivals(rates[queue] * simTick.Seconds()); n > 0; n-- {
+				w.submitOfMix(queue)
+			}
+		}
+	}
+}
+
+// arrivals returns a random number of arrivals with the given mean.
+func (w *world) arrivals(mean float64) int {
+	n := 0
+	for p := w.rand.Float64(); p > math.Exp(-mean); n++ {
+		p *= w.rand.Float64()
+	}
+	return n
+}
+
+// around returns a random number with the given mean.
+func (w *world) around(mean float64) float64 { return mean * (0.4 + 1.2*w.rand.Float64()) }
+
+// submitOfMix submits a job of the queue with sizes around the means of the fleet's load.
+func (w *world) submitOfMix(queue string) string {
+	step := func(count, cores, memMB float64, estimate time.Duration) job.Step {
+		return job.Step{Count: max(1, int(w.around(count))), Estimate: time.Duration(w.around(float64(estimate))),
+			Need: job.Resources{CPU: int64(1000 * w.around(cores)), MemMB: int64(w.around(memMB))}}
+	}
+	var s job.Step
+	switch queue {
+	case "gangs":
+		s = step(48, 9, 34_000, 6200*time.Millisecond)
+		s.Gang = true
+	case "batch":
+		s = step(75, 5.5, 11_000, 2200*time.Millisecond)
+	default:
+		s = step(4, 7.8, 22_000, 640*time.Millisecond)
+		s.Gang = w.rand.Float64() < 0.3
+	}
+	return w.submit(queue, "a", s)
+}
+
+// BenchmarkFleet plays six seconds of the load of a fleet: two seconds at the usual rate,
+// then four at twice the rate of urgent jobs.
+func BenchmarkFleet(b *testing.B) {
+	for _, workers := range []int{300, 1100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				w := newLargeWorld(b, workers)
+				submitFleetLoad(w, 2*time.Second, 1)
+				submitFleetLoad(w, 4*time.Second, 2)
+				b.ReportMetric(float64(w.starts), "starts")
+			}
+		})
+	}
+}
+
+// Four seconds of twice the urgent load, more than the workers can run, end in a queue that
+// drains: the accepted urgent jobs end in time, refused ones are refused at once with a
+// delay, and once the usual load has returned, new urgent jobs start at once again.
+func TestFleetWorksOffAnOverload(t *testing.T) {
+	w := newLargeWorld(t, 220)
+	submitFleetLoad(w, 4*time.Second, 1)
+	burst := w.now
+	submitFleetLoad(w, 4*time.Second, 3)
+	after := w.now
+	submitFleetLoad(w, 6*time.Second, 1)
+	w.run(4 * time.Second)
+	inBurst := w.urgentJobs(burst, after)
+	later := w.urgentJobs(after.Add(3*time.Second), w.now)
+	t.Logf("in the burst: %+v; from three seconds after it: %+v", inBurst, later)
+	assert.GreaterOrEqual(t, float64(inBurst.inTime), 0.8*float64(inBurst.accepted), "what is accepted ends in time")
+	assert.Equal(t, inBurst.submitted, inBurst.accepted+inBurst.refusedWithDelay, "each job is accepted or refused at once")
+	assert.GreaterOrEqual(t, float64(later.inTime), 0.8*float64(later.submitted), "the queue has drained")
+}
+
+// jobCounts counts jobs by what their callers got.
+type jobCounts struct{ submitted, accepted, refusedWithDelay, inTime int }
+
+// urgentJobs counts the urgent jobs submitted from one time on, before another.
+func (w *world) urgentJobs(from, to time.Time) jobCounts {
+	var c jobCounts
+	q := w.policy.Queue("urgent")
+	for id, spec := range w.specs {
+		at := w.submittedAt[id]
+		if spec.Queue != "urgent" || at.Before(from) || !at.Before(to) {
+			continue
+		}
+		c.submitted++
+		if w.accepted[id] {
+			c.accepted++
+		}
+		if w.refused[id] && w.answers[id].RetryAfter > 0 {
+			c.refusedWithDelay++
+		}
+		if took, ended := w.turnaround[id]; ended && took <= objective(q, spec.Steps[0].Estimate) {
+			c.inTime++
+		}
+	}
+	return c
+}
+
+// BenchmarkRound measures a placement round after about twenty tasks have ended on a full
+// fleet, while 1,500 or 5,000 steps wait.
+func BenchmarkRound(b *testing.B) {
+	for _, workers := range []int{300, 1100, 3000, 12_000} {
+		for _, steps := range []int{1500, 5000} {
+			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) { benchmarkRound(b, workers, steps) })
+		}
+	}
+}
+
+func benchmarkRound(b *testing.B, workers, steps int) {
+	w := newLargeWorld(b, workers)
+	e := w.engine
+	var running []*run
+	for _, worker := range e.workerList {
+		s := w.addOpenJob("batch", tasks(4, 8000, time.Minute))
+		for _, t := range s.tasks {
+			e.planRun(t, worker, 1, ticket{})
+			t.runs[0].startSent = true
+			running = append(running, t.runs[0])
+		}
+	}
+	for range steps {
+		queue := "urgent"
+		if w.rand.IntN(10) == 0 {
+			queue = "batch"
+		}
+		w.addOpenJob(queue, tasks(4, 7800, time.Second))
+	}
+	placed := 0
+	for b.Loop() {
+		b.StopTimer()
+		w.now = w.now.Add(10 * time.Millisecond)
+		e.now = w.now
+		for range 20 {
+			i := w.rand.IntN(len(running))
+			e.endRun(running[i], EndedDone, "", "benchmark")
+			running[i] = running[len(running)-1]
+			running = running[:len(running)-1]
+		}
+		b.StartTimer()
+		e.place()
+		b.StopTimer()
+		actions := e.actions
+		e.actions = nil
+		for _, action := range actions {
+			if call, ok := action.(*AdviceCall); ok {
+				e.Handle(w.now, &AdviceAnswered{Call: call, OK: true, TTL: time.Second, Tickets: w.answerAdvice(call)})
+			}
+		}
+		for _, s := range e.dirtyStepList {
+			for _, t := range s.tasks {
+				if len(t.runs) > 0 && !t.runs[0].startSent {
+					t.runs[0].startSent = true
+					running = append(running, t.runs[0])
+					placed++
+				}
+			}
+		}
+		clear(e.dirtySteps)
+		e.dirtyStepList, e.batch = nil, &Append{}
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
+}
+
+// addOpenJob adds a job with one step to the engine without admission or a record.
+func (w *world) addOpenJob(queue string, step job.Step) *stepState {
+	id := fmt.Sprintf("%016x", len(w.specs)+1)
+	w.specs[id] = &job.Spec{ID: id, Queue: queue, Team: "a", Steps: []job.Step{step}}
+	j := newJob(w.specs[id], w.now.UnixMilli())
+	j.arrivedAt, j.stored = w.now, true
+	w.engine.addJob(j)
+	return j.occurrences[0].steps[0]
+}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -78,7 +78,7 @@
 		}
 		e.applyStatus(w, ref, s)
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.currentRuns() {
 		s := present[r.task.name]
 		if s != nil && s.Run == r.number {
 			continue
@@ -160,9 +160,16 @@
 	}
 }
 
+// leaseCheckInterval is the minimum interval between two checks for expired leases.
+const leaseCheckInterval = 20 * time.Millisecond
+
 // expireLeases ends the runs on workers that were unreachable until all of their
 // leases had expired.
 func (e *Engine) expireLeases() {
+	if e.now.Sub(e.leasesCheckedAt) < leaseCheckInterval {
+		return
+	}
+	e.leasesCheckedAt = e.now
 	for _, w := range e.workerList {
 		if len(w.runs) == 0 {
 			continue
@@ -174,7 +181,7 @@
 		if e.now.Before(end.Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
+		for _, r := range w.currentRuns() {
 			if !r.startSent {
 				continue
 			}
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -1,18 +1,18 @@
 package engine
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"pollenbend/internal/cell/job"
 )
 
-// placementRound holds the workers of a service and the budgets of one placement round.
+// placementRound holds the workers of a service and its budgets in one placement round.
 type placementRound struct {
-	workers           []*worker
-	maxFree           job.Resources // by resource, the largest free amount on one worker
-	cpuBudget         int64         // CPU of the steps that may still be tried in this round, in thousandths of a core
-	holdBudget        int64         // CPU that may still be held for gangs, in thousandths of a core
-	speculativeBudget int64         // CPU that may still be used for speculative runs, in thousandths of a core
+	*pool
+	cpuBudget         int64 // CPU of the steps that may still be tried in this round, in thousandths of a core
+	holdBudget        int64 // CPU that may still be held for gangs, in thousandths of a core
+	speculativeBudget int64 // CPU that may still be used for speculative runs, in thousandths of a core
 }
 
 const (
@@ -26,27 +26,24 @@
 	gangHoldRatio = 0.12
 )
 
-// newRound returns the round for a service and clears what the last round held for gangs.
+// newRound returns the round for a service.
 func (e *Engine) newRound(service string) *placementRound {
-	round := &placementRound{}
-	var free, capacity int64
-	for _, w := range e.workerList {
-		if w.service != service || !w.usable(e.now) {
-			continue
-		}
+	p := e.poolOf(service)
+	p.measure(e.now)
+	return &placementRound{
+		pool:              p,
+		cpuBudget:         int64(budgetFreeRatio*float64(p.free) + budgetCapacityRatio*float64(p.capacity)),
+		holdBudget:        int64(gangHoldRatio * float64(p.capacity)),
+		speculativeBudget: int64(speculativeRatio * float64(p.capacity)),
+	}
+}
+
+// clearHeld clears what the last placement round held for gangs.
+func (e *Engine) clearHeld() {
+	for _, w := range e.heldWorkers {
 		w.heldForGangs = job.Resources{}
-		f := w.free()
-		round.workers = append(round.workers, w)
-		round.maxFree.CPU = max(round.maxFree.CPU, f.CPU)
-		round.maxFree.MemMB = max(round.maxFree.MemMB, f.MemMB)
-		round.maxFree.GPU = max(round.maxFree.GPU, f.GPU)
-		free += max(0, f.CPU)
-		capacity += w.capacity.CPU
 	}
-	round.cpuBudget = int64(budgetFreeRatio*float64(free) + budgetCapacityRatio*float64(capacity))
-	round.holdBudget = int64(gangHoldRatio * float64(capacity))
-	round.speculativeBudget = int64(speculativeRatio * float64(capacity))
-	return round
+	e.heldWorkers = e.heldWorkers[:0]
 }
 
 // holdForGang holds resources on workers that a waiting gang can use, so that they
@@ -63,6 +60,7 @@
 		}
 		held := s.charge.Times(n)
 		w.heldForGangs = w.heldForGangs.Add(held)
+		e.heldWorkers = append(e.heldWorkers, w)
 		round.holdBudget -= held.CPU
 		need -= n
 		if need == 0 || round.holdBudget <= 0 {
@@ -76,10 +74,10 @@
 func (e *Engine) gangCandidates(s *stepState, round *placementRound) []*worker {
 	var workers []*worker
 	if s.advice == nil {
-		workers = s.eligible(round)
+		workers = e.eligible(s, round)
 	} else {
 		workers = e.goodWorkers(s)
 	}
-	sort.SliceStable(workers, func(i, j int) bool { return workers[i].free().CPU > workers[j].free().CPU })
+	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
 	return workers
 }
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/ordering"
@@ -14,6 +14,7 @@
 func (e *Engine) place() {
 	e.dropPlacedSteps()
 	e.sortOpenSteps()
+	e.clearHeld()
 	rounds := make(map[string]*placementRound)
 	for _, s := range e.openSteps {
 		q := e.queueOf(s.job())
@@ -53,20 +54,20 @@
 		valid = len(e.workersWithTicket(s))
 	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.msSince(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
-		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", round.maxFree.CPU, "workers", len(round.workers), "asked", asked, "good", good,
+		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", round.mostFreeCPU(e.now), "workers", len(round.workers), "asked", asked, "good", good,
 		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "window_left", round.cpuBudget)
 }
 
 // sortOpenSteps sorts the open steps by urgency.
 func (e *Engine) sortOpenSteps() {
 	for _, s := range e.openSteps {
-		s.key = ordering.KeyOf(e.orderingStep(s), e.now)
+		s.key = ordering.KeyOf(s.urgency, e.now)
 	}
-	sort.SliceStable(e.openSteps, func(i, j int) bool { return ordering.Before(e.openSteps[i].key, e.openSteps[j].key) })
+	slices.SortStableFunc(e.openSteps, func(a, b *stepState) int { return ordering.Compare(a.key, b.key) })
 }
 
-// orderingStep returns the properties of s that determine its urgency.
-func (e *Engine) orderingStep(s *stepState) ordering.Step {
+// urgencyOf returns the properties of s that determine its urgency.
+func (e *Engine) urgencyOf(s *stepState) ordering.Step {
 	j := s.job()
 	o := ordering.Step{OverEntitlement: j.overEntitlement, Priority: lowestPriority, Arrived: e.arrivalOf(s), Remaining: e.criticalPathFrom(s)}
 	if q := e.queueOf(j); q != nil {
@@ -82,7 +83,9 @@
 	for _, s := range e.openSteps {
 		if s.remaining > 0 && s.waiting > 0 && !s.job().state.Final() {
 			kept = append(kept, s)
+			continue
 		}
+		s.inOpenSteps = false
 	}
 	clear(e.openSteps[len(kept):])
 	e.openSteps = kept
@@ -140,7 +143,7 @@
 // tasksOn returns how many runs of tasks of s are on w.
 func (s *stepState) tasksOn(w *worker) int {
 	n := 0
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.task.step == s {
 			n++
 		}
@@ -179,11 +182,7 @@
 	if team == nil {
 		return tasks
 	}
-	used := e.usage[team.Name]
-	n := 0
-	for n < len(tasks) && used.Add(s.spec.Need.Times(n+1)).Within(team.Limit) {
-		n++
-	}
+	n := s.spec.Need.CountWithin(team.Limit, e.usage[team.Name], len(tasks))
 	if s.spec.Gang && n < len(tasks) {
 		return nil
 	}
@@ -196,17 +195,52 @@
 	if q.Advice != nil {
 		return e.workersWithTicket(s)
 	}
-	return s.eligible(round)
+	if len(round.workers) <= smallFleet || s.spec.PreferredRack != "" || s.spec.SameRack {
+		return e.eligible(s, round)
+	}
+	return e.bestFitting(s, round)
 }
 
 // eligible returns the usable workers that could hold a task of s, whatever their
 // free resources.
-func (s *stepState) eligible(round *placementRound) []*worker {
+func (e *Engine) eligible(s *stepState, round *placementRound) []*worker {
 	out := make([]*worker, 0, len(round.workers))
 	for _, w := range round.workers {
-		if w.canHold(s.spec) {
+		if w.usable(e.now) && w.canHold(s.spec) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
+
+const (
+	// smallFleet is the number of workers up to which a step is placed on the best of all
+	// workers instead of the best of a sample.
+	smallFleet = 400
+	// sampleMultiplier is the number of tasks that fit on the workers of a sample as a
+	// multiple of the number of tasks to place, and minSample its minimum number of
+	// workers, so that slow workers in it can be avoided.
+	sampleMultiplier = 3
+	minSample        = 64
+)
+
+// bestFitting returns a sample of the usable workers that tasks of s fit on now, those on
+// which the least CPU stays unused.
+func (e *Engine) bestFitting(s *stepState, round *placementRound) []*worker {
+	var out []*worker
+	fit := 0
+	for w := range round.leastFree(s.charge.CPU) {
+		if !w.usable(e.now) || !w.canHold(s.spec) {
+			continue
+		}
+		n := tasksThatFit(s, w, w.free())
+		if n == 0 {
+			continue
+		}
+		fit += n
+		if out = append(out, w); len(out) >= minSample && fit >= sampleMultiplier*s.waiting {
+			break
+		}
+	}
+	return out
+}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -58,6 +58,8 @@
 	lastGangRun    int       // highest run number of the gang
 	advice         *adviceState
 	charge         job.Resources // of one task, see job.Step.Charge
+	inOpenSteps    bool          // it is in Engine.openSteps
+	urgency        ordering.Step // when it was opened, or when the declarations last changed
 	key            ordering.Key  // set by sortOpenSteps
 }
 
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -36,11 +36,12 @@
 		return
 	}
 	e.runsCheckedAt = e.now
+	e.stragglers = e.stragglers[:0]
 	for _, w := range e.workerList {
 		if len(w.runs) == 0 || w.missedRenewals > 0 {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
+		for _, r := range w.currentRuns() {
 			if r.phase != running {
 				continue
 			}
@@ -55,6 +56,7 @@
 			case w.draining && e.mustEvacuate(r):
 				e.stopRun(r, "its worker leaves before it ends")
 			case r.task.step.spec.Speculative && len(r.task.runs) == 1 && e.worthSpeculating(r):
+				e.stragglers = append(e.stragglers, r)
 				e.needsPlacement = true
 			}
 		}
@@ -128,23 +130,21 @@
 // placeSpeculativeRuns plans speculative runs for the stragglers of steps that allow
 // them.
 func (e *Engine) placeSpeculativeRuns(rounds map[string]*placementRound) {
-	for _, w := range e.workerList {
-		for r := range w.runs {
-			s := r.task.step
-			if !s.spec.Speculative || r.phase != running || len(r.task.runs) > 1 || r.task.done || s.job().state.Final() || s.job().overEntitlement {
-				continue
-			}
-			q := e.queueOf(s.job())
-			if q == nil || !e.worthSpeculating(r) {
-				continue
-			}
-			round := rounds[q.Service]
-			if round == nil {
-				round = e.newRound(q.Service)
-				rounds[q.Service] = round
-			}
-			e.placeSpeculativeRun(r, q, round)
+	for _, r := range e.stragglers {
+		s := r.task.step
+		if r.ended || r.phase != running || len(r.task.runs) > 1 || r.task.done || s.job().state.Final() || s.job().overEntitlement {
+			continue
+		}
+		q := e.queueOf(s.job())
+		if q == nil || !e.worthSpeculating(r) {
+			continue
+		}
+		round := rounds[q.Service]
+		if round == nil {
+			round = e.newRound(q.Service)
+			rounds[q.Service] = round
 		}
+		e.placeSpeculativeRun(r, q, round)
 	}
 }
 
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -217,6 +217,8 @@
 		Workers          []string
 		ExpectedDuration time.Duration // expected duration of the call
 		step             *stepState
+		asked            []*worker // Workers
+		class            int       // see callClass
 		sentAt           time.Time
 	}
 	// StepDown reports that another leader has taken over.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -19,7 +19,11 @@
 	capacity     job.Resources
 	used         job.Resources
 	heldForGangs job.Resources // kept free for gangs in this placement round
-	runs         map[*run]struct{}
+	pool         *pool         // nil for a worker that is not listed
+	poolIndex    int           // index of its list in pool.byFreeCPU
+	poolSlot     int           // its index in that list
+	pendingAsks  [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
+	runs         []*run        // in the order in which they were planned
 
 	listed        bool
 	unlistedSince time.Time // when it last left the directory
@@ -41,6 +45,7 @@
 	unstoredBatches  int       // batches of finished runs that are being stored
 	unknownRuns      int       // unknown runs in the last report; their resource use is unknown too
 	health           health
+	rankIndex        int // used by rankForAdvice
 }
 
 // clockDrift is the maximum relative error of the rate of a worker's clock, which the
@@ -48,7 +53,7 @@
 const clockDrift = 0.02
 
 func newWorker(id string) *worker {
-	return &worker{id: id, runs: make(map[*run]struct{})}
+	return &worker{id: id}
 }
 
 // minClock returns the lowest value that the worker's clock can have, in ms.
@@ -87,6 +92,14 @@
 	return end
 }
 
+// setUsed sets the resources that runs use on the worker.
+func (w *worker) setUsed(used job.Resources) {
+	w.used = used
+	if w.pool != nil {
+		w.pool.update(w)
+	}
+}
+
 // free returns the resources that are free for new tasks.
 func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.heldForGangs) }
 
@@ -134,6 +147,7 @@
 		}
 	}
 	e.dropUnlistedWorkers()
+	e.rebuildPools()
 }
 
 // workerListed applies the directory's entry of a worker.
@@ -163,7 +177,7 @@
 // newIncarnation switches w to a new incarnation and ends the runs of the previous one.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.currentRuns() {
 		if r.incarnation != incarnation {
 			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 		}
@@ -193,18 +207,15 @@
 	e.workerList = kept
 }
 
-// sortedRuns returns the runs on w in a stable order.
-func (w *worker) sortedRuns() []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for r := range w.runs {
-		runs = append(runs, r)
-	}
-	sortRuns(runs)
-	return runs
-}
+// currentRuns returns a copy of the list of runs on w, for loops that may end runs.
+func (w *worker) currentRuns() []*run { return slices.Clone(w.runs) }
 
 // sendRenewals sends the renewals that are due.
 func (e *Engine) sendRenewals() {
+	if e.now.Sub(e.renewalsCheckedAt) < renewalCheckInterval {
+		return
+	}
+	e.renewalsCheckedAt = e.now
 	for _, w := range e.workerList {
 		if w.renewalInFlight || e.now.Before(w.nextRenewal) || w.address == "" {
 			continue
@@ -219,6 +230,10 @@
 	}
 }
 
+// renewalCheckInterval is the minimum interval between two checks of which renewals are
+// due. A check visits every worker.
+const renewalCheckInterval = 4 * time.Millisecond
+
 // renew sends a renewal to w.
 func (e *Engine) renew(w *worker) {
 	w.renewalInFlight = true
@@ -281,7 +296,7 @@
 		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
 	}
 	w.reported = true
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.currentRuns() {
 		if r.incarnation != 0 && w.incarnation != 0 && r.incarnation != w.incarnation {
 			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 		}
@@ -315,7 +330,7 @@
 		// The directory's entry is older than the worker's restart. The worker's next
 		// report contains the new incarnation.
 		w.incarnation = 0
-		for _, r := range w.sortedRuns() {
+		for _, r := range w.currentRuns() {
 			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 		}
 		w.reported = false
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -141,6 +141,9 @@
 // checkLimits checks that the runs of a team are within its limit.
 func (w *world) checkLimits(team string) {
 	limit := w.policy.Team(team).Limit
+	if limit == (job.Resources{}) {
+		return
+	}
 	used := job.Resources{}
 	for _, s := range w.workers {
 		for name, r := range s.runs {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -20,7 +20,7 @@
 // world simulates the store, the workers and the adviser of an engine in virtual time,
 // and checks the invariants that they can observe.
 type world struct {
-	t               *testing.T
+	t               testing.TB
 	rand            *rand.Rand
 	now             time.Time
 	startTime       time.Time
@@ -178,7 +178,7 @@
 	}).Index()
 }
 
-func newWorld(t *testing.T, workers int, seed uint64) *world {
+func newWorld(t testing.TB, workers int, seed uint64) *world {
 	now := time.Unix(1_700_000_000, 0)
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: now, startTime: now, policy: simPolicy(),
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -48,6 +48,21 @@
 	return maxCount
 }
 
+// CountWithin returns how many times r can be added to used, at most maxCount, without
+// exceeding limit. A resource whose limit is zero is not limited.
+func (r Resources) CountWithin(limit, used Resources, maxCount int) int {
+	for _, kind := range [...][3]int64{{r.CPU, limit.CPU, used.CPU}, {r.MemMB, limit.MemMB, used.MemMB}, {r.GPU, limit.GPU, used.GPU}} {
+		switch {
+		case kind[1] == 0:
+		case kind[0] > 0:
+			maxCount = min(maxCount, int(max(0, kind[1]-kind[2])/kind[0]))
+		case kind[2] > kind[1]:
+			return 0
+		}
+	}
+	return maxCount
+}
+
 // Within reports whether r is within limit. A resource whose limit is zero is not
 // limited.
 func (r Resources) Within(limit Resources) bool {
--- a/internal/cell/ordering/ordering.go
+++ b/internal/cell/ordering/ordering.go
@@ -3,7 +3,10 @@
 // comes before one whose job cannot, so that a late job does not make others late.
 package ordering
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Step holds the attributes of a waiting step that determine its order.
 type Step struct {
@@ -53,15 +56,19 @@
 	return Key{s.OverEntitlement, TimelinessOf(s, now), s.Priority, s.Arrived.Add(s.Objective - s.Remaining)}
 }
 
-// Before reports whether the step with key a is placed before the one with key b.
-func Before(a, b Key) bool {
+// Compare returns a negative number if the step with key a is placed before the one with
+// key b, zero if they are equally urgent, and a positive number otherwise.
+func Compare(a, b Key) int {
 	switch {
 	case a.overEntitlement != b.overEntitlement:
-		return !a.overEntitlement
+		if b.overEntitlement {
+			return -1
+		}
+		return 1
 	case a.timeliness != b.timeliness:
-		return a.timeliness < b.timeliness
+		return cmp.Compare(a.timeliness, b.timeliness)
 	case a.priority != b.priority:
-		return a.priority < b.priority
+		return cmp.Compare(a.priority, b.priority)
 	}
-	return a.latestStart.Before(b.latestStart)
+	return a.latestStart.Compare(b.latestStart)
 }
--- a/internal/cell/ordering/ordering_test.go
+++ b/internal/cell/ordering/ordering_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func TestBefore(t *testing.T) {
+func TestCompare(t *testing.T) {
 	now := time.Unix(1000, 0)
 	fresh := Step{Priority: 1, Arrived: now, Objective: 10 * time.Second, Remaining: 2 * time.Second}
 	late := Step{Priority: 0, Arrived: now.Add(-9 * time.Second), Objective: 10 * time.Second, Remaining: 2 * time.Second}
@@ -30,8 +30,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			a, b := KeyOf(c.first, now), KeyOf(c.next, now)
-			assert.True(t, Before(a, b))
-			assert.False(t, Before(b, a))
+			assert.Negative(t, Compare(a, b))
+			assert.Positive(t, Compare(b, a))
 		})
 	}
 }
