Bound what a placement round tries, and the adviser's calls made in advance

And gangs that waited for room went on to ask the adviser about up to 1,100 workers (log line 'step waits': asked 1100, good 278, tickets 28), so that delegates were taken and the tickets of others expired before they were complete.

Change: a round calls the adviser for at most 24 steps and gives up after 64 steps tried in vain; the rest are tried in turn. While fewer than half of the delegates are idle, a step whose known good workers could hold three times its tasks waits for room on them. Advice is kept by worker instead of by name.

Also: appends that take 300 ms or more are logged with their size.

--- a/internal/cell/advice/advice.go
+++ b/internal/cell/advice/advice.go
@@ -51,6 +51,18 @@
 	}
 }
 
+// IdleRatio returns the part of the delegates that have no call to make at now. It is zero
+// if there are no delegates.
+func IdleRatio(delegates []*Delegate, now time.Time) float64 {
+	idle := 0
+	for _, d := range delegates {
+		if (d.calls == 0 || !now.Before(d.busyUntil)) && !now.Before(d.backoffUntil) {
+			idle++
+		}
+	}
+	return float64(idle) / float64(max(1, len(delegates)))
+}
+
 // Choose returns the index of the delegate for a call of the given expected duration:
 // the one with the shortest wait. It returns -1 if every delegate that may take the call
 // has too long a wait or is in backoff.
--- a/internal/cell/advice/advice_test.go
+++ b/internal/cell/advice/advice_test.go
@@ -47,3 +47,15 @@
 func TestSingleDelegateTakesAllCalls(t *testing.T) {
 	assert.Equal(t, 0, Choose([]*Delegate{{}}, time.Unix(1000, 0), time.Second))
 }
+
+func TestIdleRatio(t *testing.T) {
+	now := time.Unix(1000, 0)
+	assert.Zero(t, IdleRatio(nil, now))
+	busy, failed := new(Delegate), new(Delegate)
+	busy.CallSent(now, time.Second)
+	failed.CallSent(now, time.Second)
+	failed.CallEnded(now, time.Second, false)
+	all := []*Delegate{new(Delegate), new(Delegate), busy, failed}
+	assert.InDelta(t, 0.5, IdleRatio(all, now), 0.001)
+	assert.InDelta(t, 1, IdleRatio(all, now.Add(2*time.Second)), 0.001)
+}
--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -12,11 +13,17 @@
 
 // adviceState holds the adviser's answers about a step.
 type adviceState struct {
-	good          map[string]ticket // by worker, for the workers that are good for the step
-	goodOrder     []string          // the workers in good, in the order of the answers
-	asked         map[string]int64  // incarnation of each worker that the adviser was asked about
-	callsInFlight int               // calls without an answer yet
-	retryAt       time.Time         // earliest next call after a failed one
+	good          []*goodWorker           // in the order of the answers
+	goodByWorker  map[*worker]*goodWorker // the same
+	asked         map[*worker]int64       // incarnation of each worker that the adviser was asked about
+	callsInFlight int                     // calls without an answer yet
+	retryAt       time.Time               // earliest next call after a failed one
+}
+
+// goodWorker is a worker that the adviser found good for a step.
+type goodWorker struct {
+	*worker
+	ticket ticket
 }
 
 // awaitsFirstAnswer reports whether the first call about the step has no answer yet.
@@ -27,18 +34,20 @@
 // ensureAdvice returns the advice about s and creates it on first use.
 func (s *stepState) ensureAdvice() *adviceState {
 	if s.advice == nil {
-		s.advice = &adviceState{good: make(map[string]ticket), asked: make(map[string]int64)}
+		s.advice = &adviceState{goodByWorker: make(map[*worker]*goodWorker), asked: make(map[*worker]int64)}
 	}
 	return s.advice
 }
 
 // markGood records that a worker is good for s.
-func (s *stepState) markGood(worker string, t ticket) {
+func (s *stepState) markGood(w *worker, t ticket) {
 	a := s.ensureAdvice()
-	if _, known := a.good[worker]; !known {
-		a.goodOrder = append(a.goodOrder, worker)
+	g := a.goodByWorker[w]
+	if g == nil {
+		g = &goodWorker{worker: w}
+		a.good, a.goodByWorker[w] = append(a.good, g), g
 	}
-	a.good[worker], a.asked[worker] = t, t.incarnation
+	g.ticket, a.asked[w] = t, t.incarnation
 }
 
 // ticket is the adviser's permission to start tasks of a step on a worker.
@@ -55,21 +64,17 @@
 }
 
 // ticket returns the ticket of s for a worker, or the zero ticket if none is needed.
-func (s *stepState) ticket(worker string) ticket {
-	if s.advice == nil {
+func (s *stepState) ticket(w *worker) ticket {
+	if s.advice == nil || s.advice.goodByWorker[w] == nil {
 		return ticket{}
 	}
-	return s.advice.good[worker]
+	return s.advice.goodByWorker[w].ticket
 }
 
 // invalidateTicket makes the ticket of s for a worker count as expired.
-func (s *stepState) invalidateTicket(worker string) {
-	if s.advice == nil {
-		return
-	}
-	if t, ok := s.advice.good[worker]; ok {
-		t.validUntil = time.Time{}
-		s.advice.good[worker] = t
+func (s *stepState) invalidateTicket(w *worker) {
+	if s.advice != nil && s.advice.goodByWorker[w] != nil {
+		s.advice.goodByWorker[w].ticket.validUntil = time.Time{}
 	}
 }
 
@@ -86,9 +91,9 @@
 // workersWithTicket returns the usable workers for which s has a valid ticket.
 func (e *Engine) workersWithTicket(s *stepState) []*worker {
 	var out []*worker
-	for _, w := range e.goodWorkers(s) {
-		if e.ticketValidAt(s.advice.good[w.id], e.now) {
-			out = append(out, w)
+	for g := range e.usableGoodWorkers(s) {
+		if e.ticketValidAt(g.ticket, e.now) {
+			out = append(out, g.worker)
 		}
 	}
 	return out
@@ -97,17 +102,25 @@
 // goodWorkers returns the usable workers that the adviser found good for s, in the order
 // of its answers.
 func (e *Engine) goodWorkers(s *stepState) []*worker {
-	if s.advice == nil {
-		return nil
+	var out []*worker
+	for g := range e.usableGoodWorkers(s) {
+		out = append(out, g.worker)
 	}
-	out := make([]*worker, 0, len(s.advice.goodOrder))
-	for _, id := range s.advice.goodOrder {
-		w := e.workers[id]
-		if w != nil && s.advice.good[id].incarnation == w.incarnation && w.usable(e.now) {
-			out = append(out, w)
+	return out
+}
+
+// usableGoodWorkers iterates over the workers that goodWorkers returns.
+func (e *Engine) usableGoodWorkers(s *stepState) iter.Seq[*goodWorker] {
+	return func(yield func(*goodWorker) bool) {
+		if s.advice == nil {
+			return
+		}
+		for _, g := range s.advice.good {
+			if g.ticket.incarnation == g.incarnation && g.usable(e.now) && !yield(g) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // advise calls the adviser about workers for s if that could help to place s.
@@ -119,7 +132,13 @@
 	if e.chooseDelegate(q.Advice.Base) == nil {
 		return // no delegate can take even the shortest call
 	}
+	if round.asksLeft <= 0 {
+		return // a later round asks for s
+	}
 	ask := e.workersToAsk(s, q, round)
+	if len(ask) > 0 {
+		round.asksLeft--
+	}
 	for _, workers := range split(ask, callCount(s, len(ask))) {
 		if !e.callAdviser(s, q, workers) {
 			return // a later round asks about the remaining workers
@@ -209,15 +228,15 @@
 // tickets are valid at the given time, and on the good workers with expired tickets. It
 // also returns those of the latter that a task fits on.
 func (e *Engine) ticketCapacity(s *stepState, at time.Time) (validTasks, expiredTasks int, expiredWorkers []*worker) {
-	for _, w := range e.goodWorkers(s) {
-		n := tasksThatFit(s, w, w.free())
+	for g := range e.usableGoodWorkers(s) {
+		n := tasksThatFit(s, g.worker, g.free())
 		switch {
 		case n == 0:
-		case e.ticketValidAt(s.advice.good[w.id], at):
+		case e.ticketValidAt(g.ticket, at):
 			validTasks += n
 		default:
 			expiredTasks += n
-			expiredWorkers = append(expiredWorkers, w)
+			expiredWorkers = append(expiredWorkers, g.worker)
 		}
 	}
 	return validTasks, expiredTasks, expiredWorkers
@@ -268,6 +287,31 @@
 	usedCapacityRatio = 0.3
 )
 
+// aheadCoverage is the number of tasks that the good workers of a step hold when they are
+// idle, as a multiple of the waiting tasks, from which the step stops asking in advance
+// while delegates are scarce.
+const aheadCoverage = 3
+
+// minIdleDelegates is the part of the delegates that must be idle for steps to ask in
+// advance about more workers than aheadCoverage.
+const minIdleDelegates = 0.5
+
+// knowsEnoughWorkers reports whether the step only has to wait for resources on workers
+// that the adviser found good. While few delegates are idle, further calls would take them
+// from other steps, whose tickets then expire.
+func (e *Engine) knowsEnoughWorkers(s *stepState) bool {
+	if advice.IdleRatio(e.delegateLoads, e.now) >= minIdleDelegates {
+		return false
+	}
+	fit := 0
+	for g := range e.usableGoodWorkers(s) {
+		if fit += tasksThatFit(s, g.worker, g.capacity); fit >= aheadCoverage*s.waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // maxRankedWorkers is the maximum number of workers among which rankForAdvice chooses.
 const maxRankedWorkers = 400
 
@@ -277,7 +321,7 @@
 // in advance: for them, workers whose capacity is in use count too. Capacity counts less
 // the more other calls about the worker are pending, as their steps compete for it.
 func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
-	ahead := s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold
+	ahead := (s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold) && !e.knowsEnoughWorkers(s)
 	class := callClass(q.Advice.Base)
 	var ranked []*worker
 	score := make([]float64, 0, maxRankedWorkers) // by rankIndex
@@ -285,7 +329,7 @@
 		if len(ranked) == maxRankedWorkers || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
 			break
 		}
-		if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w.id] == w.incarnation {
+		if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w] == w.incarnation {
 			continue
 		}
 		capacity := float64(tasksThatFit(s, w, w.free()))
@@ -362,17 +406,13 @@
 		return
 	}
 	newlyAsked := 0 // workers that no earlier answer covers
-	for _, id := range ev.Call.Workers {
-		w := e.workers[id]
-		if w == nil {
-			continue
-		}
-		if s.advice.asked[id] != w.incarnation {
+	for _, w := range ev.Call.asked {
+		if s.advice.asked[w] != w.incarnation {
 			newlyAsked++
 		}
-		s.advice.asked[id] = w.incarnation
-		if t, good := ev.Tickets[id]; good {
-			s.markGood(id, ticket{value: t, incarnation: w.incarnation, validUntil: e.now.Add(ev.TTL)})
+		s.advice.asked[w] = w.incarnation
+		if t, good := ev.Tickets[w.id]; good {
+			s.markGood(w, ticket{value: t, incarnation: w.incarnation, validUntil: e.now.Add(ev.TTL)})
 		}
 	}
 	if newlyAsked > 0 && s.waiting > 0 && ev.Call.ExpectedDuration >= advice.LongCallThreshold {
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -135,7 +135,7 @@
 		w.health.quarantine(e.now)
 		e.endRun(r, EndedStopped, "", "worker refuses work")
 	case BadTicket:
-		t.step.invalidateTicket(w.id)
+		t.step.invalidateTicket(w)
 		e.endRun(r, EndedStopped, "", "ticket refused")
 	case OtherIncarnation:
 		e.endRun(r, EndedLeaseExpired, "", "worker restarted")
--- a/internal/cell/engine/gangs_test.go
+++ b/internal/cell/engine/gangs_test.go
@@ -90,7 +90,7 @@
 		if i >= 6 {
 			until = time.Time{}
 		}
-		s.markGood(name, ticket{value: "t", incarnation: e.workers[name].incarnation, validUntil: until})
+		s.markGood(e.workers[name], ticket{value: "t", incarnation: e.workers[name].incarnation, validUntil: until})
 	}
 	assert.GreaterOrEqual(t, len(e.workersToAsk(s, q, e.newRound("s"))), 8)
 }
@@ -106,7 +106,7 @@
 	s := e.jobs[id].occurrences[0].steps[0]
 	s.advice = nil
 	for _, name := range w.ids {
-		s.markGood(name, ticket{incarnation: e.workers[name].incarnation})
+		s.markGood(e.workers[name], ticket{incarnation: e.workers[name].incarnation})
 	}
 	e.actions = nil
 	e.advise(s, w.policy.Queue("batch"), e.newRound("s"))
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -50,10 +50,18 @@
 }
 
 // submitFleetLoad submits the mix of jobs that keeps four fifths of the workers' CPU in
-// use. multiplier scales the rate of urgent jobs.
-func submitFleetLoad(w *world, span time.Duration, multiplier float64) {
+// use. urgentMultiplier scales the rate of urgent jobs.
+func submitFleetLoad(w *world, span time.Duration, urgentMultiplier float64) {
+	submitLoad(w, span, map[string]float64{"urgent": urgentMultiplier, "gangs": 1, "batch": 1})
+}
+
+// submitLoad submits the jobs of the usual load with the rate of each queue multiplied.
+func submitLoad(w *world, span time.Duration, multipliers map[string]float64) {
 	scale := float64(len(w.ids)) / 1100
-	rates := map[string]float64{"urgent": 177 * scale * multiplier, "gangs": 5.3 * scale, "batch": 11.2 * scale}
+	rates := map[string]float64{"urgent": 177 * scale, "gangs": 5.3 * scale, "batch": 11.2 * scale}
+	for queue, multiplier := range multipliers {
+		rates[queue] *= multiplier
+	}
 	for end := w.now.Add(span); w.now.Before(end); w.run(simTick) {
 		for _, queue := range sortedKeys(rates) {
 			for n := w.arrivals(rates[queue] * simTick.Seconds()); n > 0; n-- {
@@ -66,14 +74,14 @@
 // arrivals returns a random number of arrivals with the given mean.
 func (w *world) arrivals(mean float64) int {
 	n := 0
-	for p := w.rand.Float64(); p > math.Exp(-mean); n++ {
-		p *= w.rand.Float64()
+	for p := w.loadRand.Float64(); p > math.Exp(-mean); n++ {
+		p *= w.loadRand.Float64()
 	}
 	return n
 }
 
 // around returns a random number with the given mean.
-func (w *world) around(mean float64) float64 { return mean * (0.4 + 1.2*w.rand.Float64()) }
+func (w *world) around(mean float64) float64 { return mean * (0.4 + 1.2*w.loadRand.Float64()) }
 
 // submitOfMix submits a job of the queue with sizes around the means of the fleet's load.
 func (w *world) submitOfMix(queue string) string {
@@ -90,21 +98,32 @@
 		s = step(75, 5.5, 11_000, 2200*time.Millisecond)
 	default:
 		s = step(4, 7.8, 22_000, 640*time.Millisecond)
-		s.Gang = w.rand.Float64() < 0.3
+		s.Gang = w.loadRand.Float64() < 0.3
 	}
 	return w.submit(queue, "a", s)
 }
 
-// BenchmarkFleet plays six seconds of the load of a fleet: two seconds at the usual rate,
-// then four at twice the rate of urgent jobs.
+// BenchmarkFleet plays a fleet at its usual load, then with a burst of wide jobs and then
+// of urgent ones. It reports the share of the submitted jobs of each queue that end in
+// time.
 func BenchmarkFleet(b *testing.B) {
 	for _, workers := range []int{300, 1100} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			for b.Loop() {
 				w := newLargeWorld(b, workers)
-				submitFleetLoad(w, 2*time.Second, 1)
+				submitFleetLoad(w, 6*time.Second, 1)
+				submitLoad(w, 4*time.Second, map[string]float64{"urgent": 1, "gangs": 1.8, "batch": 1.5})
+				submitFleetLoad(w, 4*time.Second, 1)
 				submitFleetLoad(w, 4*time.Second, 2)
+				submitFleetLoad(w, 6*time.Second, 1)
+				end := w.now
+				w.run(15 * time.Second)
 				b.ReportMetric(float64(w.starts), "starts")
+				b.ReportMetric(float64(w.workersAsked), "asked")
+				for _, queue := range []string{"urgent", "gangs", "batch"} {
+					c := w.countJobs(queue, w.startTime, end)
+					b.ReportMetric(float64(c.inTime)/float64(c.submitted), queue+"-in-time")
+				}
 			}
 		})
 	}
@@ -121,8 +140,8 @@
 	after := w.now
 	submitFleetLoad(w, 6*time.Second, 1)
 	w.run(4 * time.Second)
-	inBurst := w.urgentJobs(burst, after)
-	later := w.urgentJobs(after.Add(3*time.Second), w.now)
+	inBurst := w.countJobs("urgent", burst, after)
+	later := w.countJobs("urgent", after.Add(3*time.Second), w.now)
 	t.Logf("in the burst: %+v; from three seconds after it: %+v", inBurst, later)
 	assert.GreaterOrEqual(t, float64(inBurst.inTime), 0.8*float64(inBurst.accepted), "what is accepted ends in time")
 	assert.Equal(t, inBurst.submitted, inBurst.accepted+inBurst.refusedWithDelay, "each job is accepted or refused at once")
@@ -132,13 +151,14 @@
 // jobCounts counts jobs by what their callers got.
 type jobCounts struct{ submitted, accepted, refusedWithDelay, inTime int }
 
-// urgentJobs counts the urgent jobs submitted from one time on, before another.
-func (w *world) urgentJobs(from, to time.Time) jobCounts {
+// countJobs counts the jobs of a queue that were submitted from one time on, before
+// another.
+func (w *world) countJobs(queue string, from, to time.Time) jobCounts {
 	var c jobCounts
-	q := w.policy.Queue("urgent")
+	q := w.policy.Queue(queue)
 	for id, spec := range w.specs {
 		at := w.submittedAt[id]
-		if spec.Queue != "urgent" || at.Before(from) || !at.Before(to) {
+		if spec.Queue != queue || at.Before(from) || !at.Before(to) {
 			continue
 		}
 		c.submitted++
--- a/internal/cell/engine/pool.go
+++ b/internal/cell/engine/pool.go
@@ -13,6 +13,8 @@
 	// holds overcommitted workers, the last one all with more.
 	byFreeCPU [maxIndexedCores + 1][]*worker
 
+	nextPassedOver int // index in placementRound.passedOver at which the next round goes on
+
 	measuredAt time.Time
 	free       int64 // CPU that was free on usable workers at measuredAt, in thousandths of a core
 	capacity   int64 // CPU of these workers, in thousandths of a core
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -127,11 +127,13 @@
 	asked := rec.Asked.Matcher()
 	for _, w := range e.workerList {
 		if asked(w.id) {
-			s.ensureAdvice().asked[w.id] = w.incarnation
+			s.ensureAdvice().asked[w] = w.incarnation
 		}
 	}
 	for _, g := range rec.GoodWorkers {
-		s.markGood(g.Worker, ticket{incarnation: g.Incarnation})
+		if w := e.workers[g.Worker]; w != nil {
+			s.markGood(w, ticket{incarnation: g.Incarnation})
+		}
 	}
 }
 
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -10,9 +10,12 @@
 // placementRound holds the workers of a service and its budgets in one placement round.
 type placementRound struct {
 	*pool
-	cpuBudget         int64 // CPU of the steps that may still be tried in this round, in thousandths of a core
-	holdBudget        int64 // CPU that may still be held for gangs, in thousandths of a core
-	speculativeBudget int64 // CPU that may still be used for speculative runs, in thousandths of a core
+	cpuBudget         int64        // CPU of the steps that may still be tried in this round, in thousandths of a core
+	holdBudget        int64        // CPU that may still be held for gangs, in thousandths of a core
+	speculativeBudget int64        // CPU that may still be used for speculative runs, in thousandths of a core
+	asksLeft          int          // steps for which the adviser may still be called
+	failuresLeft      int          // steps that may still be tried without a run or a call coming of it
+	passedOver        []*stepState // steps that were not tried, in the order of urgency
 }
 
 const (
@@ -24,6 +27,12 @@
 	// gangHoldRatio is the part of a service's CPU that may be held for gangs that wait
 	// until enough resources are free at the same time.
 	gangHoldRatio = 0.12
+	// maxAskingSteps is the number of steps for which the adviser may be called in a round.
+	maxAskingSteps = 24
+	// maxFailedSteps bounds the steps of a round that are tried without a run or a call
+	// coming of it, once in the order of urgency and once more from the step at which the
+	// previous round ended, so that smaller steps behind them are tried in turn.
+	maxFailedSteps = 64
 )
 
 // newRound returns the round for a service.
@@ -35,6 +44,8 @@
 		cpuBudget:         int64(budgetFreeRatio*float64(p.free) + budgetCapacityRatio*float64(p.capacity)),
 		holdBudget:        int64(gangHoldRatio * float64(p.capacity)),
 		speculativeBudget: int64(speculativeRatio * float64(p.capacity)),
+		asksLeft:          maxAskingSteps,
+		failuresLeft:      maxFailedSteps,
 	}
 }
 
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,19 +22,54 @@
 		if q == nil || !s.open() {
 			continue // the queue is not declared any more, or nothing is left to place
 		}
-		round := rounds[q.Service]
-		if round == nil {
-			round = e.newRound(q.Service)
-			rounds[q.Service] = round
-		}
-		if round.cpuBudget > 0 {
-			e.placeStep(s, q, round)
-		}
+		round := e.roundOf(rounds, q.Service)
+		e.tryStep(s, q, round)
 		e.logWait(s, round)
 	}
+	e.tryPassedOverSteps(rounds)
 	e.placeSpeculativeRuns(rounds)
 }
 
+// roundOf returns the round for a service and creates it on first use.
+func (e *Engine) roundOf(rounds map[string]*placementRound, service string) *placementRound {
+	round := rounds[service]
+	if round == nil {
+		round = e.newRound(service)
+		rounds[service] = round
+	}
+	return round
+}
+
+// tryStep tries to place s unless the budgets of the round are used up.
+func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) {
+	if round.cpuBudget <= 0 || round.failuresLeft <= 0 {
+		round.passedOver = append(round.passedOver, s)
+		return
+	}
+	if !e.placeStep(s, q, round) {
+		round.failuresLeft--
+	}
+}
+
+// tryPassedOverSteps tries some of the steps that the rounds have passed over: those that
+// follow in the order of urgency where the previous rounds have ended. A step that
+// cannot be placed then does not keep smaller ones behind it from free resources.
+func (e *Engine) tryPassedOverSteps(rounds map[string]*placementRound) {
+	for _, service := range slices.Sorted(maps.Keys(rounds)) {
+		round := rounds[service]
+		steps := round.passedOver
+		round.passedOver, round.failuresLeft = nil, maxFailedSteps
+		for n := range steps {
+			s := steps[(round.nextPassedOver+n)%len(steps)]
+			e.tryStep(s, e.queueOf(s.job()), round)
+			if len(round.passedOver) > 0 {
+				round.nextPassedOver = (round.nextPassedOver + n) % len(steps)
+				break
+			}
+		}
+	}
+}
+
 const (
 	// waitLogDelay is the time that a step waits before logWait logs it, and the
 	// minimum interval between two such lines for the same step.
@@ -94,16 +130,18 @@
 // lowestPriority is the priority of jobs whose queue is not declared any more.
 const lowestPriority = 1 << 20
 
-// placeStep plans runs for as many waiting tasks of s as possible.
-func (e *Engine) placeStep(s *stepState, q *policy.Queue, round *placementRound) {
+// placeStep plans runs for as many waiting tasks of s as possible. It reports whether it
+// has planned one or called the adviser.
+func (e *Engine) placeStep(s *stepState, q *policy.Queue, round *placementRound) bool {
 	tasks := s.waitingTasks()
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
-		return // members of the last run are still being stopped
+		return false // members of the last run are still being stopped
 	}
 	tasks = e.withinLimit(s, tasks)
 	if len(tasks) == 0 {
-		return
+		return false
 	}
+	asksLeft := round.asksLeft
 	s.placementTried = true
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
 	if q.Advice != nil {
@@ -113,11 +151,12 @@
 	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
-		e.planRun(t, w, e.nextNumber(s, t), s.ticket(w.id))
+		e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
 	}
 	if len(chosen) == 0 {
 		e.holdForGang(s, round, len(tasks))
 	}
+	return len(chosen) > 0 || round.asksLeft < asksLeft
 }
 
 // request returns the placement request for count tasks of s.
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -173,11 +172,16 @@
 		r.Tasks[i] = out
 	}
 	if s.advice != nil && s.waiting > 0 {
-		for _, id := range s.advice.goodOrder {
-			r.GoodWorkers = append(r.GoodWorkers, record.GoodWorker{Worker: id, Incarnation: s.advice.good[id].incarnation})
+		for _, g := range s.advice.good {
+			r.GoodWorkers = append(r.GoodWorkers, record.GoodWorker{Worker: g.id, Incarnation: g.ticket.incarnation})
 		}
-		for _, id := range slices.Sorted(maps.Keys(s.advice.asked)) {
-			r.Asked.Add(id)
+		names := make([]string, 0, len(s.advice.asked))
+		for w := range s.advice.asked {
+			names = append(names, w.id)
+		}
+		slices.Sort(names) // the encoding does not depend on the order of the map
+		for _, name := range names {
+			r.Asked.Add(name)
 		}
 	}
 	return record.Encode(&r)
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -18,6 +18,8 @@
 	// appendAnswerTimeout is the time without an answer to an append after which new
 	// jobs are refused. A store a hundred times slower than usual still answers in it.
 	appendAnswerTimeout = 700 * time.Millisecond
+	// slowAppend is the duration from which an append is logged.
+	slowAppend = 300 * time.Millisecond
 	// minStoreRetryAfter and maxStoreRetryAfter bound the retry delay that callers get
 	// while the store is unavailable.
 	minStoreRetryAfter = time.Second
@@ -79,7 +81,11 @@
 		e.appendRefused(ev.Append)
 	default:
 		e.storeRecovered()
-		e.storeLatency += time.Duration(storeLatencyWeight * float64(e.now.Sub(e.appendSentAt)-e.storeLatency))
+		took := e.now.Sub(e.appendSentAt)
+		e.storeLatency += time.Duration(storeLatencyWeight * float64(took-e.storeLatency))
+		if took >= slowAppend {
+			e.log.Warn("slow append", "records", len(ev.Append.Records), "bytes", record.Size(ev.Append.Records), "after_ms", took.Milliseconds(), "jobs", len(ev.Append.jobs))
+		}
 		for _, f := range ev.Append.onStored {
 			f()
 		}
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -139,12 +139,7 @@
 		if q == nil || !e.worthSpeculating(r) {
 			continue
 		}
-		round := rounds[q.Service]
-		if round == nil {
-			round = e.newRound(q.Service)
-			rounds[q.Service] = round
-		}
-		e.placeSpeculativeRun(r, q, round)
+		e.placeSpeculativeRun(r, q, e.roundOf(rounds, q.Service))
 	}
 }
 
@@ -174,7 +169,7 @@
 		}
 		round.speculativeBudget -= s.charge.CPU
 		e.log.Info("speculative run planned", "job", s.ref.Job, "task", r.task.name, "slow_worker", r.worker.id, "percent", r.percent, "worker", w.id)
-		e.planRun(r.task, w, r.task.lastRun+1, s.ticket(w.id))
+		e.planRun(r.task, w, r.task.lastRun+1, s.ticket(w))
 		return
 	}
 }
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -22,6 +22,7 @@
 type world struct {
 	t               testing.TB
 	rand            *rand.Rand
+	loadRand        *rand.Rand // of the submitted jobs, which do not depend on what the engine does
 	now             time.Time
 	startTime       time.Time
 	events          eventQueue
@@ -181,7 +182,7 @@
 func newWorld(t testing.TB, workers int, seed uint64) *world {
 	now := time.Unix(1_700_000_000, 0)
 	w := &world{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: now, startTime: now, policy: simPolicy(),
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), loadRand: rand.New(rand.NewPCG(seed, 2)), now: now, startTime: now, policy: simPolicy(),
 		stored: make(map[string][]byte), workers: make(map[string]*simWorker), tasks: make(map[string]*simTask),
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), accepted: make(map[string]bool),
 		canceledAt: make(map[string]time.Time), answers: make(map[string]Answer), cancelRequested: make(map[string]bool),
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -21,6 +21,15 @@
 	Value []byte
 }
 
+// Size returns the total size of the keys and values of records, in bytes.
+func Size(records []Record) int {
+	size := 0
+	for i := range records {
+		size += len(records[i].Key) + len(records[i].Value)
+	}
+	return size
+}
+
 // State is the state of a job.
 type State uint8
 
