Send the commands of a large fleet to its workers through relays

Change: for more than 400 workers, one relay for every 64 workers, on the instances with the most CPU, sends what the leader decides. A worker's relay follows from a hash of both names, so it stays over a change of leader with its connections. Batches go out one at a time in each direction, so a slow link makes them larger instead of more. A relay that refuses a connection is dropped at once: what was not sent goes to another relay, the rest counts as unanswered, which the engine settles as before (the command is repeated or its run stopped). Followers count from their pings while a leader still loads its state. Instances with up to 400 workers behave as before.

Shown by: relays_test.go in virtual time: commands go through a relay, the next leader keeps it, a relay that ends or is cut off is replaced without a second start of what runs.

--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -101,9 +101,11 @@
 
 // Events that Engine.Handle takes.
 type (
-	// Submit asks the engine to accept a job. Reply is called once.
+	// Submit asks the engine to accept a job. Reply is called once. Wait is how long the
+	// caller waits for the answer, zero if that is not known.
 	Submit struct {
 		Spec  *job.Spec
+		Wait  time.Duration
 		Reply func(Answer)
 	}
 	// Cancel asks the engine to cancel a job.
--- a/internal/cell/node/actions.go
+++ b/internal/cell/node/actions.go
@@ -35,6 +35,9 @@
 	case *engine.Append:
 		go l.appendBatch(a)
 	case *engine.Start:
+		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Start: a}, a) {
+			return
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
@@ -44,16 +47,22 @@
 			l.post(ev)
 		}()
 	case *engine.Stop:
+		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Stop: a}, a) {
+			return
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
 			l.post(l.n.ports.Workers.Stop(ctx, l.rec.Term, a))
 		}()
 	case *engine.Renew:
+		l.n.stats.Renewals.Inc(1)
+		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Renew: a}, a) {
+			return
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
 			defer cancel()
-			l.n.stats.Renewals.Inc(1)
 			l.post(l.n.ports.Workers.Renew(ctx, l.rec.Term, a))
 		}()
 	case *engine.AdviceCall:
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -29,6 +29,9 @@
 	mu          sync.Mutex
 	members     map[string]*member
 	unreachable map[string]bool // instances whose network connections lose all data
+
+	directWorkers int                           // see Settings
+	workersFor    func(instance string) Workers // as an instance reaches them
 }
 
 // member is one instance of a cluster. It implements the net.Listener on which its peers
@@ -49,8 +52,17 @@
 
 // runCluster runs f on a cluster of n instances in virtual time.
 func runCluster(t *testing.T, n int, f func(t *testing.T, c *cluster)) {
+	runClusterWith(t, n, func(*cluster) {}, f)
+}
+
+// runClusterWith is runCluster on a cluster that configure changes before it starts.
+func runClusterWith(t *testing.T, n int, configure func(c *cluster), f func(t *testing.T, c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, store: newMemoryStore(), members: make(map[string]*member), unreachable: make(map[string]bool)}
+		c := &cluster{
+			t: t, store: newMemoryStore(), members: make(map[string]*member), unreachable: make(map[string]bool),
+			directWorkers: 400, workersFor: func(string) Workers { return oneWorker{} },
+		}
+		configure(c)
 		for i := range n {
 			c.start(fmt.Sprintf("i%d", i), 1)
 		}
@@ -82,7 +94,7 @@
 func (c *cluster) start(name string, share float64) *member {
 	m := &member{address: name + ":1", stopped: make(chan struct{}), conns: make(chan net.Conn), store: &storeAccess{memoryStore: c.store}}
 	settings := Settings{
-		Instance: name, Address: m.address, CPUShare: share,
+		Instance: name, Address: m.address, CPUShare: share, DirectWorkers: c.directWorkers, WorkersPerRelay: 64,
 		Engine: engine.Config{
 			Lease: 6 * time.Second, MaxLease: 10 * time.Second, LeaseExpiryMargin: 100 * time.Millisecond, MaxStopDuration: 200 * time.Millisecond,
 			GangStartTimeout: 3 * time.Second, OffRackMultiplier: 2, RenewalMaxWait: time.Second, RenewalRetryDelay: 150 * time.Millisecond, IdleRenewalInterval: 2 * time.Second,
@@ -91,7 +103,7 @@
 		},
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return c.dial(ctx, m, address) },
 	}
-	ports := Ports{Store: m.store, Directory: directory{m.store, new(atomic.Bool)}, Workers: oneWorker{}, Policies: fixedPolicy{m}}
+	ports := Ports{Store: m.store, Directory: directory{m.store, new(atomic.Bool)}, Workers: c.workersFor(name), Policies: fixedPolicy{m}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if testing.Verbose() {
 		log = slog.New(slog.NewTextHandler(c.t.Output(), nil))
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -31,6 +31,9 @@
 
 	mu        sync.Mutex
 	followers map[string]*follower // by instance name
+
+	relays  *relays
+	workers atomic.Int64 // number of workers in the directory
 }
 
 // follower is the last ping of an instance that follows this leader.
@@ -71,6 +74,8 @@
 	defer cancel()
 	l := &leader{n: n, rec: *rec, events: make(chan any, maxQueuedEvents), done: make(chan struct{}),
 		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), sequence: 1, startedAt: time.Now()}
+	l.relays = newRelays(l)
+	n.preparing.Store(l)
 	renewalEnded := make(chan struct{})
 	go func() {
 		defer close(renewalEnded)
@@ -83,12 +88,15 @@
 		if p := n.policy.Load(); p != nil {
 			l.post(&engine.PolicyChanged{Policy: p})
 		}
+		l.updateRelays(l.liveFollowers())
 		go l.pollWorkers()
 		go l.watchFollowers()
+		go l.relays.expire()
 		l.run(e)
 	}
 	l.stop("term ended")
 	n.leading.CompareAndSwap(l, nil)
+	n.preparing.CompareAndSwap(l, nil)
 	n.knownLeader.Store(nil)
 	n.notifyLeaderChanged()
 	<-renewalEnded
@@ -242,11 +250,17 @@
 			l.post(&engine.DelegatesChanged{Delegates: names})
 			l.n.cellInstances.Store(newInstanceList(live, l.n.settings.CPUShare))
 		}
+		l.updateRelays(live)
 		l.considerHandover(live)
 		wait.For(l.ctx, followersInterval)
 	}
 }
 
+// updateRelays sets the relays for the live followers and the size of the fleet.
+func (l *leader) updateRelays(live []*follower) {
+	l.relays.update(l.n.settings.wantedRelays(l.relays.usable(live), int(l.workers.Load())))
+}
+
 // pollWorkers keeps the engine's list of workers up to date.
 func (l *leader) pollWorkers() {
 	posted := false // the first list is always posted, as prepare may have received none
@@ -269,6 +283,7 @@
 	list, changed, err := l.n.ports.Directory.Poll(ctx)
 	if err == nil {
 		l.noteStoreAnswer()
+		l.workers.Store(int64(len(list)))
 	}
 	return list, changed, err
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -25,7 +25,11 @@
 	Address  string    // address at which peers connect to it
 	CPUShare float64   // CPU of the instance, in cores
 	Dial     peer.Dial // opens connections to peers
-	Engine   engine.Config
+	// DirectWorkers is the number of workers up to which the leader sends all commands
+	// itself. A larger fleet has one relay for every WorkersPerRelay workers.
+	DirectWorkers   int
+	WorkersPerRelay int
+	Engine          engine.Config
 }
 
 // Ports are the interfaces through which the node uses other systems.
@@ -48,6 +52,7 @@
 
 	policy        atomic.Pointer[policy.Policy] // declarations in force; nil until the first version arrives
 	leading       atomic.Pointer[leader]        // nil unless this instance leads
+	preparing     atomic.Pointer[leader]        // nil unless this instance prepares to lead or leads
 	knownLeader   atomic.Pointer[Leadership]    // leader that is followed, or this instance while it prepares to lead or leads; nil if unknown
 	cellInstances atomic.Pointer[instanceList]  // newest list that the leader has made; nil until there is one
 	// leaderAnsweredAt is when the leader last answered, in nanoseconds since
@@ -63,6 +68,7 @@
 
 	mu           sync.Mutex
 	leaderChange chan struct{} // closed when the leader changes
+	outbox       *outbox       // results for the leader of the latest term for which this instance is a relay; nil if there are none
 }
 
 // New returns a node. It does nothing until Run is called.
--- /dev/null
+++ b/internal/cell/node/relays.go
@@ -0,0 +1,347 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"pollenbend/internal/cell/engine"
+	"pollenbend/internal/cell/peer"
+
+	"pollenbend/internal/wait"
+)
+
+// relays is the leader's view of its relays. Every worker belongs to one relay, which
+// depends only on the names of the worker and of the relays, so that the connections to
+// workers outlive a change of the leader.
+type relays struct {
+	l *leader
+
+	mu         sync.Mutex
+	nextNumber uint64
+	links      map[string]*relayLink // by instance name
+	names      []string              // of links, sorted
+	byWorker   map[string]*relayLink // cache of the relay of each worker
+	failedAt   map[string]time.Time  // when a call to an instance last failed, by its name
+}
+
+// relayLink is the leader's end of the exchange with one relay.
+type relayLink struct {
+	r        *relays
+	instance string
+	address  string
+	cancel   context.CancelFunc
+	wake     chan struct{} // signals that queue is not empty
+
+	// Guarded by relays.mu.
+	queue   []RelayCommand
+	pending map[uint64]*relayedAction // commands without a result, by number
+}
+
+// relayedAction is an action that a relay was given to execute.
+type relayedAction struct {
+	action  any // *engine.Start, *engine.Stop or *engine.Renew
+	sentAt  time.Time
+	expires time.Time // when it counts as unanswered
+}
+
+const (
+	// relayMargin is how much longer than the timeout of its action a relay's result may
+	// take: the action and its result wait for a batch each, and cross the network.
+	relayMargin = 600 * time.Millisecond
+	// relayExpiryInterval is the interval between two checks for actions without a result.
+	relayExpiryInterval = 50 * time.Millisecond
+)
+
+func newRelays(l *leader) *relays {
+	return &relays{l: l, links: make(map[string]*relayLink), byWorker: make(map[string]*relayLink), failedAt: make(map[string]time.Time)}
+}
+
+// wantedRelays returns the followers that should be relays for a fleet of the given number of
+// workers: the ones with the most CPU, none for a fleet that the leader serves itself.
+func (s *Settings) wantedRelays(live []*follower, workers int) []*follower {
+	if workers <= s.DirectWorkers {
+		return nil
+	}
+	candidates := slices.Clone(live)
+	candidates = slices.DeleteFunc(candidates, func(f *follower) bool { return f.Instance == s.Instance })
+	slices.SortStableFunc(candidates, func(a, b *follower) int {
+		switch {
+		case a.CPUShare > b.CPUShare:
+			return -1
+		case a.CPUShare < b.CPUShare:
+			return 1
+		}
+		return strings.Compare(a.Instance, b.Instance)
+	})
+	return candidates[:min(len(candidates), (workers+s.WorkersPerRelay-1)/s.WorkersPerRelay)]
+}
+
+// usable returns the followers in live that have pinged since a call to them failed.
+func (r *relays) usable(live []*follower) []*follower {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(live), func(f *follower) bool { return !f.pingedAt.After(r.failedAt[f.Instance]) })
+}
+
+// update sets the relays. The commands of those that are dropped count as unanswered.
+func (r *relays) update(wanted []*follower) {
+	r.mu.Lock()
+	names := make([]string, 0, len(wanted))
+	for _, f := range wanted {
+		names = append(names, f.Instance)
+	}
+	slices.Sort(names)
+	if slices.Equal(names, r.names) {
+		r.mu.Unlock()
+		return
+	}
+	var unanswered []*relayedAction
+	for _, name := range r.names {
+		if !slices.Contains(names, name) {
+			unanswered = append(unanswered, r.remove(name)...)
+		}
+	}
+	for _, f := range wanted {
+		if r.links[f.Instance] == nil {
+			r.links[f.Instance] = r.newLink(f)
+		}
+	}
+	r.names = names
+	clear(r.byWorker)
+	r.mu.Unlock()
+	r.l.n.log.Info("relays changed", "term", r.l.rec.Term, "relays", len(names), "unanswered", len(unanswered))
+	r.failAll(unanswered)
+}
+
+// remove removes a relay and returns its pending actions. r.mu is held.
+func (r *relays) remove(name string) []*relayedAction {
+	link := r.links[name]
+	link.cancel()
+	delete(r.links, name)
+	r.names = slices.DeleteFunc(r.names, func(other string) bool { return other == name })
+	clear(r.byWorker)
+	return link.takeAll()
+}
+
+// drop removes a relay after a call to it has failed. The commands in unsent go to other
+// relays; the others that it was given count as unanswered, as it may execute them.
+func (r *relays) drop(link *relayLink, unsent []RelayCommand, reason error) {
+	r.mu.Lock()
+	if r.links[link.instance] != link {
+		r.mu.Unlock()
+		return
+	}
+	r.failedAt[link.instance] = time.Now()
+	unsent = append(unsent, link.queue...)
+	var again []*relayedAction
+	for i := range unsent {
+		if a := link.pending[unsent[i].Number]; a != nil {
+			again = append(again, a)
+			delete(link.pending, unsent[i].Number)
+		}
+	}
+	unanswered := r.remove(link.instance)
+	r.mu.Unlock()
+	r.l.n.log.Warn("relay dropped", "relay", link.instance, "term", r.l.rec.Term, "sent_again", len(again), "unanswered", len(unanswered), "reason", reason.Error())
+	for _, a := range again {
+		r.l.execute(a.action)
+	}
+	r.failAll(unanswered)
+}
+
+func (r *relays) newLink(f *follower) *relayLink {
+	ctx, cancel := context.WithCancel(r.l.ctx)
+	link := &relayLink{r: r, instance: f.Instance, address: f.Address, cancel: cancel, wake: make(chan struct{}, 1), pending: make(map[uint64]*relayedAction)}
+	go link.run(ctx)
+	return link
+}
+
+// send gives an action for a worker to its relay. It reports false if there is none.
+func (r *relays) send(worker string, timeout time.Duration, command RelayCommand, action any) bool {
+	now := time.Now()
+	r.mu.Lock()
+	link := r.relayOf(worker)
+	if link == nil {
+		r.mu.Unlock()
+		return false
+	}
+	r.nextNumber++
+	command.Number = r.nextNumber
+	link.queue = append(link.queue, command)
+	link.pending[command.Number] = &relayedAction{action: action, sentAt: now, expires: now.Add(timeout + relayMargin)}
+	r.mu.Unlock()
+	select {
+	case link.wake <- struct{}{}:
+	default: // signaled already
+	}
+	return true
+}
+
+// relayOf returns the relay of a worker, or nil. It picks the relay with the highest hash
+// of both names, so a change of the relays moves few workers. r.mu is held.
+func (r *relays) relayOf(worker string) *relayLink {
+	if link := r.byWorker[worker]; link != nil || len(r.names) == 0 {
+		return link
+	}
+	best, highest := "", uint64(0)
+	for _, name := range r.names {
+		if h := xxhash.Sum64String(name + "/" + worker); best == "" || h > highest {
+			best, highest = name, h
+		}
+	}
+	r.byWorker[worker] = r.links[best]
+	return r.byWorker[worker]
+}
+
+// run sends the queued commands in batches, one at a time, until ctx ends.
+func (k *relayLink) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		}
+		for commands := k.takeQueue(); len(commands) > 0; commands = k.takeQueue() {
+			k.sendBatch(ctx, commands)
+			wait.For(ctx, relayBatchInterval)
+		}
+	}
+}
+
+// takeQueue removes at most maxRelayBatch commands from the queue.
+func (k *relayLink) takeQueue() []RelayCommand {
+	k.r.mu.Lock()
+	defer k.r.mu.Unlock()
+	n := min(len(k.queue), maxRelayBatch)
+	batch := k.queue[:n]
+	k.queue = k.queue[n:]
+	return batch
+}
+
+// sendBatch sends commands. If that fails it drops the relay.
+func (k *relayLink) sendBatch(ctx context.Context, commands []RelayCommand) {
+	l := k.r.l
+	args := RelayArgs{Leader: l.n.settings.Address, Term: l.rec.Term, Commands: commands}
+	ctx, cancel := context.WithTimeout(ctx, relayCallTimeout)
+	defer cancel()
+	err := l.n.peers.Get(k.address).Call(ctx, serviceName+".Relay", &args, &struct{}{})
+	if err == nil || l.ctx.Err() != nil {
+		return
+	}
+	if !errors.Is(err, peer.ErrNotSent) {
+		commands = nil // the relay may execute them
+	}
+	k.r.drop(k, commands, err)
+}
+
+// take removes the pending actions with the given numbers and returns them.
+func (k *relayLink) take(numbers []uint64) []*relayedAction {
+	k.r.mu.Lock()
+	defer k.r.mu.Unlock()
+	var taken []*relayedAction
+	for _, number := range numbers {
+		if a := k.pending[number]; a != nil {
+			taken = append(taken, a)
+			delete(k.pending, number)
+		}
+	}
+	return taken
+}
+
+// takeAll removes all pending actions and returns them in the order of their numbers.
+// r.mu is held.
+func (k *relayLink) takeAll() []*relayedAction {
+	taken := make([]*relayedAction, 0, len(k.pending))
+	for _, number := range sortedKeys(k.pending) {
+		taken = append(taken, k.pending[number])
+	}
+	clear(k.pending)
+	k.queue = nil
+	return taken
+}
+
+// expire fails the actions whose result is overdue, until the term ends.
+func (r *relays) expire() {
+	for wait.For(r.l.ctx, relayExpiryInterval); r.l.ctx.Err() == nil; wait.For(r.l.ctx, relayExpiryInterval) {
+		now := time.Now()
+		var unanswered []*relayedAction
+		r.mu.Lock()
+		for _, name := range r.names {
+			link := r.links[name]
+			for _, number := range sortedKeys(link.pending) {
+				if a := link.pending[number]; now.After(a.expires) {
+					unanswered = append(unanswered, a)
+					delete(link.pending, number)
+				}
+			}
+		}
+		r.mu.Unlock()
+		r.failAll(unanswered)
+	}
+}
+
+// failAll posts for each action that it got no answer.
+func (r *relays) failAll(actions []*relayedAction) {
+	for _, a := range actions {
+		r.l.post(a.event(&RelayResult{Outcome: engine.NoAnswer}))
+	}
+}
+
+// take posts the results of commands that a relay has executed. Results of actions that
+// have expired are left out.
+func (r *relays) take(instance string, results []RelayResult) {
+	r.mu.Lock()
+	link := r.links[instance]
+	r.mu.Unlock()
+	if link == nil {
+		return
+	}
+	for i := range results {
+		for _, a := range link.take([]uint64{results[i].Number}) {
+			r.l.post(a.event(&results[i]))
+		}
+	}
+}
+
+// event returns the event that reports a result of a to the engine.
+func (a *relayedAction) event(result *RelayResult) any {
+	switch action := a.action.(type) {
+	case *engine.Start:
+		return &engine.StartAnswered{Start: action, Outcome: result.Outcome, Incarnation: result.Incarnation, Clock: result.Clock}
+	case *engine.Stop:
+		return &engine.StopAnswered{Stop: action, Outcome: result.Outcome, Incarnation: result.Incarnation}
+	case *engine.Renew:
+		// The relay sends the renewal after sentAt, so what its report lacks was not there
+		// at sentAt or later.
+		return &engine.RenewalAnswered{Worker: action.Worker, Incarnation: action.Incarnation, SentAt: a.sentAt,
+			Report: result.Report, Fenced: result.Fenced, OtherIncarnation: result.OtherIncarnation}
+	}
+	panic("not an action for a relay")
+}
+
+// Relayed takes the results of commands that another instance has relayed, if this
+// instance leads in that term.
+func (s *Service) Relayed(args *RelayedArgs, _ *struct{}) error {
+	l := s.n.leading.Load()
+	if l == nil || l.rec.Term != args.Term {
+		return errTermEnded
+	}
+	l.relays.take(args.Instance, args.Results)
+	return nil
+}
+
+// sortedKeys returns the keys of m in ascending order.
+func sortedKeys[V any](m map[uint64]V) []uint64 {
+	keys := make([]uint64, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/cell/node/relays_test.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/engine"
+)
+
+// sharedWorker is a worker that all instances of a cluster reach. It runs every task until
+// it is stopped.
+type sharedWorker struct {
+	mu      sync.Mutex
+	runs    map[string]int // number of the run, by task
+	starts  map[string]int // by task
+	callers map[string]int // calls by instance
+}
+
+func newSharedWorker() *sharedWorker {
+	return &sharedWorker{runs: make(map[string]int), starts: make(map[string]int), callers: make(map[string]int)}
+}
+
+// callersSoFar returns the calls by instance and starts a new count.
+func (s *sharedWorker) callersSoFar() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.callers
+	s.callers = make(map[string]int)
+	return counts
+}
+
+// workerAccess is a sharedWorker as one instance reaches it.
+type workerAccess struct {
+	*sharedWorker
+	instance string
+}
+
+// Start implements Workers.
+func (a workerAccess) Start(_ context.Context, _ int64, command *engine.Start) *engine.StartAnswered {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.callers[a.instance]++
+	if a.runs[command.Task] != command.Run {
+		a.runs[command.Task] = command.Run
+		a.starts[command.Task]++
+	}
+	return &engine.StartAnswered{Start: command, Incarnation: 1, Clock: time.Now().UnixMilli()}
+}
+
+// Stop implements Workers.
+func (a workerAccess) Stop(_ context.Context, _ int64, command *engine.Stop) *engine.StopAnswered {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.callers[a.instance]++
+	delete(a.runs, command.Task)
+	return &engine.StopAnswered{Stop: command, Incarnation: 1}
+}
+
+// Renew implements Workers.
+func (a workerAccess) Renew(_ context.Context, _ int64, renewal *engine.Renew) *engine.RenewalAnswered {
+	sent := time.Now()
+	time.Sleep(renewal.MaxWait)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.callers[a.instance]++
+	report := &engine.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}
+	for task, run := range a.runs {
+		report.Running = append(report.Running, engine.RunStatus{Task: task, Run: run, Percent: 1})
+	}
+	return &engine.RenewalAnswered{Worker: renewal.Worker, Incarnation: 1, SentAt: sent, Report: report}
+}
+
+// runRelayCluster runs f on a cluster whose leader uses relays for its only worker.
+func runRelayCluster(t *testing.T, n int, f func(t *testing.T, c *cluster, w *sharedWorker)) {
+	w := newSharedWorker()
+	runClusterWith(t, n, func(c *cluster) {
+		c.directWorkers = 0
+		c.workersFor = func(instance string) Workers { return workerAccess{w, instance} }
+	}, func(t *testing.T, c *cluster) { f(t, c, w) })
+}
+
+// relayName returns the name of the only instance that calls the worker.
+func relayName(t *testing.T, w *sharedWorker) string {
+	t.Helper()
+	w.callersSoFar()
+	time.Sleep(3 * time.Second)
+	callers := w.callersSoFar()
+	require.Len(t, callers, 1, "%v", callers)
+	for name := range maps.Keys(callers) {
+		return name
+	}
+	return ""
+}
+
+func TestCommandsGoThroughRelay(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		submitWithin(t, c.leader(), "job", 100*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, engine.StateRunning, status(t, c.leader(), "job"))
+		relay := relayName(t, w)
+		assert.NotEqual(t, c.leader().settings.Instance, relay)
+		c.kill(c.leader())
+		time.Sleep(maxTakeoverTime)
+		if c.leader().settings.Instance != relay {
+			assert.Equal(t, relay, relayName(t, w), "the next leader keeps the relay and its connections")
+		}
+		assert.Equal(t, map[string]int{"job.0.0.0": 1}, w.starts)
+	})
+}
+
+// The relay's process ends while a task runs. Another relay goes on with its worker before
+// the lease ends, and later jobs start at once.
+func TestAnotherRelayReplacesOneThatEnds(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		submitWithin(t, c.leader(), "before", 100*time.Millisecond)
+		first := relayName(t, w)
+		c.kill(c.members[first])
+		time.Sleep(2 * time.Second)
+		assert.NotEqual(t, first, relayName(t, w))
+		submitWithin(t, c.leader(), "after", 100*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, engine.StateRunning, status(t, c.leader(), "after"))
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, map[string]int{"before.0.0.0": 1, "after.0.0.0": 1}, w.starts, "no run was given up")
+	})
+}
+
+// A relay loses its network. What it was given counts as unanswered, and a job that was to
+// start through it runs on within two seconds through another one.
+func TestCommandsToUnreachableRelayCountAsUnanswered(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		first := relayName(t, w)
+		c.mu.Lock()
+		c.unreachable[first] = true
+		c.mu.Unlock()
+		submitWithin(t, c.leader(), "job", 500*time.Millisecond)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, engine.StateRunning, status(t, c.leader(), "job"))
+		assert.NotEqual(t, first, relayName(t, w))
+		assert.LessOrEqual(t, w.starts["job.0.0.0"], 2)
+	})
+}
+
+// A change of the relays moves only the workers of those that come or go.
+func TestFewWorkersMoveWhenRelaysChange(t *testing.T) {
+	r := &relays{links: make(map[string]*relayLink), byWorker: make(map[string]*relayLink)}
+	use := func(n int) map[string]string {
+		r.names = nil
+		clear(r.byWorker)
+		for i := range n {
+			name := fmt.Sprintf("i%02d", i)
+			r.names = append(r.names, name)
+			r.links[name] = &relayLink{instance: name}
+		}
+		found := make(map[string]string)
+		for i := range 1000 {
+			worker := fmt.Sprintf("w%d", i)
+			found[worker] = r.relayOf(worker).instance
+		}
+		return found
+	}
+	before, after := use(10), use(9)
+	moved, load := 0, make(map[string]int)
+	for worker, relay := range before {
+		load[relay]++
+		if after[worker] != relay {
+			moved++
+			assert.Equal(t, "i09", relay)
+		}
+	}
+	assert.Equal(t, load["i09"], moved)
+	for relay, n := range load {
+		assert.InDelta(t, 100, n, 50, relay)
+	}
+}
+
+func TestWantedRelays(t *testing.T) {
+	s := &Settings{Instance: "i0", DirectWorkers: 400, WorkersPerRelay: 64}
+	var live []*follower
+	for i := range 20 {
+		live = append(live, &follower{PingArgs: PingArgs{Instance: fmt.Sprintf("i%d", i), CPUShare: 0.2 + 0.6*float64(i%2)}})
+	}
+	assert.Empty(t, s.wantedRelays(live, 400), "the leader serves a small fleet itself")
+	wanted := s.wantedRelays(live, 1000)
+	assert.Len(t, wanted, 16)
+	for i, f := range wanted {
+		assert.NotEqual(t, "i0", f.Instance)
+		assert.Equal(t, i < 10, f.CPUShare > 0.5, "those with the most CPU first")
+	}
+	assert.Len(t, s.wantedRelays(live[:3], 1000), 2, "no more than there are")
+}
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -31,11 +31,20 @@
 
 // Submit submits a job to the leader. An error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) (engine.Answer, error) {
-	return n.request(ctx, "Submit", &SubmitArgs{Spec: spec}, func(answer func(engine.Answer)) any {
-		return &engine.Submit{Spec: spec, Reply: answer}
+	return n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
+		return &engine.Submit{Spec: spec, Wait: untilDeadline(ctx), Reply: answer}
 	})
 }
 
+// untilDeadline returns the time until the deadline of ctx, or zero if it has none.
+func untilDeadline(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(1, time.Until(deadline))
+}
+
 // Cancel cancels a job of team. An error is a *verdict.Error.
 func (n *Node) Cancel(ctx context.Context, id, team string) (engine.Answer, error) {
 	return n.request(ctx, "Cancel", &JobArgs{ID: id, Team: team}, func(answer func(engine.Answer)) any {
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -26,7 +26,10 @@
 }
 
 // SubmitArgs are the arguments of Submit.
-type SubmitArgs struct{ Spec *job.Spec }
+type SubmitArgs struct {
+	Spec *job.Spec
+	Wait time.Duration // how long the caller waits for the answer
+}
 
 // JobArgs are the arguments of Cancel and Status: a job and the team that it belongs to.
 type JobArgs struct{ ID, Team string }
@@ -73,7 +76,7 @@
 // Submit submits a job to the engine of this instance, if it leads.
 func (s *Service) Submit(args *SubmitArgs, reply *Reply) error {
 	return s.answerLocally(reply, func(answer func(engine.Answer)) any {
-		return &engine.Submit{Spec: args.Spec, Reply: answer}
+		return &engine.Submit{Spec: args.Spec, Wait: args.Wait, Reply: answer}
 	})
 }
 
@@ -128,8 +131,10 @@
 	}
 	l := n.leading.Load()
 	reply.Leading = l != nil || n.leadsOrPrepares() || n.claiming.Load()
+	if preparing := n.preparing.Load(); preparing != nil {
+		preparing.recordPing(args)
+	}
 	if l != nil {
-		l.recordPing(args)
 		if known := n.cellInstances.Load(); known != nil && known.Version != args.Others {
 			reply.Others = known
 		}
