Let admission and urgency know how long starts take

Ruled out: the bandwidth of the slow store (line 'slow append': 38 kB take 498 ms, 907 kB take 579 ms).

Change: the time to the end of a job counts a tenth more than its estimates, the store's latency and the start command. Jobs are refused while tasks of their priority that start have waited longer than the job can. A submission says how long its caller waits; it is refused at once if the store is slower. An append counts as unanswered after 700 ms or twice the usual latency.

--- a/internal/cell/admission/admission.go
+++ b/internal/cell/admission/admission.go
@@ -14,6 +14,9 @@
 	WaitingCoreSeconds  float64 // core-seconds of work of these tasks
 	HigherPriorityCores float64 // expected number of cores that newly arriving work of higher priority occupies
 	BackfillCores       float64 // free cores that tasks like the job's can use and no waiting task can
+	// RecentWait is the time that tasks of the job's priority which started lately had
+	// waited. It shows limits other than cores, such as the rate at which tasks can start.
+	RecentWait time.Duration
 }
 
 // Job describes the job to decide on.
@@ -58,6 +61,9 @@
 	if l.WaitingCores > l.Free && j.Cores >= l.BackfillCores {
 		wait = time.Duration(l.WaitingCoreSeconds / rate * float64(time.Second))
 	}
+	if l.WaitingCores > 0 {
+		wait = max(wait, l.RecentWait)
+	}
 	slack := j.Objective - j.CriticalPath
 	d := Decision{Wait: wait}
 	switch {
--- a/internal/cell/admission/admission_test.go
+++ b/internal/cell/admission/admission_test.go
@@ -52,3 +52,18 @@
 	assert.Greater(t, long.RetryAfter, short.RetryAfter)
 	assert.LessOrEqual(t, long.RetryAfter, maxRetryDelay)
 }
+
+// Tasks lately waited longer than the job can, although cores are free: starts are limited
+// by something else, and the job would wait as well. Without waiting tasks it would not.
+func TestRecentWaitCountsWhileTasksWait(t *testing.T) {
+	load := Load{Capacity: 100, Free: 50, WaitingCores: 10, BackfillCores: 50, RecentWait: 2 * time.Second}
+	urgent := Job{Cores: 4, CriticalPath: time.Second, Objective: 2 * time.Second}
+	d := Decide(urgent, load)
+	assert.False(t, d.Accept)
+	assert.Equal(t, minRetryDelay, d.RetryAfter)
+	load.WaitingCores = 0
+	assert.True(t, Decide(urgent, load).Accept)
+	load.WaitingCores = 10
+	urgent.Objective = 4 * time.Second
+	assert.True(t, Decide(urgent, load).Accept, "it has time to wait")
+}
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -20,6 +20,29 @@
 	waitingWork   float64   // core-seconds of the waiting work that can still end in time
 	arrivalRate   float64   // average rate of arriving work, in cores
 	arrivalRateAt time.Time // when arrivalRate was last updated
+
+	startDelay   time.Duration // smoothed time that recently started tasks had waited
+	startDelayAt time.Time     // when startDelay was last updated
+}
+
+const (
+	// startDelayWindow is the time constant of the smoothed waiting time.
+	startDelayWindow = 500 * time.Millisecond
+	// startDelayWeight is the weight of one step in it.
+	startDelayWeight = 0.05
+)
+
+// noteStart adds a step that starts after it has waited.
+func (d *demand) noteStart(waited time.Duration, now time.Time) {
+	d.startDelay = d.waitingTime(now)
+	d.startDelay += time.Duration(startDelayWeight * float64(waited-d.startDelay))
+	d.startDelayAt = now
+}
+
+// waitingTime returns the time that tasks which start now have waited. Without starts it
+// decreases, so that jobs are accepted again and show whether they would wait.
+func (d *demand) waitingTime(now time.Time) time.Duration {
+	return time.Duration(float64(d.startDelay) * math.Exp(-now.Sub(d.startDelayAt).Seconds()/startDelayWindow.Seconds()))
 }
 
 // arrivalWindow is the time constant of the average rate of arriving work: a few times
@@ -130,6 +153,9 @@
 	if q.Advice != nil {
 		load.BackfillCores *= e.goodShare(q.Name)
 	}
+	if d := e.demands[q.Priority]; d != nil {
+		load.RecentWait = d.waitingTime(e.now)
+	}
 	for priority, d := range e.demands {
 		if priority <= q.Priority {
 			load.WaitingCores += float64(d.waitingCPU) / 1000
--- a/internal/cell/engine/critical_path.go
+++ b/internal/cell/engine/critical_path.go
@@ -30,6 +30,21 @@
 	return e.criticalPaths(s.job())[s.ref.Step]
 }
 
+const (
+	// estimateMargin is the part of a critical path that is added to it, as runtimes are
+	// estimates. Without it, the steps placed first under overload are those that will
+	// just miss their objective.
+	estimateMargin = 0.1
+	// dispatchTime is the time from the placement of a task until it starts, besides that
+	// for storing its record.
+	dispatchTime = 40 * time.Millisecond
+)
+
+// timeToEnd returns the expected time until the end of the job of s if s is placed now.
+func (e *Engine) timeToEnd(s *stepState) time.Duration {
+	return time.Duration((1+estimateMargin)*float64(e.criticalPathFrom(s))) + e.storeLatency + dispatchTime
+}
+
 // criticalPaths returns the result of criticalPathsOf for a job, computed on first use.
 func (e *Engine) criticalPaths(j *jobState) []time.Duration {
 	if j.criticalPaths == nil {
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -23,7 +23,7 @@
 	}
 	why, retryAfter := e.admit(ev.Spec)
 	if why == "" {
-		why, retryAfter = e.storeUnavailable()
+		why, retryAfter = e.storeUnavailable(ev.Wait)
 	}
 	if why != "" {
 		e.refuse(ev.Spec, why, retryAfter, ev.Reply)
--- a/internal/cell/engine/overload_test.go
+++ b/internal/cell/engine/overload_test.go
@@ -120,3 +120,45 @@
 	w.run(time.Second)
 	assert.NotContains(t, w.stored, step)
 }
+
+// A store that answers, but slower than the caller waits, cannot accept the caller's job. It
+// is refused at once instead of running although its caller got no answer.
+func TestJobIsRefusedAtOnceIfStoreIsTooSlowForItsCaller(t *testing.T) {
+	w := newWorld(t, 4, 7)
+	w.run(time.Second)
+	w.storeDelay = 250 * time.Millisecond
+	for range 10 { // the engine learns the latency
+		w.submit("batch", "a", tasks(1, 100, time.Second))
+		w.run(600 * time.Millisecond)
+	}
+	var answer Answer
+	spec := &job.Spec{ID: "00000000000000ff", Queue: "urgent", Team: "a", Steps: []job.Step{tasks(1, 100, time.Second)}}
+	submit := func(wait time.Duration) {
+		answer = Answer{Outcome: NotFound}
+		w.engine.Handle(w.now, &Submit{Spec: spec, Wait: wait, Reply: func(a Answer) { answer = a }})
+	}
+	submit(300 * time.Millisecond)
+	assert.Equal(t, Refused, answer.Outcome)
+	assert.Positive(t, answer.RetryAfter)
+	w.specs[spec.ID] = spec
+	submit(3 * time.Second)
+	w.run(2 * time.Second)
+	assert.Equal(t, OK, answer.Outcome, "a caller who waits longer gets its job accepted")
+}
+
+// Twice as much urgent work as the workers can run arrives for four seconds. Waiting
+// jobs that would just miss their objective don't delay those that can still meet it, so
+// most of the workers' time goes to jobs that end in time.
+func TestUrgentOverloadEndsMostJobsInTime(t *testing.T) {
+	w := newLargeWorld(t, 220)
+	w.storeDelay = 10 * time.Millisecond
+	submitFleetLoad(w, 4*time.Second, 1)
+	burst := w.now
+	submitFleetLoad(w, 4*time.Second, 8)
+	after := w.now
+	w.run(4 * time.Second)
+	c := w.countJobs("urgent", burst, after)
+	t.Logf("%+v", c)
+	assert.GreaterOrEqual(t, float64(c.inTime), 0.85*float64(c.submitted))
+	assert.Equal(t, c.submitted, c.accepted+c.refusedWithDelay)
+}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -105,7 +105,7 @@
 // urgencyOf returns the properties of s that determine its urgency.
 func (e *Engine) urgencyOf(s *stepState) ordering.Step {
 	j := s.job()
-	o := ordering.Step{OverEntitlement: j.overEntitlement, Priority: lowestPriority, Arrived: e.arrivalOf(s), Remaining: e.criticalPathFrom(s)}
+	o := ordering.Step{OverEntitlement: j.overEntitlement, Priority: lowestPriority, Arrived: e.arrivalOf(s), Remaining: e.timeToEnd(s)}
 	if q := e.queueOf(j); q != nil {
 		o.Priority = q.Priority
 		o.Objective = objective(q, e.criticalPath(j))
@@ -149,6 +149,10 @@
 	}
 	workers := e.placeableWorkers(s, q, round)
 	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
+	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement {
+		s.started = true
+		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
+	}
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
 		e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -54,6 +54,7 @@
 	readyAt        time.Time
 	waitLoggedAt   time.Time // when logWait last logged it
 	placementTried bool      // a placement round has tried to place its tasks
+	started        bool      // this leader has planned runs for its tasks
 	lastGangRun    int       // highest run number of the gang
 	advice         *adviceState
 	charge         job.Resources // of one task, see job.Step.Charge
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -15,9 +15,15 @@
 	minAppendInterval = 20 * time.Millisecond
 	// storeLatencyWeight is the weight of one append in the smoothed store latency.
 	storeLatencyWeight = 0.3
-	// appendAnswerTimeout is the time without an answer to an append after which new
-	// jobs are refused. A store a hundred times slower than usual still answers in it.
+	// appendAnswerTimeout is the minimum time without an answer to an append after which
+	// new jobs are refused. A store a hundred times slower than usual still answers small
+	// appends in it.
 	appendAnswerTimeout = 700 * time.Millisecond
+	// slowStoreMultiplier is that time as a multiple of the smoothed store latency.
+	slowStoreMultiplier = 2
+	// maxStoreLatency is the duration from which an append counts as delayed by an outage,
+	// which says nothing about the latency after it.
+	maxStoreLatency = time.Second
 	// slowAppend is the duration from which an append is logged.
 	slowAppend = 300 * time.Millisecond
 	// minStoreRetryAfter and maxStoreRetryAfter bound the retry delay that callers get
@@ -82,7 +88,7 @@
 	default:
 		e.storeRecovered()
 		took := e.now.Sub(e.appendSentAt)
-		e.storeLatency += time.Duration(storeLatencyWeight * float64(took-e.storeLatency))
+		e.storeLatency += time.Duration(storeLatencyWeight * float64(min(took, maxStoreLatency)-e.storeLatency))
 		if took >= slowAppend {
 			e.log.Warn("slow append", "records", len(ev.Append.Records), "bytes", record.Size(ev.Append.Records), "after_ms", took.Milliseconds(), "jobs", len(ev.Append.jobs))
 		}
@@ -124,10 +130,12 @@
 	}
 }
 
-// storeUnavailable returns the reason why no job can be stored now, or "", and the retry
-// delay for the caller.
-func (e *Engine) storeUnavailable() (string, time.Duration) {
+// storeUnavailable returns the reason why no job can be stored within the time that its
+// caller waits, or "", and the retry delay for the caller. A wait of zero is not known.
+func (e *Engine) storeUnavailable(wait time.Duration) (string, time.Duration) {
 	switch {
+	case wait > 0 && e.expectedStoreWait() > wait:
+		return "the store is too slow for the caller's timeout", e.storeRetryAfter()
 	case !e.storeDownSince.IsZero():
 		return "the store is not in reach", e.storeRetryAfter()
 	case e.appendTimedOut():
@@ -136,10 +144,18 @@
 	return "", 0
 }
 
-// appendTimedOut reports whether the append in flight has had no answer for longer than
-// appendAnswerTimeout.
+// expectedStoreWait returns the expected time until a record that is put now is stored.
+func (e *Engine) expectedStoreWait() time.Duration {
+	if !e.appendInFlight {
+		return e.storeLatency
+	}
+	return max(0, e.storeLatency-e.now.Sub(e.appendSentAt)) + e.storeLatency
+}
+
+// appendTimedOut reports whether the append in flight has had no answer for much longer
+// than usual.
 func (e *Engine) appendTimedOut() bool {
-	return e.appendInFlight && e.now.Sub(e.appendSentAt) > appendAnswerTimeout
+	return e.appendInFlight && e.now.Sub(e.appendSentAt) > max(appendAnswerTimeout, slowStoreMultiplier*e.storeLatency)
 }
 
 // storeRetryAfter returns the retry delay for callers. It grows with the time that the
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -161,6 +161,9 @@
 	if w.incarnation == 0 {
 		w.incarnation = l.Incarnation
 	}
+	if !w.listed {
+		w.nextRenewal = e.now
+	}
 	w.listed = true
 	w.address, w.service, w.labels, w.capacity = l.Address, l.Service, l.Labels, l.Capacity
 	w.rack = rackOf(l.Labels)
@@ -257,6 +260,10 @@
 // runs in a lost answer stay unknown until the next renewal.
 const renewalAnswerTimeout = 300 * time.Millisecond
 
+// unlistedRenewalRetryDelay is the delay after a renewal without an answer of a worker that
+// has left the directory, which is most likely gone.
+const unlistedRenewalRetryDelay = time.Second
+
 // unknownRunRenewalDelay is the delay before the next renewal of a worker that reported
 // unknown runs.
 const unknownRunRenewalDelay = 50 * time.Millisecond
@@ -322,6 +329,9 @@
 func (e *Engine) renewalFailed(w *worker, ev *RenewalAnswered) {
 	w.missedRenewals++
 	w.nextRenewal = e.now.Add(e.cfg.RenewalRetryDelay)
+	if !w.listed && w.missedRenewals > 1 {
+		w.nextRenewal = e.now.Add(unlistedRenewalRetryDelay)
+	}
 	if w.missedRenewals == 1 {
 		w.nextRenewal = e.now // a report of finished runs may have been lost
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
