--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/placement"
 	"pollenbend/internal/cell/policy"
@@ -89,9 +90,13 @@
 		good, asked, calls = len(a.good), len(a.asked), a.callsInFlight
 		valid = len(e.workersWithTicket(s))
 	}
+	limit := job.Resources{}
+	if team := e.policy.Team(s.job().team); team != nil {
+		limit = team.Limit
+	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.msSince(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
 		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", round.mostFreeCPU(e.now), "workers", len(round.workers), "asked", asked, "good", good,
-		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "window_left", round.cpuBudget)
+		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "team_limit_cpu", limit.CPU, "window_left", round.cpuBudget)
 }
 
 // sortOpenSteps sorts the open steps by urgency.
