Replace several relays at once without a panic; send a payload once to each relay

Cause: relays.update removed names from the list that it ranged over, so the loss of two relays between two updates looked up a relay with an empty name and the leader's process ended.

Ruled out: memory (13 to 45 MB on the twin). My tests had replaced relays one at a time only.

Also: on the small twin (links of 2 Mbit/s) the payload of a job went out with each start, 2.4 kB of the 2.9 kB of a start. A relay now keeps the payloads of the jobs that it was sent; a relay that has restarted says that it lacks one.

Shown by: TestSeveralRelaysAreReplacedAtOnce hangs on the panic without the change.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -66,9 +66,10 @@
 	takeOverRequested chan struct{} // signals that a peer asked this instance to take over
 	leaderDoubted     chan struct{} // signals that the followed instance may no longer lead
 
-	mu           sync.Mutex
-	leaderChange chan struct{} // closed when the leader changes
-	outbox       *outbox       // results for the leader of the latest term for which this instance is a relay; nil if there are none
+	mu              sync.Mutex
+	leaderChange    chan struct{} // closed when the leader changes
+	relayedPayloads payloadCache
+	outbox          *outbox // results for the leader of the latest term for which this instance is a relay; nil if there are none
 }
 
 // New returns a node. It does nothing until Run is called.
--- a/internal/cell/node/relay.go
+++ b/internal/cell/node/relay.go
@@ -20,8 +20,11 @@
 type RelayCommand struct {
 	Number uint64 // identifies the command in the leader's term
 	Start  *engine.Start
-	Stop   *engine.Stop
-	Renew  *engine.Renew
+	// PayloadSent reports that Start lacks its payload, which an earlier command for a task
+	// of the same job had.
+	PayloadSent bool
+	Stop        *engine.Stop
+	Renew       *engine.Renew
 }
 
 // RelayArgs are commands of a leader.
@@ -41,6 +44,7 @@
 	Report           *engine.Report
 	Fenced           bool
 	OtherIncarnation bool
+	PayloadMissing   bool // nothing was sent to the worker, as the payload is not known
 }
 
 // RelayedArgs are results of commands that an instance has relayed.
@@ -61,11 +65,30 @@
 		return errLaterTerm
 	}
 	for i := range args.Commands {
+		if !s.n.completePayload(&args.Commands[i]) {
+			box.add(RelayResult{Number: args.Commands[i].Number, PayloadMissing: true})
+			continue
+		}
 		go func() { box.add(s.n.executeRelayed(args.Term, &args.Commands[i])) }()
 	}
 	return nil
 }
 
+// completePayload remembers the payload of a start command, or sets it if it was sent with
+// an earlier one. It reports false if the payload is not known any more.
+func (n *Node) completePayload(c *RelayCommand) bool {
+	switch {
+	case c.Start == nil:
+	case !c.PayloadSent:
+		n.relayedPayloads.add(jobOf(c.Start.Task), c.Start.Payload)
+	default:
+		payload, known := n.relayedPayloads.get(jobOf(c.Start.Task))
+		c.Start.Payload = payload
+		return known
+	}
+	return true
+}
+
 // executeRelayed executes a command and returns its result.
 func (n *Node) executeRelayed(term int64, c *RelayCommand) RelayResult {
 	result := RelayResult{Number: c.Number}
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -41,6 +41,7 @@
 	// Guarded by relays.mu.
 	queue   []RelayCommand
 	pending map[uint64]*relayedAction // commands without a result, by number
+	sent    map[string]bool           // jobs whose payload the relay was sent
 }
 
 // relayedAction is an action that a relay was given to execute.
@@ -102,7 +103,7 @@
 		return
 	}
 	var unanswered []*relayedAction
-	for _, name := range r.names {
+	for _, name := range slices.Clone(r.names) { // remove changes r.names
 		if !slices.Contains(names, name) {
 			unanswered = append(unanswered, r.remove(name)...)
 		}
@@ -157,7 +158,7 @@
 
 func (r *relays) newLink(f *follower) *relayLink {
 	ctx, cancel := context.WithCancel(r.l.ctx)
-	link := &relayLink{r: r, instance: f.Instance, address: f.Address, cancel: cancel, wake: make(chan struct{}, 1), pending: make(map[uint64]*relayedAction)}
+	link := &relayLink{r: r, instance: f.Instance, address: f.Address, cancel: cancel, wake: make(chan struct{}, 1), pending: make(map[uint64]*relayedAction), sent: make(map[string]bool)}
 	go link.run(ctx)
 	return link
 }
@@ -221,9 +222,31 @@
 	n := min(len(k.queue), maxRelayBatch)
 	batch := k.queue[:n]
 	k.queue = k.queue[n:]
+	for i := range batch {
+		k.leaveOutPayload(&batch[i])
+	}
 	return batch
 }
 
+// leaveOutPayload removes the payload from a start command if the relay was sent it
+// before. r.mu is held.
+func (k *relayLink) leaveOutPayload(c *RelayCommand) {
+	if c.Start == nil {
+		return
+	}
+	id := jobOf(c.Start.Task)
+	if k.sent[id] {
+		start := *c.Start // the engine may send the same action again
+		start.Payload = ""
+		c.Start, c.PayloadSent = &start, true
+		return
+	}
+	if len(k.sent) >= maxSentPayloads {
+		clear(k.sent)
+	}
+	k.sent[id] = true
+}
+
 // sendBatch sends commands. If that fails it drops the relay.
 func (k *relayLink) sendBatch(ctx context.Context, commands []RelayCommand) {
 	l := k.r.l
@@ -304,11 +327,25 @@
 	}
 	for i := range results {
 		for _, a := range link.take([]uint64{results[i].Number}) {
+			if results[i].PayloadMissing {
+				r.resendWithPayload(link, a)
+				continue
+			}
 			r.l.post(a.event(&results[i]))
 		}
 	}
 }
 
+// resendWithPayload sends a start command again whose payload the relay did not have. The
+// relay is a new process since it was sent it.
+func (r *relays) resendWithPayload(link *relayLink, a *relayedAction) {
+	r.mu.Lock()
+	clear(link.sent)
+	r.mu.Unlock()
+	r.l.n.log.Info("relay lacks a payload", "relay", link.instance, "term", r.l.rec.Term)
+	r.l.execute(a.action)
+}
+
 // event returns the event that reports a result of a to the engine.
 func (a *relayedAction) event(result *RelayResult) any {
 	switch action := a.action.(type) {
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -21,10 +21,12 @@
 	runs    map[string]int // number of the run, by task
 	starts  map[string]int // by task
 	callers map[string]int // calls by instance
+
+	payloads map[string]string // by task
 }
 
 func newSharedWorker() *sharedWorker {
-	return &sharedWorker{runs: make(map[string]int), starts: make(map[string]int), callers: make(map[string]int)}
+	return &sharedWorker{runs: make(map[string]int), starts: make(map[string]int), callers: make(map[string]int), payloads: make(map[string]string)}
 }
 
 // callersSoFar returns the calls by instance and starts a new count.
@@ -47,6 +49,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.callers[a.instance]++
+	a.payloads[command.Task] = command.Payload
 	if a.runs[command.Task] != command.Run {
 		a.runs[command.Task] = command.Run
 		a.starts[command.Task]++
@@ -181,6 +184,40 @@
 	}
 }
 
+// A relay restarts between two pings, so that the leader does not notice. It lacks the
+// payload of a job whose other tasks it has started before, and gets it again.
+func TestRelayThatLostAPayloadGetsItAgain(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		relay := c.members[relayName(t, w)]
+		link := c.leader().leading.Load().relays.links[relay.settings.Instance]
+		link.r.mu.Lock()
+		link.sent["job"] = true
+		link.r.mu.Unlock()
+		submitWithin(t, c.leader(), "job", 100*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, engine.StateRunning, status(t, c.leader(), "job"))
+		assert.Equal(t, "p", w.payloads["job.0.0.0"])
+		payload, known := relay.relayedPayloads.get("job")
+		assert.True(t, known)
+		assert.Equal(t, "p", payload)
+	})
+}
+
+func TestPayloadCacheDropsTheOldest(t *testing.T) {
+	var c payloadCache
+	for i := range maxRelayPayloads + 10 {
+		c.add(fmt.Sprint(i), "p")
+		c.add(fmt.Sprint(i), "q")
+	}
+	_, known := c.get("9")
+	assert.False(t, known)
+	payload, known := c.get("10")
+	assert.True(t, known)
+	assert.Equal(t, "q", payload)
+	assert.Len(t, c.byJob, maxRelayPayloads)
+	assert.Len(t, c.order, maxRelayPayloads)
+}
+
 func TestWantedRelays(t *testing.T) {
 	s := &Settings{Instance: "i0", DirectWorkers: 400, WorkersPerRelay: 64}
 	var live []*follower
@@ -196,3 +233,26 @@
 	}
 	assert.Len(t, s.wantedRelays(live[:3], 1000), 2, "no more than there are")
 }
+
+// Several relays are lost between two updates.
+func TestSeveralRelaysAreReplacedAtOnce(t *testing.T) {
+	runRelayCluster(t, 2, func(t *testing.T, c *cluster, _ *sharedWorker) {
+		l := c.leader().leading.Load()
+		r := newRelays(l)
+		named := func(names ...string) []*follower {
+			var list []*follower
+			for _, name := range names {
+				list = append(list, &follower{PingArgs: PingArgs{Instance: name, Address: name + ":1"}})
+			}
+			return list
+		}
+		r.update(named("a", "b", "c", "d"))
+		require.True(t, r.send("w", time.Second, RelayCommand{Stop: &engine.Stop{Worker: "w"}}, &engine.Stop{Worker: "w"}))
+		r.update(named("d", "e"))
+		assert.Equal(t, []string{"d", "e"}, r.names)
+		assert.Len(t, r.links, 2)
+		r.update(nil)
+		assert.Empty(t, r.links)
+		assert.False(t, r.send("w", time.Second, RelayCommand{}, &engine.Stop{}))
+	})
+}
