Replace a relay whose address has changed; use the library for sorted keys

Cause: a follower of the same name at another address kept its old link until a call failed (found on reading the diff). Change: update compares addresses; the outcome of relays.update is one pass without a second list of names; handleResults instead of a second method named take. Shown by the extended TestSeveralRelaysAreReplacedAtOnce.

--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -90,34 +91,39 @@
 	return slices.DeleteFunc(slices.Clone(live), func(f *follower) bool { return !f.pingedAt.After(r.failedAt[f.Instance]) })
 }
 
-// update sets the relays. The commands of those that are dropped count as unanswered.
+// update sets the relays. The commands of those that are dropped, or have another address
+// now, count as unanswered.
 func (r *relays) update(wanted []*follower) {
-	r.mu.Lock()
-	names := make([]string, 0, len(wanted))
+	addresses := make(map[string]string, len(wanted))
 	for _, f := range wanted {
-		names = append(names, f.Instance)
-	}
-	slices.Sort(names)
-	if slices.Equal(names, r.names) {
-		r.mu.Unlock()
-		return
+		addresses[f.Instance] = f.Address
 	}
 	var unanswered []*relayedAction
+	changed := false
+	r.mu.Lock()
 	for _, name := range slices.Clone(r.names) { // remove changes r.names
-		if !slices.Contains(names, name) {
+		if r.links[name].address != addresses[name] {
 			unanswered = append(unanswered, r.remove(name)...)
+			changed = true
 		}
 	}
 	for _, f := range wanted {
 		if r.links[f.Instance] == nil {
 			r.links[f.Instance] = r.newLink(f)
+			r.names = append(r.names, f.Instance)
+			changed = true
 		}
 	}
-	r.names = names
-	clear(r.byWorker)
+	if changed {
+		slices.Sort(r.names)
+		clear(r.byWorker)
+	}
+	count := len(r.names)
 	r.mu.Unlock()
-	r.l.n.log.Info("relays changed", "term", r.l.rec.Term, "relays", len(names), "unanswered", len(unanswered))
-	r.failAll(unanswered)
+	if changed {
+		r.l.n.log.Info("relays changed", "term", r.l.rec.Term, "relays", count, "unanswered", len(unanswered))
+		r.failAll(unanswered)
+	}
 }
 
 // remove removes a relay and returns its pending actions. r.mu is held.
@@ -281,7 +287,7 @@
 // r.mu is held.
 func (k *relayLink) takeAll() []*relayedAction {
 	taken := make([]*relayedAction, 0, len(k.pending))
-	for _, number := range sortedKeys(k.pending) {
+	for _, number := range slices.Sorted(maps.Keys(k.pending)) {
 		taken = append(taken, k.pending[number])
 	}
 	clear(k.pending)
@@ -297,7 +303,7 @@
 		r.mu.Lock()
 		for _, name := range r.names {
 			link := r.links[name]
-			for _, number := range sortedKeys(link.pending) {
+			for _, number := range slices.Sorted(maps.Keys(link.pending)) {
 				if a := link.pending[number]; now.After(a.expires) {
 					unanswered = append(unanswered, a)
 					delete(link.pending, number)
@@ -316,9 +322,9 @@
 	}
 }
 
-// take posts the results of commands that a relay has executed. Results of actions that
+// handleResults posts the results of commands that a relay has executed. Results of actions that
 // have expired are left out.
-func (r *relays) take(instance string, results []RelayResult) {
+func (r *relays) handleResults(instance string, results []RelayResult) {
 	r.mu.Lock()
 	link := r.links[instance]
 	r.mu.Unlock()
@@ -369,16 +375,6 @@
 	if l == nil || l.rec.Term != args.Term {
 		return errTermEnded
 	}
-	l.relays.take(args.Instance, args.Results)
+	l.relays.handleResults(args.Instance, args.Results)
 	return nil
 }
-
-// sortedKeys returns the keys of m in ascending order.
-func sortedKeys[V any](m map[uint64]V) []uint64 {
-	keys := make([]uint64, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -251,6 +251,10 @@
 		r.update(named("d", "e"))
 		assert.Equal(t, []string{"d", "e"}, r.names)
 		assert.Len(t, r.links, 2)
+		moved := named("d", "e")
+		moved[0].Address = "d:2"
+		r.update(moved)
+		assert.Equal(t, "d:2", r.links["d"].address)
 		r.update(nil)
 		assert.Empty(t, r.links)
 		assert.False(t, r.send("w", time.Second, RelayCommand{}, &engine.Stop{}))
