Count a job as waiting until a task starts, also after a change of leader; call again after an idle connection

Cause, from the code: a new leader took a job as started if a run was in its record, but the record is written before the start command, so jobs whose start was lost or never sent were left out of the count. Change: the step's record says whether a task of the job is known to have started; a worker's report of a run, running or ended, says so too. TestJobWhoseStartWasLostCountsAsWaiting fails without it.

Change: a call on a connection that has ended is made again on a new one. TestCallAfterIdleConnectionEnded fails without it.

--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -376,3 +376,42 @@
 	w.run(1150 * time.Millisecond)
 	assert.Equal(t, StateCompleted, w.state(id))
 }
+
+// A job's run is stored, but its start command is lost with the leader. The next leader
+// counts the job as waiting until a task starts.
+func TestJobWhoseStartWasLostCountsAsWaiting(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	w.lostStarts = 1
+	id := w.submit("batch", "a", tasks(1, 1000, 3*time.Second))
+	w.run(200 * time.Millisecond)
+	require.True(t, w.accepted[id])
+	assert.Equal(t, 1, w.pending("batch"))
+	w.startLeader()
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, StateQueued, w.state(id))
+	assert.Equal(t, 1, w.pending("batch"))
+	w.run(20 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Zero(t, w.pending("batch"))
+}
+
+// A job runs when the leader changes. The next leader learns from the worker that it does.
+func TestRunningJobDoesNotCountAsWaitingAfterChangeOfLeader(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, 3*time.Second))
+	w.run(500 * time.Millisecond)
+	assert.Zero(t, w.pending("batch"))
+	w.startLeader()
+	w.run(200 * time.Millisecond)
+	assert.Equal(t, StateRunning, w.state(id))
+	assert.Zero(t, w.pending("batch"))
+}
+
+// pending returns the number of jobs of a queue that have not started.
+func (w *world) pending(queue string) int {
+	n := -1
+	w.engine.Handle(w.now, &Pending{Queue: queue, Reply: func(a Answer) { n = a.Pending }})
+	return n
+}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -48,6 +48,7 @@
 	}
 	for _, r := range t.runs {
 		if r.worker == w && r.number == end.Run {
+			e.markStarted(t.step.job())
 			e.endRun(r, end.Reason, end.Checkpoint, "reported")
 			return
 		}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -96,8 +96,8 @@
 		t, stored := s.tasks[i], &rec.Tasks[i]
 		t.lastRun, t.failures, t.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
 		s.lastGangRun = max(s.lastGangRun, stored.Run)
-		if stored.Run > 0 {
-			s.job().started = true
+		if rec.Begun || stored.Done || stored.Failures > 0 || stored.Checkpoint != "" {
+			s.job().started = true // a planned run alone may never have started
 		}
 		if stored.Done {
 			t.done = true
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -157,7 +157,7 @@
 
 // encode returns the encoded record of s.
 func (s *stepState) encode() []byte {
-	r := record.Step{Tasks: make([]record.Task, len(s.tasks))}
+	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
 	for i, t := range s.tasks {
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		for n, u := range t.runs {
--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -97,8 +97,21 @@
 // Call calls method and waits for its reply until ctx ends. After an error that is not
 // marked ErrNotSent the call may or may not have had an effect, and reply, a pointer, is
 // unchanged. If ctx ends and the connection has brought no reply since the call was sent,
-// Call closes the connection.
+// Call closes the connection. A call on a connection that has ended while it was idle is
+// made again on a new one, once.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	err := c.callOnce(ctx, method, args, reply)
+	if errors.Is(err, errIdleConnEnded) {
+		err = c.callOnce(ctx, method, args, reply)
+	}
+	return err
+}
+
+// errIdleConnEnded marks errors of calls that were not sent as their connection had ended
+// before. They are marked ErrNotSent as well.
+var errIdleConnEnded = errors.New("the connection has ended")
+
+func (c *Client) callOnce(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
@@ -139,7 +152,7 @@
 	notSent := errors.Is(err, rpc.ErrShutdown) && !conn.closed.Load()
 	c.closeConn(conn)
 	if notSent {
-		return errors.Mark(errors.Wrap(err, c.address), ErrNotSent)
+		return errors.Mark(errors.Mark(errors.Wrap(err, c.address), ErrNotSent), errIdleConnEnded)
 	}
 	return errors.Wrap(err, c.address)
 }
--- a/internal/cell/peer/peer_test.go
+++ b/internal/cell/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/rpc"
 	"testing"
 	"time"
 
@@ -95,3 +96,27 @@
 	require.Error(t, err)
 	assert.False(t, errors.Is(err, ErrNotSent), "%v", err)
 }
+
+// A connection ends while it is idle, as the other side closes idle connections. The next
+// call opens another one.
+func TestCallAfterIdleConnectionEnded(t *testing.T) {
+	e := newEcho()
+	close(e.release)
+	var dialed []net.Conn
+	client := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := DialTCP(ctx, address)
+		dialed = append(dialed, conn)
+		return conn, err
+	}).Get(startEcho(t, e))
+	var reply EchoReply
+	require.NoError(t, client.Call(t.Context(), "Echo.Say", &[]string{"first"}, &reply))
+	conn := client.current()
+	require.NoError(t, dialed[0].Close())
+	for ended := false; !ended; { // until net/rpc has noticed
+		call := <-conn.Go("Echo.Say", &[]string{"probe"}, &EchoReply{}, nil).Done
+		ended = errors.Is(call.Error, rpc.ErrShutdown)
+	}
+	require.NoError(t, client.Call(t.Context(), "Echo.Say", &[]string{"next"}, &reply))
+	assert.Equal(t, []string{"next"}, reply.Words)
+	assert.Len(t, dialed, 2)
+}
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -74,6 +74,7 @@
 	SpeculativeRuns map[int]Task `cbor:"2,keyasint,omitempty"`
 	GoodWorkers     []GoodWorker `cbor:"3,keyasint,omitempty"`
 	Asked           NameSet      `cbor:"4,keyasint,omitempty"`
+	Begun           bool         `cbor:"5,keyasint,omitempty"` // a task of the job is known to have started
 }
 
 // GoodWorker is a worker that the adviser recommended for a step, in one incarnation.
