--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -408,10 +408,3 @@
 	assert.Equal(t, StateRunning, w.state(id))
 	assert.Zero(t, w.pending("batch"))
 }
-
-// pending returns the number of jobs of a queue that have not started.
-func (w *world) pending(queue string) int {
-	n := -1
-	w.engine.Handle(w.now, &Pending{Queue: queue, Reply: func(a Answer) { n = a.Pending }})
-	return n
-}
--- /dev/null
+++ b/internal/cell/engine/world_jobs_test.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"pollenbend/internal/cell/job"
+)
+
+// submit submits a job and returns its id. The answer is recorded when it arrives.
+func (w *world) submit(queue, team string, steps ...job.Step) string {
+	id := fmt.Sprintf("%016x", len(w.specs)+1)
+	spec := &job.Spec{ID: id, Queue: queue, Team: team, Payload: "p", Steps: steps}
+	w.must(spec.Validate())
+	w.specs[id] = spec
+	w.submittedAt[id] = w.now
+	w.sendSubmit(spec)
+	return id
+}
+
+// sendSubmit submits a job of the given spec and records the answer.
+func (w *world) sendSubmit(spec *job.Spec) {
+	e := w.engine
+	e.Handle(w.now, &Submit{Spec: spec, Reply: func(a Answer) {
+		if w.engine != e {
+			return
+		}
+		w.answers[spec.ID] = a
+		w.refused[spec.ID] = a.Outcome == Refused
+		w.accepted[spec.ID] = w.accepted[spec.ID] || a.Outcome == OK
+	}})
+}
+
+// state returns the state that the engine reports for a job, or "unknown".
+func (w *world) state(id string) string {
+	state := ""
+	w.engine.Handle(w.now, &Status{ID: id, Team: w.specs[id].Team, Reply: func(a Answer) {
+		state = a.State
+		if a.Outcome == NotFound {
+			state = "unknown"
+		}
+	}})
+	return state
+}
+
+// cancel cancels a job. canceledAt is set when the answer arrives.
+func (w *world) cancel(id string) {
+	e := w.engine
+	w.cancelRequested[id] = true
+	e.Handle(w.now, &Cancel{ID: id, Team: w.specs[id].Team, Reply: func(Answer) {
+		if w.engine == e {
+			w.canceledAt[id] = w.now
+		}
+	}})
+}
+
+// tasks returns a step of independent tasks. cpu is in thousandths of a core.
+func tasks(count int, cpu int64, runtime time.Duration) job.Step {
+	return job.Step{Count: count, Need: job.Resources{CPU: cpu, MemMB: 100}, Estimate: runtime}
+}
+
+// gang returns a step whose tasks are a gang.
+func gang(count int, cpu int64, runtime time.Duration) job.Step {
+	s := tasks(count, cpu, runtime)
+	s.Gang = true
+	return s
+}
+
+// pending returns the number of jobs of a queue that have not started.
+func (w *world) pending(queue string) int {
+	n := -1
+	w.engine.Handle(w.now, &Pending{Queue: queue, Reply: func(a Answer) { n = a.Pending }})
+	return n
+}
