--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -323,8 +323,11 @@
 func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	ahead := (s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold) && !e.knowsEnoughWorkers(s)
 	class := callClass(q.Advice.Base)
-	var ranked []*worker
-	score := make([]float64, 0, maxRankedWorkers) // by rankIndex
+	type rankedWorker struct {
+		*worker
+		score float64
+	}
+	var ranked []rankedWorker
 	for w := range round.mostFree() {
 		if len(ranked) == maxRankedWorkers || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
 			break
@@ -339,26 +342,28 @@
 		if capacity <= 0 {
 			continue
 		}
-		w.rankIndex = len(score)
-		score = append(score, capacity/float64(1+w.pendingAsks[class]))
-		ranked = append(ranked, w)
+		ranked = append(ranked, rankedWorker{w, capacity / float64(1+w.pendingAsks[class])})
 	}
-	slices.SortStableFunc(ranked, func(a, b *worker) int { return cmp.Compare(score[b.rankIndex], score[a.rankIndex]) })
+	slices.SortStableFunc(ranked, func(a, b rankedWorker) int { return cmp.Compare(b.score, a.score) })
 	share := e.goodShare(q.Name)
 	want := float64(s.waiting) * askMultiplier
 	if s.spec.Gang {
 		want = float64(s.waiting) * gangAskMultiplier
 	}
-	n, expected := 0, 0.0
 	limit := maxWorkersPerCall
 	if s.spec.Gang {
 		limit *= maxCalls
 	}
-	for n < len(ranked) && n < limit && (expected < want || n < minWorkersAsked) {
-		expected += share * score[ranked[n].rankIndex]
-		n++
+	var ask []*worker
+	expected := 0.0
+	for _, r := range ranked {
+		if len(ask) == limit || expected >= want && len(ask) >= minWorkersAsked {
+			break
+		}
+		expected += share * r.score
+		ask = append(ask, r.worker)
 	}
-	return ranked[:n]
+	return ask
 }
 
 // initialGoodShare is the assumed share of good workers for a queue before the adviser's
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -42,7 +42,7 @@
 // waitingTime returns the time that tasks which start now have waited. Without starts it
 // decreases, so that jobs are accepted again and show whether they would wait.
 func (d *demand) waitingTime(now time.Time) time.Duration {
-	return time.Duration(float64(d.startDelay) * math.Exp(-now.Sub(d.startDelayAt).Seconds()/startDelayWindow.Seconds()))
+	return time.Duration(float64(d.startDelay) * decay(now.Sub(d.startDelayAt), startDelayWindow))
 }
 
 // arrivalWindow is the time constant of the average rate of arriving work: a few times
@@ -51,7 +51,13 @@
 
 // rate returns the average rate of arriving work at the given time, in cores.
 func (d *demand) rate(now time.Time) float64 {
-	return d.arrivalRate * math.Exp(-now.Sub(d.arrivalRateAt).Seconds()/arrivalWindow.Seconds())
+	return d.arrivalRate * decay(now.Sub(d.arrivalRateAt), arrivalWindow)
+}
+
+// decay returns the factor by which an average with the given time constant decreases in
+// the time elapsed.
+func decay(elapsed, timeConstant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / timeConstant.Seconds())
 }
 
 // demandAt returns the demand of a priority and creates it on first use.
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -117,7 +117,7 @@
 	if !s.ready || s.job().state.Final() {
 		return
 	}
-	e.open(s)
+	e.addOpenStep(s)
 }
 
 // taskFailed counts a failure of t, and fails the job when its attempts are used up.
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -96,13 +96,13 @@
 		}
 		s.ready = true
 		s.readyAt = e.now
-		e.open(s)
+		e.addOpenStep(s)
 		e.needsPlacement = true
 	}
 }
 
-// open adds s to the open steps unless it is one of them.
-func (e *Engine) open(s *stepState) {
+// addOpenStep adds s to the open steps unless it is one of them.
+func (e *Engine) addOpenStep(s *stepState) {
 	if s.inOpenSteps {
 		return
 	}
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -129,10 +129,10 @@
 	}
 }
 
-// Four seconds of twice the urgent load, more than the workers can run, end in a queue that
-// drains: the accepted urgent jobs end in time, refused ones are refused at once with a
-// delay, and once the usual load has returned, new urgent jobs start at once again.
-func TestFleetWorksOffAnOverload(t *testing.T) {
+// For four seconds three times the usual urgent jobs arrive. Those that are accepted end in
+// time, the others are refused at once with a delay, and once the usual load has returned,
+// new urgent jobs start at once again.
+func TestFleetServesABurstOfUrgentJobs(t *testing.T) {
 	w := newLargeWorld(t, 220)
 	submitFleetLoad(w, 4*time.Second, 1)
 	burst := w.now
--- a/internal/cell/engine/overload_test.go
+++ b/internal/cell/engine/overload_test.go
@@ -146,8 +146,8 @@
 	assert.Equal(t, OK, answer.Outcome, "a caller who waits longer gets its job accepted")
 }
 
-// Twice as much urgent work as the workers can run arrives for four seconds. Waiting
-// jobs that would just miss their objective don't delay those that can still meet it, so
+// For four seconds eight times the usual urgent jobs arrive, with the other work more than
+// the workers can run. Waiting jobs that would just miss their objective don't delay those that can still meet it, so
 // most of the workers' time goes to jobs that end in time.
 func TestUrgentOverloadEndsMostJobsInTime(t *testing.T) {
 	w := newLargeWorld(t, 220)
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -24,7 +24,9 @@
 			continue // the queue is not declared any more, or nothing is left to place
 		}
 		round := e.roundOf(rounds, q.Service)
-		e.tryStep(s, q, round)
+		if !e.tryStep(s, q, round) {
+			round.passedOver = append(round.passedOver, s)
+		}
 		e.logWait(s, round)
 	}
 	e.tryPassedOverSteps(rounds)
@@ -41,15 +43,15 @@
 	return round
 }
 
-// tryStep tries to place s unless the budgets of the round are used up.
-func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) {
+// tryStep tries to place s. It reports false if the budgets of the round are used up.
+func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) bool {
 	if round.cpuBudget <= 0 || round.failuresLeft <= 0 {
-		round.passedOver = append(round.passedOver, s)
-		return
+		return false
 	}
 	if !e.placeStep(s, q, round) {
 		round.failuresLeft--
 	}
+	return true
 }
 
 // tryPassedOverSteps tries some of the steps that the rounds have passed over: those that
@@ -59,12 +61,12 @@
 	for _, service := range slices.Sorted(maps.Keys(rounds)) {
 		round := rounds[service]
 		steps := round.passedOver
-		round.passedOver, round.failuresLeft = nil, maxFailedSteps
+		round.failuresLeft = maxFailedSteps
 		for n := range steps {
-			s := steps[(round.nextPassedOver+n)%len(steps)]
-			e.tryStep(s, e.queueOf(s.job()), round)
-			if len(round.passedOver) > 0 {
-				round.nextPassedOver = (round.nextPassedOver + n) % len(steps)
+			index := (round.nextPassedOver + n) % len(steps)
+			s := steps[index]
+			if !e.tryStep(s, e.queueOf(s.job()), round) {
+				round.nextPassedOver = index
 				break
 			}
 		}
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -90,7 +90,7 @@
 		took := e.now.Sub(e.appendSentAt)
 		e.storeLatency += time.Duration(storeLatencyWeight * float64(min(took, maxStoreLatency)-e.storeLatency))
 		if took >= slowAppend {
-			e.log.Warn("slow append", "records", len(ev.Append.Records), "bytes", record.Size(ev.Append.Records), "after_ms", took.Milliseconds(), "jobs", len(ev.Append.jobs))
+			e.log.Warn("slow append", "records", len(ev.Append.Records), "bytes", record.TotalSize(ev.Append.Records), "after_ms", took.Milliseconds(), "jobs", len(ev.Append.jobs))
 		}
 		for _, f := range ev.Append.onStored {
 			f()
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -45,7 +45,6 @@
 	unstoredBatches  int       // batches of finished runs that are being stored
 	unknownRuns      int       // unknown runs in the last report; their resource use is unknown too
 	health           health
-	rankIndex        int // used by rankForAdvice
 }
 
 // clockDrift is the maximum relative error of the rate of a worker's clock, which the
@@ -328,11 +327,12 @@
 // renewalFailed handles a renewal without a report.
 func (e *Engine) renewalFailed(w *worker, ev *RenewalAnswered) {
 	w.missedRenewals++
-	w.nextRenewal = e.now.Add(e.cfg.RenewalRetryDelay)
-	if !w.listed && w.missedRenewals > 1 {
+	switch {
+	case w.missedRenewals > 1 && w.listed:
+		w.nextRenewal = e.now.Add(e.cfg.RenewalRetryDelay)
+	case w.missedRenewals > 1:
 		w.nextRenewal = e.now.Add(unlistedRenewalRetryDelay)
-	}
-	if w.missedRenewals == 1 {
+	default:
 		w.nextRenewal = e.now // a report of finished runs may have been lost
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
--- a/internal/cell/node/actions.go
+++ b/internal/cell/node/actions.go
@@ -34,37 +34,10 @@
 	switch a := action.(type) {
 	case *engine.Append:
 		go l.appendBatch(a)
-	case *engine.Start:
-		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Start: a}, a) {
-			return
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
-			defer cancel()
-			start := time.Now()
-			ev := l.n.ports.Workers.Start(ctx, l.rec.Term, a)
-			l.n.stats.Start.UpdateSince(start)
-			l.post(ev)
-		}()
-	case *engine.Stop:
-		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Stop: a}, a) {
-			return
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
-			defer cancel()
-			l.post(l.n.ports.Workers.Stop(ctx, l.rec.Term, a))
-		}()
-	case *engine.Renew:
-		l.n.stats.Renewals.Inc(1)
-		if l.relays.send(a.Worker, a.Timeout, RelayCommand{Renew: a}, a) {
-			return
+	case *engine.Start, *engine.Stop, *engine.Renew:
+		if !l.relays.send(a) {
+			go func() { l.post(l.n.callWorker(l.ctx, l.rec.Term, a)) }()
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(l.ctx, a.Timeout)
-			defer cancel()
-			l.post(l.n.ports.Workers.Renew(ctx, l.rec.Term, a))
-		}()
 	case *engine.AdviceCall:
 		go l.advise(a)
 	case *engine.StepDown:
@@ -72,6 +45,41 @@
 	}
 }
 
+// callWorker makes the call to a worker that an action of the leader of a term asks for,
+// and returns the event with its outcome.
+func (n *Node) callWorker(ctx context.Context, term int64, action any) any {
+	worker, timeout := workerCall(action)
+	if worker == "" {
+		panic("not an action for a worker")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	switch a := action.(type) {
+	case *engine.Start:
+		defer n.stats.Start.UpdateSince(time.Now())
+		return n.ports.Workers.Start(ctx, term, a)
+	case *engine.Stop:
+		return n.ports.Workers.Stop(ctx, term, a)
+	default:
+		n.stats.Renewals.Inc(1)
+		return n.ports.Workers.Renew(ctx, term, action.(*engine.Renew))
+	}
+}
+
+// workerCall returns the worker that an action calls and the timeout of the call. The
+// worker is empty if the action calls none.
+func workerCall(action any) (worker string, timeout time.Duration) {
+	switch a := action.(type) {
+	case *engine.Start:
+		return a.Worker, a.Timeout
+	case *engine.Stop:
+		return a.Worker, a.Timeout
+	case *engine.Renew:
+		return a.Worker, a.Timeout
+	}
+	return "", 0
+}
+
 // appendBatch stores a batch and posts the outcome once the outcome is certain.
 func (l *leader) appendBatch(a *engine.Append) {
 	start := time.Now()
@@ -141,10 +149,10 @@
 	var parts [][]record.Record
 	first, size := 0, 0
 	for i, r := range records {
-		size += len(r.Key) + len(r.Value)
+		size += r.Size()
 		if size > maxAppendBytes && i > first {
 			parts = append(parts, records[first:i])
-			first, size = i, len(r.Key)+len(r.Value)
+			first, size = i, r.Size()
 		}
 	}
 	return append(parts, records[first:])
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -75,7 +75,7 @@
 	l := &leader{n: n, rec: *rec, events: make(chan any, maxQueuedEvents), done: make(chan struct{}),
 		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), sequence: 1, startedAt: time.Now()}
 	l.relays = newRelays(l)
-	n.preparing.Store(l)
+	n.ownTerm.Store(l)
 	renewalEnded := make(chan struct{})
 	go func() {
 		defer close(renewalEnded)
@@ -96,7 +96,7 @@
 	}
 	l.stop("term ended")
 	n.leading.CompareAndSwap(l, nil)
-	n.preparing.CompareAndSwap(l, nil)
+	n.ownTerm.CompareAndSwap(l, nil)
 	n.knownLeader.Store(nil)
 	n.notifyLeaderChanged()
 	<-renewalEnded
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -52,7 +52,7 @@
 
 	policy        atomic.Pointer[policy.Policy] // declarations in force; nil until the first version arrives
 	leading       atomic.Pointer[leader]        // nil unless this instance leads
-	preparing     atomic.Pointer[leader]        // nil unless this instance prepares to lead or leads
+	ownTerm       atomic.Pointer[leader]        // nil unless this instance prepares to lead or leads
 	knownLeader   atomic.Pointer[Leadership]    // leader that is followed, or this instance while it prepares to lead or leads; nil if unknown
 	cellInstances atomic.Pointer[instanceList]  // newest list that the leader has made; nil until there is one
 	// leaderAnsweredAt is when the leader last answered, in nanoseconds since
--- a/internal/cell/node/relay.go
+++ b/internal/cell/node/relay.go
@@ -89,24 +89,40 @@
 	return true
 }
 
+// newRelayCommand returns the command for an action.
+func newRelayCommand(number uint64, action any) RelayCommand {
+	c := RelayCommand{Number: number}
+	switch a := action.(type) {
+	case *engine.Start:
+		c.Start = a
+	case *engine.Stop:
+		c.Stop = a
+	case *engine.Renew:
+		c.Renew = a
+	}
+	return c
+}
+
+// action returns the action that c was made from.
+func (c *RelayCommand) action() any {
+	switch {
+	case c.Start != nil:
+		return c.Start
+	case c.Stop != nil:
+		return c.Stop
+	}
+	return c.Renew
+}
+
 // executeRelayed executes a command and returns its result.
 func (n *Node) executeRelayed(term int64, c *RelayCommand) RelayResult {
 	result := RelayResult{Number: c.Number}
-	switch {
-	case c.Start != nil:
-		ctx, cancel := context.WithTimeout(context.Background(), c.Start.Timeout)
-		defer cancel()
-		ev := n.ports.Workers.Start(ctx, term, c.Start)
+	switch ev := n.callWorker(context.Background(), term, c.action()).(type) {
+	case *engine.StartAnswered:
 		result.Outcome, result.Incarnation, result.Clock = ev.Outcome, ev.Incarnation, ev.Clock
-	case c.Stop != nil:
-		ctx, cancel := context.WithTimeout(context.Background(), c.Stop.Timeout)
-		defer cancel()
-		ev := n.ports.Workers.Stop(ctx, term, c.Stop)
+	case *engine.StopAnswered:
 		result.Outcome, result.Incarnation = ev.Outcome, ev.Incarnation
-	case c.Renew != nil:
-		ctx, cancel := context.WithTimeout(context.Background(), c.Renew.Timeout)
-		defer cancel()
-		ev := n.ports.Workers.Renew(ctx, term, c.Renew)
+	case *engine.RenewalAnswered:
 		result.Report, result.Fenced, result.OtherIncarnation = ev.Report, ev.Fenced, ev.OtherIncarnation
 	}
 	return result
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -72,14 +73,8 @@
 	}
 	candidates := slices.Clone(live)
 	candidates = slices.DeleteFunc(candidates, func(f *follower) bool { return f.Instance == s.Instance })
-	slices.SortStableFunc(candidates, func(a, b *follower) int {
-		switch {
-		case a.CPUShare > b.CPUShare:
-			return -1
-		case a.CPUShare < b.CPUShare:
-			return 1
-		}
-		return strings.Compare(a.Instance, b.Instance)
+	slices.SortFunc(candidates, func(a, b *follower) int {
+		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), strings.Compare(a.Instance, b.Instance))
 	})
 	return candidates[:min(len(candidates), (workers+s.WorkersPerRelay-1)/s.WorkersPerRelay)]
 }
@@ -148,9 +143,8 @@
 	unsent = append(unsent, link.queue...)
 	var again []*relayedAction
 	for i := range unsent {
-		if a := link.pending[unsent[i].Number]; a != nil {
+		if a := link.take(unsent[i].Number); a != nil {
 			again = append(again, a)
-			delete(link.pending, unsent[i].Number)
 		}
 	}
 	unanswered := r.remove(link.instance)
@@ -169,8 +163,9 @@
 	return link
 }
 
-// send gives an action for a worker to its relay. It reports false if there is none.
-func (r *relays) send(worker string, timeout time.Duration, command RelayCommand, action any) bool {
+// send gives an action to the relay of its worker. It reports false if there is none.
+func (r *relays) send(action any) bool {
+	worker, timeout := workerCall(action)
 	now := time.Now()
 	r.mu.Lock()
 	link := r.relayOf(worker)
@@ -179,9 +174,8 @@
 		return false
 	}
 	r.nextNumber++
-	command.Number = r.nextNumber
-	link.queue = append(link.queue, command)
-	link.pending[command.Number] = &relayedAction{action: action, sentAt: now, expires: now.Add(timeout + relayMargin)}
+	link.queue = append(link.queue, newRelayCommand(r.nextNumber, action))
+	link.pending[r.nextNumber] = &relayedAction{action: action, sentAt: now, expires: now.Add(timeout + relayMargin)}
 	r.mu.Unlock()
 	select {
 	case link.wake <- struct{}{}:
@@ -269,18 +263,11 @@
 	k.r.drop(k, commands, err)
 }
 
-// take removes the pending actions with the given numbers and returns them.
-func (k *relayLink) take(numbers []uint64) []*relayedAction {
-	k.r.mu.Lock()
-	defer k.r.mu.Unlock()
-	var taken []*relayedAction
-	for _, number := range numbers {
-		if a := k.pending[number]; a != nil {
-			taken = append(taken, a)
-			delete(k.pending, number)
-		}
-	}
-	return taken
+// take removes a pending action and returns it, or nil if there is none. r.mu is held.
+func (k *relayLink) take(number uint64) *relayedAction {
+	a := k.pending[number]
+	delete(k.pending, number)
+	return a
 }
 
 // takeAll removes all pending actions and returns them in the order of their numbers.
@@ -304,9 +291,8 @@
 		for _, name := range r.names {
 			link := r.links[name]
 			for _, number := range slices.Sorted(maps.Keys(link.pending)) {
-				if a := link.pending[number]; now.After(a.expires) {
-					unanswered = append(unanswered, a)
-					delete(link.pending, number)
+				if now.After(link.pending[number].expires) {
+					unanswered = append(unanswered, link.take(number))
 				}
 			}
 		}
@@ -322,21 +308,22 @@
 	}
 }
 
-// handleResults posts the results of commands that a relay has executed. Results of actions that
-// have expired are left out.
+// handleResults posts the results of commands that a relay has executed. Results of
+// actions that have expired are left out.
 func (r *relays) handleResults(instance string, results []RelayResult) {
-	r.mu.Lock()
-	link := r.links[instance]
-	r.mu.Unlock()
-	if link == nil {
-		return
-	}
 	for i := range results {
-		for _, a := range link.take([]uint64{results[i].Number}) {
-			if results[i].PayloadMissing {
-				r.resendWithPayload(link, a)
-				continue
-			}
+		r.mu.Lock()
+		link := r.links[instance]
+		var a *relayedAction
+		if link != nil {
+			a = link.take(results[i].Number)
+		}
+		r.mu.Unlock()
+		switch {
+		case a == nil:
+		case results[i].PayloadMissing:
+			r.resendWithPayload(link, a)
+		default:
 			r.l.post(a.event(&results[i]))
 		}
 	}
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -250,7 +250,7 @@
 			return list
 		}
 		r.update(named("a", "b", "c", "d"))
-		require.True(t, r.send("w", time.Second, RelayCommand{Stop: &engine.Stop{Worker: "w"}}, &engine.Stop{Worker: "w"}))
+		require.True(t, r.send(&engine.Stop{Worker: "w", Timeout: time.Second}))
 		r.update(named("d", "e"))
 		assert.Equal(t, []string{"d", "e"}, r.names)
 		assert.Len(t, r.links, 2)
@@ -260,6 +260,18 @@
 		assert.Equal(t, "d:2", r.links["d"].address)
 		r.update(nil)
 		assert.Empty(t, r.links)
-		assert.False(t, r.send("w", time.Second, RelayCommand{}, &engine.Stop{}))
+		assert.False(t, r.send(&engine.Stop{Worker: "w", Timeout: time.Second}))
+	})
+}
+
+// Starts and renewals are counted on the instance that makes the calls.
+func TestRelayCountsItsCalls(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		submitWithin(t, c.leader(), "job", 100*time.Millisecond)
+		relay := c.members[relayName(t, w)]
+		assert.Equal(t, int64(1), relay.stats.Start.Count())
+		assert.Positive(t, relay.stats.Renewals.Count())
+		assert.Zero(t, c.leader().stats.Start.Count())
+		assert.Zero(t, c.leader().stats.Renewals.Count())
 	})
 }
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -131,8 +131,8 @@
 	}
 	l := n.leading.Load()
 	reply.Leading = l != nil || n.leadsOrPrepares() || n.claiming.Load()
-	if preparing := n.preparing.Load(); preparing != nil {
-		preparing.recordPing(args)
+	if own := n.ownTerm.Load(); own != nil {
+		own.recordPing(args)
 	}
 	if l != nil {
 		if known := n.cellInstances.Load(); known != nil && known.Version != args.Others {
--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -111,6 +111,7 @@
 // before. They are marked ErrNotSent as well.
 var errIdleConnEnded = errors.New("the connection has ended")
 
+// callOnce makes a call on the open connection, or on a new one if there is none.
 func (c *Client) callOnce(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -21,11 +21,14 @@
 	Value []byte
 }
 
-// Size returns the total size of the keys and values of records, in bytes.
-func Size(records []Record) int {
+// Size returns the size of the key and the value, in bytes.
+func (r Record) Size() int { return len(r.Key) + len(r.Value) }
+
+// TotalSize returns the sum of the sizes of records, in bytes.
+func TotalSize(records []Record) int {
 	size := 0
-	for i := range records {
-		size += len(records[i].Key) + len(records[i].Value)
+	for _, r := range records {
+		size += r.Size()
 	}
 	return size
 }
