Hand over from a leader whose processor turned slow

Ruled out: judging by the length of rounds or by event lag, which also grow with the load; a successor would have the same load and hand over again.

The condition for a handover must last longer than pings are old, as all instances may turn slow at once (the test of that failed first). A relay that is replaced but still answers is retired: it gets no new commands and its results still count.

--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -44,6 +44,8 @@
 	conns   chan net.Conn
 	store   *storeAccess
 	pipes   []*pipe
+
+	slowdown atomic.Int32 // of the processor
 }
 
 // NewStats starts the goroutine that the metrics library shares between all meters. It
@@ -93,8 +95,10 @@
 // start starts an instance with a CPU share in cores.
 func (c *cluster) start(name string, share float64) *member {
 	m := &member{address: name + ":1", stopped: make(chan struct{}), conns: make(chan net.Conn), store: &storeAccess{memoryStore: c.store}}
+	m.slowdown.Store(1)
 	settings := Settings{
 		Instance: name, Address: m.address, CPUShare: share, DirectWorkers: c.directWorkers, WorkersPerRelay: 64,
+		Slowdown: func() float64 { return float64(m.slowdown.Load()) },
 		Engine: engine.Config{
 			Lease: 6 * time.Second, MaxLease: 10 * time.Second, LeaseExpiryMargin: 100 * time.Millisecond, MaxStopDuration: 200 * time.Millisecond,
 			GangStartTimeout: 3 * time.Second, OffRackMultiplier: 2, RenewalMaxWait: time.Second, RenewalRetryDelay: 150 * time.Millisecond, IdleRenewalInterval: 2 * time.Second,
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -22,7 +22,7 @@
 		l.onlyLowCPUSince = time.Time{}
 		return
 	}
-	if lowCPU(successor.CPUShare, maxCPUShare(live, l.n.settings.CPUShare)) {
+	if lowCPU(successor.CPUShare, maxCPUShare(live, l.n.cpuShare())) {
 		if l.onlyLowCPUSince.IsZero() {
 			l.onlyLowCPUSince = time.Now()
 		}
@@ -75,18 +75,29 @@
 	// minTermDuration is how long a term must have lasted before the leader hands over
 	// to an instance because of its CPU share.
 	minTermDuration = 2 * time.Second
+	// moreCPUHandoverDelay is how long an instance must have had much more CPU before the
+	// leader hands over to it. It is longer than the age of what pings report, as all
+	// instances may turn slow at the same time.
+	moreCPUHandoverDelay = pingInterval + 100*time.Millisecond
 )
 
-// handOverToMoreCPU hands over to an instance that has much more CPU and reaches the
-// store, if there is one.
+// handOverToMoreCPU hands over to an instance that has much more CPU at present and reaches
+// the store, if there is one.
 func (l *leader) handOverToMoreCPU(live []*follower) {
 	if time.Since(l.startedAt) < minTermDuration {
 		return
 	}
 	best := l.mostCPU(live, func(f *follower) bool {
-		return f.CPUShare >= l.n.settings.CPUShare*minCPUShareRatio && f.StoreAge <= storeUnreachableTimeout
+		return f.CPUShare >= l.n.cpuShare()*minCPUShareRatio && f.StoreAge <= storeUnreachableTimeout
 	})
-	if best != nil {
+	if best == nil {
+		l.moreCPUSince = time.Time{}
+		return
+	}
+	if l.moreCPUSince.IsZero() {
+		l.moreCPUSince = time.Now()
+	}
+	if time.Since(l.moreCPUSince) >= moreCPUHandoverDelay {
 		l.handOver(best)
 	}
 }
@@ -108,7 +119,7 @@
 func (l *leader) successor() *follower {
 	live := l.liveFollowers()
 	best := l.mostCPU(live, func(f *follower) bool { return f.StoreAge+time.Since(f.pingedAt) <= storeUnreachableTimeout })
-	if best != nil && lowCPU(best.CPUShare, maxCPUShare(live, l.n.settings.CPUShare)) {
+	if best != nil && lowCPU(best.CPUShare, maxCPUShare(live, l.n.cpuShare())) {
 		return nil
 	}
 	return best
@@ -124,7 +135,7 @@
 		return false
 	}
 	l.n.log.Info("handed over", "to", to.Instance, "term", l.rec.Term, "store_silent_ms", l.n.since(&l.n.storeAnsweredAt).Milliseconds(),
-		"cpu_share", to.CPUShare)
+		"cpu_share", to.CPUShare, "own_cpu_share", l.n.cpuShare())
 	l.stop("handed over to " + to.Instance)
 	return true
 }
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -25,6 +25,7 @@
 	ctx      context.Context
 
 	onlyLowCPUSince   time.Time    // since when only low-CPU instances reach the store; zero otherwise
+	moreCPUSince      time.Time    // since when an instance with much more CPU follows; zero if none does
 	startedAt         time.Time    // when the term began on this instance
 	sequence          int64        // sequence number of the next append
 	storeFailingSince atomic.Int64 // since when every call to the store fails, in nanoseconds since Node.startedAt; zero if the last one succeeded
@@ -238,6 +239,7 @@
 func (l *leader) watchFollowers() {
 	var previous []string
 	for l.ctx.Err() == nil {
+		l.n.measureCPU()
 		live := l.liveFollowers()
 		names := []string{l.n.settings.Instance}
 		for _, f := range live {
@@ -248,7 +250,7 @@
 		if !slices.Equal(names, previous) {
 			previous = names
 			l.post(&engine.DelegatesChanged{Delegates: names})
-			l.n.cellInstances.Store(newInstanceList(live, l.n.settings.CPUShare))
+			l.n.cellInstances.Store(newInstanceList(live, l.n.cpuShare()))
 		}
 		l.updateRelays(live)
 		l.considerHandover(live)
@@ -258,7 +260,8 @@
 
 // updateRelays sets the relays for the live followers and the size of the fleet.
 func (l *leader) updateRelays(live []*follower) {
-	l.relays.update(l.n.settings.wantedRelays(l.relays.usable(live), int(l.workers.Load())))
+	usable := l.relays.usable(live)
+	l.relays.update(l.n.settings.wantedRelays(usable, int(l.workers.Load())), usable)
 }
 
 // pollWorkers keeps the engine's list of workers up to date.
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,9 +22,12 @@
 
 // Settings configure one instance.
 type Settings struct {
-	Instance string    // name of the instance
-	Address  string    // address at which peers connect to it
-	CPUShare float64   // CPU of the instance, in cores
+	Instance string  // name of the instance
+	Address  string  // address at which peers connect to it
+	CPUShare float64 // CPU of the instance, in cores
+	// Slowdown measures how many times as long as usual the processor takes, at least 1. It
+	// is called every pingInterval. If it is nil the processor counts as always the same.
+	Slowdown func() float64
 	Dial     peer.Dial // opens connections to peers
 	// DirectWorkers is the number of workers up to which the leader sends all commands
 	// itself. A larger fleet has one relay for every WorkersPerRelay workers.
@@ -61,6 +65,7 @@
 	// storeAnsweredAt is when the store last answered, in nanoseconds since startedAt.
 	storeAnsweredAt   atomic.Int64
 	startedAt         time.Time
+	usableCPU         atomic.Uint64 // see cpuShare; bits of a float64
 	draining          atomic.Bool
 	claiming          atomic.Bool   // a claim is in progress; its record may be stored already
 	takeOverRequested chan struct{} // signals that a peer asked this instance to take over
@@ -86,6 +91,7 @@
 	// timeouts for their answers.
 	n.storeAnsweredAt.Store(-int64(time.Hour))
 	n.leaderAnsweredAt.Store(-int64(time.Hour))
+	n.usableCPU.Store(math.Float64bits(settings.CPUShare))
 	return n
 }
 
@@ -374,9 +380,9 @@
 		wait.For(ctx, drainingPollInterval)
 		return
 	}
-	share := max(0.1, min(1, n.settings.CPUShare))
+	share := max(0.1, min(1, n.cpuShare()))
 	wait.For(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
-	if known := n.cellInstances.Load(); known != nil && lowCPU(n.settings.CPUShare, known.Strongest) && n.waitForOtherClaim(ctx, next) {
+	if known := n.cellInstances.Load(); known != nil && lowCPU(n.cpuShare(), known.Strongest) && n.waitForOtherClaim(ctx, next) {
 		return
 	}
 	n.claim(ctx, next, reason)
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -195,6 +195,42 @@
 	})
 }
 
+// The processor of the leader turns slow. Another instance takes over, not one that is
+// slow as well, and leads on when the first one has recovered.
+func TestSlowLeaderHandsOver(t *testing.T) {
+	runCluster(t, 4, func(t *testing.T, c *cluster) {
+		time.Sleep(minTermDuration)
+		old := c.leader()
+		alsoSlow := c.follower()
+		alsoSlow.slowdown.Store(5)
+		time.Sleep(2 * pingInterval)
+		old.slowdown.Store(7)
+		time.Sleep(moreCPUHandoverDelay + 3*pingInterval)
+		successor := c.leader()
+		require.NotNil(t, successor)
+		assert.NotSame(t, old, successor)
+		assert.NotSame(t, alsoSlow, successor)
+		submitWithin(t, old, "after", 100*time.Millisecond)
+		old.slowdown.Store(1)
+		alsoSlow.slowdown.Store(1)
+		time.Sleep(2 * minTermDuration)
+		assert.Same(t, successor, c.leader())
+	})
+}
+
+// If all instances are slow, for example because they share a host, there is none to hand
+// over to.
+func TestLeaderStaysIfAllAreSlow(t *testing.T) {
+	runCluster(t, 4, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		for _, m := range c.all() {
+			m.slowdown.Store(5)
+		}
+		time.Sleep(2 * minTermDuration)
+		assert.Same(t, old, c.leader())
+	})
+}
+
 // After a store outage for all instances, the leader continues to lead and does not hand
 // over.
 func TestLeaderStaysAfterStoreOutage(t *testing.T) {
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -27,7 +27,7 @@
 	mu         sync.Mutex
 	nextNumber uint64
 	links      map[string]*relayLink // by instance name
-	names      []string              // of links, sorted
+	names      []string              // of links that are not retired, sorted
 	byWorker   map[string]*relayLink // cache of the relay of each worker
 	failedAt   map[string]time.Time  // when a call to an instance last failed, by its name
 }
@@ -41,6 +41,7 @@
 	wake     chan struct{} // signals that queue is not empty
 
 	// Guarded by relays.mu.
+	retired bool // it gets no further commands, and is removed once all have results
 	queue   []RelayCommand
 	pending map[uint64]*relayedAction // commands without a result, by number
 	sent    map[string]bool           // jobs whose payload the relay was sent
@@ -86,28 +87,40 @@
 	return slices.DeleteFunc(slices.Clone(live), func(f *follower) bool { return !f.pingedAt.After(r.failedAt[f.Instance]) })
 }
 
-// update sets the relays. The commands of those that are dropped, or have another address
-// now, count as unanswered.
-func (r *relays) update(wanted []*follower) {
-	addresses := make(map[string]string, len(wanted))
-	for _, f := range wanted {
-		addresses[f.Instance] = f.Address
-	}
+// update sets the relays. Those of the others that are in reachable are retired; the rest,
+// and those with another address now, are removed, and their commands count as unanswered.
+func (r *relays) update(wanted, reachable []*follower) {
+	addresses := addressesOf(wanted)
+	reachableAddresses := addressesOf(reachable)
 	var unanswered []*relayedAction
 	changed := false
 	r.mu.Lock()
-	for _, name := range slices.Clone(r.names) { // remove changes r.names
-		if r.links[name].address != addresses[name] {
+	for _, name := range slices.Sorted(maps.Keys(r.links)) {
+		link := r.links[name]
+		switch address := link.address; address {
+		case addresses[name]:
+		case reachableAddresses[name]:
+			if !link.retired {
+				r.retire(link)
+				changed = true
+			}
+		default:
 			unanswered = append(unanswered, r.remove(name)...)
 			changed = true
 		}
 	}
 	for _, f := range wanted {
-		if r.links[f.Instance] == nil {
+		link := r.links[f.Instance]
+		if link != nil && !link.retired {
+			continue
+		}
+		if link == nil {
 			r.links[f.Instance] = r.newLink(f)
-			r.names = append(r.names, f.Instance)
-			changed = true
+		} else {
+			link.retired = false
 		}
+		r.names = append(r.names, f.Instance)
+		changed = true
 	}
 	if changed {
 		slices.Sort(r.names)
@@ -121,16 +134,31 @@
 	}
 }
 
+// addressesOf returns the addresses of instances by their names.
+func addressesOf(instances []*follower) map[string]string {
+	addresses := make(map[string]string, len(instances))
+	for _, f := range instances {
+		addresses[f.Instance] = f.Address
+	}
+	return addresses
+}
+
 // remove removes a relay and returns its pending actions. r.mu is held.
 func (r *relays) remove(name string) []*relayedAction {
 	link := r.links[name]
 	link.cancel()
+	r.retire(link)
 	delete(r.links, name)
-	r.names = slices.DeleteFunc(r.names, func(other string) bool { return other == name })
-	clear(r.byWorker)
 	return link.takeAll()
 }
 
+// retire gives a relay no further commands. r.mu is held.
+func (r *relays) retire(link *relayLink) {
+	link.retired = true
+	r.names = slices.DeleteFunc(r.names, func(name string) bool { return name == link.instance })
+	clear(r.byWorker)
+}
+
 // drop removes a relay after a call to it has failed. The commands in unsent go to other
 // relays; the others that it was given count as unanswered, as it may execute them.
 func (r *relays) drop(link *relayLink, unsent []RelayCommand, reason error) {
@@ -282,19 +310,23 @@
 	return taken
 }
 
-// expire fails the actions whose result is overdue, until the term ends.
+// expire fails the actions whose result is overdue, and removes the retired relays without
+// pending actions, until the term ends.
 func (r *relays) expire() {
 	for wait.For(r.l.ctx, relayExpiryInterval); r.l.ctx.Err() == nil; wait.For(r.l.ctx, relayExpiryInterval) {
 		now := time.Now()
 		var unanswered []*relayedAction
 		r.mu.Lock()
-		for _, name := range r.names {
+		for _, name := range slices.Sorted(maps.Keys(r.links)) {
 			link := r.links[name]
 			for _, number := range slices.Sorted(maps.Keys(link.pending)) {
 				if now.After(link.pending[number].expires) {
 					unanswered = append(unanswered, link.take(number))
 				}
 			}
+			if link.retired && len(link.pending) == 0 {
+				r.remove(name)
+			}
 		}
 		r.mu.Unlock()
 		r.failAll(unanswered)
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	callers map[string]int // calls by instance
 
 	payloads map[string]string // by task
+	delay    atomic.Int64      // of the answers to start commands, in nanoseconds
 }
 
 func newSharedWorker() *sharedWorker {
@@ -46,6 +48,7 @@
 
 // Start implements Workers.
 func (a workerAccess) Start(_ context.Context, _ int64, command *engine.Start) *engine.StartAnswered {
+	defer func() { time.Sleep(time.Duration(a.delay.Load())) }()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.callers[a.instance]++
@@ -249,21 +252,48 @@
 			}
 			return list
 		}
-		r.update(named("a", "b", "c", "d"))
+		r.update(named("a", "b", "c", "d"), nil)
 		require.True(t, r.send(&engine.Stop{Worker: "w", Timeout: time.Second}))
-		r.update(named("d", "e"))
+		r.update(named("d", "e"), nil)
 		assert.Equal(t, []string{"d", "e"}, r.names)
 		assert.Len(t, r.links, 2)
 		moved := named("d", "e")
 		moved[0].Address = "d:2"
-		r.update(moved)
+		r.update(moved, moved)
 		assert.Equal(t, "d:2", r.links["d"].address)
-		r.update(nil)
+		r.update(nil, nil)
 		assert.Empty(t, r.links)
 		assert.False(t, r.send(&engine.Stop{Worker: "w", Timeout: time.Second}))
 	})
 }
 
+// The relay turns slow and is replaced while a start that it was given is under way. The
+// start counts once its result arrives: the task is not started a second time.
+func TestReplacedRelayDeliversItsResults(t *testing.T) {
+	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
+		before := relayName(t, w)
+		l := c.leader().leading.Load()
+		w.delay.Store(int64(3 * pingInterval))
+		submitWithin(t, c.leader(), "job", 100*time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		l.relays.mu.Lock()
+		link := l.relays.links[before]
+		pending := len(link.pending)
+		l.relays.mu.Unlock()
+		require.Positive(t, pending)
+		c.members[before].slowdown.Store(5)
+		time.Sleep(4 * pingInterval)
+		w.delay.Store(0)
+		assert.Equal(t, engine.StateRunning, status(t, c.leader(), "job"))
+		assert.Equal(t, 1, w.starts["job.0.0.0"])
+		time.Sleep(time.Second) // until the last renewal of the replaced relay has ended
+		assert.NotEqual(t, before, relayName(t, w))
+		l.relays.mu.Lock()
+		defer l.relays.mu.Unlock()
+		assert.NotContains(t, l.relays.links, before, "removed once it has no pending commands")
+	})
+}
+
 // Starts and renewals are counted on the instance that makes the calls.
 func TestRelayCountsItsCalls(t *testing.T) {
 	runRelayCluster(t, 5, func(t *testing.T, c *cluster, w *sharedWorker) {
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -43,7 +43,7 @@
 	Address  string        // address at which peers connect to it
 	Policy   int64         // version of the declarations in force there
 	StoreAge time.Duration // time since the store last answered that instance
-	CPUShare float64       // CPU of the instance, in cores
+	CPUShare float64       // CPU that the instance can use at present, in cores
 	Draining bool
 	Others   uint64 // version of the list of instances that it has
 }
@@ -201,8 +201,9 @@
 func (n *Node) ping(ctx context.Context, rec *Leadership) pingResult {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	n.measureCPU()
 	args := PingArgs{
-		Instance: n.settings.Instance, Address: n.settings.Address, CPUShare: n.settings.CPUShare,
+		Instance: n.settings.Instance, Address: n.settings.Address, CPUShare: n.cpuShare(),
 		StoreAge: n.since(&n.storeAnsweredAt), Draining: n.draining.Load(),
 	}
 	if p := n.policy.Load(); p != nil {
