Let relays fetch payloads from the instances that took the jobs

Cause: on the small twin of the large fleet (links of 2 Mbit/s) the leader's link fills in the first burst. Then calls to relays time out, relays are dropped and taken again, and are sent the same payloads once more.

Change: a job's spec names the instance that took it. If that instance has ended, does not answer or has forgotten it, the leader sends the payload; each case has a test.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -72,7 +72,7 @@
 	r.startAttempts++
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
-		Payload: t.step.job().spec.Payload, Deadline: w.extendLease(e.cfg.Lease, e.now),
+		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
 		Checkpoint: t.checkpoint, Ticket: r.ticket.value, Timeout: timeout, run: r,
 	})
 }
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -185,6 +185,7 @@
 		Task        string
 		Run         int
 		Payload     string
+		Entry       string // see job.Spec
 		Deadline    int64 // end of the lease on the worker's clock, in ms
 		Checkpoint  string
 		Ticket      string
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -110,6 +110,9 @@
 	Times    int           `cbor:"6,keyasint,omitempty"` // number of occurrences of a scheduled job; zero if the job is not scheduled
 	FirstDue int64         `cbor:"7,keyasint,omitempty"` // when the first occurrence is due, in Unix milliseconds
 	Interval time.Duration `cbor:"8,keyasint,omitempty"` // between occurrences
+	// Entry is the address, for other instances, of the instance that took the job from its
+	// caller. It keeps the payload of its newest jobs for relays.
+	Entry string `cbor:"9,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -30,8 +30,10 @@
 	members     map[string]*member
 	unreachable map[string]bool // instances whose network connections lose all data
 
-	directWorkers int                           // see Settings
-	workersFor    func(instance string) Workers // as an instance reaches them
+	directWorkers       int  // see Settings
+	payloadsFromEntries bool // see Settings
+
+	workersFor func(instance string) Workers // as an instance reaches them
 }
 
 // member is one instance of a cluster. It implements the net.Listener on which its peers
@@ -98,7 +100,8 @@
 	m.slowdown.Store(1)
 	settings := Settings{
 		Instance: name, Address: m.address, CPUShare: share, DirectWorkers: c.directWorkers, WorkersPerRelay: 64,
-		Slowdown: func() float64 { return float64(m.slowdown.Load()) },
+		PayloadsFromEntries: c.payloadsFromEntries,
+		Slowdown:            func() float64 { return float64(m.slowdown.Load()) },
 		Engine: engine.Config{
 			Lease: 6 * time.Second, MaxLease: 10 * time.Second, LeaseExpiryMargin: 100 * time.Millisecond, MaxStopDuration: 200 * time.Millisecond,
 			GangStartTimeout: 3 * time.Second, OffRackMultiplier: 2, RenewalMaxWait: time.Second, RenewalRetryDelay: 150 * time.Millisecond, IdleRenewalInterval: 2 * time.Second,
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/cell/peer"
@@ -33,7 +34,10 @@
 	// itself. A larger fleet has one relay for every WorkersPerRelay workers.
 	DirectWorkers   int
 	WorkersPerRelay int
-	Engine          engine.Config
+	// PayloadsFromEntries makes relays fetch the payload of a job from the instance that
+	// took the job, so that it does not pass over the leader's link to each of them.
+	PayloadsFromEntries bool
+	Engine              engine.Config
 }
 
 // Ports are the interfaces through which the node uses other systems.
@@ -72,9 +76,11 @@
 	leaderDoubted     chan struct{} // signals that the followed instance may no longer lead
 
 	mu              sync.Mutex
-	leaderChange    chan struct{} // closed when the leader changes
-	relayedPayloads payloadCache
-	outbox          *outbox // results for the leader of the latest term for which this instance is a relay; nil if there are none
+	leaderChange    chan struct{}      // closed when the leader changes
+	ownPayloads     *payloadCache      // of jobs that callers submitted to this instance
+	relayedPayloads *payloadCache      // of jobs whose tasks this instance has started as a relay
+	payloadFetches  singleflight.Group // by job
+	outbox          *outbox            // results for the leader of the latest term for which this instance is a relay; nil if there are none
 }
 
 // New returns a node. It does nothing until Run is called.
@@ -86,6 +92,7 @@
 	n := &Node{
 		settings: settings, ports: ports, log: log, stats: stats, incarnation: hex.EncodeToString(raw[:]),
 		peers: peer.NewPool(settings.Dial), startedAt: time.Now(), takeOverRequested: make(chan struct{}, 1), leaderDoubted: make(chan struct{}, 1), leaderChange: make(chan struct{}),
+		ownPayloads: newPayloadCache(maxOwnPayloads), relayedPayloads: newPayloadCache(maxRelayPayloads),
 	}
 	// The store and the leader have not answered yet. An hour is longer than all
 	// timeouts for their answers.
--- a/internal/cell/node/relay.go
+++ b/internal/cell/node/relay.go
@@ -20,11 +20,11 @@
 type RelayCommand struct {
 	Number uint64 // identifies the command in the leader's term
 	Start  *engine.Start
-	// PayloadSent reports that Start lacks its payload, which an earlier command for a task
-	// of the same job had.
-	PayloadSent bool
-	Stop        *engine.Stop
-	Renew       *engine.Renew
+	// PayloadLeftOut reports that Start lacks its payload. An earlier command for a task of
+	// the same job had it, or the instance that took the job has it.
+	PayloadLeftOut bool
+	Stop           *engine.Stop
+	Renew          *engine.Renew
 }
 
 // RelayArgs are commands of a leader.
@@ -65,30 +65,15 @@
 		return errLaterTerm
 	}
 	for i := range args.Commands {
-		if !s.n.completePayload(&args.Commands[i]) {
-			box.add(RelayResult{Number: args.Commands[i].Number, PayloadMissing: true})
-			continue
+		c := &args.Commands[i]
+		if c.Start != nil && !c.PayloadLeftOut {
+			s.n.relayedPayloads.add(jobOf(c.Start.Task), c.Start.Payload)
 		}
-		go func() { box.add(s.n.executeRelayed(args.Term, &args.Commands[i])) }()
+		go func() { box.add(s.n.executeRelayed(args.Term, c)) }()
 	}
 	return nil
 }
 
-// completePayload remembers the payload of a start command, or sets it if it was sent with
-// an earlier one. It reports false if the payload is not known any more.
-func (n *Node) completePayload(c *RelayCommand) bool {
-	switch {
-	case c.Start == nil:
-	case !c.PayloadSent:
-		n.relayedPayloads.add(jobOf(c.Start.Task), c.Start.Payload)
-	default:
-		payload, known := n.relayedPayloads.get(jobOf(c.Start.Task))
-		c.Start.Payload = payload
-		return known
-	}
-	return true
-}
-
 // newRelayCommand returns the command for an action.
 func newRelayCommand(number uint64, action any) RelayCommand {
 	c := RelayCommand{Number: number}
@@ -117,6 +102,14 @@
 // executeRelayed executes a command and returns its result.
 func (n *Node) executeRelayed(term int64, c *RelayCommand) RelayResult {
 	result := RelayResult{Number: c.Number}
+	if c.PayloadLeftOut {
+		payload, known := n.payloadOf(jobOf(c.Start.Task), c.Start.Entry)
+		if !known {
+			result.PayloadMissing = true
+			return result
+		}
+		c.Start.Payload = payload
+	}
 	switch ev := n.callWorker(context.Background(), term, c.action()).(type) {
 	case *engine.StartAnswered:
 		result.Outcome, result.Incarnation, result.Clock = ev.Outcome, ev.Incarnation, ev.Clock
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -45,6 +45,7 @@
 	queue   []RelayCommand
 	pending map[uint64]*relayedAction // commands without a result, by number
 	sent    map[string]bool           // jobs whose payload the relay was sent
+	lacking map[string]bool           // jobs whose payload the relay could not get from their entry
 }
 
 // relayedAction is an action that a relay was given to execute.
@@ -186,7 +187,7 @@
 
 func (r *relays) newLink(f *follower) *relayLink {
 	ctx, cancel := context.WithCancel(r.l.ctx)
-	link := &relayLink{r: r, instance: f.Instance, address: f.Address, cancel: cancel, wake: make(chan struct{}, 1), pending: make(map[uint64]*relayedAction), sent: make(map[string]bool)}
+	link := &relayLink{r: r, instance: f.Instance, address: f.Address, cancel: cancel, wake: make(chan struct{}, 1), pending: make(map[uint64]*relayedAction), sent: make(map[string]bool), lacking: make(map[string]bool)}
 	go link.run(ctx)
 	return link
 }
@@ -257,16 +258,17 @@
 }
 
 // leaveOutPayload removes the payload from a start command if the relay was sent it
-// before. r.mu is held.
+// before, or can get it elsewhere. r.mu is held.
 func (k *relayLink) leaveOutPayload(c *RelayCommand) {
 	if c.Start == nil {
 		return
 	}
 	id := jobOf(c.Start.Task)
-	if k.sent[id] {
+	fromEntry := k.r.l.n.settings.PayloadsFromEntries && c.Start.Entry != "" && !k.lacking[id]
+	if k.sent[id] || fromEntry {
 		start := *c.Start // the engine may send the same action again
 		start.Payload = ""
-		c.Start, c.PayloadSent = &start, true
+		c.Start, c.PayloadLeftOut = &start, true
 		return
 	}
 	if len(k.sent) >= maxSentPayloads {
@@ -361,13 +363,21 @@
 	}
 }
 
-// resendWithPayload sends a start command again whose payload the relay did not have. The
-// relay is a new process since it was sent it.
+// resendWithPayload sends a start command again whose payload the relay did not get. If it
+// was sent it before, the relay is a new process since.
 func (r *relays) resendWithPayload(link *relayLink, a *relayedAction) {
+	task := ""
 	r.mu.Lock()
+	if start, ok := a.action.(*engine.Start); ok {
+		task = start.Task
+		if len(link.lacking) >= maxSentPayloads {
+			clear(link.lacking)
+		}
+		link.lacking[jobOf(task)] = true
+	}
 	clear(link.sent)
 	r.mu.Unlock()
-	r.l.n.log.Info("relay lacks a payload", "relay", link.instance, "term", r.l.rec.Term)
+	r.l.n.log.Info("relay lacks a payload", "relay", link.instance, "term", r.l.rec.Term, "task", task)
 	r.l.execute(a.action)
 }
 
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -209,8 +209,53 @@
 	})
 }
 
+// On a slow link the leader sends no payloads. The relay gets them from the instance that
+// took the job or, if that has ended or does not answer, from the leader.
+func TestRelayGetsPayloadFromEntry(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, entry *member){
+		"entry answers":   func(*cluster, *member) {},
+		"entry has ended": func(c *cluster, entry *member) { c.kill(entry) },
+		"entry does not answer": func(c *cluster, entry *member) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.unreachable[entry.settings.Instance] = true
+		},
+		"entry has forgotten": func(_ *cluster, entry *member) {
+			entry.ownPayloads.mu.Lock()
+			defer entry.ownPayloads.mu.Unlock()
+			clear(entry.ownPayloads.byJob)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSharedWorker()
+			runClusterWith(t, 6, func(c *cluster) {
+				c.directWorkers, c.payloadsFromEntries = 0, true
+				c.workersFor = func(instance string) Workers { return workerAccess{w, instance} }
+			}, func(t *testing.T, c *cluster) {
+				time.Sleep(time.Second)
+				relay, leader := c.members[relayName(t, w)], c.leader()
+				var entry *member
+				for _, m := range c.all() {
+					if m != leader && m != relay {
+						entry = m
+					}
+				}
+				submitWithin(t, entry, "job", 100*time.Millisecond)
+				lose(c, entry) // the task starts at the next round at the earliest
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, engine.StateRunning, status(t, leader, "job"))
+				assert.Equal(t, "p", w.payloads["job.0.0.0"])
+				leader.leading.Load().relays.mu.Lock()
+				defer leader.leading.Load().relays.mu.Unlock()
+				link := leader.leading.Load().relays.links[relay.settings.Instance]
+				assert.Equal(t, name != "entry answers", link.sent["job"], "sent by the leader")
+			})
+		})
+	}
+}
+
 func TestPayloadCacheDropsTheOldest(t *testing.T) {
-	var c payloadCache
+	c := newPayloadCache(maxRelayPayloads)
 	for i := range maxRelayPayloads + 10 {
 		c.add(fmt.Sprint(i), "p")
 		c.add(fmt.Sprint(i), "q")
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -29,8 +29,10 @@
 	leaderRetryDelay = 25 * time.Millisecond
 )
 
-// Submit submits a job to the leader. An error is a *verdict.Error.
+// Submit submits a job to the leader and sets its Entry. An error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) (engine.Answer, error) {
+	spec.Entry = n.settings.Address
+	n.ownPayloads.add(spec.ID, spec.Payload)
 	return n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
 		return &engine.Submit{Spec: spec, Wait: untilDeadline(ctx), Reply: answer}
 	})
