--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -160,6 +160,9 @@
 	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
 	for i, t := range s.tasks {
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
+		if t.done {
+			out.Checkpoint = ""
+		}
 		for n, u := range t.runs {
 			if n == 0 {
 				out.Worker, out.Incarnation, out.Run = u.worker.id, u.incarnation, u.number
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -186,7 +186,7 @@
 		Run         int
 		Payload     string
 		Entry       string // see job.Spec
-		Deadline    int64 // end of the lease on the worker's clock, in ms
+		Deadline    int64  // end of the lease on the worker's clock, in ms
 		Checkpoint  string
 		Ticket      string
 		Timeout     time.Duration // for an answer
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -58,36 +58,6 @@
 	Ended    int64     `cbor:"6,keyasint,omitempty"` // Unix milliseconds
 }
 
-// Task is the progress of one task.
-type Task struct {
-	_           struct{} `cbor:",toarray"`
-	Done        bool
-	Run         int    // sequence number of the latest run
-	Failures    int    // number of runs that failed
-	Worker      string // worker that got the latest run; empty once the end of the run is known
-	Incarnation int64  // incarnation of Worker
-	Checkpoint  string
-}
-
-// Step is the progress of the tasks of a step. The keys of SpeculativeRuns are indexes
-// of tasks. GoodWorkers holds the workers that the adviser recommended and Asked those
-// that it was asked about. Both are kept while tasks wait, as advice is slow to get.
-type Step struct {
-	Tasks           []Task       `cbor:"1,keyasint"`
-	SpeculativeRuns map[int]Task `cbor:"2,keyasint,omitempty"`
-	GoodWorkers     []GoodWorker `cbor:"3,keyasint,omitempty"`
-	Asked           NameSet      `cbor:"4,keyasint,omitempty"`
-	Begun           bool         `cbor:"5,keyasint,omitempty"` // a task of the job is known to have started
-}
-
-// GoodWorker is a worker that the adviser recommended for a step, in one incarnation.
-// The advice is valid for the whole incarnation; its ticket expires earlier.
-type GoodWorker struct {
-	_           struct{} `cbor:",toarray"`
-	Worker      string
-	Incarnation int64
-}
-
 // NameSet is a set of names, stored as a hash of four bytes each. With some hundreds
 // of names, the probability that it contains a name that was not added is about one
 // in several million.
@@ -138,6 +108,9 @@
 // Encode returns the CBOR encoding of v. It panics if v is of a type that the codec
 // does not support.
 func Encode(v any) []byte {
+	if s, ok := v.(*Step); ok {
+		v = s.encoded()
+	}
 	data, err := cbor.Marshal(v)
 	if err != nil {
 		// The types of this package have only fields that the codec supports.
@@ -149,5 +122,14 @@
 // Decode decodes data into v. It returns an error if data does not encode the type
 // of v.
 func Decode(data []byte, v any) error {
-	return errors.Wrapf(cbor.Unmarshal(data, v), "decode %T", v)
+	s, ok := v.(*Step)
+	if !ok {
+		return errors.Wrapf(cbor.Unmarshal(data, v), "decode %T", v)
+	}
+	r := new(stepRecord)
+	err := cbor.Unmarshal(data, r)
+	if err == nil {
+		err = s.decode(r)
+	}
+	return errors.Wrapf(err, "decode %T", v)
 }
--- /dev/null
+++ b/internal/cell/record/step_test.go
@@ -0,0 +1,98 @@
+package record
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// earlierStep is a step as earlier versions encoded it.
+type earlierStep struct {
+	Tasks           []Task       `cbor:"1,keyasint"`
+	SpeculativeRuns map[int]Task `cbor:"2,keyasint,omitempty"`
+	GoodWorkers     []GoodWorker `cbor:"3,keyasint,omitempty"`
+	Asked           NameSet      `cbor:"4,keyasint,omitempty"`
+	Begun           bool         `cbor:"5,keyasint,omitempty"`
+}
+
+func drawTask(t *rapid.T) Task {
+	out := Task{
+		Done: rapid.Bool().Draw(t, "done"), Run: rapid.IntRange(0, 3).Draw(t, "run"), Failures: rapid.IntRange(0, 2).Draw(t, "failures"),
+		Checkpoint: rapid.SampledFrom([]string{"", "00c1"}).Draw(t, "checkpoint"),
+	}
+	if rapid.Bool().Draw(t, "running") {
+		out.Worker, out.Incarnation = rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker"), rapid.Int64Range(1, 2).Draw(t, "incarnation")
+	}
+	return out
+}
+
+// Every step is the same after it was stored and loaded, by this version and the earlier one.
+func TestStepRoundTripOfAnyStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := &Step{Begun: rapid.Bool().Draw(t, "begun")}
+		for i := range rapid.IntRange(1, 20).Draw(t, "count") {
+			in.Tasks = append(in.Tasks, drawTask(t))
+			if rapid.IntRange(0, 4).Draw(t, "speculative") == 0 {
+				if in.SpeculativeRuns == nil {
+					in.SpeculativeRuns = make(map[int]Task)
+				}
+				in.SpeculativeRuns[i] = drawTask(t)
+			}
+		}
+		for i := range rapid.IntRange(0, 3).Draw(t, "good") {
+			in.GoodWorkers = append(in.GoodWorkers, GoodWorker{Worker: fmt.Sprintf("w%d", i), Incarnation: 1})
+			in.Asked.Add(fmt.Sprintf("w%d", i))
+		}
+		out := new(Step)
+		require.NoError(t, Decode(Encode(in), out))
+		assert.Equal(t, in, out)
+		earlier, err := cbor.Marshal(&earlierStep{in.Tasks, in.SpeculativeRuns, in.GoodWorkers, in.Asked, in.Begun})
+		require.NoError(t, err)
+		out = new(Step)
+		require.NoError(t, Decode(earlier, out))
+		assert.Equal(t, in, out)
+	})
+}
+
+// What was stored can be damaged in any way without a panic.
+func FuzzDecodeStep(f *testing.F) {
+	in := &Step{Tasks: []Task{{Run: 2, Worker: "w1", Incarnation: 7}, doneAtOnce, {}}, GoodWorkers: []GoodWorker{{Worker: "w1", Incarnation: 7}}}
+	f.Add(Encode(in))
+	for _, r := range []stepRecord{
+		{Count: 2, Rows: []taskRow{{Index: 2}}}, {Count: 2, Rows: []taskRow{{Worker: 1}}}, {Count: -1}, {Count: 1 << 40},
+		{Count: 1, DoneAtOnce: []byte{1, 1}}, {Count: 1, GoodCount: 1},
+	} {
+		data, err := cbor.Marshal(&r)
+		require.NoError(f, err)
+		assert.Error(f, Decode(data, new(Step)))
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		out := new(Step)
+		if Decode(data, out) == nil {
+			Encode(out)
+		}
+	})
+}
+
+// A wide step is rewritten many times while its tasks end.
+func BenchmarkEncodeWideStep(b *testing.B) {
+	in := &Step{}
+	for i := range 48 {
+		in.Tasks = append(in.Tasks, Task{Run: 1, Worker: fmt.Sprintf("i-%010d", i/3), Incarnation: 1791000000000 + int64(i/3), Checkpoint: "00000bb87a21d94b"})
+	}
+	for i := range 30 {
+		in.GoodWorkers = append(in.GoodWorkers, GoodWorker{Worker: fmt.Sprintf("i-%010d", i), Incarnation: 1791000000000 + int64(i)})
+	}
+	earlier, err := cbor.Marshal(&earlierStep{Tasks: in.Tasks, GoodWorkers: in.GoodWorkers})
+	require.NoError(b, err)
+	for b.Loop() {
+		Encode(in)
+	}
+	b.ReportMetric(float64(len(Encode(in))), "bytes")
+	b.ReportMetric(float64(len(earlier)), "bytes-earlier")
+}
