Write ends of tasks again whose append has no result, and report every change of a worker's entry

Cause, jobs: flush replaced the ends in flight when their append had no result within flushTimeout, so they were lost; and without a new end nothing was written again. Test: TestEndsOfFailedAppendsAreWrittenAgain, failed first.

Cause, directory: a change of the service, the zone or the labels alone was not reported, so the engine kept the old ones until another change. Test: TestDirectoryReportsEachChange.

Also: 'leading' tells how long fencing and loading took and how many steps were loaded.

--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -21,6 +22,12 @@
 	LeavesIn    time.Duration // minimum time until a draining worker leaves
 }
 
+// Equal reports whether w and o say the same.
+func (w *WorkerInfo) Equal(o *WorkerInfo) bool {
+	return w.ID == o.ID && w.Incarnation == o.Incarnation && w.Address == o.Address && w.Service == o.Service && w.Zone == o.Zone &&
+		slices.Equal(w.Labels, o.Labels) && w.Capacity == o.Capacity && w.Draining == o.Draining && w.LeavesIn == o.LeavesIn
+}
+
 // EndReason is the way in which a run ended.
 type EndReason uint8
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -20,10 +20,12 @@
 	if !l.fence() {
 		return nil
 	}
+	fenced := time.Now()
 	state, ok := l.load()
 	if !ok {
 		return nil
 	}
+	loaded := time.Now()
 	config := l.n.settings.Engine
 	config.Term = l.rec.Term
 	e := engine.New(config, l.n.log, wallClock, time.Now())
@@ -32,7 +34,8 @@
 		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
 	}
 	e.Restore(state)
-	l.n.log.Info("leading", "term", l.rec.Term, "prepared_ms", time.Since(start).Milliseconds(), "jobs", len(state.Jobs))
+	l.n.log.Info("leading", "term", l.rec.Term, "prepared_ms", time.Since(start).Milliseconds(), "fence_ms", fenced.Sub(start).Milliseconds(),
+		"load_ms", loaded.Sub(fenced).Milliseconds(), "jobs", len(state.Jobs), "steps", len(state.Steps))
 	return e
 }
 
--- a/internal/service/jobs/progress.go
+++ b/internal/service/jobs/progress.go
@@ -40,14 +40,18 @@
 	now := s.env.Now()
 	s.expirePending(now)
 	s.removeOldJobs(now)
-	if now < s.flushAt || len(s.ended) == 0 || s.flushID != 0 && now < s.flushAt+flushTimeout {
-		return
+	if s.flushID != 0 && now >= s.flushAt+flushTimeout {
+		s.flushID = 0
+		s.requeueFlushed() // the append may have had an effect, but that does not matter
+	}
+	if now >= s.flushAt && len(s.ended) > 0 && s.flushID == 0 {
+		s.flush(now)
 	}
-	s.flush(now)
 }
 
-// flush appends progress records of the tasks that have ended so far. Those of a
-// failed append are written again; applying them twice changes nothing.
+// flush appends progress records of the tasks that have ended so far. Those of an append
+// that failed, or has no result in time, are written again; applying them twice changes
+// nothing.
 func (s *Service) flush(now time.Duration) {
 	s.flushAt = now + flushInterval
 	s.flushed = s.ended
