Hold more of the fleet for waiting gangs, and always enough for the most urgent one

Cause: gangs that need many cores at the same time starve under overload. At most 12% of the CPU could be held for them; what was held beyond that was taken by batch jobs of lower priority as it became free. In a test in which batch jobs keep 24 workers busy, none of three gangs of a quarter of all cores had ended after 19 s (TestWideGangsEndInTimeAmidBatchJobs, failed first).

Change: 30% may be held, and the most urgent gang may exceed it.

--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -250,3 +250,52 @@
 	w.engine.addJob(j)
 	return j.occurrences[0].steps[0]
 }
+
+// submitEvenLoad submits the load of a fleet whose jobs are a third as wide, times multiplier.
+// The intervals between the jobs of a queue are even, so that a short span has the usual
+// share of wide jobs.
+func submitEvenLoad(w *world, span time.Duration, multiplier float64) {
+	scale := multiplier * float64(len(w.ids)) / 350
+	rates := map[string]float64{"urgent": 100 * scale, "gangs": 4.2 * scale, "batch": 10.8 * scale}
+	steps := map[string]job.Step{
+		"urgent": {Count: 3, Need: job.Resources{CPU: 5000, MemMB: 14_000}, Estimate: 800 * time.Millisecond},
+		"gangs":  {Count: 20, Need: job.Resources{CPU: 9000, MemMB: 34_000}, Estimate: 6200 * time.Millisecond, Gang: true},
+		"batch":  {Count: 25, Need: job.Resources{CPU: 3500, MemMB: 7000}, Estimate: 3400 * time.Millisecond},
+	}
+	due := make(map[string]float64)
+	for end := w.now.Add(span); w.now.Before(end); w.run(simTick) {
+		for _, queue := range sortedKeys(rates) {
+			for due[queue] += rates[queue] * simTick.Seconds(); due[queue] >= 1; due[queue]-- {
+				s := steps[queue]
+				s.Count = max(1, int(w.around(float64(s.Count))))
+				s.Need.CPU = int64(w.around(float64(s.Need.CPU)))
+				s.Estimate = time.Duration(w.around(float64(s.Estimate)))
+				w.submit(queue, "a", s)
+			}
+		}
+	}
+}
+
+// For four seconds twice the usual load of every kind arrives, 1.6 times what the workers can
+// run. Urgent jobs go first and nearly all end in time; of the wide jobs that are accepted
+// most do, and the others are refused at once with a delay. Once the usual load has returned
+// the queue drains: new jobs of every kind end in time again.
+func TestOverloadOfAllKindsDrains(t *testing.T) {
+	w := newLargeWorld(t, 175)
+	w.storeDelay = 10 * time.Millisecond
+	submitEvenLoad(w, 8*time.Second, 1)
+	burst := w.now
+	submitEvenLoad(w, 4*time.Second, 2)
+	after := w.now
+	submitEvenLoad(w, 16*time.Second, 1)
+	end := w.now
+	w.run(25 * time.Second)
+	for _, queue := range []string{"urgent", "gangs", "batch"} {
+		inBurst := w.countJobs(queue, burst, after)
+		later := w.countJobs(queue, after.Add(6*time.Second), end)
+		t.Logf("%s, in the burst: %+v; from six seconds after it: %+v", queue, inBurst, later)
+		assert.Equal(t, inBurst.submitted, inBurst.accepted+inBurst.refusedWithDelay, queue)
+		assert.GreaterOrEqual(t, float64(inBurst.inTime), 0.8*float64(inBurst.accepted), queue)
+		assert.GreaterOrEqual(t, float64(later.inTime), 0.8*float64(later.submitted), queue)
+	}
+}
--- a/internal/cell/engine/overload_test.go
+++ b/internal/cell/engine/overload_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,6 +85,38 @@
 	}
 }
 
+// Batch jobs keep all workers busy, and each free core is taken at once. Gangs that need a
+// quarter of all cores at the same time, or more than half, still end in time, since they
+// are of higher priority: cores are held for them as they become free.
+func TestWideGangsEndInTimeAmidBatchJobs(t *testing.T) {
+	for _, width := range []int{10, 24} {
+		t.Run(fmt.Sprint(width), func(t *testing.T) { testWideGangsEndInTime(t, width) })
+	}
+}
+
+func testWideGangsEndInTime(t *testing.T, width int) {
+	w := newWorld(t, 24, 7)
+	w.run(time.Second)
+	feed := func(span time.Duration) {
+		for end := w.now.Add(span); w.now.Before(end); w.run(50 * time.Millisecond) {
+			w.submit("batch", "a", tasks(12, 1000, time.Second))
+		}
+	}
+	feed(3 * time.Second)
+	var gangs []string
+	for range 3 {
+		gangs = append(gangs, w.submit("gangs", "a", gang(width, 5000, 3*time.Second)))
+		feed(4 * time.Second)
+	}
+	feed(4 * time.Second)
+	q := w.policy.Queue("gangs")
+	for _, id := range gangs {
+		assert.True(t, w.accepted[id], w.answers[id].Why)
+		assert.Positive(t, w.turnaround[id], "ended")
+		assert.LessOrEqual(t, w.turnaround[id], objective(q, 3*time.Second))
+	}
+}
+
 // A gang waits for resources on its good workers when the leader is lost. The next leader
 // restores these workers and only renews their tickets. Asking about all workers again
 // would take several calls per gang.
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -12,6 +12,7 @@
 	*pool
 	cpuBudget         int64        // CPU of the steps that may still be tried in this round, in thousandths of a core
 	holdBudget        int64        // CPU that may still be held for gangs, in thousandths of a core
+	holds             bool         // something is held for a gang
 	speculativeBudget int64        // CPU that may still be used for speculative runs, in thousandths of a core
 	asksLeft          int          // steps for which the adviser may still be called
 	failuresLeft      int          // steps that may still be tried without a run or a call coming of it
@@ -25,8 +26,9 @@
 	budgetFreeRatio     = 1.5
 	budgetCapacityRatio = 0.15
 	// gangHoldRatio is the part of a service's CPU that may be held for gangs that wait
-	// until enough resources are free at the same time.
-	gangHoldRatio = 0.12
+	// until enough resources are free at the same time. The most urgent of them may exceed
+	// it, so that none is too wide to start.
+	gangHoldRatio = 0.3
 	// maxAskingSteps is the number of steps for which the adviser may be called in a round.
 	maxAskingSteps = 24
 	// maxFailedSteps bounds the steps of a round that are tried without a run or a call
@@ -63,7 +65,7 @@
 	if !s.spec.Gang || count < 2 || round.holdBudget <= 0 {
 		return
 	}
-	need := count
+	need, mostUrgent := count, !round.holds
 	for _, w := range e.gangCandidates(s, round) {
 		n := s.charge.CountIn(w.capacity.Sub(w.heldForGangs), need)
 		if n <= 0 {
@@ -73,8 +75,9 @@
 		w.heldForGangs = w.heldForGangs.Add(held)
 		e.heldWorkers = append(e.heldWorkers, w)
 		round.holdBudget -= held.CPU
+		round.holds = true
 		need -= n
-		if need == 0 || round.holdBudget <= 0 {
+		if need == 0 || round.holdBudget <= 0 && !mostUrgent {
 			return
 		}
 	}
