Don't hold the whole fleet for a gang that does not fit on it

A gang of three 8-core tasks on two workers of 8 cores kept every other job waiting: TestDecisionsAreLogged.

Change: it may exceed the bound only if all candidate workers together, idle, can hold it; otherwise the bound of 30% applies, as before.

--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -27,7 +27,7 @@
 	budgetCapacityRatio = 0.15
 	// gangHoldRatio is the part of a service's CPU that may be held for gangs that wait
 	// until enough resources are free at the same time. The most urgent of them may exceed
-	// it, so that none is too wide to start.
+	// it if all workers together can hold it, so that none is too wide to start.
 	gangHoldRatio = 0.3
 	// maxAskingSteps is the number of steps for which the adviser may be called in a round.
 	maxAskingSteps = 24
@@ -65,8 +65,9 @@
 	if !s.spec.Gang || count < 2 || round.holdBudget <= 0 {
 		return
 	}
-	need, mostUrgent := count, !round.holds
-	for _, w := range e.gangCandidates(s, round) {
+	need, candidates := count, e.gangCandidates(s, round)
+	mayExceed := !round.holds && fitsIn(s, candidates, count)
+	for _, w := range candidates {
 		n := s.charge.CountIn(w.capacity.Sub(w.heldForGangs), need)
 		if n <= 0 {
 			continue
@@ -77,12 +78,22 @@
 		round.holdBudget -= held.CPU
 		round.holds = true
 		need -= n
-		if need == 0 || round.holdBudget <= 0 && !mostUrgent {
+		if need == 0 || round.holdBudget <= 0 && !mayExceed {
 			return
 		}
 	}
 }
 
+// fitsIn reports whether count tasks of s fit on idle workers.
+func fitsIn(s *stepState, workers []*worker, count int) bool {
+	for _, w := range workers {
+		if count -= s.charge.CountIn(w.capacity, count); count <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // gangCandidates returns the workers on which a gang can wait for resources, those with
 // the most free CPU first.
 func (e *Engine) gangCandidates(s *stepState, round *placementRound) []*worker {
