Hand over sooner from a leader that the store refuses

Ruled out: a shorter delay alone.

Change: when the store refuses calls or resets connections, 0.2 s are enough; an instance that reaches the store when the leader doesn't pings again at once, and that wakes the leader's check; the leader tries the store itself at each check. Silence is treated as before.

Also: the load line tells the CPU held for gangs and the memory in use.

--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -199,7 +199,7 @@
 	e.loadLoggedAt = e.now
 	e.measureDemand()
 	listed, usable, runs := 0, 0, 0
-	var capacity, used int64
+	var capacity, used, held job.Resources
 	for _, w := range e.workerList {
 		runs += len(w.runs)
 		if w.listed {
@@ -207,12 +207,11 @@
 		}
 		if w.usable(e.now) {
 			usable++
-			capacity += w.capacity.CPU
-			used += w.used.CPU
+			capacity, used, held = capacity.Add(w.capacity), used.Add(w.used), held.Add(w.heldForGangs)
 		}
 	}
 	attrs := []any{"jobs", len(e.jobs), "open_steps", len(e.openSteps), "runs", runs, "listed", listed, "usable", usable,
-		"cpu", capacity, "cpu_used", used, "round_us", e.placementTook.Microseconds(), "arms", len(e.delegates)}
+		"cpu", capacity.CPU, "cpu_used", used.CPU, "cpu_held", held.CPU, "mem_mb", capacity.MemMB, "mem_used_mb", used.MemMB, "round_us", e.placementTook.Microseconds(), "arms", len(e.delegates)}
 	for _, priority := range slices.Sorted(maps.Keys(e.demands)) {
 		d := e.demands[priority]
 		attrs = append(attrs, fmt.Sprintf("waiting_cpu_%d", priority), d.waitingCPU, fmt.Sprintf("arriving_cores_%d", priority), int(d.rate(e.now)))
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -8,16 +8,22 @@
 // considerHandover hands over if the store does not answer this leader but answers
 // another instance, or if an instance with much more CPU could lead.
 func (l *leader) considerHandover(live []*follower) {
-	failingSince := l.storeFailingSince.Load()
-	failing := failingSince != 0 && time.Since(l.n.startedAt)-time.Duration(failingSince) > storeFailingHandoverDelay
 	sinceAnswer := l.n.since(&l.n.storeAnsweredAt)
-	unreachable := failing || sinceAnswer > storeNoAnswerHandoverDelay
-	if !unreachable {
+	reachesStore := func(f *follower) bool { return f.storeSilence() <= sinceAnswer-storeAnswerMargin }
+	failingFor := l.storeFailingFor()
+	if failingFor > 0 && l.storeRefused.Load() && l.probeStore() {
+		failingFor = 0 // single calls were refused
+	}
+	switch {
+	case l.storeRefused.Load() && failingFor >= storeRefusedHandoverDelay:
+		reachesStore = l.reachedStoreSinceFailure
+	case failingFor > storeFailingHandoverDelay || sinceAnswer > storeNoAnswerHandoverDelay:
+	default:
 		l.onlyLowCPUSince = time.Time{}
 		l.handOverToMoreCPU(live)
 		return
 	}
-	successor := l.mostCPU(live, func(f *follower) bool { return f.StoreAge+time.Since(f.pingedAt) <= sinceAnswer-storeAnswerMargin })
+	successor := l.mostCPU(live, reachesStore)
 	if successor == nil {
 		l.onlyLowCPUSince = time.Time{}
 		return
@@ -36,6 +42,24 @@
 	l.handOver(successor)
 }
 
+// storeSilence returns the time since the store last answered the follower.
+func (f *follower) storeSilence() time.Duration { return f.StoreAge + time.Since(f.pingedAt) }
+
+// storeFailingFor returns for how long every call of this leader to the store has failed,
+// zero if the last one succeeded.
+func (l *leader) storeFailingFor() time.Duration {
+	if l.storeFailingSince.Load() == 0 {
+		return 0
+	}
+	return l.n.since(&l.storeFailingSince)
+}
+
+// reachedStoreSinceFailure reports whether the store refuses this leader and has answered
+// the follower since.
+func (l *leader) reachedStoreSinceFailure(f *follower) bool {
+	return l.storeRefused.Load() && f.storeSilence()+storeRefusedAnswerMargin <= l.storeFailingFor()
+}
+
 // probeTimeout bounds a probe of the store. It is many times as long as a healthy store
 // takes to answer.
 const probeTimeout = 200 * time.Millisecond
@@ -118,7 +142,7 @@
 // store, or nil if only low-CPU instances do.
 func (l *leader) successor() *follower {
 	live := l.liveFollowers()
-	best := l.mostCPU(live, func(f *follower) bool { return f.StoreAge+time.Since(f.pingedAt) <= storeUnreachableTimeout })
+	best := l.mostCPU(live, func(f *follower) bool { return f.storeSilence() <= storeUnreachableTimeout })
 	if best != nil && lowCPU(best.CPUShare, maxCPUShare(live, l.n.cpuShare())) {
 		return nil
 	}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -24,11 +24,13 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 
-	onlyLowCPUSince   time.Time    // since when only low-CPU instances reach the store; zero otherwise
-	moreCPUSince      time.Time    // since when an instance with much more CPU follows; zero if none does
-	startedAt         time.Time    // when the term began on this instance
-	sequence          int64        // sequence number of the next append
-	storeFailingSince atomic.Int64 // since when every call to the store fails, in nanoseconds since Node.startedAt; zero if the last one succeeded
+	onlyLowCPUSince   time.Time     // since when only low-CPU instances reach the store; zero otherwise
+	moreCPUSince      time.Time     // since when an instance with much more CPU follows; zero if none does
+	startedAt         time.Time     // when the term began on this instance
+	sequence          int64         // sequence number of the next append
+	storeFailingSince atomic.Int64  // since when every call to the store fails, in nanoseconds since Node.startedAt; zero if the last one succeeded
+	storeRefused      atomic.Bool   // the last failure was an answer of the store or a reset of the connection, not a timeout
+	followerReached   chan struct{} // signals that a follower has reached the store while calls of this leader fail
 
 	mu        sync.Mutex
 	followers map[string]*follower // by instance name
@@ -74,7 +76,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &leader{n: n, rec: *rec, events: make(chan any, maxQueuedEvents), done: make(chan struct{}),
-		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), sequence: 1, startedAt: time.Now()}
+		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), followerReached: make(chan struct{}, 1), sequence: 1, startedAt: time.Now()}
 	l.relays = newRelays(l)
 	n.ownTerm.Store(l)
 	renewalEnded := make(chan struct{})
@@ -180,9 +182,16 @@
 
 // recordPing records the ping of an instance that follows this leader.
 func (l *leader) recordPing(args *PingArgs) {
+	f := &follower{PingArgs: *args, pingedAt: time.Now()}
 	l.mu.Lock()
-	l.followers[args.Instance] = &follower{PingArgs: *args, pingedAt: time.Now()}
+	l.followers[args.Instance] = f
 	l.mu.Unlock()
+	if l.reachedStoreSinceFailure(f) {
+		select {
+		case l.followerReached <- struct{}{}:
+		default: // signaled already
+		}
+	}
 }
 
 // liveFollowers returns the instances that pinged within followerTimeout and do not
@@ -221,6 +230,9 @@
 	// storeFailingHandoverDelay is how long every call of this leader to the store must
 	// have failed before an instance that reaches the store takes over.
 	storeFailingHandoverDelay = 500 * time.Millisecond
+	// storeRefusedHandoverDelay is the same if the store refuses the calls or resets their
+	// connections. It is long enough for several calls on new connections.
+	storeRefusedHandoverDelay = 200 * time.Millisecond
 	// storeNoAnswerHandoverDelay is how long the store must have been without an answer
 	// to this leader before an instance that reaches the store takes over. It is longer
 	// than a slow store takes to answer.
@@ -232,6 +244,10 @@
 	// recent than its last answer to this leader for the follower to take over. It is
 	// longer than the age of what pings report.
 	storeAnswerMargin = 400 * time.Millisecond
+	// storeRefusedAnswerMargin is how long after the first failure of this leader the store
+	// must have answered a follower for the store to count as away for the leader alone. It
+	// covers the time that a ping is under way.
+	storeRefusedAnswerMargin = 100 * time.Millisecond
 )
 
 // watchFollowers keeps the engine's list of delegates and the list of instances up to
@@ -254,7 +270,7 @@
 		}
 		l.updateRelays(live)
 		l.considerHandover(live)
-		wait.For(l.ctx, followersInterval)
+		wait.Until(l.ctx, l.followerReached, followersInterval)
 	}
 }
 
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -277,6 +277,32 @@
 	})
 }
 
+// The store refuses the leader but answers the others. Callers are served again after the time
+// that it takes to be sure of that and to tell the leader.
+func TestLeaderRefusedByStoreHandsOverSoon(t *testing.T) {
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		time.Sleep(time.Second)
+		old := c.leader()
+		old.store.setMode(storeRefuses)
+		submitWithin(t, c.follower(), "after", storeRefusedHandoverDelay+2*pingInterval)
+		assert.NotSame(t, old, c.leader())
+	})
+}
+
+// The store refuses single calls of the leader, as when connections are reset. It leads on.
+func TestLeaderStaysWhenSingleStoreCallsFail(t *testing.T) {
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		for range 20 {
+			old.store.setMode(storeRefuses)
+			time.Sleep(storeRefusedAnswerMargin)
+			old.store.setMode(storeServes)
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Same(t, old, c.leader())
+	})
+}
+
 // A store that is slow for all instances does not cause a change of leaders.
 func TestSlowStoreKeepsLeader(t *testing.T) {
 	runCluster(t, 5, func(t *testing.T, c *cluster) {
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -197,11 +197,29 @@
 )
 
 // ping asks the leader whether it still leads, and exchanges versions of the declarations
-// and of the list of instances with it.
+// and of the list of instances with it. If the store does not answer the leader, ping
+// probes the store and, if that answers here, tells the leader at once.
 func (n *Node) ping(ctx context.Context, rec *Leadership) pingResult {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	n.measureCPU()
+	result, storeAway := n.exchangePing(ctx, rec)
+	if !storeAway {
+		return result
+	}
+	if _, _, _, _, err := n.readLeadership(ctx); err != nil {
+		n.log.Info("the store answers neither this instance nor the leader", "leader", rec.Instance, "reason", err.Error())
+		return result
+	}
+	if again, _ := n.exchangePing(ctx, rec); again != pingNoAnswer {
+		result = again
+	}
+	return result
+}
+
+// exchangePing sends one ping and handles its answer. storeAway reports that the store does
+// not answer the leader.
+func (n *Node) exchangePing(ctx context.Context, rec *Leadership) (result pingResult, storeAway bool) {
 	args := PingArgs{
 		Instance: n.settings.Instance, Address: n.settings.Address, CPUShare: n.cpuShare(),
 		StoreAge: n.since(&n.storeAnsweredAt), Draining: n.draining.Load(),
@@ -216,26 +234,20 @@
 	err := n.peers.Get(rec.Address).Call(ctx, serviceName+".Ping", &args, &reply)
 	switch {
 	case errors.Is(err, peer.ErrRefused):
-		return pingRefused
+		return pingRefused, false
 	case err != nil:
-		return pingNoAnswer
+		return pingNoAnswer, false
 	case reply.Session != rec.Session || !reply.Leading:
-		return pingNotLeading
+		return pingNotLeading, false
 	}
 	n.setNow(&n.leaderAnsweredAt)
 	if reply.Others != nil {
 		n.cellInstances.Store(reply.Others)
 	}
-	if reply.StoreAway {
-		// The next ping reports the result of this probe in its StoreAge.
-		if _, _, _, _, err := n.readLeadership(ctx); err != nil {
-			n.log.Info("the store answers neither this instance nor the leader", "leader", rec.Instance, "reason", err.Error())
-		}
-	}
 	if reply.Policy > args.Policy {
 		n.fetchPolicy(rec.Address)
 	}
-	return pingLeads
+	return pingLeads, reply.StoreAway
 }
 
 // jitter returns a random duration between 0 and d.
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -158,6 +158,7 @@
 // noteStoreFailure records that a call to the store has failed, and logs the first
 // failure after a success.
 func (l *leader) noteStoreFailure(err error) {
+	l.storeRefused.Store(!errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled))
 	if !l.storeFailingSince.CompareAndSwap(0, int64(time.Since(l.n.startedAt))) {
 		return // logged already
 	}
