Keep a copy of the state on two standbys

Ruled out: handing the state over from leader to leader, which does not help when the leader is lost; a separate topic for ended jobs, as callers ask about these right after a takeover and a repeated submission must not run twice.

Change: the leader chooses two standbys, which keep a copy of the state topic and of the directory by reading the log every 0.25 s. Instances that find the leader lost ask a standby to take over first. Fencing comes before the last read as ever. A request to take over names the term that it is about, and a claim on request is only made while that term's record is the newest. The directory is read while the state is.

--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -254,8 +254,50 @@
 	mu       sync.Mutex
 	mode     storeMode
 	slowdown time.Duration // multiplier of storeLatency; zero means one
+
+	refreshed bool // there is a copy of the records
+}
+
+// recordsPerPage is how many records a call to the store returns.
+const recordsPerPage = 500
+
+// read makes the calls that it takes to read the records.
+func (a *storeAccess) read(ctx context.Context) error {
+	a.mu.Lock()
+	refreshed := a.refreshed
+	a.mu.Unlock()
+	a.memoryStore.mu.Lock()
+	calls := 1
+	if !refreshed {
+		calls += len(a.records) / recordsPerPage
+	}
+	a.memoryStore.mu.Unlock()
+	for range calls {
+		if err := a.call(ctx, func() error { return nil }); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+func (a *storeAccess) setRefreshed(refreshed bool) {
+	a.mu.Lock()
+	a.refreshed = refreshed
+	a.mu.Unlock()
+}
+
+// Refresh implements Store.
+func (a *storeAccess) Refresh(ctx context.Context) error {
+	if err := a.read(ctx); err != nil {
+		return err // an earlier copy is kept
+	}
+	a.setRefreshed(true)
+	return nil
+}
+
+// Forget implements Store.
+func (a *storeAccess) Forget() { a.setRefreshed(false) }
+
 func (a *storeAccess) setSlowdown(multiplier time.Duration) {
 	a.mu.Lock()
 	a.slowdown = multiplier
@@ -345,6 +387,10 @@
 
 // Load implements Store.
 func (a *storeAccess) Load(ctx context.Context, f func(record.Record)) error {
+	if err := a.read(ctx); err != nil {
+		return err
+	}
+	a.setRefreshed(false)
 	return a.call(ctx, func() error {
 		for key, value := range a.records {
 			f(record.Record{Key: key, Value: value})
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -127,13 +127,22 @@
 }
 
 // mostCPU returns the eligible instance in live with the largest CPU share, other than
-// this instance, or nil.
+// this instance, or nil. It prefers a warm one if that does not have much less CPU.
 func (l *leader) mostCPU(live []*follower, eligible func(*follower) bool) *follower {
-	var best *follower
+	var best, warm *follower
 	for _, f := range live {
-		if f.Instance != l.n.settings.Instance && eligible(f) && (best == nil || f.CPUShare > best.CPUShare) {
+		if f.Instance == l.n.settings.Instance || !eligible(f) {
+			continue
+		}
+		if best == nil || f.CPUShare > best.CPUShare {
 			best = f
 		}
+		if f.Warm && (warm == nil || f.CPUShare > warm.CPUShare) {
+			warm = f
+		}
+	}
+	if warm != nil && !lowCPU(warm.CPUShare, best.CPUShare) {
+		return warm
 	}
 	return best
 }
@@ -152,14 +161,12 @@
 // handOver asks an instance to claim the leadership and ends the term on this one. It
 // reports whether the call succeeded; otherwise the term goes on.
 func (l *leader) handOver(to *follower) bool {
-	ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
-	defer cancel()
-	if err := l.n.peers.Get(to.Address).Call(ctx, serviceName+".TakeOver", &struct{}{}, &struct{}{}); err != nil {
+	if err := l.n.askToTakeOver(l.ctx, to.Address, l.rec.Term); err != nil {
 		l.n.log.Warn("handover failed", "to", to.Instance, "reason", err.Error())
 		return false
 	}
 	l.n.log.Info("handed over", "to", to.Instance, "term", l.rec.Term, "store_silent_ms", l.n.since(&l.n.storeAnsweredAt).Milliseconds(),
-		"cpu_share", to.CPUShare, "own_cpu_share", l.n.cpuShare())
+		"cpu_share", to.CPUShare, "warm", to.Warm, "own_cpu_share", l.n.cpuShare())
 	l.stop("handed over to " + to.Instance)
 	return true
 }
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -253,7 +253,7 @@
 // watchFollowers keeps the engine's list of delegates and the list of instances up to
 // date, and hands over if considerHandover finds an instance that should lead instead.
 func (l *leader) watchFollowers() {
-	var previous []string
+	var previous, previousStandbys []string
 	for l.ctx.Err() == nil {
 		l.n.measureCPU()
 		live := l.liveFollowers()
@@ -263,10 +263,19 @@
 				names = append(names, f.Instance)
 			}
 		}
+		changed := false
 		if !slices.Equal(names, previous) {
 			previous = names
 			l.post(&engine.DelegatesChanged{Delegates: names})
-			l.n.cellInstances.Store(newInstanceList(live, l.n.cpuShare()))
+			changed = true
+		}
+		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare())
+		if standbys := namesOf(chosen); !slices.Equal(standbys, previousStandbys) {
+			l.n.log.Info("standbys chosen", "term", l.rec.Term, "standbys", standbys)
+			previousStandbys, changed = standbys, true
+		}
+		if changed {
+			l.n.cellInstances.Store(newInstanceList(live, chosen, l.n.cpuShare()))
 		}
 		l.updateRelays(live)
 		l.considerHandover(live)
@@ -274,6 +283,15 @@
 	}
 }
 
+// namesOf returns the names of instances.
+func namesOf(instances []*follower) []string {
+	var names []string
+	for _, f := range instances {
+		names = append(names, f.Instance)
+	}
+	return names
+}
+
 // updateRelays sets the relays for the live followers and the size of the fleet.
 func (l *leader) updateRelays(live []*follower) {
 	usable := l.relays.usable(live)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -67,12 +67,17 @@
 	// startedAt.
 	leaderAnsweredAt atomic.Int64
 	// storeAnsweredAt is when the store last answered, in nanoseconds since startedAt.
-	storeAnsweredAt   atomic.Int64
-	startedAt         time.Time
-	usableCPU         atomic.Uint64 // see cpuShare; bits of a float64
+	storeAnsweredAt atomic.Int64
+	startedAt       time.Time
+	usableCPU       atomic.Uint64 // see cpuShare; bits of a float64
+	// refreshedAt is when the copy of the state was last brought up to date, in nanoseconds
+	// since startedAt.
+	refreshedAt       atomic.Int64
+	refreshCancel     atomic.Pointer[context.CancelFunc] // ends the last refresh; nil before the first
 	draining          atomic.Bool
 	claiming          atomic.Bool   // a claim is in progress; its record may be stored already
 	takeOverRequested chan struct{} // signals that a peer asked this instance to take over
+	takeOverTerm      atomic.Int64  // term of the leader that the last request was to take over from
 	leaderDoubted     chan struct{} // signals that the followed instance may no longer lead
 
 	mu              sync.Mutex
@@ -94,10 +99,11 @@
 		peers: peer.NewPool(settings.Dial), startedAt: time.Now(), takeOverRequested: make(chan struct{}, 1), leaderDoubted: make(chan struct{}, 1), leaderChange: make(chan struct{}),
 		ownPayloads: newPayloadCache(maxOwnPayloads), relayedPayloads: newPayloadCache(maxRelayPayloads),
 	}
-	// The store and the leader have not answered yet. An hour is longer than all
+	// The store and the leader have not answered yet, and there is no copy of the state. An hour is longer than all
 	// timeouts for their answers.
 	n.storeAnsweredAt.Store(-int64(time.Hour))
 	n.leaderAnsweredAt.Store(-int64(time.Hour))
+	n.refreshedAt.Store(-int64(time.Hour))
 	n.usableCPU.Store(math.Float64bits(settings.CPUShare))
 	return n
 }
@@ -112,6 +118,7 @@
 		}
 	}()
 	go n.ports.Policies.Watch(ctx, n.setPolicy)
+	go n.runStandby(ctx)
 	for ctx.Err() == nil {
 		n.followOrCampaign(ctx)
 	}
@@ -223,9 +230,9 @@
 	}
 	switch {
 	case !found || rec.Resigned:
-		n.campaign(ctx, next, "no leader")
+		n.campaign(ctx, rec.Term, next, "no leader")
 	case rec.Session == n.incarnation:
-		n.campaign(ctx, next, "the newest leadership record is of an earlier term of this instance")
+		n.campaign(ctx, rec.Term, next, "the newest leadership record is of an earlier term of this instance")
 	default:
 		n.setLeader(&rec)
 		n.follow(ctx, &rec, offset)
@@ -278,8 +285,8 @@
 		switch result {
 		case pingLeads:
 			refused, lastAnswer, unchangedSince = 0, time.Now(), time.Time{}
-			if n.waitForNextPing(ctx) {
-				n.claimWithoutDelay(ctx, "asked to take over")
+			if n.waitForNextPing(ctx) && n.takeOverTerm.Load() >= rec.Term {
+				n.claimWithoutDelay(ctx, rec, "asked to take over")
 				return
 			}
 			continue
@@ -312,7 +319,7 @@
 			lastOffset, unchangedSince = currentOffset, time.Now()
 			wait.For(ctx, leaderRetryDelay)
 		case time.Since(unchangedSince) > staleRecordTimeout:
-			n.campaign(ctx, next, "the leader is not responding and does not renew its leadership record")
+			n.campaign(ctx, rec.Term, next, "the leader is not responding and does not renew its leadership record")
 			return
 		default:
 			wait.For(ctx, leaderRetryDelay)
@@ -349,16 +356,20 @@
 	if found && current.Session != rec.Session {
 		return
 	}
-	n.campaign(ctx, next, reason)
+	n.campaign(ctx, rec.Term, next, reason)
 }
 
-// claimWithoutDelay claims the leadership without the delay that campaign waits for.
-func (n *Node) claimWithoutDelay(ctx context.Context, reason string) {
-	_, _, next, _, err := n.readLeadership(ctx)
+// claimWithoutDelay claims the leadership without the delay that campaign waits for, unless
+// another process than that of rec has claimed it since.
+func (n *Node) claimWithoutDelay(ctx context.Context, rec *Leadership, reason string) {
+	current, _, next, found, err := n.readLeadership(ctx)
 	if err != nil {
 		n.log.Warn("cannot read the leadership record", "reason", err.Error())
 		return
 	}
+	if found && current.Session != rec.Session {
+		return
+	}
 	n.claim(ctx, next, reason)
 }
 
@@ -374,31 +385,35 @@
 	// drainingPollInterval is the delay between two reads of the leadership record by an
 	// instance that drains: it does not lead any more but still forwards requests.
 	drainingPollInterval = 50 * time.Millisecond
-	// lowCPUPollInterval is the delay between two reads of the leadership record during
-	// lowCPUCampaignDelay.
-	lowCPUPollInterval = 100 * time.Millisecond
+	// claimPollInterval is the delay between two reads of the leadership record while an
+	// instance leaves the leadership to others.
+	claimPollInterval = 100 * time.Millisecond
 )
 
 // campaign claims the leadership at offset next after a delay that is longer the less CPU
 // the instance has. The claim fails if another instance has written the record since.
-// An instance that drains does not claim it.
-func (n *Node) campaign(ctx context.Context, next int64, reason string) {
+// An instance that drains does not claim it, and one that is not warm leaves it to a standby.
+// term is that of the leader that was lost, or zero if there was none.
+func (n *Node) campaign(ctx context.Context, term, next int64, reason string) {
 	if n.draining.Load() {
 		wait.For(ctx, drainingPollInterval)
 		return
 	}
+	if n.leaveToStandby(ctx, term, next) {
+		return
+	}
 	share := max(0.1, min(1, n.cpuShare()))
 	wait.For(ctx, time.Duration(float64(campaignDelay)/share)+jitter(campaignDelay))
-	if known := n.cellInstances.Load(); known != nil && lowCPU(n.cpuShare(), known.Strongest) && n.waitForOtherClaim(ctx, next) {
+	if known := n.cellInstances.Load(); known != nil && lowCPU(n.cpuShare(), known.Strongest) && n.waitForOtherClaim(ctx, next, lowCPUCampaignDelay) {
 		return
 	}
 	n.claim(ctx, next, reason)
 }
 
-// waitForOtherClaim leaves the leadership to instances with more CPU for
-// lowCPUCampaignDelay. It reports whether another instance has claimed it.
-func (n *Node) waitForOtherClaim(ctx context.Context, next int64) bool {
-	for start := time.Now(); ctx.Err() == nil && time.Since(start) < lowCPUCampaignDelay; wait.For(ctx, lowCPUPollInterval) {
+// waitForOtherClaim leaves the leadership to others for the time limit. It reports whether
+// another instance has claimed it.
+func (n *Node) waitForOtherClaim(ctx context.Context, next int64, limit time.Duration) bool {
+	for start := time.Now(); ctx.Err() == nil && time.Since(start) < limit; wait.For(ctx, claimPollInterval) {
 		if _, _, currentNext, _, err := n.readLeadership(ctx); err == nil && currentNext != next {
 			return true
 		}
@@ -412,6 +427,7 @@
 	rec := Leadership{Instance: n.settings.Instance, Session: n.incarnation, Address: n.settings.Address}
 	n.claiming.Store(true)
 	defer n.claiming.Store(false)
+	n.endRefresh()
 	writeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	err := n.ports.Store.WriteLeadership(writeCtx, rec, next)
 	cancel()
--- a/internal/cell/node/peers.go
+++ b/internal/cell/node/peers.go
@@ -13,18 +13,23 @@
 type instanceList struct {
 	Version   uint64 // hash of the addresses
 	Addresses []string
-	Strongest float64 // largest CPU share of these instances and the leader, in cores
+	Strongest float64  // largest CPU share of these instances and the leader, in cores
+	Standbys  []string // addresses of the standbys
 }
 
 // newInstanceList returns the list of the instances in live. ownShare is the CPU share of
 // this instance.
-func newInstanceList(live []*follower, ownShare float64) *instanceList {
+func newInstanceList(live, standbys []*follower, ownShare float64) *instanceList {
 	list := &instanceList{Strongest: maxCPUShare(live, ownShare)}
 	hash := fnv.New64a()
 	for _, f := range live {
 		list.Addresses = append(list.Addresses, f.Address)
 		_, _ = hash.Write([]byte(f.Address + "\n")) // a hash does not fail
 	}
+	for _, f := range standbys {
+		list.Standbys = append(list.Standbys, f.Address)
+		_, _ = hash.Write([]byte("standby " + f.Address + "\n"))
+	}
 	list.Version = hash.Sum64()
 	return list
 }
--- a/internal/cell/node/ports.go
+++ b/internal/cell/node/ports.go
@@ -51,6 +51,11 @@
 	Append(ctx context.Context, term, sequence int64, records []record.Record) error
 	// Load calls f with the newest record of every key.
 	Load(ctx context.Context, f func(record.Record)) error
+	// Refresh reads what has been stored since the last Refresh, so that the next Load has
+	// little left to read.
+	Refresh(ctx context.Context) error
+	// Forget frees the memory that Refresh uses.
+	Forget()
 }
 
 // Directory lists the workers.
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -45,6 +45,7 @@
 	StoreAge time.Duration // time since the store last answered that instance
 	CPUShare float64       // CPU that the instance can use at present, in cores
 	Draining bool
+	Warm     bool   // it has a recent copy of the state
 	Others   uint64 // version of the list of instances that it has
 }
 
@@ -164,15 +165,6 @@
 	return err
 }
 
-// TakeOver asks this instance to claim the leadership.
-func (s *Service) TakeOver(_ *struct{}, _ *struct{}) error {
-	select {
-	case s.n.takeOverRequested <- struct{}{}:
-	default: // an earlier call has not been handled yet
-	}
-	return nil
-}
-
 // fetchPolicy fetches the declarations of the instance at address, which are newer, and
 // puts them in force.
 func (n *Node) fetchPolicy(address string) {
@@ -222,7 +214,7 @@
 func (n *Node) exchangePing(ctx context.Context, rec *Leadership) (result pingResult, storeAway bool) {
 	args := PingArgs{
 		Instance: n.settings.Instance, Address: n.settings.Address, CPUShare: n.cpuShare(),
-		StoreAge: n.since(&n.storeAnsweredAt), Draining: n.draining.Load(),
+		StoreAge: n.since(&n.storeAnsweredAt), Draining: n.draining.Load(), Warm: n.warm(),
 	}
 	if p := n.policy.Load(); p != nil {
 		args.Policy = p.Version
--- /dev/null
+++ b/internal/cell/node/standby_test.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/record"
+)
+
+// addEndedJobs adds the records of jobs that have ended, which a leader keeps for a while.
+func (c *cluster) addEndedJobs(n int) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	for i := range n {
+		c.store.records[record.JobKey(fmt.Sprintf("%016x", i))] = record.Encode(&record.Job{State: record.Completed, Ended: time.Now().UnixMilli()})
+	}
+}
+
+// slowStoreLatency is how long each call takes on a store that is slowStore times slower.
+const (
+	slowStore        = 70
+	slowStoreLatency = slowStore * storeLatency
+)
+
+// The leader is lost while the store takes 280 ms for each call. Without a copy of the state,
+// the next one would need fourteen calls for that alone.
+func TestStandbyTakesOverOnSlowStore(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, old *member){
+		"killed":      func(c *cluster, old *member) { c.kill(old) },
+		"handed over": func(c *cluster, old *member) { old.slowdown.Store(7) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 7, func(t *testing.T, c *cluster) {
+				c.addEndedJobs(7000)
+				time.Sleep(2 * time.Second)
+				old := c.leader()
+				standbys := warmMembers(c)
+				require.Len(t, standbys, standbyCount)
+				for _, m := range c.all() {
+					m.store.setSlowdown(slowStore)
+				}
+				time.Sleep(time.Second)
+				start := time.Now()
+				lose(c, old)
+				for c.leader() == nil || c.leader() == old {
+					time.Sleep(10 * time.Millisecond)
+				}
+				// To notice the loss, ask a standby, read the leadership record, claim it, fence, read what
+				// was stored last, and apply the copy.
+				assert.LessOrEqual(t, time.Since(start), moreCPUHandoverDelay+4*pingInterval+6*slowStoreLatency)
+				assert.Contains(t, standbys, c.leader())
+			})
+		})
+	}
+}
+
+// warmMembers returns the instances that have a copy of the state.
+func warmMembers(c *cluster) []*member {
+	var warm []*member
+	for _, m := range c.all() {
+		if m.warm() {
+			warm = append(warm, m)
+		}
+	}
+	return warm
+}
+
+// A standby that is lost is replaced, one that becomes slow too, and no further instance
+// keeps a copy.
+func TestLostStandbysAreReplaced(t *testing.T) {
+	runCluster(t, 6, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * time.Second)
+		first := warmMembers(c)
+		require.Len(t, first, standbyCount)
+		c.kill(first[0])
+		first[1].slowdown.Store(5)
+		time.Sleep(warmTimeout + 2*time.Second)
+		second := warmMembers(c)
+		assert.Len(t, second, standbyCount)
+		assert.NotContains(t, second, first[1])
+		assert.False(t, first[1].store.refreshed, "its copy is freed")
+	})
+}
+
+// A request to take over that arrives after another instance has done so changes nothing.
+func TestLateRequestToTakeOverIsIgnored(t *testing.T) {
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		term := old.leading.Load().rec.Term
+		c.kill(old)
+		time.Sleep(time.Second)
+		next := c.leader()
+		require.NotNil(t, next)
+		for _, m := range c.all() {
+			require.NoError(t, (&Service{m.Node}).TakeOver(&TakeOverArgs{Term: term}, nil))
+		}
+		time.Sleep(2 * time.Second)
+		assert.Same(t, next, c.leader())
+	})
+}
+
+// The leader and both standbys are lost at the same time.
+func TestOtherInstanceLeadsWithoutStandbys(t *testing.T) {
+	runCluster(t, 6, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * time.Second)
+		for _, m := range append(warmMembers(c), c.leader()) {
+			c.kill(m)
+		}
+		submitWithin(t, c.follower(), "job", maxTakeoverTime)
+	})
+}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -17,6 +17,14 @@
 // It returns nil if the term ended first.
 func (l *leader) prepare() *engine.Engine {
 	start := time.Now()
+	workers := make(chan []engine.WorkerInfo, 1)
+	go func() {
+		list, _, err := l.pollOnce()
+		if err != nil {
+			l.noteStoreFailure(err) // the engine gets the list from pollWorkers
+		}
+		workers <- list
+	}()
 	if !l.fence() {
 		return nil
 	}
@@ -29,8 +37,7 @@
 	config := l.n.settings.Engine
 	config.Term = l.rec.Term
 	e := engine.New(config, l.n.log, wallClock, time.Now())
-	// Without this list, the engine gets the first one from pollWorkers.
-	if list, _, err := l.pollOnce(); err == nil {
+	if list := <-workers; list != nil {
 		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
 	}
 	e.Restore(state)
