Choose standbys with fast links only

Change: pings tell the bandwidth, and a standby needs 0.05 Mbit/s for each worker of the fleet, about four times what the records take.

--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -269,7 +269,7 @@
 			l.post(&engine.DelegatesChanged{Delegates: names})
 			changed = true
 		}
-		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare())
+		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare(), int(l.workers.Load()))
 		if standbys := namesOf(chosen); !slices.Equal(standbys, previousStandbys) {
 			l.n.log.Info("standbys chosen", "term", l.rec.Term, "standbys", standbys)
 			previousStandbys, changed = standbys, true
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -26,6 +26,7 @@
 	Instance string  // name of the instance
 	Address  string  // address at which peers connect to it
 	CPUShare float64 // CPU of the instance, in cores
+	LinkMbps float64 // bandwidth of the instance's link in Mbit/s, zero if unknown
 	// Slowdown measures how many times as long as usual the processor takes, at least 1. It
 	// is called every pingInterval. If it is nil the processor counts as always the same.
 	Slowdown func() float64
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -44,6 +44,7 @@
 	Policy   int64         // version of the declarations in force there
 	StoreAge time.Duration // time since the store last answered that instance
 	CPUShare float64       // CPU that the instance can use at present, in cores
+	LinkMbps float64       // bandwidth of its link in Mbit/s, zero if unknown
 	Draining bool
 	Warm     bool   // it has a recent copy of the state
 	Others   uint64 // version of the list of instances that it has
@@ -214,7 +215,7 @@
 func (n *Node) exchangePing(ctx context.Context, rec *Leadership) (result pingResult, storeAway bool) {
 	args := PingArgs{
 		Instance: n.settings.Instance, Address: n.settings.Address, CPUShare: n.cpuShare(),
-		StoreAge: n.since(&n.storeAnsweredAt), Draining: n.draining.Load(), Warm: n.warm(),
+		StoreAge: n.since(&n.storeAnsweredAt), LinkMbps: n.settings.LinkMbps, Draining: n.draining.Load(), Warm: n.warm(),
 	}
 	if p := n.policy.Load(); p != nil {
 		args.Policy = p.Version
--- a/internal/cell/node/standby.go
+++ b/internal/cell/node/standby.go
@@ -27,17 +27,21 @@
 	// standbyClaimTimeout is how long an instance waits for the claim of a standby that it
 	// has asked. That is less than it needs to load the state of a large cell.
 	standbyClaimTimeout = 300 * time.Millisecond
+	// standbyMbpsPerWorker is the bandwidth, in Mbit/s for each worker of the fleet, that the
+	// link of a standby must have. The records of the state take about a quarter of it.
+	standbyMbpsPerWorker = 0.05
 )
 
 // chooseStandbys returns the followers in live that should be standbys: of those that reach
-// the store and don't have much less CPU than others, first the previous standbys, then
-// those that are warm, and then those with the most CPU. ownShare is the CPU share of the
-// leader.
-func chooseStandbys(live []*follower, previous []string, self string, ownShare float64) []*follower {
+// the store, have a fast link and don't have much less CPU than others, first the previous
+// standbys, then those that are warm, and then those with the most CPU. ownShare is the CPU
+// share of the leader.
+func chooseStandbys(live []*follower, previous []string, self string, ownShare float64, workers int) []*follower {
 	largest := maxCPUShare(live, ownShare)
 	var candidates []*follower
 	for _, f := range live {
-		if f.Instance != self && !lowCPU(f.CPUShare, largest) && f.storeSilence() <= storeUnreachableTimeout {
+		slowLink := f.LinkMbps > 0 && f.LinkMbps < standbyMbpsPerWorker*float64(workers)
+		if f.Instance != self && !slowLink && !lowCPU(f.CPUShare, largest) && f.storeSilence() <= storeUnreachableTimeout {
 			candidates = append(candidates, f)
 		}
 	}
--- a/internal/cell/node/standby_test.go
+++ b/internal/cell/node/standby_test.go
@@ -113,3 +113,24 @@
 		submitWithin(t, c.follower(), "job", maxTakeoverTime)
 	})
 }
+
+func TestChooseStandbys(t *testing.T) {
+	now := time.Now()
+	newFollower := func(name string, share, mbps float64, warm bool) *follower {
+		return &follower{PingArgs: PingArgs{Instance: name, CPUShare: share, LinkMbps: mbps, Warm: warm}, pingedAt: now}
+	}
+	away := newFollower("i7", 1, 200, true)
+	away.StoreAge = time.Minute
+	live := []*follower{
+		newFollower("i0", 1, 200, true), newFollower("i1", 0.2, 200, true), newFollower("i2", 1, 20, true), newFollower("i3", 0.9, 0, false),
+		newFollower("i4", 1, 200, false), newFollower("i5", 0.8, 100, true), newFollower("i6", 0.8, 100, false), away,
+	}
+	choose := func(previous ...string) []string {
+		return namesOf(chooseStandbys(live, previous, "i0", 1, 1000))
+	}
+	assert.Equal(t, []string{"i5", "i4"}, choose(), "not the leader, little CPU, a slow link, nor one without the store")
+	assert.Equal(t, []string{"i6", "i5"}, choose("i6"), "previous ones stay")
+	assert.Equal(t, []string{"i5", "i4"}, choose("i2", "i7"))
+	assert.Equal(t, []string{"i2", "i5"}, namesOf(chooseStandbys(live, nil, "i0", 1, 300)), "a smaller fleet needs less of a link")
+	assert.Empty(t, chooseStandbys(live[:1], nil, "i0", 1, 300))
+}
