Replace a silent leader sooner, and keep one standby on small fleets

Ruled out: claiming after silence alone; a leader that some followers cannot reach would be replaced though it serves (TestUnreachableLeaderThatRenewsLeadsOn).

Change: the record is read once a ping has taken 0.1 s, so its silence counts from then on; it is renewed every 0.25 s instead of 0.4 s and counts as stale after 0.6 s plus three times the duration of a read, which a slow store makes longer. A standby reads the directory every second only, and fleets without relays have one.

--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -54,7 +54,7 @@
 	// tickInterval is the time between two runs of the engine when there are no events.
 	tickInterval = 10 * time.Millisecond
 	// leadershipRenewInterval is the delay between two renewals of the leadership record.
-	leadershipRenewInterval = 400 * time.Millisecond
+	leadershipRenewInterval = 250 * time.Millisecond
 	// directoryPollInterval is the delay between two reads of the directory.
 	directoryPollInterval = 300 * time.Millisecond
 	// followerTimeout is how long after its last ping an instance counts as a follower.
@@ -269,7 +269,7 @@
 			l.post(&engine.DelegatesChanged{Delegates: names})
 			changed = true
 		}
-		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare(), int(l.workers.Load()))
+		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare(), int(l.workers.Load()), l.n.settings.DirectWorkers)
 		if standbys := namesOf(chosen); !slices.Equal(standbys, previousStandbys) {
 			l.n.log.Info("standbys chosen", "term", l.rec.Term, "standbys", standbys)
 			previousStandbys, changed = standbys, true
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -73,13 +73,14 @@
 	usableCPU       atomic.Uint64 // see cpuShare; bits of a float64
 	// refreshedAt is when the copy of the state was last brought up to date, in nanoseconds
 	// since startedAt.
-	refreshedAt       atomic.Int64
-	refreshCancel     atomic.Pointer[context.CancelFunc] // ends the last refresh; nil before the first
-	draining          atomic.Bool
-	claiming          atomic.Bool   // a claim is in progress; its record may be stored already
-	takeOverRequested chan struct{} // signals that a peer asked this instance to take over
-	takeOverTerm      atomic.Int64  // term of the leader that the last request was to take over from
-	leaderDoubted     chan struct{} // signals that the followed instance may no longer lead
+	refreshedAt          atomic.Int64
+	directoryRefreshedAt atomic.Int64                       // the same for the copy of the directory
+	refreshCancel        atomic.Pointer[context.CancelFunc] // ends the last refresh; nil before the first
+	draining             atomic.Bool
+	claiming             atomic.Bool   // a claim is in progress; its record may be stored already
+	takeOverRequested    chan struct{} // signals that a peer asked this instance to take over
+	takeOverTerm         atomic.Int64  // term of the leader that the last request was to take over from
+	leaderDoubted        chan struct{} // signals that the followed instance may no longer lead
 
 	mu              sync.Mutex
 	leaderChange    chan struct{}      // closed when the leader changes
@@ -105,6 +106,7 @@
 	n.storeAnsweredAt.Store(-int64(time.Hour))
 	n.leaderAnsweredAt.Store(-int64(time.Hour))
 	n.refreshedAt.Store(-int64(time.Hour))
+	n.directoryRefreshedAt.Store(-int64(time.Hour))
 	n.usableCPU.Store(math.Float64bits(settings.CPUShare))
 	return n
 }
@@ -268,9 +270,14 @@
 	// recordCheckDelay is how long the leader may leave pings unanswered before the
 	// store is read to see whether it still renews its leadership record.
 	recordCheckDelay = 300 * time.Millisecond
-	// staleRecordTimeout is how long the leadership record may stay unchanged while
-	// the leader does not answer: two renewals, and some time for a slow store.
-	staleRecordTimeout = 900 * time.Millisecond
+	// staleRecordTimeout is how long the leadership record may stay unchanged while the
+	// leader does not answer: two renewals on a healthy store. On a slow one it is longer by
+	// staleRecordReads times the duration of a read.
+	staleRecordTimeout = 600 * time.Millisecond
+	staleRecordReads   = 3
+	// slowPingDelay is how long a ping may take before the leadership record is read, so
+	// that it is known from when on the record has not changed if there is no answer.
+	slowPingDelay = 100 * time.Millisecond
 )
 
 // follow pings the leader, whose record was read at offset, for as long as it leads. When
@@ -280,12 +287,15 @@
 func (n *Node) follow(ctx context.Context, rec *Leadership, offset int64) {
 	refused := 0
 	lastAnswer := time.Now()
-	lastOffset, unchangedSince := offset, time.Time{}
+	watch := &recordWatch{n: n}
 	for ctx.Err() == nil {
+		slowPing := time.AfterFunc(slowPingDelay, func() { watch.read(ctx) })
 		result := n.ping(ctx, rec)
+		slowPing.Stop()
 		switch result {
 		case pingLeads:
-			refused, lastAnswer, unchangedSince = 0, time.Now(), time.Time{}
+			refused, lastAnswer = 0, time.Now()
+			watch.reset()
 			if n.waitForNextPing(ctx) && n.takeOverTerm.Load() >= rec.Term {
 				n.claimWithoutDelay(ctx, rec, "asked to take over")
 				return
@@ -307,19 +317,14 @@
 			wait.For(ctx, failedPingDelay)
 			continue
 		}
-		current, currentOffset, next, found, err := n.readLeadership(ctx)
+		current, next, found, err := watch.read(ctx)
 		switch {
 		case err != nil:
 			return // followOrCampaign asks other instances, which may know of another leader
 		case !found || current.Session != rec.Session || current.Resigned:
 			return
-		case unchangedSince.IsZero() || currentOffset != lastOffset:
-			if unchangedSince.IsZero() && currentOffset == lastOffset {
-				n.log.Warn("leader is not responding", "leader", rec.Instance, "term", rec.Term, "last_answer_ms", time.Since(lastAnswer).Milliseconds())
-			}
-			lastOffset, unchangedSince = currentOffset, time.Now()
-			wait.For(ctx, leaderRetryDelay)
-		case time.Since(unchangedSince) > staleRecordTimeout:
+		case watch.stale():
+			n.log.Warn("leader is not responding", "leader", rec.Instance, "term", rec.Term, "last_answer_ms", time.Since(lastAnswer).Milliseconds())
 			n.campaign(ctx, rec.Term, next, "the leader is not responding and does not renew its leadership record")
 			return
 		default:
@@ -328,6 +333,43 @@
 	}
 }
 
+// recordWatch finds out for how long the leadership record has not changed.
+type recordWatch struct {
+	n *Node
+
+	mu       sync.Mutex
+	offset   int64
+	since    time.Time     // when a read first returned the record at offset; zero if there was none
+	readTook time.Duration // duration of the last read
+}
+
+// read reads the leadership record and returns it, with the offset of the next one.
+func (w *recordWatch) read(ctx context.Context) (rec Leadership, next int64, found bool, err error) {
+	start := time.Now()
+	rec, offset, next, found, err := w.n.readLeadership(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil && (w.since.IsZero() || offset > w.offset) {
+		w.offset, w.since = offset, time.Now()
+	}
+	w.readTook = time.Since(start)
+	return rec, next, found, err
+}
+
+// stale reports whether the leader has not renewed the record for too long.
+func (w *recordWatch) stale() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.since.IsZero() && time.Since(w.since) > staleRecordTimeout+staleRecordReads*w.readTook
+}
+
+// reset forgets the earlier reads, as the leader has answered.
+func (w *recordWatch) reset() {
+	w.mu.Lock()
+	w.since = time.Time{}
+	w.mu.Unlock()
+}
+
 // waitForNextPing waits until the next ping is due, which is soon if a request has found
 // that the followed instance does not lead. It reports whether this instance has been
 // asked to take over.
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -289,6 +289,49 @@
 	})
 }
 
+// The leader loses its power: nobody answers. Callers are served again once a ping and then the
+// leadership record have told so, and the next leader is prepared.
+func TestSilentLeaderIsReplacedSoon(t *testing.T) {
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		time.Sleep(2 * time.Second)
+		old := c.leader()
+		caller := c.follower()
+		c.mu.Lock()
+		c.unreachable[old.settings.Instance] = true
+		c.mu.Unlock()
+		old.store.setMode(storeNoAnswer)
+		submitWithin(t, caller, "after", pingInterval+pingTimeout+staleRecordTimeout+300*time.Millisecond)
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		assert.Greater(t, c.store.term, old.leading.Load().rec.Term)
+	})
+}
+
+// Followers lose the leader for a while, but it renews its record: it leads on. The store may
+// be slow.
+func TestUnreachableLeaderThatRenewsLeadsOn(t *testing.T) {
+	for _, slowdown := range []time.Duration{1, 70} {
+		t.Run(fmt.Sprint(slowdown), func(t *testing.T) {
+			runCluster(t, 5, func(t *testing.T, c *cluster) {
+				old := c.leader()
+				for _, m := range c.all() {
+					m.store.setSlowdown(slowdown)
+				}
+				time.Sleep(time.Second)
+				c.mu.Lock()
+				c.unreachable[old.settings.Instance] = true
+				c.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				c.mu.Lock()
+				c.unreachable[old.settings.Instance] = false
+				c.mu.Unlock()
+				time.Sleep(3 * time.Second)
+				assert.Same(t, old, c.leader())
+			})
+		})
+	}
+}
+
 // The store refuses single calls of the leader, as when connections are reset. It leads on.
 func TestLeaderStaysWhenSingleStoreCallsFail(t *testing.T) {
 	runCluster(t, 5, func(t *testing.T, c *cluster) {
--- a/internal/cell/node/standby.go
+++ b/internal/cell/node/standby.go
@@ -15,10 +15,13 @@
 // chooses the standbys, and the other instances leave the leadership to them.
 
 const (
-	// standbyCount is the number of standbys. Two are seldom lost together with the leader.
-	standbyCount = 2
+	// maxStandbys is the number of standbys of a large fleet, which has relays. Two are
+	// seldom lost together with the leader. A small one has one, as its state is small.
+	maxStandbys = 2
 	// refreshInterval is the delay between two refreshes of a standby's copy.
 	refreshInterval = 250 * time.Millisecond
+	// directoryRefreshInterval is the same for its copy of the directory, which changes less.
+	directoryRefreshInterval = time.Second
 	// warmTimeout is how long after its last refresh an instance counts as warm, which
 	// means that it has a copy of the state. A slow store delays refreshes.
 	warmTimeout = 2 * time.Second
@@ -35,8 +38,8 @@
 // chooseStandbys returns the followers in live that should be standbys: of those that reach
 // the store, have a fast link and don't have much less CPU than others, first the previous
 // standbys, then those that are warm, and then those with the most CPU. ownShare is the CPU
-// share of the leader.
-func chooseStandbys(live []*follower, previous []string, self string, ownShare float64, workers int) []*follower {
+// share of the leader. A fleet of up to directWorkers workers is small.
+func chooseStandbys(live []*follower, previous []string, self string, ownShare float64, workers, directWorkers int) []*follower {
 	largest := maxCPUShare(live, ownShare)
 	var candidates []*follower
 	for _, f := range live {
@@ -57,7 +60,11 @@
 	slices.SortFunc(candidates, func(a, b *follower) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.CPUShare, a.CPUShare), strings.Compare(a.Instance, b.Instance))
 	})
-	return candidates[:min(len(candidates), standbyCount)]
+	count := maxStandbys
+	if workers <= directWorkers {
+		count = 1
+	}
+	return candidates[:min(len(candidates), count)]
 }
 
 // isStandby reports whether the leader has chosen this instance as a standby.
@@ -93,7 +100,8 @@
 	n.refreshCancel.Store(&cancel)
 	start := time.Now()
 	err := n.ports.Store.Refresh(ctx)
-	if err == nil {
+	if err == nil && n.since(&n.directoryRefreshedAt) >= directoryRefreshInterval {
+		n.setNow(&n.directoryRefreshedAt)
 		_, _, err = n.ports.Directory.Poll(ctx)
 	}
 	if err != nil {
