Watch the leadership record while a ping hangs

Each read of the record waited for another ping that timed out after 0.3 s, and the standby that a follower asked to take over at 3.99 s did not look at the request before its own ping had ended.

Change: once a ping has taken 0.1 s the record is watched beside it, every 25 ms, and the ping ends when the record is stale or a request to take over arrives. A failed read does not end it, as the leader may still answer.

--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -289,9 +289,7 @@
 	lastAnswer := time.Now()
 	watch := &recordWatch{n: n}
 	for ctx.Err() == nil {
-		slowPing := time.AfterFunc(slowPingDelay, func() { watch.read(ctx) })
-		result := n.ping(ctx, rec)
-		slowPing.Stop()
+		result := n.pingWatched(ctx, rec, watch)
 		switch result {
 		case pingLeads:
 			refused, lastAnswer = 0, time.Now()
@@ -313,7 +311,7 @@
 			wait.For(ctx, failedPingDelay)
 			continue
 		}
-		if time.Since(lastAnswer) < recordCheckDelay {
+		if time.Since(lastAnswer) < recordCheckDelay && len(n.takeOverRequested) == 0 {
 			wait.For(ctx, failedPingDelay)
 			continue
 		}
@@ -323,6 +321,9 @@
 			return // followOrCampaign asks other instances, which may know of another leader
 		case !found || current.Session != rec.Session || current.Resigned:
 			return
+		case n.takeOverRequestedFrom(rec):
+			n.claim(ctx, next, "asked to take over")
+			return
 		case watch.stale():
 			n.log.Warn("leader is not responding", "leader", rec.Instance, "term", rec.Term, "last_answer_ms", time.Since(lastAnswer).Milliseconds())
 			n.campaign(ctx, rec.Term, next, "the leader is not responding and does not renew its leadership record")
@@ -333,6 +334,37 @@
 	}
 }
 
+// pingWatched pings the leader. Once the ping has taken slowPingDelay, it watches the leadership
+// record as well, and ends the ping when that is stale or this instance is asked to take
+// over.
+func (n *Node) pingWatched(ctx context.Context, rec *Leadership, watch *recordWatch) pingResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for wait.For(ctx, slowPingDelay); ctx.Err() == nil; wait.For(ctx, leaderRetryDelay) {
+			if _, _, _, err := watch.read(ctx); err != nil {
+				continue // the ping may still be answered
+			}
+			if watch.stale() || len(n.takeOverRequested) > 0 {
+				return
+			}
+		}
+	}()
+	return n.ping(ctx, rec)
+}
+
+// takeOverRequestedFrom reports whether a peer has asked this instance to take over from the
+// leader.
+func (n *Node) takeOverRequestedFrom(rec *Leadership) bool {
+	select {
+	case <-n.takeOverRequested:
+		return n.takeOverTerm.Load() >= rec.Term
+	default:
+		return false
+	}
+}
+
 // recordWatch finds out for how long the leadership record has not changed.
 type recordWatch struct {
 	n *Node
