--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -300,7 +300,7 @@
 		c.unreachable[old.settings.Instance] = true
 		c.mu.Unlock()
 		old.store.setMode(storeNoAnswer)
-		submitWithin(t, caller, "after", pingInterval+slowPingDelay+staleRecordTimeout+300*time.Millisecond)
+		submitWithin(t, caller, "after", pingInterval+slowPingDelay+staleRecordTimeout+2*campaignDelay+claimPollInterval+100*time.Millisecond)
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
 		assert.Greater(t, c.store.term, old.leading.Load().rec.Term)
