--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -18,6 +18,7 @@
 	case l.storeRefused.Load() && failingFor >= storeRefusedHandoverDelay:
 		reachesStore = l.reachedStoreSinceFailure
 	case failingFor > storeFailingHandoverDelay || sinceAnswer > storeNoAnswerHandoverDelay:
+		// Silence may be that of a slow store, so storeAnswerMargin applies.
 	default:
 		l.onlyLowCPUSince = time.Time{}
 		l.handOverToMoreCPU(live)
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -101,8 +101,8 @@
 		peers: peer.NewPool(settings.Dial), startedAt: time.Now(), takeOverRequested: make(chan struct{}, 1), leaderDoubted: make(chan struct{}, 1), leaderChange: make(chan struct{}),
 		ownPayloads: newPayloadCache(maxOwnPayloads), relayedPayloads: newPayloadCache(maxRelayPayloads),
 	}
-	// The store and the leader have not answered yet, and there is no copy of the state. An hour is longer than all
-	// timeouts for their answers.
+	// The store and the leader have not answered yet, and there is no copy of the state. An
+	// hour is longer than all timeouts for these.
 	n.storeAnsweredAt.Store(-int64(time.Hour))
 	n.leaderAnsweredAt.Store(-int64(time.Hour))
 	n.refreshedAt.Store(-int64(time.Hour))
@@ -224,7 +224,7 @@
 	if n.since(&n.storeAnsweredAt) > storeUnreachableTimeout && n.followPeers(ctx) {
 		return
 	}
-	rec, offset, next, found, err := n.readLeadership(ctx)
+	rec, _, next, found, err := n.readLeadership(ctx)
 	if err != nil {
 		n.log.Warn("cannot read the leadership record", "reason", err.Error())
 		n.followPeers(ctx)
@@ -238,7 +238,7 @@
 		n.campaign(ctx, rec.Term, next, "the newest leadership record is of an earlier term of this instance")
 	default:
 		n.setLeader(&rec)
-		n.follow(ctx, &rec, offset)
+		n.follow(ctx, &rec)
 	}
 }
 
@@ -280,11 +280,11 @@
 	slowPingDelay = 100 * time.Millisecond
 )
 
-// follow pings the leader, whose record was read at offset, for as long as it leads. When
-// it has ended, stepped down or stopped renewing its record, or when this instance is
-// asked to take over, follow claims the leadership and, if it gets it, leads for the term.
-// It returns when the leader has to be determined again.
-func (n *Node) follow(ctx context.Context, rec *Leadership, offset int64) {
+// follow pings the leader for as long as it leads. When it has ended, stepped down or
+// stopped renewing its record, or when this instance is asked to take over, follow claims
+// the leadership and, if it gets it, leads for the term. It returns when the leader has to
+// be determined again.
+func (n *Node) follow(ctx context.Context, rec *Leadership) {
 	refused := 0
 	lastAnswer := time.Now()
 	watch := &recordWatch{n: n}
@@ -334,74 +334,6 @@
 	}
 }
 
-// pingWatched pings the leader. Once the ping has taken slowPingDelay, it watches the leadership
-// record as well, and ends the ping when that is stale or this instance is asked to take
-// over.
-func (n *Node) pingWatched(ctx context.Context, rec *Leadership, watch *recordWatch) pingResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		defer cancel()
-		for wait.For(ctx, slowPingDelay); ctx.Err() == nil; wait.For(ctx, leaderRetryDelay) {
-			if _, _, _, err := watch.read(ctx); err != nil {
-				continue // the ping may still be answered
-			}
-			if watch.stale() || len(n.takeOverRequested) > 0 {
-				return
-			}
-		}
-	}()
-	return n.ping(ctx, rec)
-}
-
-// takeOverRequestedFrom reports whether a peer has asked this instance to take over from the
-// leader.
-func (n *Node) takeOverRequestedFrom(rec *Leadership) bool {
-	select {
-	case <-n.takeOverRequested:
-		return n.takeOverTerm.Load() >= rec.Term
-	default:
-		return false
-	}
-}
-
-// recordWatch finds out for how long the leadership record has not changed.
-type recordWatch struct {
-	n *Node
-
-	mu       sync.Mutex
-	offset   int64
-	since    time.Time     // when a read first returned the record at offset; zero if there was none
-	readTook time.Duration // duration of the last read
-}
-
-// read reads the leadership record and returns it, with the offset of the next one.
-func (w *recordWatch) read(ctx context.Context) (rec Leadership, next int64, found bool, err error) {
-	start := time.Now()
-	rec, offset, next, found, err := w.n.readLeadership(ctx)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err == nil && (w.since.IsZero() || offset > w.offset) {
-		w.offset, w.since = offset, time.Now()
-	}
-	w.readTook = time.Since(start)
-	return rec, next, found, err
-}
-
-// stale reports whether the leader has not renewed the record for too long.
-func (w *recordWatch) stale() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.since.IsZero() && time.Since(w.since) > staleRecordTimeout+staleRecordReads*w.readTook
-}
-
-// reset forgets the earlier reads, as the leader has answered.
-func (w *recordWatch) reset() {
-	w.mu.Lock()
-	w.since = time.Time{}
-	w.mu.Unlock()
-}
-
 // waitForNextPing waits until the next ping is due, which is soon if a request has found
 // that the followed instance does not lead. It reports whether this instance has been
 // asked to take over.
--- a/internal/cell/node/peers.go
+++ b/internal/cell/node/peers.go
@@ -47,14 +47,9 @@
 	return nil
 }
 
-const (
-	// maxPeersAsked is how many other instances are asked at a time who leads. With this
-	// many, one that reaches the store is likely among them when some instances cannot.
-	maxPeersAsked = 3
-	// unknownOffset stands for the offset of a leadership record that was learned from
-	// another instance.
-	unknownOffset = -1
-)
+// maxPeersAsked is how many other instances are asked at a time who leads. With this many,
+// one that reaches the store is likely among them when some instances cannot.
+const maxPeersAsked = 3
 
 // askPeers asks some of the other instances who leads and returns the leader with the
 // latest term of those that they follow, or nil.
@@ -102,6 +97,6 @@
 		}
 		n.setLeader(rec)
 	}
-	n.follow(ctx, rec, unknownOffset)
+	n.follow(ctx, rec)
 	return true
 }
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -98,7 +98,7 @@
 	r.mu.Lock()
 	for _, name := range slices.Sorted(maps.Keys(r.links)) {
 		link := r.links[name]
-		switch address := link.address; address {
+		switch link.address {
 		case addresses[name]:
 		case reachableAddresses[name]:
 			if !link.retired {
--- a/internal/cell/node/standby.go
+++ b/internal/cell/node/standby.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pollenbend/internal/wait"
 )
 
@@ -153,8 +155,14 @@
 	return n.peers.Get(address).Call(ctx, serviceName+".TakeOver", &TakeOverArgs{Term: term}, &struct{}{})
 }
 
+// errDraining is returned to an instance that asks this one to take over while it drains.
+var errDraining = errors.New("the instance drains")
+
 // TakeOver asks this instance to claim the leadership unless a later term has begun.
 func (s *Service) TakeOver(args *TakeOverArgs, _ *struct{}) error {
+	if s.n.draining.Load() {
+		return errDraining
+	}
 	s.n.takeOverTerm.Store(args.Term)
 	select {
 	case s.n.takeOverRequested <- struct{}{}:
