Read once since when the store fails, and probe it once before a handover

Found by reading the diff again. storeFailingFor loaded the time twice: if an answer of the store cleared it in between, the result was the time since the instance started, and a leader whose store answered could take that for an outage.

considerHandover probed the store when it refuses calls and again before it handed over, and measured the silence before the first probe could end it. It probes once now and measures after that.

Ruled out: a lock around both; one load is enough.

--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -8,12 +8,12 @@
 // considerHandover hands over if the store does not answer this leader but answers
 // another instance, or if an instance with much more CPU could lead.
 func (l *leader) considerHandover(live []*follower) {
-	sinceAnswer := l.n.since(&l.n.storeAnsweredAt)
-	reachesStore := func(f *follower) bool { return f.storeSilence() <= sinceAnswer-storeAnswerMargin }
-	failingFor := l.storeFailingFor()
-	if failingFor > 0 && l.storeRefused.Load() && l.probeStore() {
-		failingFor = 0 // single calls were refused
+	probed := l.storeRefused.Load() && l.storeFailingFor() > 0
+	if probed {
+		l.probeStore() // if only single calls were refused, they no longer count
 	}
+	failingFor, sinceAnswer := l.storeFailingFor(), l.n.since(&l.n.storeAnsweredAt)
+	reachesStore := func(f *follower) bool { return f.storeSilence() <= sinceAnswer-storeAnswerMargin }
 	switch {
 	case l.storeRefused.Load() && failingFor >= storeRefusedHandoverDelay:
 		reachesStore = l.reachedStoreSinceFailure
@@ -37,7 +37,7 @@
 			return
 		}
 	}
-	if l.probeStore() {
+	if !probed && l.probeStore() {
 		return // the store answers this leader again
 	}
 	l.handOver(successor)
@@ -49,10 +49,11 @@
 // storeFailingFor returns for how long every call of this leader to the store has failed,
 // zero if the last one succeeded.
 func (l *leader) storeFailingFor() time.Duration {
-	if l.storeFailingSince.Load() == 0 {
+	since := l.storeFailingSince.Load() // once, as an answer may clear it at any time
+	if since == 0 {
 		return 0
 	}
-	return l.n.since(&l.storeFailingSince)
+	return time.Since(l.n.startedAt) - time.Duration(since)
 }
 
 // reachedStoreSinceFailure reports whether the store refuses this leader and has answered
