--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -187,10 +187,7 @@
 	l.followers[args.Instance] = f
 	l.mu.Unlock()
 	if l.reachedStoreSinceFailure(f) {
-		select {
-		case l.followerReached <- struct{}{}:
-		default: // signaled already
-		}
+		wait.Wake(l.followerReached)
 	}
 }
 
@@ -269,7 +266,7 @@
 			l.post(&engine.DelegatesChanged{Delegates: names})
 			changed = true
 		}
-		chosen := chooseStandbys(live, previousStandbys, l.n.settings.Instance, l.n.cpuShare(), int(l.workers.Load()), l.n.settings.DirectWorkers)
+		chosen := l.n.settings.chooseStandbys(live, previousStandbys, l.n.cpuShare(), int(l.workers.Load()))
 		if standbys := namesOf(chosen); !slices.Equal(standbys, previousStandbys) {
 			l.n.log.Info("standbys chosen", "term", l.rec.Term, "standbys", standbys)
 			previousStandbys, changed = standbys, true
@@ -303,9 +300,7 @@
 	posted := false // the first list is always posted, as prepare may have received none
 	for l.ctx.Err() == nil {
 		list, changed, err := l.pollOnce()
-		if err != nil {
-			l.noteStoreFailure(err)
-		} else if changed || !posted {
+		if err == nil && (changed || !posted) {
 			posted = true
 			l.post(&engine.WorkersListed{Workers: list})
 		}
@@ -313,14 +308,17 @@
 	}
 }
 
-// pollOnce reads the list of workers from the directory.
+// pollOnce reads the list of workers from the directory, and notes whether the store has
+// answered.
 func (l *leader) pollOnce() ([]engine.WorkerInfo, bool, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
 	defer cancel()
 	list, changed, err := l.n.ports.Directory.Poll(ctx)
-	if err == nil {
-		l.noteStoreAnswer()
-		l.workers.Store(int64(len(list)))
+	if err != nil {
+		l.noteStoreFailure(err)
+		return nil, false, err
 	}
-	return list, changed, err
+	l.noteStoreAnswer()
+	l.workers.Store(int64(len(list)))
+	return list, changed, nil
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -294,7 +294,7 @@
 		case pingLeads:
 			refused, lastAnswer = 0, time.Now()
 			watch.reset()
-			if n.waitForNextPing(ctx) && n.takeOverTerm.Load() >= rec.Term {
+			if n.waitForNextPing(ctx, rec) {
 				n.claimWithoutDelay(ctx, rec, "asked to take over")
 				return
 			}
@@ -336,8 +336,8 @@
 
 // waitForNextPing waits until the next ping is due, which is soon if a request has found
 // that the followed instance does not lead. It reports whether this instance has been
-// asked to take over.
-func (n *Node) waitForNextPing(ctx context.Context) bool {
+// asked to take over from the leader.
+func (n *Node) waitForNextPing(ctx context.Context, rec *Leadership) bool {
 	t := time.NewTimer(pingInterval)
 	defer t.Stop()
 	select {
@@ -346,7 +346,7 @@
 	case <-n.leaderDoubted:
 		wait.For(ctx, leaderRetryDelay) // bounds the rate of pings when many requests find it
 	case <-n.takeOverRequested:
-		return true
+		return n.takeOverTerm.Load() >= rec.Term
 	}
 	return false
 }
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -206,10 +206,7 @@
 	link.queue = append(link.queue, newRelayCommand(r.nextNumber, action))
 	link.pending[r.nextNumber] = &relayedAction{action: action, sentAt: now, expires: now.Add(timeout + relayMargin)}
 	r.mu.Unlock()
-	select {
-	case link.wake <- struct{}{}:
-	default: // signaled already
-	}
+	wait.Wake(link.wake)
 	return true
 }
 
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -125,10 +125,7 @@
 	err := n.peers.Get(rec.Address).Call(ctx, serviceName+"."+method, args, &reply)
 	switch {
 	case err == nil && reply.NotLeading:
-		select {
-		case n.leaderDoubted <- struct{}{}:
-		default: // signaled already
-		}
+		wait.Wake(n.leaderDoubted)
 		return engine.Answer{}, false, false
 	case err == nil:
 		return reply.Answer, true, true
--- a/internal/cell/node/standby.go
+++ b/internal/cell/node/standby.go
@@ -40,13 +40,13 @@
 // chooseStandbys returns the followers in live that should be standbys: of those that reach
 // the store, have a fast link and don't have much less CPU than others, first the previous
 // standbys, then those that are warm, and then those with the most CPU. ownShare is the CPU
-// share of the leader. A fleet of up to directWorkers workers is small.
-func chooseStandbys(live []*follower, previous []string, self string, ownShare float64, workers, directWorkers int) []*follower {
+// share of the leader.
+func (s *Settings) chooseStandbys(live []*follower, previous []string, ownShare float64, workers int) []*follower {
 	largest := maxCPUShare(live, ownShare)
 	var candidates []*follower
 	for _, f := range live {
 		slowLink := f.LinkMbps > 0 && f.LinkMbps < standbyMbpsPerWorker*float64(workers)
-		if f.Instance != self && !slowLink && !lowCPU(f.CPUShare, largest) && f.storeSilence() <= storeUnreachableTimeout {
+		if f.Instance != s.Instance && !slowLink && !lowCPU(f.CPUShare, largest) && f.storeSilence() <= storeUnreachableTimeout {
 			candidates = append(candidates, f)
 		}
 	}
@@ -63,7 +63,7 @@
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.CPUShare, a.CPUShare), strings.Compare(a.Instance, b.Instance))
 	})
 	count := maxStandbys
-	if workers <= directWorkers {
+	if workers <= s.DirectWorkers {
 		count = 1
 	}
 	return candidates[:min(len(candidates), count)]
@@ -164,9 +164,6 @@
 		return errDraining
 	}
 	s.n.takeOverTerm.Store(args.Term)
-	select {
-	case s.n.takeOverRequested <- struct{}{}:
-	default: // an earlier call has not been handled yet
-	}
+	wait.Wake(s.n.takeOverRequested)
 	return nil
 }
--- a/internal/cell/node/standby_test.go
+++ b/internal/cell/node/standby_test.go
@@ -130,13 +130,14 @@
 		newFollower("i0", 1, 200, true), newFollower("i1", 0.2, 200, true), newFollower("i2", 1, 20, true), newFollower("i3", 0.9, 0, false),
 		newFollower("i4", 1, 200, false), newFollower("i5", 0.8, 100, true), newFollower("i6", 0.8, 100, false), away,
 	}
+	large := &Settings{Instance: "i0", DirectWorkers: 400}
 	choose := func(previous ...string) []string {
-		return namesOf(chooseStandbys(live, previous, "i0", 1, 1000, 400))
+		return namesOf(large.chooseStandbys(live, previous, 1, 1000))
 	}
 	assert.Equal(t, []string{"i5", "i4"}, choose(), "not the leader, little CPU, a slow link, nor one without the store")
 	assert.Equal(t, []string{"i6", "i5"}, choose("i6"), "previous ones stay")
 	assert.Equal(t, []string{"i5", "i4"}, choose("i2", "i7"))
-	assert.Equal(t, []string{"i2", "i5"}, namesOf(chooseStandbys(live, nil, "i0", 1, 300, 200)), "a smaller fleet needs less of a link")
-	assert.Equal(t, []string{"i2"}, namesOf(chooseStandbys(live, nil, "i0", 1, 300, 400)), "a fleet without relays")
-	assert.Empty(t, chooseStandbys(live[:1], nil, "i0", 1, 300, 400))
+	assert.Equal(t, []string{"i2", "i5"}, namesOf((&Settings{Instance: "i0", DirectWorkers: 200}).chooseStandbys(live, nil, 1, 300)), "a smaller fleet needs less of a link")
+	assert.Equal(t, []string{"i2"}, namesOf(large.chooseStandbys(live, nil, 1, 300)), "a fleet without relays")
+	assert.Empty(t, large.chooseStandbys(live[:1], nil, 1, 300))
 }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -19,10 +19,7 @@
 	start := time.Now()
 	workers := make(chan []engine.WorkerInfo, 1)
 	go func() {
-		list, _, err := l.pollOnce()
-		if err != nil {
-			l.noteStoreFailure(err) // the engine gets the list from pollWorkers
-		}
+		list, _, _ := l.pollOnce() // without a list, the engine gets the first one from pollWorkers
 		workers <- list
 	}()
 	if !l.fence() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"pollenbend/internal/platform"
 	"pollenbend/internal/transport"
 	"pollenbend/internal/verdict"
+	"pollenbend/internal/wait"
 	"pollenbend/internal/wire"
 )
 
@@ -292,10 +293,7 @@
 
 // requestDrain signals the owner of the node to drain it.
 func (n *Node) requestDrain() {
-	select {
-	case n.drainRequested <- struct{}{}:
-	default:
-	}
+	wait.Wake(n.drainRequested)
 }
 
 // DrainRequested returns a channel that receives a value when an operator has
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,5 @@
-// Package wait waits for a duration, unless a context or a channel ends the wait.
+// Package wait waits for a duration, unless a context or a channel ends the wait, and
+// ends such waits.
 package wait
 
 import (
@@ -22,3 +23,11 @@
 	}
 	return false
 }
+
+// Wake ends a wait on c, which has room for one value, or the next wait if there is none now.
+func Wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // an earlier call has not ended a wait yet
+	}
+}
