--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -41,6 +41,13 @@
 		ev.Outcome = DeadlinePassed
 		return ev
 	}
+	command := fmt.Sprintf("%s/%d", a.Task, a.Run)
+	w.startCommands[command]++
+	if w.refuseStart != nil {
+		if ev.Outcome = w.refuseStart(a, w.startCommands[command]); ev.Outcome != Accepted {
+			return ev
+		}
+	}
 	if r := s.runs[a.Task]; r != nil && r.run == a.Run {
 		return ev
 	}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -55,6 +55,8 @@
 	lostStarts       int                                        // number of starts that will be carried out late, without an answer
 	lostRenewals     int                                        // number of renewals with a wait that will get no answer
 	lostStartAnswers int                                        // number of starts that will be carried out, but not answered
+	refuseStart      func(a *Start, number int) CommandOutcome  // outcome of a refusal, or Accepted; number counts the commands for the run; nil refuses none
+	startCommands    map[string]int                             // start commands that reached a worker, by task and run
 	failureRatio     float64                                    // share of runs that fail
 	starts           int
 	delegates        []string
@@ -187,7 +189,7 @@
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), accepted: make(map[string]bool),
 		canceledAt: make(map[string]time.Time), answers: make(map[string]Answer), cancelRequested: make(map[string]bool),
 		submittedAt: make(map[string]time.Time), turnaround: make(map[string]time.Duration), delegates: []string{"i1", "i2", "i3"},
-		gangs: make(map[string]*simGang),
+		gangs: make(map[string]*simGang), startCommands: make(map[string]int),
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
