Log what decided the end of a run and what is known of an unknown one

Now - start not confirmed says how many earlier start commands for the run got no answer, and whether the worker has already reported the run, - run ended says how old the confirmed stop and the worker's last answer are, - leases expired gives the clock, its age and the end of the lease that decided, - stopping unknown run and end of an unknown run name the job, the task's other run, and how the task's last run became known to have ended. The second is a warning now: it shows that a run went on unnoticed.

No decision changes.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -118,11 +118,13 @@
 		return
 	}
 	e.log.Warn("start not confirmed", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
-		"reason", ev.Outcome.String(), "orders", r.startAttempts, "order_ms", e.msSince(r.startSentAt))
+		"reason", ev.Outcome.String(), "orders", r.startAttempts, "unanswered", r.unansweredStarts, "reported", r.phase == running,
+		"order_ms", e.msSince(r.startSentAt))
 	switch ev.Outcome {
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
 	case NoAnswer:
+		r.unansweredStarts++
 		if e.retryStart(r) {
 			return
 		}
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -77,7 +77,9 @@
 		what = "run dropped" // no start command was sent
 	}
 	e.log.Info(what, "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", reason.String(),
-		"source", source, "ran_ms", e.msSince(r.startSentAt), "percent", r.percent, "stop_reason", r.stopReason)
+		"source", source, "ran_ms", e.msSince(r.startSentAt), "percent", r.percent, "stop_reason", r.stopReason,
+		"orders", r.startAttempts, "unanswered", r.unansweredStarts, "stopped_ms", e.msSince(r.stopConfirmedAt), "worker_silent_ms", e.msSince(r.worker.lastAnswer))
+	t.lastEnd = lastEnd{run: r.number, source: source, at: e.now}
 	e.updateHealth(r, reason)
 	e.markDirty(s)
 	e.needsPlacement = true
--- a/internal/cell/engine/log_test.go
+++ b/internal/cell/engine/log_test.go
@@ -44,3 +44,17 @@
 	assert.Contains(t, messagesOf(t, &log, waits), "step waits")
 	assert.Equal(t, []string{"job refused", "run dropped"}, messagesOf(t, &log, refused))
 }
+
+// The line of a refused start tells whether an earlier command for the run got no answer.
+func TestRefusedStartIsLoggedWithItsUnansweredCommands(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	var log bytes.Buffer
+	w.engine.log = slog.New(slog.NewJSONHandler(&log, nil))
+	w.run(time.Second)
+	w.lostStarts = 1
+	w.refuseStart = func(*Start, int) CommandOutcome { return Unhealthy }
+	w.submit("batch", "a", tasks(1, 1000, time.Second))
+	w.run(400 * time.Millisecond)
+	assert.Contains(t, log.String(), `"run":1,"worker":"w00","reason":"unknown","orders":1,"unanswered":0`)
+	assert.Contains(t, log.String(), `"run":1,"worker":"w00","reason":"unhealthy","orders":2,"unanswered":1`)
+}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"strings"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -55,7 +56,7 @@
 	}
 	// The run is unknown: it was abandoned after its lease had expired, or its record
 	// was never stored. A success counts only if the task has no other run.
-	e.log.Info("end of an unknown run", "task", end.Task, "run", end.Run, "worker", w.id, "how", end.Reason.String())
+	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String())
 	if end.Run > t.lastRun {
 		t.lastRun = end.Run
 		t.step.lastGangRun = max(t.step.lastGangRun, end.Run)
@@ -133,10 +134,25 @@
 		return
 	}
 	e.unknownRunStops[key] = e.now
-	e.log.Warn("stopping unknown run", "task", s.Task, "run", s.Run, "worker", w.id, "task_known", t != nil)
+	e.logUnknownRun("stopping unknown run", w, t, s.Task, s.Run)
 	e.emit(&Stop{Timeout: stopTimeout, Worker: w.id, Address: w.address, Incarnation: w.incarnation, Task: s.Task, Run: s.Run})
 }
 
+// logUnknownRun logs a run on w that this leader does not know, with what it does know of
+// the task: the run that it has now, and how the last one that ended became known to have
+// ended. t is nil if the task is not known.
+func (e *Engine) logUnknownRun(msg string, w *worker, t *task, name string, number int, attrs ...any) {
+	id, _, _ := strings.Cut(name, ".")
+	attrs = append([]any{"job", id, "task", name, "run", number, "worker", w.id, "task_known", t != nil}, attrs...)
+	if t != nil {
+		attrs = append(attrs, "done", t.done, "last_end_run", t.lastEnd.run, "last_end_source", t.lastEnd.source, "last_end_ms", e.msSince(t.lastEnd.at))
+		if t.hasRuns() {
+			attrs = append(attrs, "other_run", t.runs[0].number, "other_worker", t.runs[0].worker.id)
+		}
+	}
+	e.log.Warn(msg, attrs...)
+}
+
 // runMissing handles a run that the worker reports neither as running nor as finished.
 func (e *Engine) runMissing(w *worker, r *run, ev *RenewalAnswered) {
 	switch r.phase {
@@ -172,7 +188,8 @@
 	}
 	e.leasesCheckedAt = e.now
 	for _, w := range e.workerList {
-		if len(w.runs) == 0 {
+		sent := w.sentRuns()
+		if len(sent) == 0 {
 			continue
 		}
 		end := w.leasesExpireAt()
@@ -182,10 +199,9 @@
 		if e.now.Before(end.Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		for _, r := range w.currentRuns() {
-			if !r.startSent {
-				continue
-			}
+		e.log.Warn("leases expired", "worker", w.id, "life", w.incarnation, "runs", len(sent), "reported", w.reported,
+			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd)
+		for _, r := range sent {
 			e.endRun(r, EndedLeaseExpired, "", "lease expired without contact")
 		}
 	}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -74,6 +74,15 @@
 	checkpoint   string
 	runs         []*run
 	lastFailedOn string // worker on which the last failed run was
+	lastEnd      lastEnd
+}
+
+// lastEnd tells how the last run of a task that ended became known to have ended. It
+// explains in the log why an earlier run is unknown.
+type lastEnd struct {
+	run    int
+	source string
+	at     time.Time
 }
 
 // phase is the stage that a run has reached.
@@ -89,26 +98,27 @@
 
 // run is one run of a task on a worker.
 type run struct {
-	task            *task
-	worker          *worker
-	incarnation     int64
-	number          int
-	phase           phase
-	charge          job.Resources
-	ticket          ticket
-	startSent       bool      // this leader or an earlier one has sent the start command
-	startAttempts   int       // number of times that this leader has sent the start command
-	startSentAt     time.Time // when this leader first sent it
-	stopReason      string
-	stopSentAt      time.Time
-	stopInFlight    bool      // a stop command has no answer yet
-	stopConfirmedAt time.Time // when the worker accepted the stop command; the run may not have ended yet
-	percent         int       // progress in percent
-	progressAt      time.Time // when percent last rose
-	basePercent     int       // percent in the first report of the run
-	baseAt          time.Time // when that report arrived
-	ended           bool      // removed from its task and its worker
-	restored        bool      // known only from the records of an earlier leader
+	task             *task
+	worker           *worker
+	incarnation      int64
+	number           int
+	phase            phase
+	charge           job.Resources
+	ticket           ticket
+	startSent        bool      // this leader or an earlier one has sent the start command
+	startAttempts    int       // number of times that this leader has sent the start command
+	unansweredStarts int       // number of these commands that got no answer; each may still take effect
+	startSentAt      time.Time // when this leader first sent it
+	stopReason       string
+	stopSentAt       time.Time
+	stopInFlight     bool      // a stop command has no answer yet
+	stopConfirmedAt  time.Time // when the worker accepted the stop command; the run may not have ended yet
+	percent          int       // progress in percent
+	progressAt       time.Time // when percent last rose
+	basePercent      int       // percent in the first report of the run
+	baseAt           time.Time // when that report arrived
+	ended            bool      // removed from its task and its worker
+	restored         bool      // known only from the records of an earlier leader
 }
 
 func (t *task) hasRuns() bool { return len(t.runs) > 0 }
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -212,6 +212,17 @@
 // currentRuns returns a copy of the list of runs on w, for loops that may end runs.
 func (w *worker) currentRuns() []*run { return slices.Clone(w.runs) }
 
+// sentRuns returns the runs on w whose start command has been sent.
+func (w *worker) sentRuns() []*run {
+	var sent []*run
+	for _, r := range w.runs {
+		if r.startSent {
+			sent = append(sent, r)
+		}
+	}
+	return sent
+}
+
 // sendRenewals sends the renewals that are due.
 func (e *Engine) sendRenewals() {
 	if e.now.Sub(e.renewalsCheckedAt) < renewalCheckInterval {
