Fix: a refused repeat of a start no longer ends an unconfirmed run

Cause: the first start command for a run gets no answer but is carried out. It is sent again after 250 ms, and the worker refuses the repeat: unhealthy, no capacity, ticket, deadline, invalid. The refusal tells that the repeat had no effect, but startAnswered ended the run as if nothing had been started, and the task went to another worker at once.

Change: a run counts the start commands without an answer. If there is one, a refusal stops the run, which keeps its resources until the worker's report or its lease shows that it has ended; a stopped run number also makes the worker reject a command that arrives late. A run that a report has shown is not touched. That the run number was already used is no proof either.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -133,29 +133,43 @@
 			r.phase = unconfirmed
 		}
 		e.stopRun(r, "no answer to the start")
-	case Unhealthy:
-		w.health.quarantine(e.now)
-		e.endRun(r, EndedStopped, "", "worker refuses work")
-	case BadTicket:
-		t.step.invalidateTicket(w)
-		e.endRun(r, EndedStopped, "", "ticket refused")
 	case OtherIncarnation:
 		e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 		w.reported = false
 		w.nextRenewal = e.now
+	default:
+		e.startRefused(r, ev.Outcome)
+	}
+}
+
+// startRefused applies the refusal of a start command. A refusal says that this command
+// had no effect, and nothing of an earlier one that got no answer.
+func (e *Engine) startRefused(r *run, outcome CommandOutcome) {
+	source := outcome.String()
+	switch outcome {
+	case Unhealthy:
+		r.worker.health.quarantine(e.now)
+		source = "worker refuses work"
+	case BadTicket:
+		r.task.step.invalidateTicket(r.worker)
+		source = "ticket refused"
 	case StaleRun:
-		// A run of this number or a higher one has ended on the worker. After two start
-		// commands it may be this run, whose end the worker will report.
-		if r.startAttempts > 1 {
-			e.stopRun(r, "run number already used")
-			return
-		}
-		e.endRun(r, EndedStopped, "", "run number already used")
+		source = "run number already used"
+	}
+	switch {
+	case r.phase == running:
+		// A report has shown that an earlier command started it.
+	case r.mayHaveStarted() || outcome == StaleRun: // StaleRun: it may be this run that has ended
+		e.stopRun(r, "start refused ("+source+"), an earlier one is unconfirmed")
 	default:
-		e.endRun(r, EndedStopped, "", ev.Outcome.String())
+		e.endRun(r, EndedStopped, "", source)
 	}
 }
 
+// mayHaveStarted reports whether a start command for r may have had an effect, or may
+// still have one, although none was confirmed.
+func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
+
 // stopRun requests the end of a run for the given reason. The run keeps its worker's
 // resources until the worker's reports show its end or its lease has expired.
 func (e *Engine) stopRun(r *run, why string) {
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -33,3 +33,39 @@
 		})
 	}
 }
+
+func TestRefusedRepeatOfAStartLetsTheFirstStartTheTaskLater(t *testing.T) {
+	for _, outcome := range refusals {
+		t.Run(outcome.String(), func(t *testing.T) {
+			w := newWorld(t, 3, 3)
+			w.run(time.Second)
+			w.lostStarts = 1
+			w.refuseStart = func(a *Start, number int) CommandOutcome {
+				if a.Run == 1 && number == 1 {
+					return outcome // the first command is carried out later, after the repeat
+				}
+				return Accepted
+			}
+			id := w.submit("batch", "a", tasks(1, 1000, 8*time.Second))
+			w.run(25 * time.Second)
+			assert.Equal(t, StateCompleted, w.state(id))
+			assert.Equal(t, 1, w.starts)
+		})
+	}
+}
+
+func TestRefusedRepeatOfAStartEndsARunThatWasReported(t *testing.T) {
+	for _, outcome := range refusals {
+		t.Run(outcome.String(), func(t *testing.T) {
+			w := newWorld(t, 3, 3)
+			w.run(time.Second)
+			w.answerDelay = 400 * time.Millisecond // the report comes before the refusal
+			w.lostStartAnswers = 1
+			w.refuseStart = refuseRepeats(outcome)
+			id := w.submit("batch", "a", tasks(1, 1000, 2*time.Second))
+			w.run(4 * time.Second)
+			assert.Equal(t, StateCompleted, w.state(id))
+			assert.Equal(t, 1, w.starts)
+		})
+	}
+}
