Fix: a refusal after a lost answer no longer claims that a job was not accepted

What callers may see: a job that was answered as not accepted (429) runs.

Cause: an entry sends a submission again when the answer of the first attempt is lost, for instance as its connection ends. If the same leader refuses the second attempt, the caller was told that the job is not accepted, although the first attempt may still wait in a buffer of that leader and be accepted after it.

Change: a refusal counts if no earlier attempt is in doubt, or if all of these went to earlier leaders, which the refusing one has fenced off. Otherwise the answer is that it may have run, and the caller asks again under the same id.

--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -73,24 +73,43 @@
 // job's id, so one whose answer was lost is sent again, also to the next leader.
 func (n *Node) request(ctx context.Context, method string, args any, newEvent func(func(engine.Answer)) any) (engine.Answer, error) {
 	start := time.Now()
-	inDoubt := false
+	var doubts doubts
 	for {
 		leaderChange := n.leaderChanged()
-		answer, sent, ok := n.attempt(ctx, leaderChange, method, args, newEvent)
-		if ok {
-			return answer, nil
+		a := n.attempt(ctx, leaderChange, method, args, newEvent)
+		switch {
+		case a.answered && a.answer.Outcome == engine.Refused && !doubts.settledBy(a.leader):
+			return engine.Answer{}, noAnswerError(true, verdict.CodeInDoubt, "refused ("+a.answer.Why+"), but an earlier attempt got no answer")
+		case a.answered:
+			return a.answer, nil
+		case a.sent:
+			doubts = append(doubts, a.leader)
 		}
-		inDoubt = inDoubt || sent
 		if ctx.Err() != nil {
-			return engine.Answer{}, noAnswerError(inDoubt, verdict.CodeDeadline, "no answer from the leader in time")
+			return engine.Answer{}, noAnswerError(len(doubts) > 0, verdict.CodeDeadline, "no answer from the leader in time")
 		}
-		if !inDoubt && time.Since(start) > noLeaderTimeout {
+		if len(doubts) == 0 && time.Since(start) > noLeaderTimeout {
 			return engine.Answer{}, noAnswerError(false, verdict.CodeUnavailable, "no leader in reach")
 		}
 		wait.Until(ctx, leaderChange, leaderRetryDelay)
 	}
 }
 
+// doubts are the leaders that a request was sent to without an answer.
+type doubts []*Leadership
+
+// settledBy reports whether a refusal by the given leader holds for all attempts: those
+// that the others may still handle have no effect, as it has fenced them off, and it knows what they had
+// stored before. The same leader may handle an earlier attempt after a later one.
+func (d doubts) settledBy(leader *Leadership) bool {
+	for _, earlier := range d {
+		if earlier.Session == leader.Session || earlier.Term >= leader.Term {
+			return false
+		}
+	}
+	return true
+}
+
 // noAnswerError returns the error for a request that got no answer. inDoubt reports
 // whether it may have had an effect; code is the one to use if it cannot have had any.
 func noAnswerError(inDoubt bool, code verdict.Code, message string) error {
@@ -100,17 +119,24 @@
 	return verdict.Refuse(code, "%s", message).WithRetryAfter(noLeaderRetryDelay)
 }
 
+// attempt is the outcome of sending a request to the leader once.
+type attempt struct {
+	leader   *Leadership // that was asked; nil if none is known
+	sent     bool        // the request may have had an effect, or may still have one
+	answered bool
+	answer   engine.Answer // if answered
+}
+
 // attempt sends the request to the leader once, unless no leader is known or it has not
-// answered pings lately. sent reports whether the request may have had an effect, ok
-// whether it was answered. A change of the leader aborts the call to it.
-func (n *Node) attempt(ctx context.Context, leaderChange <-chan struct{}, method string, args any, newEvent func(func(engine.Answer)) any) (answer engine.Answer, sent, ok bool) {
+// answered pings lately. A change of the leader aborts the call to it.
+func (n *Node) attempt(ctx context.Context, leaderChange <-chan struct{}, method string, args any, newEvent func(func(engine.Answer)) any) attempt {
 	if l := n.leading.Load(); l != nil {
-		answer, ok = l.ask(ctx, newEvent)
-		return answer, true, ok
+		answer, ok := l.ask(ctx, newEvent)
+		return attempt{leader: &l.rec, sent: true, answered: ok, answer: answer}
 	}
 	rec := n.knownLeader.Load()
 	if rec == nil || rec.Session == n.incarnation || n.since(&n.leaderAnsweredAt) > maxLeaderAnswerAge {
-		return engine.Answer{}, false, false
+		return attempt{}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -126,9 +152,9 @@
 	switch {
 	case err == nil && reply.NotLeading:
 		wait.Wake(n.leaderDoubted)
-		return engine.Answer{}, false, false
+		return attempt{}
 	case err == nil:
-		return reply.Answer, true, true
+		return attempt{leader: rec, sent: true, answered: true, answer: reply.Answer}
 	}
-	return engine.Answer{}, !errors.Is(err, peer.ErrNotSent), false
+	return attempt{leader: rec, sent: !errors.Is(err, peer.ErrNotSent)}
 }
