Fix: state of an earlier incarnation is dropped when a renewal shows a restart

What callers may see: a task that has ended done runs again.

Cause: a renewal that is refused as meant for another incarnation, before the directory tells of the restart, reset only the incarnation and ended the runs. The cursors and the clock of the old incarnation stayed. The next incarnation numbers its ends anew: those up to the old cursor were acknowledged without being read, the runs then counted as missing, and their tasks started again. With the old lease end, far ahead on the new clock, its leases never expired.

Change: such a refusal goes through newIncarnation, which resets all of it.

--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -176,7 +176,8 @@
 	}
 }
 
-// newIncarnation switches w to a new incarnation and ends the runs of the previous one.
+// newIncarnation switches w to a new incarnation, which is zero if it is not known yet, and
+// ends the runs of the previous one.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
 	for _, r := range w.currentRuns() {
@@ -350,10 +351,6 @@
 	if ev.OtherIncarnation && ev.Incarnation == w.incarnation && w.incarnation != 0 {
 		// The directory's entry is older than the worker's restart. The worker's next
 		// report contains the new incarnation.
-		w.incarnation = 0
-		for _, r := range w.currentRuns() {
-			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-		}
-		w.reported = false
+		e.newIncarnation(w, 0, "renewal refused")
 	}
 }
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -359,8 +359,15 @@
 	}
 }
 
-// restartWorker ends a worker's incarnation, with its runs, and starts the next.
+// restartWorker ends a worker's incarnation, with its runs, starts the next, and publishes
+// it in the directory.
 func (w *world) restartWorker(id string) {
+	w.restartUnlisted(id)
+	w.publishDirectory()
+}
+
+// restartUnlisted restarts a worker whose entry in the directory stays as it was.
+func (w *world) restartUnlisted(id string) {
 	s := w.workers[id]
 	for _, name := range sortedKeys(s.runs) {
 		delete(w.tasks[name].runs, id)
@@ -370,7 +377,6 @@
 	s.fence, s.runs, s.ended, s.lastEnd = 0, make(map[string]*simRun), nil, 0
 	s.endedRuns = make(map[string]int)
 	s.pendingAnswers = nil
-	w.publishDirectory()
 }
 
 // execute carries out an action of the engine.
