Fix: the success of an unknown run counts, also if its task has another run

What callers may see: a task runs again after a run of it has ended done.

Cause: an end of a run that the leader had given up was acknowledged but ignored if the task had another run by then.

Change: the success counts and the other runs are stopped, in a gang those with another number.

Evidence: TestAcknowledgedSuccessOfAnUnknownRunIsIgnored fails before.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -6,9 +6,9 @@
 	"pollenbend/internal/cell/record"
 )
 
-// taskDone records that t has succeeded. If t belongs to a gang, all of its members have
-// succeeded then.
-func (e *Engine) taskDone(t *task) {
+// taskDone records that the run of t with the given number has succeeded. If t belongs to a
+// gang, all of its members have succeeded then. Other runs are stopped.
+func (e *Engine) taskDone(t *task, number int) {
 	s := t.step
 	if t.done || s.spec.LongRunning {
 		return
@@ -27,7 +27,7 @@
 		m.done = true
 		s.remaining--
 		for _, r := range m.runs {
-			if !s.spec.Gang && r.phase != stopping {
+			if !s.spec.Gang || r.number != number {
 				e.stopRun(r, "another run of the task is done")
 			}
 		}
@@ -90,7 +90,7 @@
 	switch reason {
 	case EndedDone:
 		e.observeRuntime(r)
-		e.taskDone(t)
+		e.taskDone(t, r.number)
 	case EndedFailed:
 		e.taskFailed(t, r)
 	}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -55,14 +55,15 @@
 		}
 	}
 	// The run is unknown: it was abandoned after its lease had expired, or its record
-	// was never stored. A success counts only if the task has no other run.
+	// was never stored. Its end is acknowledged like any other, so a success counts, also
+	// if the task has another run by now.
 	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String())
 	if end.Run > t.lastRun {
 		t.lastRun = end.Run
 		t.step.lastGangRun = max(t.step.lastGangRun, end.Run)
 	}
-	if end.Reason == EndedDone && !t.done && !t.hasRuns() {
-		e.taskDone(t)
+	if end.Reason == EndedDone {
+		e.taskDone(t, end.Run)
 	}
 }
 
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -69,3 +69,23 @@
 		})
 	}
 }
+
+// A worker lists the success of a run that the engine has given up, while another run of the
+// task is under way.
+func TestAcknowledgedSuccessOfAnUnknownRunIsIgnored(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, 5*time.Second))
+	w.run(500 * time.Millisecond)
+	task := id + ".0.0.0"
+	other := w.workers["w01"]
+	if other.runs[task] != nil {
+		other = w.workers["w00"]
+	}
+	other.lastEnd++
+	other.ended = append(other.ended, RunEnd{Number: other.lastEnd, Task: task, Run: 1, Reason: EndedDone})
+	w.run(3 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 1, w.starts)
+	assert.Empty(t, w.tasks[task].runs, "the other run is stopped")
+}
