Fix: all members of a gang start from one checkpoint

What callers may see: members of a gang that starts again resume from different points.

Cause: a checkpoint in a report was recorded for its own member alone, one in an end for all. A start command that is sent again read the newest checkpoint, which may be another than that of the first command.

Change: a checkpoint counts for all members, and a run keeps the one with which it was planned.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -13,7 +13,7 @@
 	}
 	t.lastRun = number
 	s.lastGangRun = max(s.lastGangRun, number)
-	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, phase: planned}
+	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 	e.markDirty(s)
@@ -73,7 +73,7 @@
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
-		Checkpoint: t.checkpoint, Ticket: r.ticket.value, Timeout: timeout, run: r,
+		Checkpoint: r.checkpoint, Ticket: r.ticket.value, Timeout: timeout, run: r,
 	})
 }
 
@@ -111,7 +111,7 @@
 		}
 		e.markStarted(t.step.job())
 		e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
-			"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", t.checkpoint != "")
+			"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
 		if r.phase == stopping {
 			e.sendStop(r)
 		}
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -64,14 +64,7 @@
 	t, s := r.task, r.task.step
 	j := s.job()
 	e.removeRun(r)
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-		if s.spec.Gang {
-			for _, m := range s.tasks {
-				m.checkpoint = checkpoint
-			}
-		}
-	}
+	t.noteCheckpoint(checkpoint)
 	what := "run ended"
 	if !r.startSent {
 		what = "run dropped" // no start command was sent
@@ -99,6 +92,20 @@
 	}
 }
 
+// noteCheckpoint records a checkpoint of t, unless it is empty. A checkpoint of a member of a
+// gang is valid for all, and all have to start from the same one.
+func (t *task) noteCheckpoint(checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	t.checkpoint = checkpoint
+	if t.step.spec.Gang {
+		for _, m := range t.step.tasks {
+			m.checkpoint = checkpoint
+		}
+	}
+}
+
 // removeRun removes a run from its task and its worker and releases its resources.
 func (e *Engine) removeRun(r *run) {
 	r.ended = true
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -111,9 +111,7 @@
 		e.markStarted(r.task.step.job())
 	}
 	r.restored = false
-	if s.Checkpoint != "" {
-		r.task.checkpoint = s.Checkpoint
-	}
+	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
 	}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -105,6 +105,7 @@
 	phase            phase
 	charge           job.Resources
 	ticket           ticket
+	checkpoint       string    // from which it starts; empty for none
 	startSent        bool      // this leader or an earlier one has sent the start command
 	startAttempts    int       // number of times that this leader has sent the start command
 	unansweredStarts int       // number of these commands that got no answer; each may still take effect
