Fix: a start under way outlives the restart of its worker

What callers may see: a task that must run once runs on two workers, a worker is over its capacity, a team over its limit.

Cause: when a worker restarted under its id, all runs of the earlier incarnation counted as ended. A start command without an answer, or one that is late, is carried out by the new incarnation, after the task has been started elsewhere.

Change: a run with a start command that may still be carried out, also one of an earlier leader, moves to the new incarnation with its resources, and is stopped there, so that the worker refuses the command. If the answer itself shows that the new incarnation has started the run, it goes on. Answers of an earlier incarnation confirm neither a start nor a stop in the new one. Leases in an incarnation that has not reported yet count from when the leader heard of it.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -70,6 +70,7 @@
 func (e *Engine) emitStart(r *run, timeout time.Duration) {
 	w, t := r.worker, r.task
 	r.startAttempts++
+	r.startsInFlight++
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
@@ -81,7 +82,7 @@
 // and the worker would still accept it. It reports whether it did.
 func (e *Engine) retryStart(r *run) bool {
 	w, t := r.worker, r.task
-	if r.startAttempts > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.listed || t.done || t.step.job().state.Final() {
+	if r.startAttempts > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || t.done || t.step.job().state.Final() {
 		return false
 	}
 	if r.ticket.value != "" && !e.now.Before(r.ticket.validUntil) {
@@ -95,6 +96,10 @@
 func (e *Engine) startAnswered(ev *StartAnswered) {
 	r := ev.Start.run
 	w := r.worker
+	r.startsInFlight--
+	if ev.Outcome == Accepted && !r.ended && ev.Incarnation > r.incarnation {
+		e.moveToIncarnation(r, ev.Incarnation) // the worker restarted while the command was under way
+	}
 	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
 		e.newIncarnation(w, ev.Incarnation, "answer to a start")
 	}
@@ -105,7 +110,7 @@
 		return
 	}
 	t := r.task
-	if ev.Outcome == Accepted {
+	if ev.Outcome == Accepted && (ev.Incarnation == 0 || ev.Incarnation >= r.incarnation) {
 		if r.phase == starting {
 			r.phase = running
 		}
@@ -134,14 +139,23 @@
 		}
 		e.stopRun(r, "no answer to the start")
 	case OtherIncarnation:
-		e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-		w.reported = false
-		w.nextRenewal = e.now
+		if ev.Start.Incarnation == r.incarnation {
+			e.incarnationRefused(r)
+			return
+		}
+		e.startRefused(r, ev.Outcome)
 	default:
 		e.startRefused(r, ev.Outcome)
 	}
 }
 
+// incarnationRefused ends a run whose worker has answered that it is another incarnation.
+func (e *Engine) incarnationRefused(r *run) {
+	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
+	r.worker.reported = false
+	r.worker.nextRenewal = e.now
+}
+
 // startRefused applies the refusal of a start command. A refusal says that this command
 // had no effect, and nothing of an earlier one that got no answer.
 func (e *Engine) startRefused(r *run, outcome CommandOutcome) {
@@ -155,6 +169,8 @@
 		source = "ticket refused"
 	case StaleRun:
 		source = "run number already used"
+	case Accepted, OtherIncarnation:
+		source = "worker restarted" // the answer is of an earlier incarnation than the run
 	}
 	switch {
 	case r.phase == running:
@@ -170,6 +186,13 @@
 // still have one, although none was confirmed.
 func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
 
+// mayStartLate reports whether a start command for r may still be carried out, by whichever
+// incarnation of its worker it reaches. An earlier leader may have sent some that this one does not know.
+func (r *run) mayStartLate() bool {
+	inherited := r.startSent && r.startAttempts == 0
+	return inherited || r.startsInFlight > 0 || r.unansweredStarts > 0
+}
+
 // stopRun requests the end of a run for the given reason. The run keeps its worker's
 // resources until the worker's reports show its end or its lease has expired.
 func (e *Engine) stopRun(r *run, why string) {
@@ -201,10 +224,16 @@
 		return // an unknown run; the next renewal shows whether it has stopped
 	}
 	r.stopInFlight = false
+	w := r.worker
+	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
+		e.newIncarnation(w, ev.Incarnation, "answer to a stop")
+	}
 	if r.ended {
 		return
 	}
-	w := r.worker
+	if ev.Incarnation != 0 && ev.Incarnation < r.incarnation || ev.Outcome == OtherIncarnation && ev.Stop.Incarnation < r.incarnation {
+		return // of an earlier incarnation than the run; the command is sent again
+	}
 	switch ev.Outcome {
 	case Accepted, StaleRun: // StaleRun: this run or a newer one has ended, so the worker no longer has this one
 		if r.stopConfirmedAt.IsZero() {
@@ -215,9 +244,7 @@
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
 	case OtherIncarnation:
-		e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-		w.reported = false
-		w.nextRenewal = e.now
+		e.incarnationRefused(r)
 	}
 }
 
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -193,7 +193,11 @@
 		}
 		end := w.leasesExpireAt()
 		if !w.reported {
-			end = e.startedAt.Add(e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift))
+			since := e.startedAt
+			if w.incarnationSince.After(since) {
+				since = w.incarnationSince
+			}
+			end = since.Add(e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift))
 		}
 		if e.now.Before(end.Add(e.cfg.LeaseExpiryMargin)) {
 			continue
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -108,6 +108,7 @@
 	checkpoint       string    // from which it starts; empty for none
 	startSent        bool      // this leader or an earlier one has sent the start command
 	startAttempts    int       // number of times that this leader has sent the start command
+	startsInFlight   int       // number of these commands whose outcome is not known yet
 	unansweredStarts int       // number of these commands that got no answer; each may still take effect
 	startSentAt      time.Time // when this leader first sent it
 	stopReason       string
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -10,20 +10,21 @@
 
 // worker is the leader's view of a worker.
 type worker struct {
-	id           string
-	incarnation  int64
-	address      string
-	service      string
-	rack         string
-	labels       []string
-	capacity     job.Resources
-	used         job.Resources
-	heldForGangs job.Resources // kept free for gangs in this placement round
-	pool         *pool         // nil for a worker that is not listed
-	poolIndex    int           // index of its list in pool.byFreeCPU
-	poolSlot     int           // its index in that list
-	pendingAsks  [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
-	runs         []*run        // in the order in which they were planned
+	id               string
+	incarnation      int64
+	incarnationSince time.Time // when this leader first heard of the incarnation
+	address          string
+	service          string
+	rack             string
+	labels           []string
+	capacity         job.Resources
+	used             job.Resources
+	heldForGangs     job.Resources // kept free for gangs in this placement round
+	pool             *pool         // nil for a worker that is not listed
+	poolIndex        int           // index of its list in pool.byFreeCPU
+	poolSlot         int           // its index in that list
+	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
+	runs             []*run        // in the order in which they were planned
 
 	listed        bool
 	unlistedSince time.Time // when it last left the directory
@@ -176,16 +177,12 @@
 	}
 }
 
-// newIncarnation switches w to a new incarnation, which is zero if it is not known yet, and
-// ends the runs of the previous one.
+// newIncarnation switches w to a new incarnation, which is zero if it is not known yet.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
-	for _, r := range w.currentRuns() {
-		if r.incarnation != incarnation {
-			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-		}
-	}
 	w.incarnation = incarnation
+	w.incarnationSince = e.now
+	e.settleRunsOfEarlierIncarnations(w)
 	w.reported = false
 	w.unknownRuns = 0
 	w.draining = false
@@ -196,6 +193,33 @@
 	e.needsPlacement = true
 }
 
+// settleRunsOfEarlierIncarnations ends the runs that an earlier incarnation of w had. A
+// command names a worker by its id alone, which may outlive a restart, so a start command
+// that is still under way may start its run in the new incarnation. Such a run moves there
+// and is stopped, which makes the worker refuse the command.
+func (e *Engine) settleRunsOfEarlierIncarnations(w *worker) {
+	for _, r := range w.currentRuns() {
+		switch {
+		case r.incarnation == 0 || r.incarnation == w.incarnation:
+		case w.incarnation != 0 && r.mayStartLate():
+			e.moveToIncarnation(r, w.incarnation)
+			if r.phase == running || r.phase == unconfirmed {
+				e.stopRun(r, "its worker restarted, a start is unconfirmed")
+			}
+		default:
+			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
+		}
+	}
+}
+
+// moveToIncarnation makes r a run of another incarnation of its worker. What is known of
+// its stop concerns the earlier one.
+func (e *Engine) moveToIncarnation(r *run, incarnation int64) {
+	r.incarnation = incarnation
+	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
+	e.markDirty(r.task.step)
+}
+
 // dropUnlistedWorkers drops idle workers that left the directory more than
 // UnlistedWorkerRetention ago.
 func (e *Engine) dropUnlistedWorkers() {
@@ -314,11 +338,7 @@
 		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
 	}
 	w.reported = true
-	for _, r := range w.currentRuns() {
-		if r.incarnation != 0 && w.incarnation != 0 && r.incarnation != w.incarnation {
-			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-		}
-	}
+	e.settleRunsOfEarlierIncarnations(w)
 	e.applyEnds(w, ev.Report)
 	e.applyRunning(w, ev)
 	if first {
