Fix: the clock of an earlier incarnation no longer counts for the next one

Cause: the clock in the answer to a start was taken whatever incarnation had answered, also after a report of a later one.

Change: it counts only if it is of the worker's present incarnation.

Evidence: TestLeaseIsComputedFromTheClockOfAnEarlierIncarnation fails before.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -103,7 +103,7 @@
 	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
 		e.newIncarnation(w, ev.Incarnation, "answer to a start")
 	}
-	if ev.Outcome != NoAnswer && ev.Clock > 0 {
+	if ev.Incarnation == w.incarnation {
 		w.noteClock(ev.Clock, e.now)
 	}
 	if r.ended {
--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -22,3 +22,23 @@
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.Equal(t, 9, w.starts)
 }
+
+// The answer of an earlier incarnation arrives after a report of the next one, whose clock
+// began anew.
+func TestLeaseIsComputedFromTheClockOfAnEarlierIncarnation(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	var sent *Start
+	w.refuseStart = func(a *Start, _ int) CommandOutcome {
+		sent = a
+		return Accepted
+	}
+	w.submit("batch", "a", tasks(1, 1000, 5*time.Second))
+	w.run(100 * time.Millisecond)
+	w.restartWorker("w00")
+	w.run(100 * time.Millisecond)
+	s := w.engine.workers["w00"]
+	clock := s.clock
+	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Incarnation: 1, Clock: clock + time.Hour.Milliseconds()})
+	assert.Equal(t, clock, s.clock)
+}
