Keep warnings about a run when a burst of lines exceeds the bounds of the log

Cause: all lines about jobs and workers shared one limit of 1,500 a second and one queue of 4,096 lines. After 1,500 `task started` within a second nothing else about a run was written, and a queue filled while the output was slow dropped every later line, also those about the leadership.

Now lines about single items at the level WARN or above are a class of their own. Each class has its own limit and its own part of the queue, and the first lines of each message pass although other messages have used up the class. The queue stays one sequence, so lines keep their order; a dropped line is no longer formatted. The report is a line of the process's logger, at most one a second for each class, and a counter in the metrics.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -16,7 +16,7 @@
 		sink := logsink.New(out)
 		defer sink.Close()
 		logger := slog.New(sink.Handler(slog.LevelInfo))
-		if err := platform.Run(ctx, logger); err != nil {
+		if err := platform.Run(ctx, logger, sink); err != nil {
 			logger.Error("instance failed", "reason", err.Error())
 			fmt.Fprintln(errOut, "platform:", err)
 			return ExitUsage
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -1,81 +1,83 @@
 // Package logsink writes log lines without ever blocking the goroutine that logs.
-// Lines that exceed the queue or a rate limit are dropped and counted.
+// Lines that exceed the queue or a rate limit are dropped, counted and reported.
 package logsink
 
 import (
 	"bytes"
-	"fmt"
 	"io"
+	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/metrics"
 )
 
 const (
-	// maxQueuedLines is the maximum number of lines that wait to be written.
-	maxQueuedLines = 4096
-	// maxItemLinesPerSecond limits lines about single jobs and workers. At about
-	// 250 bytes a line they take at most about 375 KB/s.
-	maxItemLinesPerSecond = 1500
-	// maxGeneralLinesPerSecond limits all other lines.
-	maxGeneralLinesPerSecond = 200
 	// flushInterval is how long lines are collected before one write.
 	flushInterval = 50 * time.Millisecond
+	// reportInterval is how long lines that are left out are counted before one line
+	// reports them.
+	reportInterval = time.Second
 )
 
 // Sink is an io.Writer of whole lines. It is safe for concurrent use.
 type Sink struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
-	closed  chan struct{} // closed by Close
-	done    chan struct{} // closed when the queued lines are written after Close
-	once    sync.Once     // closes closed
-
-	itemRate, generalRate rateLimiter
-}
+	out    io.Writer
+	closed chan struct{} // closed by Close
+	done   chan struct{} // closed when the queued lines are written after Close
+	once   sync.Once     // closes closed
 
-// rateLimiter limits the lines in windows of one second.
-type rateLimiter struct {
-	maxPerSecond int
-	mu           sync.Mutex
-	windowStart  time.Time
-	count        int
+	mu     sync.Mutex
+	queue  []byte // lines that wait to be written
+	bounds [classes]bounds
+	newest slog.Handler // the one that handled the newest line; it writes the reports
 }
 
 // New returns a sink that writes to out until Close.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, maxQueuedLines), closed: make(chan struct{}), done: make(chan struct{})}
-	s.itemRate.maxPerSecond, s.generalRate.maxPerSecond = maxItemLinesPerSecond, maxGeneralLinesPerSecond
+	s := &Sink{out: out, closed: make(chan struct{}), done: make(chan struct{})}
+	s.newest = newJSONHandler(s, slog.LevelInfo)
+	s.bounds = [classes]bounds{
+		general:     newBounds(maxGeneralLinesPerSecond, maxQueuedGeneralLines, reservedGeneralLines),
+		item:        newBounds(maxItemLinesPerSecond, maxQueuedItemLines, reservedItemLines),
+		itemWarning: newBounds(maxItemWarningsPerSecond, maxQueuedItemWarnings, reservedItemLines),
+		output:      newBounds(0, 0, 0),
+	}
 	go s.run()
 	return s
 }
 
+// Register adds the counters of the lines left out to a registry.
+func (s *Sink) Register(r gometrics.Registry) error {
+	for c := range classes {
+		name := metrics.Name("log_lines_left_out_total", metrics.Label{Name: "class", Value: c.String()})
+		if err := r.Register(name, s.bounds[c].total); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Write queues one line about a single job or worker, or drops it. It never blocks
 // and never returns an error.
-func (s *Sink) Write(line []byte) (int, error) { return s.write(line, &s.itemRate) }
-
-func (s *Sink) write(line []byte, limiter *rateLimiter) (int, error) {
-	if !limiter.allow() {
-		s.dropped.Add(1)
+func (s *Sink) Write(line []byte) (int, error) {
+	if !s.admit(item, "", nil) {
 		return len(line), nil
 	}
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.dropped.Add(1)
-	}
-	return len(line), nil
+	return queueWriter{s}.Write(line)
 }
 
-func (r *rateLimiter) allow() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now := time.Now(); now.Sub(r.windowStart) >= time.Second {
-		r.windowStart, r.count = now, 0
+// admit reports whether a line of class c is within its bounds. by handles the line; it
+// is nil if there is no handler.
+func (s *Sink) admit(c class, message string, by slog.Handler) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if by != nil {
+		s.newest = by
 	}
-	r.count++
-	return r.count <= r.maxPerSecond
+	return s.bounds[c].admit(message, time.Now())
 }
 
 // Close writes the queued lines and stops the sink. Later lines are lost.
@@ -86,27 +88,57 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	var buffer []byte
-	for {
-		open := true
-		buffer = buffer[:0]
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	var lines []byte
+	for open := true; open; {
+		reportAfter := reportInterval
 		select {
-		case line := <-s.lines:
-			buffer = append(buffer, line...)
-			open = s.collect(&buffer)
+		case <-ticker.C:
 		case <-s.closed:
-			open = s.collect(&buffer)
+			open, reportAfter = false, 0
 		}
-		if n := s.dropped.Swap(0); n > 0 {
-			buffer = fmt.Appendf(buffer, `{"time":%q,"level":"WARN","msg":"log lines left out","count":%d}`+"\n", time.Now().Format(time.RFC3339Nano), n)
-		}
-		s.flush(buffer)
-		if !open {
-			return
+		s.report(reportAfter)
+		lines = s.takeQueue(lines[:0])
+		s.flush(lines)
+	}
+}
+
+// takeQueue returns the queued lines. The next lines are queued in the memory of empty.
+func (s *Sink) takeQueue(empty []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lines := s.queue
+	s.queue = empty
+	for c := range s.bounds {
+		s.bounds[c].queued.reset()
+	}
+	return lines
+}
+
+// report writes one line for each class of which lines have been left out for at least
+// the given time.
+func (s *Sink) report(after time.Duration) {
+	for c := range classes {
+		if l, by := s.takeLeftOut(c, after); l.count > 0 {
+			slog.New(by).Warn("log lines left out", l.attrs(c)...)
 		}
 	}
 }
 
+// takeLeftOut returns what was left out of class c and starts to count anew, if it has
+// been counted for at least the given time. by writes the report.
+func (s *Sink) takeLeftOut(c class, after time.Duration) (l leftOut, by slog.Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := &s.bounds[c]
+	if time.Since(b.leftOut.since) < after {
+		return leftOut{}, nil
+	}
+	l, b.leftOut = b.leftOut, leftOut{}
+	return l, s.newest
+}
+
 // maxAtomicWrite is the maximum size in bytes of an atomic write to a pipe
 // (PIPE_BUF). With longer writes, readers may see lines split or interleaved with
 // those of other writers.
@@ -123,40 +155,16 @@
 			}
 		}
 		if _, err := s.out.Write(lines[:n]); err != nil {
-			// The output is the only place to report the error. All lines of the
-			// chunk count as one.
-			s.dropped.Add(1)
+			s.noteWriteError(err, bytes.Count(lines[:n], []byte{'\n'}))
 		}
 		lines = lines[n:]
 	}
 }
 
-// collect appends the lines that arrive within flushInterval to buffer. It reports
-// whether the sink is still open.
-func (s *Sink) collect(buffer *[]byte) bool {
-	t := time.NewTimer(flushInterval)
-	defer t.Stop()
-	for {
-		select {
-		case line := <-s.lines:
-			*buffer = append(*buffer, line...)
-		case <-t.C:
-			return true
-		case <-s.closed:
-			s.drainQueue(buffer)
-			return false
-		}
-	}
-}
-
-// drainQueue appends the queued lines to buffer.
-func (s *Sink) drainQueue(buffer *[]byte) {
-	for {
-		select {
-		case line := <-s.lines:
-			*buffer = append(*buffer, line...)
-		default:
-			return
-		}
-	}
+// noteWriteError counts lines that could not be written. The output is the only place to
+// report the error.
+func (s *Sink) noteWriteError(err error, lines int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounds[output].leaveOut(err.Error(), lines, time.Now())
 }
