Let the log sink sleep while there are no lines

The sink looked for lines every 50 ms, 20 wake-ups a second on instances that log nothing. It waits for the first line now, and for the end of the interval in which it counts lines that were left out.

--- a/internal/logsink/handler.go
+++ b/internal/logsink/handler.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+
+	"pollenbend/internal/wait"
 )
 
 // Handler returns a handler that writes JSON lines to the sink. Lines about one job,
@@ -73,5 +75,6 @@
 	w.s.mu.Lock()
 	defer w.s.mu.Unlock()
 	w.s.queue = append(w.s.queue, line...)
+	wait.Wake(w.s.wake)
 	return len(line), nil
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -12,6 +12,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"pollenbend/internal/metrics"
+	"pollenbend/internal/wait"
 )
 
 const (
@@ -26,6 +27,7 @@
 type Sink struct {
 	out    io.Writer
 	closed chan struct{} // closed by Close
+	wake   chan struct{} // signals that lines are queued or were left out
 	done   chan struct{} // closed when the queued lines are written after Close
 	once   sync.Once     // closes closed
 
@@ -37,7 +39,7 @@
 
 // New returns a sink that writes to out until Close.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, closed: make(chan struct{}), done: make(chan struct{})}
+	s := &Sink{out: out, closed: make(chan struct{}), done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	s.newest = newJSONHandler(s, slog.LevelInfo)
 	s.bounds = [classes]bounds{
 		general:     newBounds(maxGeneralLinesPerSecond, maxQueuedGeneralLines, reservedGeneralLines),
@@ -77,7 +79,11 @@
 	if by != nil {
 		s.newest = by
 	}
-	return s.bounds[c].admit(message, time.Now())
+	admitted := s.bounds[c].admit(message, time.Now())
+	if !admitted {
+		wait.Wake(s.wake)
+	}
+	return admitted
 }
 
 // Close writes the queued lines and stops the sink. Later lines are lost.
@@ -88,15 +94,17 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
 	var lines []byte
 	for open := true; open; {
-		reportAfter := reportInterval
 		select {
-		case <-ticker.C:
+		case <-s.wake:
+			open = s.collect()
 		case <-s.closed:
-			open, reportAfter = false, 0
+			open = false
+		}
+		reportAfter := reportInterval
+		if !open {
+			reportAfter = 0
 		}
 		s.report(reportAfter)
 		lines = s.takeQueue(lines[:0])
@@ -104,6 +112,19 @@
 	}
 }
 
+// collect waits until the lines of flushInterval are queued. It reports whether the sink is
+// still open.
+func (s *Sink) collect() bool {
+	t := time.NewTimer(flushInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
 // takeQueue returns the queued lines. The next lines are queued in the memory of empty.
 func (s *Sink) takeQueue(empty []byte) []byte {
 	s.mu.Lock()
@@ -132,7 +153,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := &s.bounds[c]
-	if time.Since(b.leftOut.since) < after {
+	if b.leftOut.count > 0 && time.Since(b.leftOut.since) < after {
+		wait.Wake(s.wake) // it is reported later
 		return leftOut{}, nil
 	}
 	l, b.leftOut = b.leftOut, leftOut{}
@@ -167,4 +189,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bounds[output].leaveOut(err.Error(), lines, time.Now())
+	wait.Wake(s.wake)
 }
