Fix: a run that its worker has reported is no longer stopped for a lost answer

What callers see: work is thrown away and their job is late. When both start commands for a run got no answer, the run was stopped, also if a report had shown in the meantime that it runs.

Change: a run that a report has shown goes on.

Evidence: TestUnansweredStartEndsARunThatWasReported fails before: the task is started twice, one after the other.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -129,15 +129,7 @@
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
 	case NoAnswer:
-		r.unansweredStarts++
-		if e.retryStart(r) {
-			return
-		}
-		w.health.failures++
-		if r.phase == starting {
-			r.phase = unconfirmed
-		}
-		e.stopRun(r, "no answer to the start")
+		e.startUnanswered(r)
 	case OtherIncarnation:
 		if ev.Start.Incarnation == r.incarnation {
 			e.incarnationRefused(r)
@@ -149,6 +141,20 @@
 	}
 }
 
+// startUnanswered handles a start command without an answer: it is sent once more, and then
+// the run is stopped, unless a report has shown meanwhile that it has started.
+func (e *Engine) startUnanswered(r *run) {
+	r.unansweredStarts++
+	if r.phase == running || e.retryStart(r) {
+		return
+	}
+	r.worker.health.failures++
+	if r.phase == starting {
+		r.phase = unconfirmed
+	}
+	e.stopRun(r, "no answer to the start")
+}
+
 // incarnationRefused ends a run whose worker has answered that it is another incarnation.
 func (e *Engine) incarnationRefused(r *run) {
 	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -89,3 +89,13 @@
 	assert.Equal(t, 1, w.starts)
 	assert.Empty(t, w.tasks[task].runs, "the other run is stopped")
 }
+
+func TestUnansweredStartEndsARunThatWasReported(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.run(time.Second)
+	w.lostStartAnswers = 2
+	id := w.submit("batch", "a", tasks(1, 1000, 2*time.Second))
+	w.run(4 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 1, w.starts)
+}
