Fix: an isolated leader stops renewing leases

What callers may see: a task runs on two workers.

Cause: a leader that is cut off from the store and from all instances, but not from a worker, went on leading and renewed the leases there for ever. The next leader, if it does not reach that worker, takes its runs for ended after the maximum lease and starts them elsewhere: silence was taken for more than it says.

Change: a leader that had followers in its term and has none left steps down once the store has been silent for 2.5 s. An outage of the store alone does not end a term, as followers go on pinging.

--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -24,6 +24,7 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 
+	followed          bool          // another instance has followed it in this term
 	onlyLowCPUSince   time.Time     // since when only low-CPU instances reach the store; zero otherwise
 	moreCPUSince      time.Time     // since when an instance with much more CPU follows; zero if none does
 	startedAt         time.Time     // when the term began on this instance
@@ -274,12 +275,29 @@
 		if changed {
 			l.n.cellInstances.Store(newInstanceList(live, chosen, l.n.cpuShare()))
 		}
+		if len(live) > 0 {
+			l.followed = true
+		} else if l.isolated() {
+			l.stop("neither the store nor another instance answers")
+			return
+		}
 		l.updateRelays(live)
 		l.considerHandover(live)
 		wait.Until(l.ctx, l.followerReached, followersInterval)
 	}
 }
 
+// isolationTimeout is how long a leader without followers goes on without an answer from the
+// store. Another may lead by then, and counts a worker that it cannot reach as lost after the maximum
+// lease. Until then the leases that this one has renewed must have expired.
+const isolationTimeout = 2500 * time.Millisecond
+
+// isolated reports whether the leader, which has no followers, is likely cut off from all
+// others, rather than the store being away for all.
+func (l *leader) isolated() bool {
+	return l.followed && l.n.since(&l.n.storeAnsweredAt) > isolationTimeout
+}
+
 // namesOf returns the names of instances.
 func namesOf(instances []*follower) []string {
 	var names []string
