Fix: a run whose end a report has no room for no longer counts as missing

What callers may see: a task that has ended done runs again.

Cause: a worker lists at most 500 ends at a time. A run whose end is behind them is neither running nor ended in the report, was stopped as missing, and ended as stopped once a further report lacked it too.

Change: a report with a full list says nothing of missing runs. The next one, after the ends are acknowledged, does.

Evidence: TestRunWhoseEndIsLeftOutOfAReportCountsAsMissing fails before: two starts.

--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -81,6 +81,9 @@
 		}
 		e.applyStatus(w, ref, s)
 	}
+	if ev.Report.MoreEnds {
+		return // a run that is missing may be among the ends that were left out
+	}
 	for _, r := range w.currentRuns() {
 		s := present[r.task.name]
 		if s != nil && s.Run == r.number {
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -71,6 +71,7 @@
 	Clock       int64 // the worker's clock, in ms
 	Running     []RunStatus
 	Ended       []RunEnd
+	MoreEnds    bool // the list of finished runs may be cut off
 }
 
 // CommandOutcome is the outcome of a command to a worker: Accepted, NoAnswer, or the
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -99,3 +99,17 @@
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.Equal(t, 1, w.starts)
 }
+
+// A worker lists so many ends that a report has no room for the newest.
+func TestRunWhoseEndIsLeftOutOfAReportCountsAsMissing(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, time.Second))
+	w.run(800 * time.Millisecond)
+	s := w.engine.workers["w00"]
+	cut := &Report{Incarnation: 1, Clock: w.now.UnixMilli(), MoreEnds: true}
+	w.engine.Handle(w.now, &RenewalAnswered{Worker: s.id, Incarnation: 1, SentAt: w.now, Report: cut})
+	w.run(3 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 1, w.starts)
+}
