Wait for what the adviser still serves, so that calls to it stop timing out

Cause: the adviser serves one call of an instance at a time. When a call times out, it drops those that wait, but serves the one that it has begun to the end, up to 1.3 s. Delegate.CallEnded took the delegate as idle once no call was outstanding and never corrected the expected end of the others by the answers. A spell in which calls take longer (slow instances, a change of leader) thus left delegates whose every call waits longer than its margin of 600 ms, times out, and keeps the adviser busy for the next. Small delays of each call added up to the same.

The leader's lines: `step waits` with `asked` 0 or `tickets` 0, `calls` 1 and `most_free_cpu` 32000, and `adviser call failed` every 2 s, to the end.

Ruled out for the steps that were lost: members that are still being stopped (`tasks` equals `of` from second 33), the team's limit (a third in use), room (`most_free_cpu` is a whole worker), calls without an end (`calls` returns to 0), a step that is no longer open.

An answer now shows when the adviser begins the next call, so the wait is taken from there. After a failure the failed call counts as being served from now on, so that the next call is sent when the adviser is idle.

The engine's world now serves advice as the adviser does.

--- a/internal/cell/advice/advice.go
+++ b/internal/cell/advice/advice.go
@@ -22,9 +22,9 @@
 // Delegate is an instance that calls the adviser for the leader. The zero value is
 // idle.
 type Delegate struct {
-	busyUntil    time.Time // expected end of the calls sent
-	calls        int       // calls that have not ended
-	backoffUntil time.Time // no calls are sent before this time
+	busyUntil    time.Time     // expected time at which the adviser has served the calls sent
+	pending      time.Duration // expected duration of the calls that have not ended
+	backoffUntil time.Time     // no calls are sent before this time
 }
 
 // failureBackoff is how long a delegate gets no calls after one of its calls failed.
@@ -32,22 +32,26 @@
 
 // CallSent records that a call of the given expected duration is sent at now.
 func (d *Delegate) CallSent(now time.Time, expectedDuration time.Duration) {
-	if d.calls == 0 || d.busyUntil.Before(now) {
+	if d.busyUntil.Before(now) {
 		d.busyUntil = now
 	}
 	d.busyUntil = d.busyUntil.Add(expectedDuration)
-	d.calls++
+	d.pending += expectedDuration
 }
 
-// CallEnded records that a call ended at now, and whether it succeeded.
-// expectedDuration is not used.
+// CallEnded records that a call of the given expected duration ended at now, and whether
+// it succeeded.
 func (d *Delegate) CallEnded(now time.Time, expectedDuration time.Duration, ok bool) {
-	d.calls = max(0, d.calls-1)
-	if d.calls == 0 {
-		d.busyUntil = now
+	d.pending = max(0, d.pending-expectedDuration)
+	if ok {
+		// The adviser begins the next call now, whatever was expected of the earlier ones.
+		d.busyUntil = now.Add(d.pending)
+		return
 	}
-	if !ok {
-		d.backoffUntil = now.Add(failureBackoff)
+	d.backoffUntil = now.Add(failureBackoff)
+	// The adviser goes on with a call that it has begun.
+	if end := now.Add(d.pending + expectedDuration); end.After(d.busyUntil) {
+		d.busyUntil = end
 	}
 }
 
@@ -56,7 +60,7 @@
 func IdleRatio(delegates []*Delegate, now time.Time) float64 {
 	idle := 0
 	for _, d := range delegates {
-		if (d.calls == 0 || !now.Before(d.busyUntil)) && !now.Before(d.backoffUntil) {
+		if !now.Before(d.busyUntil) && !now.Before(d.backoffUntil) {
 			idle++
 		}
 	}
@@ -86,9 +90,6 @@
 			continue
 		}
 		wait := max(0, d.busyUntil.Sub(now))
-		if d.calls == 0 {
-			wait = 0
-		}
 		if wait > maxBacklog {
 			continue
 		}
--- /dev/null
+++ b/internal/cell/engine/adviser_calls_test.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// submitAdvised submits wide gangs that need long calls to the adviser, for a span of time.
+func submitAdvised(w *world, span time.Duration) (ids []string) {
+	for end := w.now.Add(span); w.now.Before(end); w.run(100 * time.Millisecond) {
+		ids = append(ids, w.submit("gangs", "a", gang(12, 8000, 2*time.Second)))
+	}
+	return ids
+}
+
+func TestCallsToTheAdviserTimeOutForeverAfterItWasSlow(t *testing.T) {
+	w := newAdvisedWorld(t, 350, 12)
+	w.run(2 * time.Second)
+	w.adviser.delay = 400 * time.Millisecond
+	ids := submitAdvised(w, 4*time.Second)
+	w.adviser.delay = 0
+	w.run(5 * time.Second)
+	before := w.adviser.timeouts
+	w.run(25 * time.Second)
+	t.Logf("timeouts: %d while the adviser was slow and soon after, then %d", before, w.adviser.timeouts-before)
+	assert.Zero(t, w.adviser.timeouts-before)
+	for _, id := range ids {
+		if w.accepted[id] {
+			assert.Equal(t, StateCompleted, w.state(id))
+		}
+	}
+}
+
+func TestSmallDelaysOfTheAdviserAddUpUntilCallsTimeOut(t *testing.T) {
+	w := newAdvisedWorld(t, 350, 12)
+	w.run(2 * time.Second)
+	w.adviser.delay = 30 * time.Millisecond
+	submitAdvised(w, 40*time.Second)
+	assert.Zero(t, w.adviser.timeouts)
+}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -50,6 +50,7 @@
 	uncertain        map[*Append]bool // appends with an attempt of unknown outcome
 	workersAsked     int              // number of workers that the adviser was asked about
 	adviceFails      bool
+	adviser          simAdviser
 	isGood           func(step job.StepRef, worker string) bool // if nil, about four workers in ten are good
 	lateCommandRatio float64                                    // share of commands that are carried out late, without an answer
 	lostStarts       int                                        // number of starts that will be carried out late, without an answer
@@ -189,7 +190,7 @@
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), accepted: make(map[string]bool),
 		canceledAt: make(map[string]time.Time), answers: make(map[string]Answer), cancelRequested: make(map[string]bool),
 		submittedAt: make(map[string]time.Time), turnaround: make(map[string]time.Duration), delegates: []string{"i1", "i2", "i3"},
-		gangs: make(map[string]*simGang), startCommands: make(map[string]int),
+		gangs: make(map[string]*simGang), startCommands: make(map[string]int), adviser: simAdviser{queues: make(map[string][]*simAdviceCall)},
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
@@ -410,7 +411,7 @@
 			w.deliver(e, simTick, &AdviceAnswered{Call: a})
 			return
 		}
-		w.deliver(e, a.ExpectedDuration, &AdviceAnswered{Call: a, OK: true, TTL: 1500 * time.Millisecond, Tickets: w.answerAdvice(a)})
+		w.callAdviser(e, a)
 	case *StepDown:
 		w.t.Fatalf("the engine stepped down: %s", a.Reason)
 	}
