Fix: a start accepted by an unknown incarnation outlives the restart of its worker

What callers may see: a task runs on two workers.

Cause: the platform promises the incarnation in reports, not in answers to commands. A start that the next incarnation has accepted without telling so counted as one of the earlier incarnation, and its run as ended once the restart was known. An accepted stop counted for an incarnation that it may not have reached.

Change: until a report shows such a run, it may be one of another incarnation, and moves there. A run that moves is not stopped at once: the next report of the incarnation decides, so that one which it has started goes on.

Evidence: TestRunThatTheNextIncarnationStartedCountsAsEnded fails before: run 2 starts while run 1 runs.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -113,6 +113,7 @@
 	if ev.Outcome == Accepted && (ev.Incarnation == 0 || ev.Incarnation >= r.incarnation) {
 		if r.phase == starting {
 			r.phase = running
+			r.unattributed = ev.Incarnation == 0
 		}
 		e.markStarted(t.step.job())
 		e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
@@ -192,11 +193,12 @@
 // still have one, although none was confirmed.
 func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
 
-// mayStartLate reports whether a start command for r may still be carried out, by whichever
-// incarnation of its worker it reaches. An earlier leader may have sent some that this one does not know.
+// mayStartLate reports whether a start command for r may still be carried out, or was, by
+// another incarnation of its worker than is known. An earlier leader may have sent some
+// that this one does not know.
 func (r *run) mayStartLate() bool {
 	inherited := r.startSent && r.startAttempts == 0
-	return inherited || r.startsInFlight > 0 || r.unansweredStarts > 0
+	return inherited || r.unattributed || r.startsInFlight > 0 || r.unansweredStarts > 0
 }
 
 // stopRun requests the end of a run for the given reason. The run keeps its worker's
@@ -237,8 +239,12 @@
 	if r.ended {
 		return
 	}
-	if ev.Incarnation != 0 && ev.Incarnation < r.incarnation || ev.Outcome == OtherIncarnation && ev.Stop.Incarnation < r.incarnation {
-		return // of an earlier incarnation than the run; the command is sent again
+	answered := ev.Incarnation
+	if answered == 0 {
+		answered = ev.Stop.Incarnation
+	}
+	if answered < r.incarnation {
+		return // the answer is not of the run's incarnation; the command is sent again
 	}
 	switch ev.Outcome {
 	case Accepted, StaleRun: // StaleRun: this run or a newer one has ended, so the worker no longer has this one
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -113,7 +113,7 @@
 		r.phase = running
 		e.markStarted(r.task.step.job())
 	}
-	r.restored = false
+	r.restored, r.unattributed = false, false
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -42,3 +42,30 @@
 	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Incarnation: 1, Clock: clock + time.Hour.Milliseconds()})
 	assert.Equal(t, clock, s.clock)
 }
+
+// The next incarnation carries out a start command, and its answer may not tell which
+// incarnation it is.
+func TestRunThatTheNextIncarnationStartedCountsAsEnded(t *testing.T) {
+	for _, told := range []int64{2, 0} {
+		w := newWorld(t, 2, 1)
+		w.run(time.Second)
+		var sent *Start
+		w.refuseStart = func(a *Start, _ int) CommandOutcome {
+			sent = a
+			return NoAnswer // dropped, as if the command were still under way
+		}
+		w.answerDelay = time.Minute
+		id := w.submit("batch", "a", tasks(1, 1000, 4*time.Second))
+		w.run(100 * time.Millisecond)
+		w.refuseStart, w.answerDelay = nil, 0
+		s := w.workers[sent.Worker]
+		w.restartUnlisted(s.id)
+		s.leaseEnd = w.now.Add(10 * time.Second)
+		w.startRun(s, sent, w.now)
+		w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Incarnation: told, Clock: w.now.UnixMilli()})
+		w.publishDirectory()
+		w.run(15 * time.Second)
+		assert.Equal(t, StateCompleted, w.state(id))
+		assert.Equal(t, 1, w.starts, "the answer tells incarnation %d", told)
+	}
+}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -93,7 +93,7 @@
 	starting                 // the start command has been sent
 	running                  // the worker has confirmed the start
 	stopping                 // the run is to be stopped
-	unconfirmed              // the start got no answer; the run may go on until its lease expires
+	unconfirmed              // whether it runs is not known; the worker's next report decides, or its lease
 )
 
 // run is one run of a task on a worker.
@@ -109,6 +109,7 @@
 	startSent        bool      // this leader or an earlier one has sent the start command
 	startAttempts    int       // number of times that this leader has sent the start command
 	startsInFlight   int       // number of these commands whose outcome is not known yet
+	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
 	unansweredStarts int       // number of these commands that got no answer; each may still take effect
 	startSentAt      time.Time // when this leader first sent it
 	stopReason       string
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -195,16 +195,16 @@
 
 // settleRunsOfEarlierIncarnations ends the runs that an earlier incarnation of w had. A
 // command names a worker by its id alone, which may outlive a restart, so a start command
-// that is still under way may start its run in the new incarnation. Such a run moves there
-// and is stopped, which makes the worker refuse the command.
+// that is still under way may start its run in the new incarnation. Such a run moves there.
+// If the next report lacks it, it is stopped, which makes the worker refuse the command.
 func (e *Engine) settleRunsOfEarlierIncarnations(w *worker) {
 	for _, r := range w.currentRuns() {
 		switch {
 		case r.incarnation == 0 || r.incarnation == w.incarnation:
 		case w.incarnation != 0 && r.mayStartLate():
 			e.moveToIncarnation(r, w.incarnation)
-			if r.phase == running || r.phase == unconfirmed {
-				e.stopRun(r, "its worker restarted, a start is unconfirmed")
+			if r.phase == running {
+				r.phase = unconfirmed // the next report decides
 			}
 		default:
 			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
