Fix: a refused job no longer takes a later one of its id with it when it expires

What callers may see: an accepted job is not known any more, 150 s after another of its id was refused.

Cause: a job that was canceled and then refused, as the store did not take its record, stayed in the list of ended jobs. When its time was over, the job of that id was deleted, whichever it was.

Change: a refused job leaves that list.

--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -206,6 +206,8 @@
 			}
 		}
 	})
-	e.scheduledJobs = slices.DeleteFunc(e.scheduledJobs, func(other *jobState) bool { return other == j })
+	isJob := func(other *jobState) bool { return other == j }
+	e.scheduledJobs = slices.DeleteFunc(e.scheduledJobs, isJob)
+	e.endedJobs = slices.DeleteFunc(e.endedJobs, isJob) // it may have been canceled
 	e.needsPlacement = true
 }
