Fix: the number of an ended speculative run is not used again after a change of leader

The platform wants run numbers that rise; a number that was used before is rejected by the worker that had it, and the start costs two more round trips.

Cause: the record of a task holds the number of its run, not the highest one that was used.

Change: the highest number is stored as a speculative run without a worker, which earlier versions pass over.

Evidence: TestRunNumberOfAnEndedSpeculativeRunIsUsedAgain fails before.

--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -107,9 +107,11 @@
 		if stored.Worker != "" {
 			e.restoreRun(t, stored)
 		}
-		if speculative, ok := rec.SpeculativeRuns[i]; ok && speculative.Worker != "" {
-			e.restoreRun(t, &speculative)
+		if speculative, ok := rec.SpeculativeRuns[i]; ok {
 			t.lastRun = max(t.lastRun, speculative.Run)
+			if speculative.Worker != "" {
+				e.restoreRun(t, &speculative)
+			}
 		}
 	}
 	e.restoreAdvice(s, rec)
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -171,6 +171,12 @@
 // encode returns the encoded record of s.
 func (s *stepState) encode() []byte {
 	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
+	addSpeculative := func(index int, t record.Task) {
+		if r.SpeculativeRuns == nil {
+			r.SpeculativeRuns = make(map[int]record.Task)
+		}
+		r.SpeculativeRuns[index] = t
+	}
 	for i, t := range s.tasks {
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
@@ -181,10 +187,10 @@
 				out.Worker, out.Incarnation, out.Run = u.worker.id, u.incarnation, u.number
 				continue
 			}
-			if r.SpeculativeRuns == nil {
-				r.SpeculativeRuns = make(map[int]record.Task)
-			}
-			r.SpeculativeRuns[i] = record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation}
+			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation})
+		}
+		if len(t.runs) == 1 && out.Run < t.lastRun {
+			addSpeculative(i, record.Task{Run: t.lastRun}) // it has ended, and its number must not be used again
 		}
 		r.Tasks[i] = out
 	}
--- a/internal/cell/engine/stragglers_test.go
+++ b/internal/cell/engine/stragglers_test.go
@@ -44,3 +44,25 @@
 	w.run(15 * time.Second)
 	assert.Equal(t, StateCompleted, w.state(id))
 }
+
+func TestRunNumberOfAnEndedSpeculativeRunIsUsedAgain(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	w.run(time.Second)
+	step := tasks(1, 1000, time.Minute)
+	step.Speculative = true
+	id := w.submit("batch", "a", step)
+	w.run(500 * time.Millisecond)
+	task := w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
+	for _, other := range w.engine.workerList {
+		if other != task.runs[0].worker {
+			w.engine.planRun(task, other, 2, ticket{})
+			break
+		}
+	}
+	w.run(500 * time.Millisecond)
+	w.engine.stopRun(task.runs[1], "test")
+	w.run(time.Second)
+	assert.Len(t, task.runs, 1)
+	w.startLeader()
+	assert.Equal(t, 2, w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0].lastRun)
+}
