Fix: a leader cut off with a few followers stops renewing leases

What callers may see: a task runs on two workers.

Cause: a leader counted as isolated only if no instance at all followed it. Cut off together with one follower it went on renewing the leases of workers that the next leader cannot reach.

Change: it counts as isolated if fewer than half of the instances that pinged within the last 10 s still follow. Open: a partition that leaves it half of them or more, on the side without the store.

Evidence: the two new cases of TestIsolatedLeaderRenewsLeasesBeyondTheWaitOfTheNextLeader fail before.

--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -29,6 +29,7 @@
 	mu          sync.Mutex
 	members     map[string]*member
 	unreachable map[string]bool // instances whose network connections lose all data
+	side        map[string]int  // side of a partition on which an instance is; connections between sides lose all data
 
 	directWorkers       int  // see Settings
 	payloadsFromEntries bool // see Settings
@@ -220,7 +221,8 @@
 // Write implements net.Conn.
 func (p *pipe) Write(b []byte) (int, error) {
 	p.c.mu.Lock()
-	lost := p.c.unreachable[p.instances[0]] || p.c.unreachable[p.instances[1]]
+	from, to := p.instances[0], p.instances[1]
+	lost := p.c.unreachable[from] || p.c.unreachable[to] || p.c.side[from] != p.c.side[to]
 	p.c.mu.Unlock()
 	if lost {
 		return len(b), nil
--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -64,15 +64,36 @@
 // its runs after the maximum lease.
 func TestIsolatedLeaderRenewsLeasesBeyondTheWaitOfTheNextLeader(t *testing.T) {
 	const maxLease, lease = 10 * time.Second, 6 * time.Second // of the cluster
-	for name, mode := range map[string]storeMode{"store refuses": storeRefuses, "store is silent": storeNoAnswer} {
-		t.Run(name, func(t *testing.T) {
-			renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
-				c.mu.Lock()
-				c.unreachable[old.settings.Instance] = true
-				c.mu.Unlock()
-				old.store.setMode(mode)
-			})
+	for _, test := range []struct {
+		name      string
+		mode      storeMode
+		followers int // that are cut off with the leader
+	}{
+		{"store refuses", storeRefuses, 0},
+		{"store is silent", storeNoAnswer, 0},
+		{"a follower is cut off too, store refuses", storeRefuses, 1},
+		{"a follower is cut off too, store is silent", storeNoAnswer, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) { c.cutOff(old, test.followers, test.mode) })
 			assert.Less(t, renewedFor, maxLease-lease)
 		})
 	}
 }
+
+// cutOff cuts a leader and some of its followers off from the others and from the store.
+func (c *cluster) cutOff(leader *member, followers int, mode storeMode) {
+	side := []*member{leader}
+	for _, m := range c.all() {
+		if m != leader && len(side) <= followers {
+			side = append(side, m)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.side = make(map[string]int)
+	for _, m := range side {
+		c.side[m.settings.Instance] = 1
+		m.store.setMode(mode)
+	}
+}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -24,7 +24,6 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 
-	followed          bool          // another instance has followed it in this term
 	onlyLowCPUSince   time.Time     // since when only low-CPU instances reach the store; zero otherwise
 	moreCPUSince      time.Time     // since when an instance with much more CPU follows; zero if none does
 	startedAt         time.Time     // when the term began on this instance
@@ -35,6 +34,7 @@
 
 	mu        sync.Mutex
 	followers map[string]*follower // by instance name
+	pingedAt  map[string]time.Time // when each instance last pinged, by name
 
 	relays  *relays
 	workers atomic.Int64 // number of workers in the directory
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &leader{n: n, rec: *rec, events: make(chan any, maxQueuedEvents), done: make(chan struct{}),
-		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), followerReached: make(chan struct{}, 1), sequence: 1, startedAt: time.Now()}
+		cancel: cancel, ctx: ctx, followers: make(map[string]*follower), pingedAt: make(map[string]time.Time), followerReached: make(chan struct{}, 1), sequence: 1, startedAt: time.Now()}
 	l.relays = newRelays(l)
 	n.ownTerm.Store(l)
 	renewalEnded := make(chan struct{})
@@ -185,7 +185,7 @@
 func (l *leader) recordPing(args *PingArgs) {
 	f := &follower{PingArgs: *args, pingedAt: time.Now()}
 	l.mu.Lock()
-	l.followers[args.Instance] = f
+	l.followers[args.Instance], l.pingedAt[args.Instance] = f, f.pingedAt
 	l.mu.Unlock()
 	if l.reachedStoreSinceFailure(f) {
 		wait.Wake(l.followerReached)
@@ -275,10 +275,8 @@
 		if changed {
 			l.n.cellInstances.Store(newInstanceList(live, chosen, l.n.cpuShare()))
 		}
-		if len(live) > 0 {
-			l.followed = true
-		} else if l.isolated() {
-			l.stop("neither the store nor another instance answers")
+		if l.isolated(live) {
+			l.stop("neither the store nor most of the other instances answer")
 			return
 		}
 		l.updateRelays(live)
@@ -287,15 +285,34 @@
 	}
 }
 
-// isolationTimeout is how long a leader without followers goes on without an answer from the
-// store. Another may lead by then, and counts a worker that it cannot reach as lost after the maximum
-// lease. Until then the leases that this one has renewed must have expired.
-const isolationTimeout = 2500 * time.Millisecond
+const (
+	// isolationTimeout is how long a leader that has lost most of its followers goes on without an
+	// answer from the store. Another may lead by then, and counts a worker that it cannot
+	// reach as lost after the maximum lease. The leases that this one has renewed must
+	// have expired before.
+	isolationTimeout = 2500 * time.Millisecond
+	// memberTimeout is how long after its last ping an instance counts as one that should
+	// follow. It is longer than an isolated leader goes on.
+	memberTimeout = 10 * time.Second
+)
 
-// isolated reports whether the leader, which has no followers, is likely cut off from all
-// others, rather than the store being away for all.
-func (l *leader) isolated() bool {
-	return l.followed && l.n.since(&l.n.storeAnsweredAt) > isolationTimeout
+// isolated reports whether the store is silent and most of the instances that followed
+// lately do not follow any more. The leader is then likely cut off from them, rather than
+// the store being away for all.
+func (l *leader) isolated(live []*follower) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := 0
+	for name, at := range l.pingedAt {
+		switch {
+		case name == l.n.settings.Instance:
+		case time.Since(at) > memberTimeout:
+			delete(l.pingedAt, name)
+		default:
+			members++
+		}
+	}
+	return l.n.since(&l.n.storeAnsweredAt) > isolationTimeout && 2*len(live) < members
 }
 
 // namesOf returns the names of instances.
