Have random schedules refuse, lose, delay and reorder calls to workers

Change: a network for the world carries calls as the platform specifies them. Each call and each answer has its own delay, may be lost or be carried out 2 to 12 s late, and workers refuse starts, stops and renewals for a time and a share. Workers check tickets and fences, shorten leases, have a clock for each incarnation that may be 2% slow, save checkpoints, list a part of their ends, and restart under the same id or are replaced. execute and appendRecords move to a file of their own.

TestRandomRefusals mixes these with changes of leader, a failing store, cancels, gangs, dependencies, speculative and lasting steps. TestRandomRefusalsWithKeptIDs also has starts and stops that are under way when a worker restarts under its id reach the next incarnation. Starts there that no engine could prevent are left out: the run was settled before with proof, or a command for a higher run was sent. Cursors of renewals for an earlier incarnation are ignored.

--- /dev/null
+++ b/internal/cell/engine/random_refusals_test.go
@@ -0,0 +1,218 @@
+package engine
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pollenbend/internal/cell/job"
+)
+
+// refusalOptions are the parts of a schedule that a test chooses.
+type refusalOptions struct {
+	planted        plantedFault
+	restartsKeepID bool
+}
+
+// runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
+// or overtaken, workers restart and leaders change, and checks the rules on runs.
+func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
+	w := newWorld(t, 6, seed)
+	n := w.useNetwork(seed)
+	n.planted, n.restartsKeepID = o.planted, o.restartsKeepID
+	if n.rand.IntN(3) == 0 {
+		n.endsPerReport = 1 + n.rand.IntN(4)
+	}
+	w.failureRatio = 0.05
+	w.run(time.Second)
+	for range 60 {
+		n.submitRandom()
+		n.injectFault()
+		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
+		for _, id := range sortedKeys(w.accepted) {
+			n.rules.checkShown(id)
+		}
+		if t.Failed() {
+			return w // what follows a broken rule tells nothing new
+		}
+	}
+	n.clearFaults()
+	for range 16 {
+		w.run(5 * time.Second)
+		if len(n.unfinished()) == 0 {
+			break
+		}
+	}
+	for _, id := range sortedKeys(w.accepted) {
+		n.rules.checkShown(id)
+	}
+	for _, id := range n.unfinished() {
+		w.t.Errorf("job %s is lost: %s at the end", id, w.state(id))
+	}
+	return w
+}
+
+// submitRandom submits a random job, which may be canceled later.
+func (n *network) submitRandom() {
+	w := n.w
+	queue := []string{"urgent", "gangs", "batch", "advised"}[n.rand.IntN(4)]
+	team := []string{"a", "capped"}[n.rand.IntN(2)]
+	longest := 3 * time.Second
+	if n.rand.IntN(5) == 0 {
+		longest = 12 * time.Second // longer than a lease
+	}
+	first := tasks(1+n.rand.IntN(4), int64(500+n.rand.IntN(1500)), 100*time.Millisecond+n.upTo(longest))
+	first.Gang = queue == "gangs" || queue == "advised" && n.rand.IntN(2) == 0
+	first.Speculative = !first.Gang && n.rand.IntN(4) == 0
+	first.Checkpoints = n.rand.IntN(3) == 0
+	steps := []job.Step{first}
+	if n.rand.IntN(3) == 0 {
+		next := first
+		next.DependsOn = []int{0}
+		steps = append(steps, next)
+	}
+	if n.rand.IntN(20) == 0 {
+		lasting := tasks(1+n.rand.IntN(2), 300, time.Second)
+		lasting.LongRunning = true
+		queue, team, steps = "batch", "a", []job.Step{lasting}
+	}
+	id := w.submit(queue, team, steps...)
+	if n.rand.IntN(8) == 0 {
+		w.after(time.Duration(n.rand.IntN(3000))*time.Millisecond, func() { w.cancel(id) })
+	}
+}
+
+// unfinished returns the accepted jobs that have not reached the state that they should.
+func (n *network) unfinished() []string {
+	var out []string
+	for _, id := range sortedKeys(n.w.accepted) {
+		if n.w.accepted[id] && !n.finished(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// finished reports whether a job has ended, or has all of its lasting tasks at work.
+func (n *network) finished(id string) bool {
+	switch n.w.state(id) {
+	case StateCompleted, StateFailed, StateCanceled:
+		return true
+	}
+	spec := n.w.specs[id]
+	return spec.Steps[0].LongRunning && n.w.runningTasks(id, 0) == spec.Steps[0].Count
+}
+
+// linkFaults are kinds of trouble on the link to a worker. A fault mixes two of them.
+var linkFaults = []func(n *network, l *link){
+	func(n *network, l *link) { l.refusedRatio, l.refusals = n.share(), refusals },
+	func(n *network, l *link) { l.refusedRatio, l.refusals = n.share(), []CommandOutcome{Unhealthy} },
+	func(n *network, l *link) {
+		l.refusedRatio, l.refusals = n.share(), refusals[n.rand.IntN(len(refusals)):]
+	},
+	func(n *network, l *link) { l.lostReplyRatio = n.share() },
+	func(n *network, l *link) { l.lateRatio = n.share() },
+	func(n *network, l *link) { l.lostRatio = n.share() },
+	func(n *network, l *link) { l.maxDelay = time.Duration(50+n.rand.IntN(600)) * time.Millisecond },
+}
+
+func (n *network) share() float64 { return 0.1 + 0.9*n.rand.Float64() }
+
+// injectFault injects a random fault with a probability of about five sixths.
+func (n *network) injectFault() {
+	w := n.w
+	id := w.ids[n.rand.IntN(len(w.ids))]
+	s := w.workers[id]
+	switch n.rand.IntN(22) {
+	case 0:
+		n.startLeader()
+	case 1, 17:
+		s.unreachable = true
+		w.after(n.upTo(16*time.Second), func() { s.unreachable = false })
+	case 2, 3:
+		n.restart(id, n.upTo(2*time.Second), n.upTo(3*time.Second))
+	case 4:
+		if id != "w00" && id != "w01" { // for some steps the adviser names no other worker
+			n.replace(id, n.upTo(3*time.Second))
+		}
+	case 5:
+		w.storeRefuses = true
+		w.after(n.upTo(3*time.Second), func() { w.storeRefuses = false; w.engine.Handle(w.now, &StoreRecovered{}) })
+	case 6:
+		w.storeHangs = true
+		w.after(n.upTo(3*time.Second), func() { w.storeHangs = false })
+	case 7:
+		w.storeDelay = n.upTo(300 * time.Millisecond)
+		w.after(3*time.Second, func() { w.storeDelay = 0 })
+	case 8:
+		w.adviceFails = true
+		w.after(time.Second, func() { w.adviceFails = false })
+	case 9:
+		s.slowdown = 5
+		w.after(3*time.Second, func() { s.slowdown = 1 })
+	case 10, 11, 12, 13, 14, 15:
+		n.disturb(id)
+	case 16, 18:
+		for _, id := range w.ids {
+			n.disturb(id)
+		}
+	}
+}
+
+// upTo returns a random duration of up to d.
+func (n *network) upTo(d time.Duration) time.Duration { return time.Duration(n.rand.Int64N(int64(d))) }
+
+// disturb mixes two kinds of trouble on the link to a worker for up to six seconds.
+func (n *network) disturb(id string) {
+	l := n.links[id]
+	for range 2 {
+		linkFaults[n.rand.IntN(len(linkFaults))](n, l)
+	}
+	n.w.after(n.upTo(6*time.Second), l.clear)
+}
+
+// clear ends the faults of a link.
+func (l *link) clear() { *l = link{maxDelay: usualDelay, downUntil: l.downUntil} }
+
+// clearFaults ends all faults.
+func (n *network) clearFaults() {
+	n.w.clearFaults()
+	for _, l := range n.links {
+		l.clear()
+	}
+}
+
+// refusalSeeds returns the first seed and the number of seeds to run: WORLD_FIRST_SEED and
+// WORLD_SEEDS, or those for CI.
+func refusalSeeds() (first, count uint64) {
+	number := func(name string, otherwise uint64) uint64 {
+		if n, err := strconv.ParseUint(os.Getenv(name), 10, 32); err == nil {
+			return n
+		}
+		return otherwise
+	}
+	return number("WORLD_FIRST_SEED", 1), number("WORLD_SEEDS", 40)
+}
+
+func TestRandomRefusals(t *testing.T) {
+	first, count := refusalSeeds()
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomRefusals(t, seed, refusalOptions{})
+		})
+	}
+}
+
+// Calls that are under way when a worker restarts under its id reach the new incarnation.
+func TestRandomRefusalsWithKeptIDs(t *testing.T) {
+	first, count := refusalSeeds()
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomRefusals(t, seed, refusalOptions{restartsKeepID: true})
+		})
+	}
+}
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -80,7 +80,7 @@
 		t = &simTask{runs: make(map[string]*simRun)}
 		w.tasks[a.Task] = t
 	}
-	if t.acknowledged {
+	if t.acknowledged && (w.net == nil || !step.Speculative) { // the network's rules have that case
 		w.t.Errorf("%v: %s run %d started after its end was acknowledged", w.now.Sub(w.startTime), a.Task, a.Run)
 	}
 	if len(t.runs) > 0 && !step.Speculative {
@@ -100,7 +100,7 @@
 	if at, canceled := w.canceledAt[ref.Job]; canceled && sent.Sub(at) > 3*time.Second {
 		w.t.Errorf("%s started %v after its cancellation", a.Task, w.now.Sub(at))
 	}
-	r := &simRun{task: a.Task, run: a.Run, startedAt: w.now, runtime: step.Estimate, need: step.Need, fails: w.rand.Float64() < w.failureRatio}
+	r := &simRun{task: a.Task, run: a.Run, startedAt: w.now, runtime: step.Estimate, need: step.Need, longRunning: step.LongRunning, fails: w.rand.Float64() < w.failureRatio}
 	if step.Gang {
 		key := fmt.Sprintf("%s/%d", ref.StepRef, a.Run)
 		g := w.gangs[key]
@@ -232,6 +232,9 @@
 			kept = append(kept, end)
 			continue
 		}
+		if w.net != nil {
+			w.net.acknowledged(s, end)
+		}
 		if end.Reason == EndedDone && end.Number > s.expiredEnds {
 			w.tasks[end.Task].acknowledged = true
 		}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -63,6 +63,7 @@
 	delegates        []string
 	gangs            map[string]*simGang // by step and run
 	gangTimeouts     int                 // members that ended because their gang was not complete in time
+	net              *network            // carries the calls to workers if set
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -82,6 +83,11 @@
 	need      job.Resources
 	stopped   bool
 	gang      *simGang
+
+	longRunning bool          // works until it is stopped
+	foreign     bool          // started by a later incarnation than the command named
+	resumedFrom string        // checkpoint
+	saved       time.Duration // work that the checkpoint saved
 }
 
 // workStart returns when r began to work; a member of a gang waits for the others.
@@ -98,6 +104,7 @@
 	workers    map[string]*simWorker // by task
 	count      int
 	completeAt time.Time // when all members were present
+	checkpoint string    // in the start commands of the members
 }
 
 // gangComplete reports whether all members of the gang of r have started.
@@ -110,6 +117,7 @@
 
 // simWorker simulates a worker as the platform specifies it.
 type simWorker struct {
+	life
 	id             string
 	incarnation    int64
 	capacity       job.Resources
@@ -306,6 +314,7 @@
 				w.gangTimeouts++
 				w.endRun(s, r, EndedGangIncomplete)
 			}
+		case r.longRunning:
 		case w.now.Sub(r.workStart()) >= time.Duration(float64(r.runtime)*s.slowdown):
 			reason := EndedDone
 			if r.fails {
@@ -330,6 +339,9 @@
 	}
 	s.lastEnd++
 	s.ended = append(s.ended, RunEnd{Number: s.lastEnd, Task: r.task, Run: r.run, Reason: reason})
+	if w.net != nil {
+		w.net.ended(s, r, reason)
+	}
 	waiting := s.pendingAnswers
 	s.pendingAnswers = nil
 	for _, f := range waiting {
@@ -379,77 +391,3 @@
 	s.endedRuns = make(map[string]int)
 	s.pendingAnswers = nil
 }
-
-// execute carries out an action of the engine.
-func (w *world) execute(action any) {
-	e := w.engine
-	switch a := action.(type) {
-	case *Append:
-		w.appendRecords(e, a)
-	case *Start:
-		sent := w.now
-		fn := func(s *simWorker) any { return w.handleStart(s, a, sent) }
-		unanswered := &StartAnswered{Start: a, Outcome: NoAnswer}
-		switch {
-		case w.lostStarts > 0:
-			w.lostStarts--
-			w.deliver(e, a.Timeout, unanswered)
-			w.after(5*time.Second, func() { fn(w.workers[a.Worker]) })
-		case w.lostStartAnswers > 0:
-			w.lostStartAnswers--
-			w.deliver(e, a.Timeout, unanswered)
-			w.after(simTick, func() { fn(w.workers[a.Worker]) })
-		default:
-			w.sendCommand(e, a.Worker, a.Timeout, fn, unanswered)
-		}
-	case *Stop:
-		w.sendCommand(e, a.Worker, a.Timeout, func(s *simWorker) any { return w.handleStop(s, a) }, &StopAnswered{Stop: a, Outcome: NoAnswer})
-	case *Renew:
-		w.handleRenewal(e, a)
-	case *AdviceCall:
-		if w.adviceFails {
-			w.deliver(e, simTick, &AdviceAnswered{Call: a})
-			return
-		}
-		w.callAdviser(e, a)
-	case *StepDown:
-		w.t.Fatalf("the engine stepped down: %s", a.Reason)
-	}
-}
-
-// appendRecords stores a batch as the platform does, which rejects a leader that a later
-// one has fenced off.
-func (w *world) appendRecords(e *Engine, a *Append) {
-	retry := func() {
-		w.after(50*time.Millisecond, func() {
-			if w.engine == e {
-				w.appendRecords(e, a)
-			}
-		})
-	}
-	switch {
-	case w.storeRefuses && !w.uncertain[a]:
-		w.deliver(e, simTick, &Appended{Append: a, Outcome: NotStored})
-		return
-	case w.storeRefuses:
-		retry()
-		return
-	case w.storeHangs:
-		w.uncertain[a] = true
-		retry()
-		return
-	}
-	w.after(2*simTick+w.storeDelay, func() {
-		if w.engine != e {
-			return // a later leader has fenced this one off
-		}
-		for _, r := range a.Records {
-			if len(r.Value) == 0 {
-				delete(w.stored, r.Key)
-				continue
-			}
-			w.stored[r.Key] = r.Value
-		}
-		w.deliver(e, w.storeDelay, &Appended{Append: a, Outcome: Stored})
-	})
-}
