Fix: answers to starts that do not tell their incarnation show the worker's clock again

What callers may see: a worker that answers starts, but whose renewals are lost, counts as silent.

Cause: the clock counted only if the answer told the present incarnation.

Change: an answer that does not tell it counts for the incarnation that the command was sent to. If the run has moved to a later one meanwhile, the next report decides whether it has started there.

Evidence: TestAnswerThatDoesNotTellItsIncarnationIsNoSignOfLife fails before.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -103,7 +103,7 @@
 	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
 		e.newIncarnation(w, ev.Incarnation, "answer to a start")
 	}
-	if ev.Incarnation == w.incarnation {
+	if answeredBy(ev.Incarnation, ev.Start.Incarnation) == w.incarnation {
 		w.noteClock(ev.Clock, e.now)
 	}
 	if r.ended {
@@ -114,6 +114,9 @@
 		if r.phase == starting {
 			r.phase = running
 			r.unattributed = ev.Incarnation == 0
+			if r.unattributed && ev.Start.Incarnation < r.incarnation {
+				r.phase = unconfirmed // the earlier incarnation may have accepted it
+			}
 		}
 		e.markStarted(t.step.job())
 		e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
@@ -163,6 +166,15 @@
 	r.worker.nextRenewal = e.now
 }
 
+// answeredBy returns the incarnation of the worker that answered a command. Unless the answer
+// tells it, that is at least the one for which the command was sent.
+func answeredBy(told, sentTo int64) int64 {
+	if told != 0 {
+		return told
+	}
+	return sentTo
+}
+
 // startRefused applies the refusal of a start command. A refusal says that this command
 // had no effect, and nothing of an earlier one that got no answer.
 func (e *Engine) startRefused(r *run, outcome CommandOutcome) {
@@ -239,11 +251,7 @@
 	if r.ended {
 		return
 	}
-	answered := ev.Incarnation
-	if answered == 0 {
-		answered = ev.Stop.Incarnation
-	}
-	if answered < r.incarnation {
+	if answeredBy(ev.Incarnation, ev.Stop.Incarnation) < r.incarnation {
 		return // the answer is not of the run's incarnation; the command is sent again
 	}
 	switch ev.Outcome {
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -14,6 +14,7 @@
 type refusalOptions struct {
 	planted        plantedFault
 	restartsKeepID bool
+	untold         bool // answers to commands don't tell the worker's incarnation
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
@@ -21,7 +22,7 @@
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
 	n := w.useNetwork(seed)
-	n.planted, n.restartsKeepID = o.planted, o.restartsKeepID
+	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
 	if n.rand.IntN(3) == 0 {
 		n.endsPerReport = 1 + n.rand.IntN(4)
 	}
@@ -196,23 +197,25 @@
 	return number("WORLD_FIRST_SEED", 1), number("WORLD_SEEDS", 40)
 }
 
-func TestRandomRefusals(t *testing.T) {
+// runRefusalSeeds runs the schedules of refusalSeeds.
+func runRefusalSeeds(t *testing.T, o refusalOptions) {
 	first, count := refusalSeeds()
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runRandomRefusals(t, seed, refusalOptions{})
+			runRandomRefusals(t, seed, o)
 		})
 	}
 }
 
+func TestRandomRefusals(t *testing.T) { runRefusalSeeds(t, refusalOptions{}) }
+
 // Calls that are under way when a worker restarts under its id reach the new incarnation.
 func TestRandomRefusalsWithKeptIDs(t *testing.T) {
-	first, count := refusalSeeds()
-	for seed := first; seed < first+count; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			runRandomRefusals(t, seed, refusalOptions{restartsKeepID: true})
-		})
-	}
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true})
+}
+
+// Besides, only reports tell which incarnation has answered.
+func TestRandomRefusalsWithUntoldIncarnations(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, untold: true})
 }
--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -69,3 +69,19 @@
 		assert.Equal(t, 1, w.starts, "the answer tells incarnation %d", told)
 	}
 }
+
+func TestAnswerThatDoesNotTellItsIncarnationIsNoSignOfLife(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	var sent *Start
+	w.refuseStart = func(a *Start, _ int) CommandOutcome {
+		sent = a
+		return Accepted
+	}
+	w.submit("batch", "a", tasks(1, 1000, 5*time.Second))
+	w.run(100 * time.Millisecond)
+	s := w.engine.workers["w00"]
+	s.missedRenewals = 1
+	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Clock: w.now.UnixMilli()})
+	assert.Zero(t, s.missedRenewals)
+}
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -22,6 +22,7 @@
 	// restartsKeepID says that calls name a worker's id, not its incarnation, so that a
 	// call which is under way when the worker restarts is carried out by the new one.
 	restartsKeepID bool
+	untold         bool                 // answers to commands don't tell the worker's incarnation
 	knownSince     map[string]time.Time // when the engine first heard of a worker's incarnation
 	lastSent       map[string]int       // highest run number of a start command, by task
 	settled        map[string]bool      // runs that have ended or were stopped in some incarnation
@@ -142,8 +143,14 @@
 	}
 	switch ev := event.(type) {
 	case *StartAnswered:
+		if n.untold {
+			ev.Incarnation = 0
+		}
 		n.learn(c.worker, ev.Incarnation)
 	case *StopAnswered:
+		if n.untold {
+			ev.Incarnation = 0
+		}
 		n.learn(c.worker, ev.Incarnation)
 	case *RenewalAnswered:
 		if ev.Report != nil {
