Fix: a refused submission no longer replaces the payload of an accepted job

What callers may see: a task runs with the payload of another submission.

Cause: an instance kept the payload of each submission that it passed on, also before and after a refusal. A relay that fetches the payload of an accepted job there could get that of a refused one with the same id.

Change: the first payload stays, and that of a refused submission is forgotten.

Evidence: TestRefusedSubmissionReplacesThePayloadOfAnAcceptedJob fails before.

--- a/internal/cell/node/payloads.go
+++ b/internal/cell/node/payloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -48,6 +49,23 @@
 	}
 }
 
+// addFirst adds the payload of a job unless one is known. It reports whether it did.
+func (c *payloadCache) addFirst(job, payload string) bool {
+	if _, known := c.get(job); known {
+		return false
+	}
+	c.add(job, payload)
+	return true
+}
+
+// remove removes the payload of a job.
+func (c *payloadCache) remove(job string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byJob, job)
+	c.order = slices.DeleteFunc(c.order, func(other string) bool { return other == job })
+}
+
 // get returns the payload of a job and whether it is known.
 func (c *payloadCache) get(job string) (string, bool) {
 	c.mu.Lock()
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -32,10 +32,14 @@
 // Submit submits a job to the leader and sets its Entry. An error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) (engine.Answer, error) {
 	spec.Entry = n.settings.Address
-	n.ownPayloads.add(spec.ID, spec.Payload)
-	return n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
+	added := n.ownPayloads.addFirst(spec.ID, spec.Payload)
+	answer, err := n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
 		return &engine.Submit{Spec: spec, Wait: untilDeadline(ctx), Reply: answer}
 	})
+	if added && err == nil && answer.Outcome == engine.Refused {
+		n.ownPayloads.remove(spec.ID) // a later job of this id may have another
+	}
+	return answer, err
 }
 
 // untilDeadline returns the time until the deadline of ctx, or zero if it has none.
--- a/internal/cell/node/requests_test.go
+++ b/internal/cell/node/requests_test.go
@@ -51,6 +51,13 @@
 	return local, nil
 }
 
+// close closes all connections.
+func (l *refusingLeader) close() {
+	for _, conn := range l.conns {
+		_ = conn.Close() // some have been closed
+	}
+}
+
 // submitToRefusingLeader submits a job on an instance that follows the first of the given
 // leaders, and the second once the answer of the first has been lost.
 func submitToRefusingLeader(t *testing.T, leaders ...Leadership) error {
@@ -62,11 +69,7 @@
 		n.setLeader(&leaders[0])
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		defer func() {
-			for _, conn := range stub.conns {
-				_ = conn.Close() // some have been closed
-			}
-		}()
+		defer stub.close()
 		if len(leaders) > 1 {
 			time.AfterFunc(leaderRetryDelay/2, func() { n.setLeader(&leaders[1]) })
 		}
@@ -100,3 +103,24 @@
 	require.ErrorAs(t, err, &e)
 	assert.Equal(t, verdict.MayHaveRun, e.Verdict)
 }
+
+// Relays fetch the payload of an accepted job from the instance that took it.
+func TestRefusedSubmissionReplacesThePayloadOfAnAcceptedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := new(refusingLeader)
+		n := New(Settings{Instance: "entry", Address: "entry:1", Dial: stub.dial}, Ports{}, NewStats(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		n.setNow(&n.leaderAnsweredAt)
+		n.setLeader(&Leadership{Instance: "i1", Session: "s1", Address: "i1:1", Term: 3})
+		defer stub.close()
+		n.ownPayloads.add("accepted", "first")
+		for _, id := range []string{"accepted", "refused"} {
+			answer, err := n.Submit(t.Context(), spec(id))
+			require.NoError(t, err)
+			require.Equal(t, engine.Refused, answer.Outcome)
+		}
+		payload, _ := n.ownPayloads.get("accepted")
+		assert.Equal(t, "first", payload)
+		_, known := n.ownPayloads.get("refused")
+		assert.False(t, known)
+	})
+}
