Have the soak's workers refuse, lose, delay and hold back calls, and restart

What: for a time and with ratios from the seed, one worker or all refuse starts, stops and renewals (503, 429, 400; 409 room, late and ticket for starts), lose answers (connection left open or reset), carry calls out 2 to 8 s late, or delay them so that newer ones overtake them. In half of the seeds, workers restart under the same id; commands that are held back reach the later life, unless no sender could know of it. Some runs fail and some tasks always do. A stop takes up to stopMs, a third of the workers refuse what does not fit, and their clocks are up to 2% slow.

Checks: no start after a run ended done whose end is acknowledged then or later (before: then only); no start after as many acknowledged failures as the config permits; the state of a job is also checked while faults are injected, and `failed` needs a task that used up its attempts. A violation is shown with the history of its task.

An accepted job must end completed or, with cause, failed (before: completed), since tasks may now fail. A worker that guards its capacity answers room instead of showing a violation; two thirds don't guard it.

--- /dev/null
+++ b/internal/soak/clients_test.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// submittedJob is a job and what its client knows of it.
+type submittedJob struct {
+	mu           sync.Mutex
+	id           string
+	width        int
+	steps        int
+	cpu          int64
+	hopeless     bool // whether its first task always fails
+	misreported  bool // whether a violation by its state is recorded
+	openAttempts int  // attempts that have no outcome yet
+	unknown      bool // whether the outcome of an attempt is not known
+	refusals     int  // attempts that were certainly refused
+	accepted     bool
+}
+
+// task returns the name of a task.
+func (s *submittedJob) task(step, index int) string {
+	return fmt.Sprintf("%s.0.%d.%d", s.id, step, index)
+}
+
+// refused reports whether every attempt so far was certainly refused.
+func (s *submittedJob) refused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusals > 0 && s.openAttempts == 0 && !s.unknown && !s.accepted
+}
+
+// state returns the state of a job as the first instance that answers reports it.
+func (c *cell) state(id string) string {
+	for _, in := range c.instances {
+		if state := c.stateAt(http.DefaultClient, in, id); state != "" {
+			return state
+		}
+	}
+	return ""
+}
+
+// stateAt returns the state of a job as an instance reports it, or "". It checks that
+// the tasks of the job have ended accordingly.
+func (c *cell) stateAt(client *http.Client, in *instance, id string) string {
+	status, body := c.call(client, in, http.MethodGet, "/q/"+id, nil)
+	var answer struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return ""
+	}
+	c.fleet.checkState(id, answer.State)
+	return answer.State
+}
+
+// call sends one request to an instance. A status of zero means that no answer came.
+func (c *cell) call(client *http.Client, in *instance, method, path string, body []byte) (int, []byte) {
+	var boot struct {
+		Listen struct{ Front string }
+	}
+	data, err := os.ReadFile(in.bootPath)
+	if err != nil || json.Unmarshal(data, &boot) != nil {
+		return 0, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+boot.Listen.Front+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Host = "soak.example"
+	req.Header.Set("Authorization", "Token key")
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }() // the body has been read
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// client submits jobs over persistent connections until c.stop is closed.
+func (c *cell) client(number int) {
+	defer c.group.Done()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	rng := rand.New(rand.NewPCG(c.seed, uint64(100+number)))
+	for n := 0; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
+		}
+		j := &submittedJob{id: fmt.Sprintf("%08x%08x", number, n), width: 1 + rng.IntN(4), steps: 1 + rng.IntN(2), cpu: int64(500 + rng.IntN(1500)), hopeless: rng.IntN(25) == 0}
+		c.fleet.mu.Lock()
+		c.fleet.jobs[j.id] = j
+		c.fleet.mu.Unlock()
+		c.submit(client, rng, j)
+		if n > 0 && rng.IntN(4) == 0 { // the state of a job is checked at any time
+			c.stateAt(client, c.instances[rng.IntN(len(c.instances))], fmt.Sprintf("%08x%08x", number, n-1-rng.IntN(min(n, 40))))
+		}
+	}
+}
+
+// submit submits j, with up to three attempts until it is accepted.
+func (c *cell) submit(client *http.Client, rng *rand.Rand, j *submittedJob) {
+	steps := ""
+	for i := range j.steps {
+		after := ""
+		if i > 0 {
+			after = `,"dependsOn":[0]`
+		}
+		steps += fmt.Sprintf(`{"count":%d,"cpu":%d,"memMb":1,"estimateMs":%d%s},`, j.width, j.cpu, taskTime.Milliseconds(), after)
+	}
+	body := []byte(`{"spec":"p","steps":[` + steps[:len(steps)-1] + `]}`)
+	for range 3 {
+		in := c.instances[rng.IntN(len(c.instances))]
+		j.mu.Lock()
+		j.openAttempts++
+		j.mu.Unlock()
+		status, _ := c.call(client, in, http.MethodPost, "/q/"+j.id, body)
+		j.mu.Lock()
+		j.openAttempts--
+		switch status {
+		case http.StatusOK:
+			j.accepted = true
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			j.refusals++
+		default:
+			j.unknown = true
+		}
+		accepted := j.accepted
+		j.mu.Unlock()
+		if accepted {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -3,43 +3,59 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 )
 
-// fleet is a stand-in for all workers. It checks what workers can observe: a task
-// runs on one worker at a time and not after its end was acknowledged, workers are
-// not overcommitted, steps run in order, and refused jobs don't run.
+// fleet is a stand-in for all workers. It checks what workers can observe; see
+// checks_test.go.
 type fleet struct {
-	mu           sync.Mutex
-	startedAt    time.Time
-	workers      map[string]*worker
-	runsOn       map[string]string // by task: the worker that runs it
-	done         map[string]bool   // tasks with a run that ended with "done"
-	acknowledged map[string]bool   // tasks in done whose end was acknowledged
-	violations   []string
-	starts       int
-	maxLease     time.Duration // maximum duration of a lease
-	jobs         map[string]*submittedJob
+	mu         sync.Mutex
+	rng        *rand.Rand
+	startedAt  time.Time
+	workers    map[string]*worker
+	tasks      map[string]*taskState
+	jobs       map[string]*submittedJob
+	violations []string
+	starts     int
+	faulty     map[string]int  // calls that a fault has met, by fault
+	fault      string          // of the start that is being carried out
+	failRatio  float64         // ratio of runs that fail
+	restarts   bool            // whether workers restart
+	register   func(w *worker) // writes the directory's entry of a worker
+	pending    sync.WaitGroup  // calls that are held back
 }
 
+// worker is a worker's id with its present life.
 type worker struct {
-	id       string
-	fence    int64
-	leaseEnd time.Time
-	usedCPU  int64
-	runs     map[string]*taskRun
-	// ended holds the ends that are not acknowledged yet, as the wire has them. An
-	// end begins with its number, the task, the run and the reason.
-	ended   [][]any
-	lastEnd int64 // number of the newest entry of ended
+	*life
+	id        string
+	address   string
+	clockRate float64 // of its clocks
+	guards    bool    // whether it refuses a start that does not fit
+	hanging   bool    // whether it neither carries out nor answers calls
+	down      bool    // whether it is between two lives
+	faults    callFaults
+}
+
+// life is what a worker loses when it restarts. Its times are milliseconds on its clock.
+type life struct {
+	startedAt  time.Time
+	clockStart int64
+	born       int64
+	fence      int64
+	leaseEnd   int64
+	usedCPU    int64
+	runs       map[string]*taskRun // by task
+	ended      []*taskEnd          // not acknowledged yet
+	lastEnd    int64               // number of the newest entry of ended
 	// expiredEnd is the value of lastEnd when the lease was last seen expired. Ends up
 	// to this number don't count as acknowledged.
 	expiredEnd int64
 	closedRun  map[string]int // by task: the highest run that may not start (again)
-	hanging    bool
-	changed    chan struct{} // closed at each end of a run
+	reportedAt time.Time      // when it first answered a renewal
 }
 
 // taskRun is a run of a task on a worker.
@@ -47,31 +63,56 @@
 	task      string
 	run       int
 	cpu       int64
-	endsAt    time.Time
-	startedAt time.Time
+	startedAt int64
+	endsAt    int64
+	how       string // how it ends then
+	stopAt    int64  // when it ends by a stop command; zero if it got none
+}
+
+// taskEnd is the end of a run.
+type taskEnd struct {
+	number       int64
+	task         string
+	run          int
+	how          string
+	at           time.Time
+	acknowledged bool
 }
 
 const (
 	workerCPU = 8000 // mCPU
 	taskTime  = 300 * time.Millisecond
+	maxLease  = 4 * time.Second        // holdMaxMs in the boot settings
+	maxStop   = 200 * time.Millisecond // stopMs in the boot settings
 )
 
-func newFleet(count int) *fleet {
-	f := &fleet{startedAt: time.Now(), workers: make(map[string]*worker), runsOn: make(map[string]string), done: make(map[string]bool),
-		acknowledged: make(map[string]bool), maxLease: 4 * time.Second, jobs: make(map[string]*submittedJob)}
+func newFleet(count int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 4)), startedAt: time.Now(), workers: make(map[string]*worker),
+		tasks: make(map[string]*taskState), jobs: make(map[string]*submittedJob), faulty: make(map[string]int)}
+	f.failRatio = []float64{0, 0.02, 0.1}[f.rng.IntN(3)]
+	f.restarts = f.rng.IntN(2) == 0
 	for i := range count {
 		id := fmt.Sprintf("w%02d", i)
-		f.workers[id] = &worker{id: id, runs: make(map[string]*taskRun), closedRun: make(map[string]int), changed: make(chan struct{})}
+		f.workers[id] = &worker{id: id, clockRate: 1 - 0.02*f.rng.Float64(), guards: f.rng.IntN(3) == 0, life: f.newLife()}
 	}
 	return f
 }
 
-// recordViolation records that something that must hold did not. The caller holds f.mu.
-func (f *fleet) recordViolation(format string, args ...any) {
-	f.violations = append(f.violations, fmt.Sprintf("%8s ", time.Since(f.startedAt).Round(time.Millisecond))+fmt.Sprintf(format, args...))
+func (f *fleet) newLife() *life {
+	now := time.Now()
+	return &life{startedAt: now, clockStart: 1000 + f.rng.Int64N(1000), born: now.UnixMilli(),
+		runs: make(map[string]*taskRun), closedRun: make(map[string]int)}
+}
+
+// clock returns the worker's clock.
+func (w *worker) clock() int64 {
+	return w.clockStart + int64(float64(time.Since(w.startedAt).Microseconds())*w.clockRate/1000)
 }
 
-func (f *fleet) clockMillis() int64 { return time.Since(f.startedAt).Milliseconds() + 1000 }
+// timeAt returns the time at which the worker's clock had a value.
+func (w *worker) timeAt(clock int64) time.Time {
+	return w.startedAt.Add(time.Duration(float64(clock-w.clockStart)/w.clockRate*1000) * time.Microsecond)
+}
 
 // workerRequest is the body of a start, stop or renewal.
 type workerRequest struct {
@@ -83,7 +124,19 @@
 	WaitMS     int64  `json:"waitMs"`
 }
 
-// serve returns the handler of the requests to one worker.
+// workerAnswer is an answer of a worker. Without a body, it has only a status.
+type workerAnswer struct {
+	status int
+	body   map[string]any
+}
+
+const (
+	startPath   = "/-/run-start"
+	stopPath    = "/-/run-stop"
+	renewalPath = "/-/hold"
+)
+
+// serve returns the handler of the calls to one worker.
 func (f *fleet) serve(id string) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		var req workerRequest
@@ -91,189 +144,202 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if r.Header.Get("Target-Instance") != id {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		f.mu.Lock()
 		w := f.workers[id]
-		hanging := w.hanging
+		hanging, down := w.hanging, w.down
+		fault := ""
+		if !hanging && !down {
+			fault = f.drawFault(w, r.URL.Path)
+		}
 		f.mu.Unlock()
-		if hanging {
+		switch {
+		case down:
+			abort(rw)
+		case hanging:
 			<-r.Context().Done()
-			return
-		}
-		switch r.URL.Path {
-		case "/-/run-start":
-			f.start(rw, w, &req)
-		case "/-/run-stop":
-			f.stop(rw, w, &req)
-		case "/-/hold":
-			f.renew(rw, r, w, &req)
 		default:
-			rw.WriteHeader(http.StatusNotFound)
+			f.handle(rw, r, w, &req, fault)
 		}
 	})
 }
 
-func (f *fleet) answer(rw http.ResponseWriter, reason string) {
-	if reason != "" {
-		reply(rw, http.StatusConflict, map[string]any{"clockMs": f.clockMillis(), "born": 1, "reason": reason})
-		return
+// carryOut carries out a call that has no answer or one without delay.
+func (f *fleet) carryOut(w *worker, path string, req *workerRequest, fault string) workerAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch path {
+	case startPath:
+		f.fault = fault
+		a := f.start(w, req)
+		f.note(req.Task, "start of run %d on %s%s: %v", req.Run, w.name(), fault, a)
+		return a
+	case stopPath:
+		a := f.stop(w, req)
+		f.note(req.Task, "stop of run %d on %s%s: %v", req.Run, w.name(), fault, a)
+		return a
+	case renewalPath:
+		return f.renew(w, req)
 	}
-	reply(rw, http.StatusOK, map[string]any{"clockMs": f.clockMillis(), "born": 1})
+	return workerAnswer{status: http.StatusNotFound}
 }
 
-func (f *fleet) start(rw http.ResponseWriter, w *worker, req *workerRequest) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// name returns the worker's id and the time of its start.
+func (w *worker) name() string { return fmt.Sprintf("%s/%d", w.id, w.born%100_000) }
+
+func (a workerAnswer) String() string { return fmt.Sprint(a.status, " ", a.body["reason"]) }
+
+// ok returns the answer to a call that was carried out.
+func (w *worker) ok() workerAnswer {
+	return workerAnswer{http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.born}}
+}
+
+// conflict returns the answer to a call that was refused for a reason.
+func (w *worker) conflict(reason string) workerAnswer {
+	return workerAnswer{http.StatusConflict, map[string]any{"clockMs": w.clock(), "born": w.born, "reason": reason}}
+}
+
+// start carries out a start command. The caller holds f.mu, as for all that follows.
+func (f *fleet) start(w *worker, req *workerRequest) workerAnswer {
 	f.endDueRuns(w)
-	switch {
-	case req.Fence < w.fence:
-		f.answer(rw, "fence")
-		return
-	case req.DeadlineMS < f.clockMillis():
-		f.answer(rw, "late")
-		return
-	case w.runs[req.Task] != nil && w.runs[req.Task].run == req.Run:
-		f.answer(rw, "")
-		return
-	case w.closedRun[req.Task] >= req.Run:
-		f.answer(rw, "old")
-		return
+	if req.Fence < w.fence {
+		return w.conflict("fence")
 	}
 	w.fence = req.Fence
-	f.extendLease(w, req.DeadlineMS)
+	if req.DeadlineMS < w.clock() {
+		return w.conflict("late")
+	}
+	w.extendLease(req.DeadlineMS) // also by a start that is refused from here on
+	switch r := w.runs[req.Task]; {
+	case r != nil && r.run == req.Run:
+		return w.ok()
+	case w.closedRun[req.Task] >= req.Run:
+		return w.conflict("old")
+	case w.guards && w.usedCPU+f.cpuOf(req.Task) > workerCPU:
+		return w.conflict("room")
+	}
 	f.startRun(w, req)
-	f.answer(rw, "")
+	return w.ok()
 }
 
-// startRun starts a run and checks everything that must hold at a start.
+// startRun starts a run.
 func (f *fleet) startRun(w *worker, req *workerRequest) {
 	f.starts++
-	if at := f.runsOn[req.Task]; at != "" {
-		f.endDueRuns(f.workers[at])
+	f.checkStart(w, req)
+	if r := w.runs[req.Task]; r != nil {
+		f.endRun(w, r, "stopped", w.clock()) // checkStart has recorded the violation
 	}
-	if at := f.runsOn[req.Task]; at != "" {
-		f.recordViolation("task %s, run %d started on %s while the task runs on %s", req.Task, req.Run, w.id, at)
+	now := w.clock()
+	r := &taskRun{task: req.Task, run: req.Run, cpu: f.cpuOf(req.Task), startedAt: now, endsAt: now + taskTime.Milliseconds(), how: "done"}
+	if f.rng.Float64() < f.failRatio || f.hopeless(req.Task) {
+		r.how = "failed"
 	}
-	if f.acknowledged[req.Task] {
-		f.recordViolation("task %s, run %d started on %s after the task's end was acknowledged", req.Task, req.Run, w.id)
-	}
-	// A task id is the 16 digits of the job's id, then ".0.STEP.INDEX".
-	j := f.jobs[req.Task[:16]]
-	if j == nil {
-		f.recordViolation("task %s started, but its job was never submitted", req.Task)
-		return
-	}
-	if j.refused() {
-		f.recordViolation("task %s started, but every submission of its job was refused", req.Task)
-	}
-	var step, index int
-	_, _ = fmt.Sscanf(req.Task[16:], ".0.%d.%d", &step, &index)
-	if step > 0 {
-		for i := range j.width {
-			if before := fmt.Sprintf("%s.0.0.%d", j.id, i); !f.done[before] {
-				f.recordViolation("task %s started before task %s of the previous step was done", req.Task, before)
-			}
-		}
-	}
-	w.runs[req.Task] = &taskRun{task: req.Task, run: req.Run, cpu: j.cpu, startedAt: time.Now(), endsAt: time.Now().Add(taskTime)}
-	f.runsOn[req.Task] = w.id
-	w.usedCPU += j.cpu
+	w.runs[req.Task] = r
+	t := f.task(req.Task)
+	t.on = append(t.on, w)
+	w.usedCPU += r.cpu
 	if w.usedCPU > workerCPU {
-		f.recordViolation("worker %s is overcommitted: its tasks use %d mCPU, its capacity is %d mCPU", w.id, w.usedCPU, workerCPU)
+		f.recordViolation(req.Task, "worker %s is overcommitted: its tasks use %d mCPU, its capacity is %d mCPU", w.id, w.usedCPU, workerCPU)
 	}
 }
 
-func (f *fleet) extendLease(w *worker, deadline int64) {
-	end := time.Now().Add(min(f.maxLease, time.Duration(deadline-f.clockMillis())*time.Millisecond))
-	if end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
+// extendLease extends the lease up to deadline.
+func (w *worker) extendLease(deadline int64) {
+	w.leaseEnd = max(w.leaseEnd, min(deadline, w.clock()+maxLease.Milliseconds()))
 }
 
-// endDueRuns ends the runs of w that are complete or whose lease has expired.
+// endDueRuns ends the runs of w that are complete or stopped or whose lease has expired.
 func (f *fleet) endDueRuns(w *worker) {
-	now := time.Now()
-	if now.After(w.leaseEnd) {
-		w.expiredEnd = w.lastEnd
-	}
+	now := w.clock()
 	for _, r := range w.runs {
-		switch {
-		case now.After(w.leaseEnd) && w.leaseEnd.Before(r.endsAt):
-			f.endRun(w, r, "lapsed")
-		case now.After(r.endsAt):
-			f.endRun(w, r, "done")
+		at, how := r.endsAt, r.how
+		if r.stopAt > 0 && r.stopAt < at {
+			at, how = r.stopAt, "stopped"
+		}
+		if w.leaseEnd < at {
+			at, how = w.leaseEnd, "lapsed"
 		}
+		if at <= now {
+			f.endRun(w, r, how, at)
+		}
+	}
+	if w.leaseEnd < now {
+		w.expiredEnd = w.lastEnd
 	}
 }
 
-func (f *fleet) endRun(w *worker, r *taskRun, reason string) {
+// endRun ends a run at a time on the worker's clock.
+func (f *fleet) endRun(w *worker, r *taskRun, how string, at int64) {
 	delete(w.runs, r.task)
-	delete(f.runsOn, r.task)
 	w.usedCPU -= r.cpu
 	w.closedRun[r.task] = max(w.closedRun[r.task], r.run)
 	w.lastEnd++
-	w.ended = append(w.ended, []any{w.lastEnd, r.task, r.run, reason, ""})
-	if reason == "done" {
-		f.done[r.task] = true
-	}
-	close(w.changed)
-	w.changed = make(chan struct{})
+	e := &taskEnd{number: w.lastEnd, task: r.task, run: r.run, how: how, at: w.timeAt(at)}
+	w.ended = append(w.ended, e)
+	t := f.task(r.task)
+	t.leave(w)
+	t.ends = append(t.ends, e)
+	f.note(r.task, "run %d on %s ended %s %v ago", r.run, w.name(), how, time.Since(e.at).Round(time.Millisecond))
 }
 
-func (f *fleet) stop(rw http.ResponseWriter, w *worker, req *workerRequest) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// stop carries out a stop command.
+func (f *fleet) stop(w *worker, req *workerRequest) workerAnswer {
 	f.endDueRuns(w)
 	if req.Fence < w.fence {
-		f.answer(rw, "fence")
-		return
+		return w.conflict("fence")
 	}
 	w.fence = req.Fence
 	w.closedRun[req.Task] = max(w.closedRun[req.Task], req.Run)
-	if r := w.runs[req.Task]; r != nil && r.run <= req.Run {
-		f.endRun(w, r, "stopped")
+	if r := w.runs[req.Task]; r != nil && r.run <= req.Run && r.stopAt == 0 {
+		r.stopAt = w.clock() + f.rng.Int64N(maxStop.Milliseconds())
 	}
-	f.answer(rw, "")
+	return w.ok()
 }
 
-func (f *fleet) renew(rw http.ResponseWriter, r *http.Request, w *worker, req *workerRequest) {
-	f.mu.Lock()
+// renew carries out a renewal and answers at once.
+func (f *fleet) renew(w *worker, req *workerRequest) workerAnswer {
 	f.endDueRuns(w)
 	if req.Fence < w.fence {
-		f.answer(rw, "fence")
-		f.mu.Unlock()
-		return
+		return w.conflict("fence")
 	}
 	w.fence = req.Fence
 	if req.DeadlineMS > 0 {
-		f.extendLease(w, req.DeadlineMS)
+		w.extendLease(req.DeadlineMS)
 	}
 	f.acknowledge(w, req.AckCursor)
-	for end := time.Now().Add(time.Duration(req.WaitMS) * time.Millisecond); len(w.ended) == 0 && time.Now().Before(end) && r.Context().Err() == nil; {
-		f.mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
-		f.mu.Lock()
-		f.endDueRuns(w)
+	a := w.ok()
+	w.report(a.body)
+	return a
+}
+
+// report adds the runs and the ends of w to an answer.
+func (w *worker) report(body map[string]any) {
+	running, ended := [][]any{}, [][]any{}
+	for _, r := range w.runs {
+		percent := 100 * (w.clock() - r.startedAt) / taskTime.Milliseconds()
+		running = append(running, []any{r.task, r.run, "", min(99, percent), 0})
 	}
-	running := [][]any{}
-	for _, u := range w.runs {
-		percent := int(100 * time.Since(u.startedAt) / taskTime)
-		running = append(running, []any{u.task, u.run, "", min(99, percent), 0})
+	for _, e := range w.ended {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	out := map[string]any{"clockMs": f.clockMillis(), "born": 1, "running": running, "ended": append([][]any{}, w.ended...)}
-	f.mu.Unlock()
-	reply(rw, http.StatusOK, out)
+	body["running"], body["ended"] = running, ended
 }
 
 // acknowledge removes the ends up to cursor from the list.
 func (f *fleet) acknowledge(w *worker, cursor int64) {
 	kept := w.ended[:0]
 	for _, e := range w.ended {
-		if e[0].(int64) > cursor {
+		if e.number > cursor {
 			kept = append(kept, e)
 			continue
 		}
-		if e[3] == "done" && e[0].(int64) > w.expiredEnd {
-			f.acknowledged[e[1].(string)] = true
+		if e.number > w.expiredEnd {
+			e.acknowledged = true
+			f.note(e.task, "end of run %d on %s acknowledged", e.run, w.name())
+			f.checkEnds(e.task)
 		}
 	}
 	w.ended = kept
