--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -93,7 +93,7 @@
 	starting                 // the start command has been sent
 	running                  // the worker has confirmed the start
 	stopping                 // the run is to be stopped
-	unconfirmed              // the start got no answer; the run may go on until its lease expires
+	unconfirmed              // whether it runs is not known; the worker's next report decides, or its lease
 )
 
 // run is one run of a task on a worker.
@@ -109,6 +109,7 @@
 	startSent        bool      // this leader or an earlier one has sent the start command
 	startAttempts    int       // number of times that this leader has sent the start command
 	startsInFlight   int       // number of these commands whose outcome is not known yet
+	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
 	unansweredStarts int       // number of these commands that got no answer; each may still take effect
 	startSentAt      time.Time // when this leader first sent it
 	stopReason       string
@@ -170,6 +171,12 @@
 // encode returns the encoded record of s.
 func (s *stepState) encode() []byte {
 	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
+	addSpeculative := func(index int, t record.Task) {
+		if r.SpeculativeRuns == nil {
+			r.SpeculativeRuns = make(map[int]record.Task)
+		}
+		r.SpeculativeRuns[index] = t
+	}
 	for i, t := range s.tasks {
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
@@ -180,10 +187,10 @@
 				out.Worker, out.Incarnation, out.Run = u.worker.id, u.incarnation, u.number
 				continue
 			}
-			if r.SpeculativeRuns == nil {
-				r.SpeculativeRuns = make(map[int]record.Task)
-			}
-			r.SpeculativeRuns[i] = record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation}
+			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation})
+		}
+		if len(t.runs) == 1 && out.Run < t.lastRun {
+			addSpeculative(i, record.Task{Run: t.lastRun}) // it has ended, and its number must not be used again
 		}
 		r.Tasks[i] = out
 	}
