--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,8 +70,13 @@
 	}
 }
 
-// regressions are the seeds that have failed, with their causes.
-var regressions = []uint64{}
+// regressions are the seeds that have failed, with their causes. Processes are not
+// deterministic, so a seed fails only in some plays.
+var regressions = []uint64{
+	// A repeated start was refused after the first one had lost its answer, and the run was
+	// taken as not started (issue 26). On a9af07f they failed in 6 and 5 of 6 plays.
+	1, 109,
+}
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	instances := envInt("SOAK_INSTANCES", 5)
