--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -194,12 +194,12 @@
 
 // ok returns the answer to a call that was carried out.
 func (w *worker) ok() workerAnswer {
-	return workerAnswer{http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.born}}
+	return workerAnswer{http.StatusOK, map[string]any{"clockMs": w.clock()}}
 }
 
 // conflict returns the answer to a call that was refused for a reason.
 func (w *worker) conflict(reason string) workerAnswer {
-	return workerAnswer{http.StatusConflict, map[string]any{"clockMs": w.clock(), "born": w.born, "reason": reason}}
+	return workerAnswer{http.StatusConflict, map[string]any{"clockMs": w.clock(), "reason": reason}}
 }
 
 // start carries out a start command. The caller holds f.mu, as for all that follows.
@@ -325,7 +325,7 @@
 	for _, e := range w.ended {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	body["running"], body["ended"] = running, ended
+	body["running"], body["ended"], body["born"] = running, ended, w.born // answers to commands do not tell the start
 }
 
 // acknowledge removes the ends up to cursor from the list.
