Ask a replaced worker no more until its entry in the directory changes

Cause: after another worker had answered at the address, each change of the directory, whichever worker it was of, restored the refused incarnation from the stale entry.

Change: the refused incarnation and address are remembered, and such an entry counts as not listed. A command that is refused in this way ends the runs of the worker as the refused renewal does, not one tick later as leases that expired.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -161,9 +161,11 @@
 
 // incarnationRefused ends a run whose worker has answered that it is another incarnation.
 func (e *Engine) incarnationRefused(r *run) {
+	w := r.worker
 	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
-	r.worker.reported = false
-	r.worker.nextRenewal = e.now
+	if w.incarnation != 0 && r.incarnation == w.incarnation {
+		e.workerGone(w, "command refused")
+	}
 }
 
 // answeredBy returns the incarnation of the worker that answered a command. Unless the answer
--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"bytes"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -85,3 +87,23 @@
 	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Clock: w.now.UnixMilli()})
 	assert.Zero(t, s.missedRenewals)
 }
+
+// The directory still lists a worker after another one has taken its address.
+func TestReplacedWorkerIsAskedAgainAfterEachChangeOfTheDirectory(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	w.restartUnlisted("w00")
+	stale := w.directory()
+	stale[0].Incarnation = 1
+	w.run(3 * time.Second)
+	var log bytes.Buffer
+	w.engine.log = slog.New(slog.NewJSONHandler(&log, nil))
+	for range 20 {
+		w.engine.Handle(w.now, &WorkersListed{Workers: stale})
+		w.run(100 * time.Millisecond)
+	}
+	assert.NotContains(t, log.String(), "worker restarted")
+	w.publishDirectory()
+	w.run(time.Second)
+	assert.True(t, w.engine.workers["w00"].usable(w.now), "the restarted worker is used")
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -26,10 +26,12 @@
 	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
 	runs             []*run        // in the order in which they were planned
 
-	listed        bool
-	unlistedSince time.Time // when it last left the directory
-	draining      bool
-	leavesAt      time.Time // earliest time at which a draining worker leaves
+	listed          bool
+	unlistedSince   time.Time // when it last left the directory
+	goneIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
+	goneAddress     string    // where that was
+	draining        bool
+	leavesAt        time.Time // earliest time at which a draining worker leaves
 
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
@@ -155,6 +157,9 @@
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation < w.incarnation {
 		return // the entry is older than the worker's restart
 	}
+	if l.Incarnation != 0 && l.Incarnation == w.goneIncarnation && l.Address == w.goneAddress {
+		return // the entry is that of a replaced worker
+	}
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation > w.incarnation {
 		e.newIncarnation(w, l.Incarnation, "directory")
 	}
@@ -193,6 +198,19 @@
 	e.needsPlacement = true
 }
 
+// replaced reports whether another worker has answered at the address of w.
+func (w *worker) replaced() bool { return w.goneIncarnation != 0 && w.goneAddress == w.address }
+
+// workerGone records that another worker has answered at the address of w, whose entry in
+// the directory is older than that. Until the entry changes it counts as not listed.
+func (e *Engine) workerGone(w *worker, source string) {
+	w.goneIncarnation, w.goneAddress = w.incarnation, w.address
+	if w.listed {
+		w.listed, w.unlistedSince = false, e.now
+	}
+	e.newIncarnation(w, 0, source)
+}
+
 // settleRunsOfEarlierIncarnations ends the runs that an earlier incarnation of w had. A
 // command names a worker by its id alone, which may outlive a restart, so a start command
 // that is still under way may start its run in the new incarnation. Such a run moves there.
@@ -258,7 +276,7 @@
 		if w.renewalInFlight || e.now.Before(w.nextRenewal) || w.address == "" {
 			continue
 		}
-		if !w.listed && len(w.runs) == 0 && e.now.Sub(w.unlistedSince) > e.cfg.UnlistedRenewalWindow {
+		if !w.listed && (w.replaced() || len(w.runs) == 0 && e.now.Sub(w.unlistedSince) > e.cfg.UnlistedRenewalWindow) {
 			continue
 		}
 		if w.unstoredBatches > 0 && e.now.Sub(w.renewalSentAt) < e.cfg.RenewalMaxWait {
@@ -369,8 +387,6 @@
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
 	if ev.OtherIncarnation && ev.Incarnation == w.incarnation && w.incarnation != 0 {
-		// The directory's entry is older than the worker's restart. The worker's next
-		// report contains the new incarnation.
-		e.newIncarnation(w, 0, "renewal refused")
+		e.workerGone(w, "renewal refused")
 	}
 }
