Carry out no call of the soak in a worker that is between two lives

A call now has no answer if the life that it reached has ended; only calls that are held back can reach the next one. The runs of a worker that goes down no longer end afterwards.

--- a/internal/soak/worker_faults_test.go
+++ b/internal/soak/worker_faults_test.go
@@ -63,33 +63,33 @@
 	maxDelay = 400 * time.Millisecond
 )
 
-// handle handles a call to w under a fault.
-func (f *fleet) handle(rw http.ResponseWriter, r *http.Request, w *worker, req *workerRequest, fault string) {
+// handle handles a call to a life of w under a fault.
+func (f *fleet) handle(rw http.ResponseWriter, r *http.Request, w *worker, called *life, req *workerRequest, fault string) {
 	path := r.URL.Path
 	switch fault {
 	case refused:
 		f.send(rw, f.refuse(w, path, req))
 	case lostHanging:
-		f.carryOut(w, path, req, ", answer lost")
+		f.carryOut(w, called, path, req, ", answer lost")
 		<-r.Context().Done()
 	case lostReset:
-		f.carryOut(w, path, req, ", answer lost by a reset")
+		f.carryOut(w, called, path, req, ", answer lost by a reset")
 		abort(rw)
 	case late:
 		f.mu.Lock()
 		f.note(req.Task, "call for run %d to %s held back", req.Run, w.name())
-		called, delay := w.life, minLate+time.Duration(f.rng.Int64N(int64(maxLate-minLate)))
+		delay := minLate + time.Duration(f.rng.Int64N(int64(maxLate-minLate)))
 		f.mu.Unlock()
 		at := time.Now()
 		time.AfterFunc(delay, func() { f.carryOutLate(w, called, at, path, req) })
 		<-r.Context().Done()
 	case delayed:
 		f.sleep()
-		a := f.carryOut(w, path, req, ", delayed")
+		a := f.carryOut(w, called, path, req, ", delayed")
 		f.sleep()
 		f.sendReport(rw, w, path, a)
 	default:
-		f.answer(rw, r, w, req)
+		f.answer(rw, r, w, called, req)
 	}
 }
 
@@ -100,7 +100,7 @@
 func (f *fleet) carryOutLate(w *worker, called *life, at time.Time, path string, req *workerRequest) {
 	defer f.pending.Done()
 	f.mu.Lock()
-	void := w.down
+	void, now := w.down, w.life
 	fault := ", late"
 	if w.life != called {
 		fault += " by a later life"
@@ -109,7 +109,7 @@
 	}
 	f.mu.Unlock()
 	if !void {
-		f.carryOut(w, path, req, fault)
+		f.carryOut(w, now, path, req, fault)
 	}
 }
 
@@ -135,14 +135,13 @@
 
 // answer carries out a call and answers it. The answer to a renewal waits for an end if
 // the call asks for that.
-func (f *fleet) answer(rw http.ResponseWriter, r *http.Request, w *worker, req *workerRequest) {
-	a := f.carryOut(w, r.URL.Path, req, "")
+func (f *fleet) answer(rw http.ResponseWriter, r *http.Request, w *worker, called *life, req *workerRequest) {
+	a := f.carryOut(w, called, r.URL.Path, req, "")
 	if r.URL.Path != renewalPath || a.status != http.StatusOK {
 		f.send(rw, a)
 		return
 	}
 	f.mu.Lock()
-	called := w.life
 	end := time.Now().Add(time.Duration(req.WaitMS) * time.Millisecond)
 	for w.life == called && len(w.ended) == 0 && time.Now().Before(end) && r.Context().Err() == nil {
 		f.mu.Unlock()
@@ -199,8 +198,12 @@
 	return a
 }
 
-// send writes an answer.
+// send writes an answer, or resets the connection if there is none.
 func (f *fleet) send(rw http.ResponseWriter, a workerAnswer) {
+	if a.status == 0 {
+		abort(rw)
+		return
+	}
 	if a.body == nil {
 		rw.WriteHeader(a.status)
 		return
@@ -246,6 +249,7 @@
 		f.task(r.task).leave(w)
 		f.note(r.task, "run %d on %s gone with its worker", r.run, w.name())
 	}
+	clear(w.runs)
 	time.AfterFunc(downtime, func() {
 		f.mu.Lock()
 		w.down, w.life = false, f.newLife()
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -163,7 +163,7 @@
 		}
 		f.mu.Lock()
 		w := f.workers[id]
-		hanging, down := w.hanging, w.down
+		hanging, down, called := w.hanging, w.down, w.life
 		fault := ""
 		if !hanging && !down {
 			fault = f.drawFault(w, r.URL.Path)
@@ -175,15 +175,18 @@
 		case hanging:
 			<-r.Context().Done()
 		default:
-			f.handle(rw, r, w, &req, fault)
+			f.handle(rw, r, w, called, &req, fault)
 		}
 	})
 }
 
-// carryOut carries out a call that has no answer or one without delay.
-func (f *fleet) carryOut(w *worker, path string, req *workerRequest, fault string) workerAnswer {
+// carryOut carries out a call in a life of w. There is no answer if that life has ended.
+func (f *fleet) carryOut(w *worker, called *life, path string, req *workerRequest, fault string) workerAnswer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if w.down || w.life != called {
+		return workerAnswer{}
+	}
 	switch path {
 	case startPath:
 		f.fault = fault
