Fix: the failure of an unknown run counts as an attempt

What callers may see: a task is started more often than its queue declares attempts.

Cause: the end of a run that the leader had given up was acknowledged, but a failure was not counted.

Change: it counts unless the run was recorded as ended before, by this leader or an earlier one, or had lost its lease.

Evidence: TestAcknowledgedFailureOfAnUnknownRunIsNotCounted fails before.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -72,7 +72,7 @@
 	e.log.Info(what, "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", reason.String(),
 		"source", source, "ran_ms", e.msSince(r.startSentAt), "percent", r.percent, "stop_reason", r.stopReason,
 		"orders", r.startAttempts, "unanswered", r.unansweredStarts, "stopped_ms", e.msSince(r.stopConfirmedAt), "worker_silent_ms", e.msSince(r.worker.lastAnswer))
-	t.lastEnd = lastEnd{run: r.number, source: source, at: e.now}
+	t.lastEnd = lastEnd{run: r.number, reason: reason, source: source, at: e.now}
 	e.updateHealth(r, reason)
 	e.markDirty(s)
 	e.needsPlacement = true
@@ -85,7 +85,7 @@
 		e.observeRuntime(r)
 		e.taskDone(t, r.number)
 	case EndedFailed:
-		e.taskFailed(t, r)
+		e.taskFailed(t, r.worker)
 	}
 	if s.spec.Gang && !t.done && reason != EndedDone {
 		e.stopGangRun(s, r.number)
@@ -129,8 +129,8 @@
 	e.addOpenStep(s)
 }
 
-// taskFailed counts a failure of t, and fails the job when its attempts are used up.
-func (e *Engine) taskFailed(t *task, r *run) {
+// taskFailed counts a failure of t on w, and fails the job when its attempts are used up.
+func (e *Engine) taskFailed(t *task, w *worker) {
 	s := t.step
 	if s.spec.LongRunning {
 		return
@@ -141,7 +141,7 @@
 		maxAttempts = max(1, q.Attempts)
 	}
 	t.failures++
-	t.lastFailedOn = r.worker.id
+	t.lastFailedOn = w.id
 	if s.spec.Gang {
 		// A gang fails as a whole, once per run of the gang.
 		for _, m := range s.tasks {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -58,12 +58,19 @@
 	// was never stored. Its end is acknowledged like any other, so a success counts, also
 	// if the task has another run by now.
 	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String())
+	// The end of a run that is known to have ended, or that an earlier leader has
+	// recorded as such, has been counted.
+	counted := end.Run <= t.lastRun && (t.lastEnd.run != end.Run || t.lastEnd.reason != EndedStopped)
 	if end.Run > t.lastRun {
 		t.lastRun = end.Run
 		t.step.lastGangRun = max(t.step.lastGangRun, end.Run)
 	}
-	if end.Reason == EndedDone {
+	switch {
+	case end.Reason == EndedDone:
 		e.taskDone(t, end.Run)
+	case end.Reason == EndedFailed && !counted && !t.done && !t.step.job().state.Final():
+		e.taskFailed(t, w)
+		e.markDirty(t.step)
 	}
 }
 
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -77,10 +77,10 @@
 	lastEnd      lastEnd
 }
 
-// lastEnd tells how the last run of a task that ended became known to have ended. It
-// explains in the log why an earlier run is unknown.
+// lastEnd tells how the last run of a task that ended became known to have ended.
 type lastEnd struct {
 	run    int
+	reason EndReason
 	source string
 	at     time.Time
 }
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -113,3 +113,18 @@
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.Equal(t, 1, w.starts)
 }
+
+func TestAcknowledgedFailureOfAnUnknownRunIsNotCounted(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	id := w.submit("urgent", "a", tasks(1, 1000, 5*time.Second)) // two attempts
+	w.run(500 * time.Millisecond)
+	s := w.workers["w01"]
+	for range 2 {
+		s.lastEnd++
+		s.ended = append(s.ended, RunEnd{Number: s.lastEnd, Task: id + ".0.0.0", Run: 1 + int(s.lastEnd), Reason: EndedFailed})
+	}
+	w.run(3 * time.Second)
+	assert.Equal(t, StateFailed, w.state(id))
+	assert.Equal(t, 1, w.starts)
+}
