--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -15,6 +16,7 @@
 	planted        plantedFault
 	restartsKeepID bool
 	untold         bool // answers to commands don't tell the worker's incarnation
+	drains         bool // workers drain, and others replace them
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
@@ -26,11 +28,15 @@
 	if n.rand.IntN(3) == 0 {
 		n.endsPerReport = 1 + n.rand.IntN(4)
 	}
+	drains := rand.New(rand.NewPCG(seed, 4))
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	for range 60 {
 		n.submitRandom()
 		n.injectFault()
+		if o.drains && drains.IntN(6) == 0 {
+			n.drain(drains)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
@@ -247,3 +253,8 @@
 func TestRandomRefusalsWithUntoldIncarnations(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, untold: true})
 }
+
+// Workers that drain end seconds later, with what they run.
+func TestRandomRefusalsWithDrains(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
+}
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -274,3 +274,22 @@
 	n.w.publishDirectory()
 	n.learnAll()
 }
+
+// drain has a worker drain. It ends some seconds later, and another one joins.
+func (n *network) drain(r *rand.Rand) {
+	w := n.w
+	id := w.ids[r.IntN(len(w.ids))]
+	if id == "w00" || id == "w01" || w.workers[id].draining { // for some steps the adviser names no other worker
+		return
+	}
+	w.workers[id].draining = true
+	n.publishDirectory()
+	w.after(drainTime+time.Duration(r.Int64N(int64(4*time.Second))), func() {
+		if slices.Contains(w.ids, id) {
+			n.replace(id, time.Second)
+		}
+	})
+}
+
+// drainTime is the minimum time that the directory tells of a draining worker.
+const drainTime = 2 * time.Second
