Fix: a start accepted while its run is being stopped outlives the restart of its worker

What callers may see: a task runs on two workers, a team is over its limit.

Cause: an acceptance that does not tell the incarnation was remembered as such only for a run that was not being stopped. If the next incarnation had accepted the start, the run counted as ended once the restart was known.

Change: it is remembered whatever the state of the run, unless a report has shown it.

The handling of an accepted start has a function of its own now, and the words for a replaced worker are the same everywhere.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -109,23 +109,11 @@
 	if r.ended {
 		return
 	}
-	t := r.task
 	if ev.Outcome == Accepted && (ev.Incarnation == 0 || ev.Incarnation >= r.incarnation) {
-		if r.phase == starting {
-			r.phase = running
-			r.unattributed = ev.Incarnation == 0
-			if r.unattributed && ev.Start.Incarnation < r.incarnation {
-				r.phase = unconfirmed // the earlier incarnation may have accepted it
-			}
-		}
-		e.markStarted(t.step.job())
-		e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
-			"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
-		if r.phase == stopping {
-			e.sendStop(r)
-		}
+		e.startAccepted(r, ev)
 		return
 	}
+	t := r.task
 	e.log.Warn("start not confirmed", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
 		"reason", ev.Outcome.String(), "orders", r.startAttempts, "unanswered", r.unansweredStarts, "reported", r.phase == running,
 		"order_ms", e.msSince(r.startSentAt))
@@ -145,6 +133,27 @@
 	}
 }
 
+// startAccepted applies the acceptance of a start command, by the run's incarnation of the
+// worker or by one that the answer does not tell.
+func (e *Engine) startAccepted(r *run, ev *StartAnswered) {
+	t := r.task
+	if r.phase != running { // a report has not shown it
+		r.unattributed = ev.Incarnation == 0
+	}
+	if r.phase == starting {
+		r.phase = running
+		if r.unattributed && ev.Start.Incarnation < r.incarnation {
+			r.phase = unconfirmed // the earlier incarnation may have accepted it
+		}
+	}
+	e.markStarted(t.step.job())
+	e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", r.worker.id,
+		"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
+	if r.phase == stopping {
+		e.sendStop(r)
+	}
+}
+
 // startUnanswered handles a start command without an answer: it is sent once more, and then
 // the run is stopped, unless a report has shown meanwhile that it has started.
 func (e *Engine) startUnanswered(r *run) {
@@ -164,7 +173,7 @@
 	w := r.worker
 	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 	if w.incarnation != 0 && r.incarnation == w.incarnation {
-		e.workerGone(w, "command refused")
+		e.workerReplaced(w, "command refused")
 	}
 }
 
--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -8,6 +8,7 @@
 		name    string
 		seed    uint64
 		keptIDs bool
+		untold  bool
 	}{
 		{name: "a refused repeat of a start ended a run that went on", seed: 163},
 		{name: "a lease of an earlier incarnation was never over", seed: 123},
@@ -15,11 +16,13 @@
 		{name: "members of a gang got other checkpoints", seed: 238},
 		{name: "a start under way brought a restarted worker over its capacity", seed: 122, keptIDs: true},
 		{name: "a task started elsewhere while its start was under way to a restarted worker", seed: 102, keptIDs: true},
+		{name: "a start that was accepted while its run was being stopped was taken as one of the earlier incarnation", seed: 401594, keptIDs: true, untold: true},
+		{name: "the same, with the restart seen in a report", seed: 400702, keptIDs: true, untold: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs})
+			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs, untold: c.untold})
 		})
 	}
 }
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -26,12 +26,12 @@
 	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
 	runs             []*run        // in the order in which they were planned
 
-	listed          bool
-	unlistedSince   time.Time // when it last left the directory
-	goneIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
-	goneAddress     string    // where that was
-	draining        bool
-	leavesAt        time.Time // earliest time at which a draining worker leaves
+	listed              bool
+	unlistedSince       time.Time // when it last left the directory
+	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
+	replacedAddress     string    // where that was
+	draining            bool
+	leavesAt            time.Time // earliest time at which a draining worker leaves
 
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
@@ -157,7 +157,7 @@
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation < w.incarnation {
 		return // the entry is older than the worker's restart
 	}
-	if l.Incarnation != 0 && l.Incarnation == w.goneIncarnation && l.Address == w.goneAddress {
+	if l.Incarnation != 0 && l.Incarnation == w.replacedIncarnation && l.Address == w.replacedAddress {
 		return // the entry is that of a replaced worker
 	}
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation > w.incarnation {
@@ -182,7 +182,8 @@
 	}
 }
 
-// newIncarnation switches w to a new incarnation, which is zero if it is not known yet.
+// newIncarnation switches w to a new incarnation, which is zero if it is not known yet, and
+// settles the runs of the earlier one.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
 	w.incarnation = incarnation
@@ -199,12 +200,12 @@
 }
 
 // replaced reports whether another worker has answered at the address of w.
-func (w *worker) replaced() bool { return w.goneIncarnation != 0 && w.goneAddress == w.address }
+func (w *worker) replaced() bool { return w.replacedIncarnation != 0 && w.replacedAddress == w.address }
 
-// workerGone records that another worker has answered at the address of w, whose entry in
+// workerReplaced records that another worker has answered at the address of w, whose entry in
 // the directory is older than that. Until the entry changes it counts as not listed.
-func (e *Engine) workerGone(w *worker, source string) {
-	w.goneIncarnation, w.goneAddress = w.incarnation, w.address
+func (e *Engine) workerReplaced(w *worker, source string) {
+	w.replacedIncarnation, w.replacedAddress = w.incarnation, w.address
 	if w.listed {
 		w.listed, w.unlistedSince = false, e.now
 	}
@@ -387,6 +388,6 @@
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
 	if ev.OtherIncarnation && ev.Incarnation == w.incarnation && w.incarnation != 0 {
-		e.workerGone(w, "renewal refused")
+		e.workerReplaced(w, "renewal refused")
 	}
 }
