Fix: a leader without declarations no longer takes every job for one of a single attempt

What callers see: an accepted job is shown as failed after one failed run, though its queue allows three (LOST).

Cause: an instance that started while the store refused its calls claimed the leadership before it had the declarations. The engine took an unknown queue as one with one attempt.

Evidence: i2 logs declarations cannot be read, claimed the leadership at .4586, job failed with failures 1 and attempts 1 at .4628. It answered its own callers no declarations yet in the same milliseconds.

Change: while the queue of a job is not known, failures are counted, but do not fail the job. The first declarations of a term fail the jobs whose attempts are used up, so that none is started once too often.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -135,11 +135,6 @@
 	if s.spec.LongRunning {
 		return
 	}
-	j := s.job()
-	maxAttempts := 1
-	if q := e.queueOf(j); q != nil {
-		maxAttempts = max(1, q.Attempts)
-	}
 	t.failures++
 	t.lastFailedOn = w.id
 	if s.spec.Gang {
@@ -148,10 +143,19 @@
 			m.failures = max(m.failures, t.failures)
 		}
 	}
-	if t.failures >= maxAttempts && !t.done {
-		e.log.Info("job failed", "job", j.id, "task", t.name, "failures", t.failures, "attempts", maxAttempts)
-		e.finishJob(j, record.Failed)
+	e.failExhausted(t)
+}
+
+// failExhausted fails the job of t if t has used up the attempts that its queue declares.
+// While the declarations of the queue are not known, the job goes on.
+func (e *Engine) failExhausted(t *task) {
+	j := t.step.job()
+	q := e.queueOf(j)
+	if q == nil || t.done || j.state.Final() || t.failures < max(1, q.Attempts) {
+		return
 	}
+	e.log.Info("job failed", "job", j.id, "task", t.name, "failures", t.failures, "attempts", max(1, q.Attempts))
+	e.finishJob(j, record.Failed)
 }
 
 // stopGangRun stops the remaining members of a gang's run after one member ended early.
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -7,6 +7,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/advice"
@@ -220,13 +222,31 @@
 		return
 	}
 	e.log.Info("declarations applied", "version", p.Version, "before", e.policy.Version, "queues", len(p.Queues), "teams", len(p.Teams))
+	first := e.policy.Version == 0
 	e.policy = p
+	if first {
+		e.failExhaustedTasks()
+	}
 	for _, s := range e.openSteps {
 		s.urgency = e.urgencyOf(s)
 	}
 	e.needsPlacement = true
 }
 
+// failExhaustedTasks fails the jobs with tasks that have used up their attempts before the
+// first declarations were known.
+func (e *Engine) failExhaustedTasks() {
+	for _, id := range slices.Sorted(maps.Keys(e.jobs)) {
+		e.jobs[id].eachStep(func(s *stepState) {
+			for _, t := range s.tasks {
+				if t.failures > 0 {
+					e.failExhausted(t)
+				}
+			}
+		})
+	}
+}
+
 func (e *Engine) queueOf(j *jobState) *policy.Queue { return e.policy.Queue(j.queue) }
 
 // task returns the task with the given reference, or nil if there is none.
--- a/internal/cell/engine/jobs_test.go
+++ b/internal/cell/engine/jobs_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/policy"
 )
 
 // A job is canceled and then refused, as the store refuses its record. Its id is accepted
@@ -28,3 +30,42 @@
 	w.run(simConfig().EndedJobRetention)
 	assert.Equal(t, StateRunning, w.state(id))
 }
+
+// A leader hears of failed runs before it has the declarations, which allow three attempts.
+func TestJobFailsTooSoonUnderALeaderWithoutDeclarations(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.failureRatio = 1
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, 500*time.Millisecond))
+	w.run(200 * time.Millisecond)
+	declared := w.policy
+	w.policy = new(policy.Policy)
+	w.startLeader()
+	w.policy = declared
+	w.run(2 * time.Second)
+	assert.Equal(t, StateRunning, w.state(id))
+	w.engine.Handle(w.now, &PolicyChanged{Policy: declared})
+	w.run(4 * time.Second)
+	assert.Equal(t, StateFailed, w.state(id))
+	assert.Equal(t, 3, w.starts)
+}
+
+// The last attempt of a job fails under a leader that has no declarations yet.
+func TestJobIsStartedOnceTooOftenAfterItsDeclarationsArrive(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.failureRatio = 1
+	w.run(time.Second)
+	id := w.submit("urgent", "a", tasks(1, 1000, 500*time.Millisecond)) // two attempts
+	for w.starts < 2 {
+		w.run(simTick)
+	}
+	declared := w.policy
+	w.policy = new(policy.Policy)
+	w.startLeader()
+	w.policy = declared
+	w.run(2 * time.Second)
+	w.engine.Handle(w.now, &PolicyChanged{Policy: declared})
+	w.run(2 * time.Second)
+	assert.Equal(t, StateFailed, w.state(id))
+	assert.Equal(t, 2, w.starts)
+}
