--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -77,7 +77,7 @@
 	// taken as not started (issue 26). On a9af07f they failed in 6 and 5 of 6 plays.
 	1, 109,
 	// A start reached the next life of its worker, and the run was taken as ended with the
-	// earlier life. On 097d12e it failed in 1 of 5 plays.
+	// earlier life. On 097d12e it failed in 1 of 6 plays.
 	1007,
 	// A new leader counted out attempts before it had read the declarations, and failed jobs
 	// after one failure. On 403c314 it failed in 2 of 6 plays.
