Fix: the clock of an incarnation that is not told no longer moves a worker's clock back

What callers may see: jobs with runs on a worker that is gone wait for minutes (LOST).

Cause: a worker had restarted under its id unseen. The clock in its answer to a start, which began anew, replaced the old one, while the end of the lease was on the old clock, hundreds of seconds ahead.

Change: a clock below the known one counts as a sign of life alone.

--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -69,9 +69,12 @@
 	if clock <= 0 {
 		return
 	}
-	w.clock, w.clockAt = clock, at
 	w.lastAnswer = at
 	w.missedRenewals = 0
+	if clock < w.clock {
+		return // overtaken, or of a later incarnation that the answer does not tell
+	}
+	w.clock, w.clockAt = clock, at
 }
 
 // leasesExpireAt returns when the leases of all runs on the worker have certainly
