--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -9,6 +9,17 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// lastStart has workers answer start commands with an outcome, and returns where to find the
+// last command.
+func (w *world) lastStart(outcome CommandOutcome) **Start {
+	last := new(*Start)
+	w.refuseStart = func(a *Start, _ int) CommandOutcome {
+		*last = a
+		return outcome
+	}
+	return last
+}
+
 // A renewal is refused since the worker has restarted, before the directory tells it.
 func TestRestartSeenByARefusedRenewalSkipsTheEndsOfTheNextIncarnation(t *testing.T) {
 	w := newWorld(t, 1, 1)
@@ -30,18 +41,14 @@
 func TestLeaseIsComputedFromTheClockOfAnEarlierIncarnation(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.run(time.Second)
-	var sent *Start
-	w.refuseStart = func(a *Start, _ int) CommandOutcome {
-		sent = a
-		return Accepted
-	}
+	sent := w.lastStart(Accepted)
 	w.submit("batch", "a", tasks(1, 1000, 5*time.Second))
 	w.run(100 * time.Millisecond)
 	w.restartWorker("w00")
 	w.run(100 * time.Millisecond)
 	s := w.engine.workers["w00"]
 	clock := s.clock
-	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Incarnation: 1, Clock: clock + time.Hour.Milliseconds()})
+	w.engine.Handle(w.now, &StartAnswered{Start: *sent, Outcome: Accepted, Incarnation: 1, Clock: clock + time.Hour.Milliseconds()})
 	assert.Equal(t, clock, s.clock)
 }
 
@@ -51,20 +58,16 @@
 	for _, told := range []int64{2, 0} {
 		w := newWorld(t, 2, 1)
 		w.run(time.Second)
-		var sent *Start
-		w.refuseStart = func(a *Start, _ int) CommandOutcome {
-			sent = a
-			return NoAnswer // dropped, as if the command were still under way
-		}
+		sent := w.lastStart(NoAnswer) // dropped, as if the command were still under way
 		w.answerDelay = time.Minute
 		id := w.submit("batch", "a", tasks(1, 1000, 4*time.Second))
 		w.run(100 * time.Millisecond)
 		w.refuseStart, w.answerDelay = nil, 0
-		s := w.workers[sent.Worker]
+		s := w.workers[(*sent).Worker]
 		w.restartUnlisted(s.id)
 		s.leaseEnd = w.now.Add(10 * time.Second)
-		w.startRun(s, sent, w.now)
-		w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Incarnation: told, Clock: w.now.UnixMilli()})
+		w.startRun(s, *sent, w.now)
+		w.engine.Handle(w.now, &StartAnswered{Start: *sent, Outcome: Accepted, Incarnation: told, Clock: w.now.UnixMilli()})
 		w.publishDirectory()
 		w.run(15 * time.Second)
 		assert.Equal(t, StateCompleted, w.state(id))
@@ -75,16 +78,12 @@
 func TestAnswerThatDoesNotTellItsIncarnationIsNoSignOfLife(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.run(time.Second)
-	var sent *Start
-	w.refuseStart = func(a *Start, _ int) CommandOutcome {
-		sent = a
-		return Accepted
-	}
+	sent := w.lastStart(Accepted)
 	w.submit("batch", "a", tasks(1, 1000, 5*time.Second))
 	w.run(100 * time.Millisecond)
 	s := w.engine.workers["w00"]
 	s.missedRenewals = 1
-	w.engine.Handle(w.now, &StartAnswered{Start: sent, Outcome: Accepted, Clock: w.now.UnixMilli()})
+	w.engine.Handle(w.now, &StartAnswered{Start: *sent, Outcome: Accepted, Clock: w.now.UnixMilli()})
 	assert.Zero(t, s.missedRenewals)
 }
 
