Fix: followers that drain no longer make a leader count as isolated

What callers may see: no leader for the rest of an outage of the store during a rolling restart.

Change: an instance that drains counts as neither.

Evidence: TestLeaderWhoseFollowersDrainCountsAsIsolated fails before.

--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -97,3 +97,22 @@
 		m.store.setMode(mode)
 	}
 }
+
+// All followers drain while the store is away for all.
+func TestLeaderWhoseFollowersDrainCountsAsIsolated(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		leader := c.leader()
+		require.NotNil(t, leader)
+		for _, m := range c.all() {
+			if m != leader {
+				m.draining.Store(true)
+			}
+		}
+		time.Sleep(time.Second)
+		for _, m := range c.all() {
+			m.store.setMode(storeNoAnswer)
+		}
+		time.Sleep(2 * isolationTimeout)
+		assert.Same(t, leader, c.leader())
+	})
+}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -34,7 +34,7 @@
 
 	mu        sync.Mutex
 	followers map[string]*follower // by instance name
-	pingedAt  map[string]time.Time // when each instance last pinged, by name
+	pingedAt  map[string]time.Time // when each instance that does not drain last pinged, by name
 
 	relays  *relays
 	workers atomic.Int64 // number of workers in the directory
@@ -185,7 +185,11 @@
 func (l *leader) recordPing(args *PingArgs) {
 	f := &follower{PingArgs: *args, pingedAt: time.Now()}
 	l.mu.Lock()
-	l.followers[args.Instance], l.pingedAt[args.Instance] = f, f.pingedAt
+	l.followers[args.Instance] = f
+	l.pingedAt[args.Instance] = f.pingedAt
+	if f.Draining {
+		delete(l.pingedAt, args.Instance)
+	}
 	l.mu.Unlock()
 	if l.reachedStoreSinceFailure(f) {
 		wait.Wake(l.followerReached)
