Fix: the payload of a submission that found no leader is forgotten

As with a refusal: a later submission of the same id may have another payload, which relays would not get.

--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -36,7 +36,9 @@
 	answer, err := n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
 		return &engine.Submit{Spec: spec, Wait: untilDeadline(ctx), Reply: answer}
 	})
-	if added && err == nil && answer.Outcome == engine.Refused {
+	var e *verdict.Error
+	notRun := errors.As(err, &e) && e.Verdict == verdict.NotRun || err == nil && answer.Outcome == engine.Refused
+	if added && notRun {
 		n.ownPayloads.remove(spec.ID) // a later job of this id may have another
 	}
 	return answer, err
--- a/internal/cell/node/requests_test.go
+++ b/internal/cell/node/requests_test.go
@@ -124,3 +124,15 @@
 		assert.False(t, known)
 	})
 }
+
+func TestSubmissionWithoutALeaderKeepsItsPayload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(Settings{Instance: "entry", Address: "entry:1"}, Ports{}, NewStats(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		_, err := n.Submit(t.Context(), spec("0000000000000001"))
+		var e *verdict.Error
+		require.ErrorAs(t, err, &e)
+		require.Equal(t, verdict.NotRun, e.Verdict)
+		_, known := n.ownPayloads.get("0000000000000001")
+		assert.False(t, known)
+	})
+}
