Fix: attempts are counted out again when a queue is declared again or a run ends

What callers may see: a task is started more often than its queue declares attempts (BUDGET).

Cause: attempts used up while a queue was not declared were looked at only with the first declarations of a term, not when a later version declares the queue again; those lowered while a run is under way were not looked at when it ends otherwise than by failure.

Change: each version looks at the jobs whose queue was not declared before, unless the task has a run, and so does each end of a run.

Evidence: TestJobIsStartedOnceTooOftenAfterItsQueueIsDeclaredAgain fails before (three starts, two attempts). TestJobIsStartedOnceTooOftenAfterItsAttemptsAreLowered covers the other case.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -86,6 +86,10 @@
 		e.taskDone(t, r.number)
 	case EndedFailed:
 		e.taskFailed(t, r.worker)
+	default:
+		if t.failures > 0 && !t.hasRuns() {
+			e.failExhausted(t) // the declarations may have changed while it ran
+		}
 	}
 	if s.spec.Gang && !t.done && reason != EndedDone {
 		e.stopGangRun(s, r.number)
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -7,7 +7,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
@@ -222,24 +221,29 @@
 		return
 	}
 	e.log.Info("declarations applied", "version", p.Version, "before", e.policy.Version, "queues", len(p.Queues), "teams", len(p.Teams))
-	first := e.policy.Version == 0
+	before := e.policy
 	e.policy = p
-	if first {
-		e.failExhaustedTasks()
-	}
+	e.failExhaustedJobs(before)
 	for _, s := range e.openSteps {
 		s.urgency = e.urgencyOf(s)
 	}
 	e.needsPlacement = true
 }
 
-// failExhaustedTasks fails the jobs with tasks that have used up their attempts before the
-// first declarations were known.
-func (e *Engine) failExhaustedTasks() {
-	for _, id := range slices.Sorted(maps.Keys(e.jobs)) {
+// failExhaustedJobs fails the jobs with tasks that have used up their attempts while their
+// queue was not declared, as before says.
+func (e *Engine) failExhaustedJobs(before *policy.Policy) {
+	var ids []string
+	for id, j := range e.jobs {
+		if !j.state.Final() && before.Queue(j.queue) == nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
 		e.jobs[id].eachStep(func(s *stepState) {
 			for _, t := range s.tasks {
-				if t.failures > 0 {
+				if t.failures > 0 && !t.hasRuns() {
 					e.failExhausted(t)
 				}
 			}
--- a/internal/cell/engine/jobs_test.go
+++ b/internal/cell/engine/jobs_test.go
@@ -69,3 +69,46 @@
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.Equal(t, 2, w.starts)
 }
+
+// The last attempt of a job fails while its queue is not declared.
+func TestJobIsStartedOnceTooOftenAfterItsQueueIsDeclaredAgain(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.failureRatio = 1
+	w.run(time.Second)
+	id := w.submit("urgent", "a", tasks(1, 1000, 500*time.Millisecond)) // two attempts
+	for w.starts < 2 {
+		w.run(simTick)
+	}
+	without, again := *simPolicy(), *simPolicy()
+	without.Version, again.Version = 2, 3
+	without.Queues = without.Queues[1:]
+	w.engine.Handle(w.now, &PolicyChanged{Policy: without.Index()})
+	w.run(2 * time.Second)
+	w.engine.Handle(w.now, &PolicyChanged{Policy: again.Index()})
+	w.run(5 * time.Second)
+	assert.Equal(t, StateFailed, w.state(id))
+	assert.Equal(t, 2, w.starts)
+}
+
+// The declarations lower the attempts while a run is under way, which is then lost.
+func TestJobIsStartedOnceTooOftenAfterItsAttemptsAreLowered(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.failureRatio = 1
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, time.Second)) // three attempts
+	for w.starts < 3 {
+		w.run(simTick)
+	}
+	lowered := *simPolicy()
+	lowered.Version = 2
+	lowered.Queues[2].Attempts = 2
+	w.engine.Handle(w.now, &PolicyChanged{Policy: lowered.Index()})
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, StateRunning, w.state(id))
+	for _, worker := range w.ids {
+		w.restartWorker(worker)
+	}
+	w.run(5 * time.Second)
+	assert.Equal(t, StateFailed, w.state(id))
+	assert.Equal(t, 3, w.starts)
+}
