Fix: a lease in an incarnation that is not known yet is waited for

What callers may see: a task runs on two workers.

Cause: a worker restarted under its id unseen and accepted a start; its answer does not tell the incarnation, but its clock is far behind the known one. Its lease is on the new clock and lasts up to the maximum, while the leader waited for that of the old one.

Change: a clock further behind than an overtaken answer can be makes the leader wait for the maximum lease from then on.

Evidence: TestLeaseOfAnUnknownIncarnationExpiresTooSoon fails before: run 2 starts while run 1 runs. Open: the same without any answer of the new incarnation, as nothing then tells of it.

Names and comments that misled the review are put right, and a replaced worker has a log line of its own.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -103,7 +103,7 @@
 	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
 		e.newIncarnation(w, ev.Incarnation, "answer to a start")
 	}
-	if answeredBy(ev.Incarnation, ev.Start.Incarnation) == w.incarnation {
+	if answeredAtLeast(ev.Incarnation, ev.Start.Incarnation) == w.incarnation {
 		w.noteClock(ev.Clock, e.now)
 	}
 	if r.ended {
@@ -168,7 +168,8 @@
 	e.stopRun(r, "no answer to the start")
 }
 
-// incarnationRefused ends a run whose worker has answered that it is another incarnation.
+// incarnationRefused ends a run in whose worker's place another one, or a later incarnation,
+// has answered. That counts for the worker unless it is known in a later incarnation.
 func (e *Engine) incarnationRefused(r *run) {
 	w := r.worker
 	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
@@ -177,9 +178,9 @@
 	}
 }
 
-// answeredBy returns the incarnation of the worker that answered a command. Unless the answer
-// tells it, that is at least the one for which the command was sent.
-func answeredBy(told, sentTo int64) int64 {
+// answeredAtLeast returns the earliest incarnation of a worker that can have answered a
+// command: the one that the answer tells, or else the one that the command was sent to.
+func answeredAtLeast(told, sentTo int64) int64 {
 	if told != 0 {
 		return told
 	}
@@ -216,10 +217,10 @@
 // still have one, although none was confirmed.
 func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
 
-// mayStartLate reports whether a start command for r may still be carried out, or was, by
-// another incarnation of its worker than is known. An earlier leader may have sent some
-// that this one does not know.
-func (r *run) mayStartLate() bool {
+// mayRunInAnotherIncarnation reports whether a start command for r may have been carried
+// out, or still be, by a later incarnation of its worker than r names. An earlier leader
+// may have sent some that this one does not know.
+func (r *run) mayRunInAnotherIncarnation() bool {
 	inherited := r.startSent && r.startAttempts == 0
 	return inherited || r.unattributed || r.startsInFlight > 0 || r.unansweredStarts > 0
 }
@@ -262,7 +263,7 @@
 	if r.ended {
 		return
 	}
-	if answeredBy(ev.Incarnation, ev.Stop.Incarnation) < r.incarnation {
+	if answeredAtLeast(ev.Incarnation, ev.Stop.Incarnation) < r.incarnation {
 		return // the answer is not of the run's incarnation; the command is sent again
 	}
 	switch ev.Outcome {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -58,8 +58,8 @@
 	// was never stored. Its end is acknowledged like any other, so a success counts, also
 	// if the task has another run by now.
 	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String())
-	// The end of a run that is known to have ended, or that an earlier leader has
-	// recorded as such, has been counted.
+	// A failure has been counted if the run was known to end, also to an earlier leader. One
+	// of a run that was given up for its lease does not count, as the lease has lapsed.
 	counted := end.Run <= t.lastRun && (t.lastEnd.run != end.Run || t.lastEnd.reason != EndedStopped)
 	if end.Run > t.lastRun {
 		t.lastRun = end.Run
@@ -201,14 +201,7 @@
 		if len(sent) == 0 {
 			continue
 		}
-		end := w.leasesExpireAt()
-		if !w.reported {
-			since := e.startedAt
-			if w.incarnationSince.After(since) {
-				since = w.incarnationSince
-			}
-			end = since.Add(e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift))
-		}
+		end := e.leasesExpireAt(w)
 		if e.now.Before(end.Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
@@ -219,3 +212,21 @@
 		}
 	}
 }
+
+// leasesExpireAt returns when the leases of all runs on w have certainly expired if w is not
+// reached again.
+func (e *Engine) leasesExpireAt(w *worker) time.Time {
+	longest := e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift)
+	end := e.startedAt.Add(longest)
+	if w.reported {
+		end = w.leasesExpireAt()
+	} else if w.incarnationSince.After(e.startedAt) {
+		end = w.incarnationSince.Add(longest)
+	}
+	// An incarnation that is not known yet may grant the maximum, as the leases that were
+	// requested are on another clock.
+	if unknown := w.unknownClockAt.Add(longest); !w.unknownClockAt.IsZero() && unknown.After(end) {
+		end = unknown
+	}
+	return end
+}
--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -102,7 +102,27 @@
 		w.run(100 * time.Millisecond)
 	}
 	assert.NotContains(t, log.String(), "worker restarted")
+	assert.NotContains(t, log.String(), "worker replaced")
 	w.publishDirectory()
 	w.run(time.Second)
 	assert.True(t, w.engine.workers["w00"].usable(w.now), "the restarted worker is used")
 }
+
+// A worker accepts a start after an unseen restart, which its clock shows, and is cut off.
+func TestLeaseOfAnUnknownIncarnationExpiresTooSoon(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(15 * time.Second)
+	sent := w.lastStart(NoAnswer)
+	w.answerDelay = time.Minute
+	id := w.submit("batch", "a", tasks(1, 1000, 9*time.Second))
+	w.run(50 * time.Millisecond)
+	w.refuseStart, w.answerDelay = nil, 0
+	s := w.workers[(*sent).Worker]
+	w.restartUnlisted(s.id)
+	s.leaseEnd = w.now.Add(simConfig().MaxLease)
+	w.startRun(s, *sent, w.now)
+	w.engine.Handle(w.now, &StartAnswered{Start: *sent, Outcome: Accepted, Clock: 500})
+	s.unreachable = true
+	w.run(40 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -77,7 +77,8 @@
 	lastEnd      lastEnd
 }
 
-// lastEnd tells how the last run of a task that ended became known to have ended.
+// lastEnd tells how the last run of a task that ended became known to have ended. It decides
+// whether a failure that is reported later counts.
 type lastEnd struct {
 	run    int
 	reason EndReason
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -11,7 +11,7 @@
 // worker is the leader's view of a worker.
 type worker struct {
 	id               string
-	incarnation      int64
+	incarnation      int64     // called life in log lines
 	incarnationSince time.Time // when this leader first heard of the incarnation
 	address          string
 	service          string
@@ -20,7 +20,7 @@
 	capacity         job.Resources
 	used             job.Resources
 	heldForGangs     job.Resources // kept free for gangs in this placement round
-	pool             *pool         // nil for a worker that is not listed
+	pool             *pool         // nil for a worker that was not listed when the pools were built
 	poolIndex        int           // index of its list in pool.byFreeCPU
 	poolSlot         int           // its index in that list
 	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
@@ -36,6 +36,7 @@
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
 	leaseEnd         int64     // latest end of a lease that was requested, on the worker's clock, in ms
+	unknownClockAt   time.Time // when the last answer of a later, unknown incarnation arrived; zero if there was none
 	reported         bool      // it has answered a renewal of this leader in this incarnation
 	renewalInFlight  bool
 	renewalSentAt    time.Time
@@ -71,12 +72,20 @@
 	}
 	w.lastAnswer = at
 	w.missedRenewals = 0
-	if clock < w.clock {
-		return // overtaken, or of a later incarnation that the answer does not tell
+	if clock >= w.clock {
+		w.clock, w.clockAt = clock, at
+		return
+	}
+	if w.clock-clock > maxOvertakenAge.Milliseconds() {
+		w.unknownClockAt = at
 	}
-	w.clock, w.clockAt = clock, at
 }
 
+// maxOvertakenAge is by how much the clock in an answer may be behind that of an answer
+// that overtook it. It is longer than the leader waits for an answer. A clock further
+// behind is that of a later incarnation that the answer does not tell.
+const maxOvertakenAge = 3 * time.Second
+
 // leasesExpireAt returns when the leases of all runs on the worker have certainly
 // expired if the worker is not reached again.
 func (w *worker) leasesExpireAt() time.Time {
@@ -185,10 +194,15 @@
 	}
 }
 
-// newIncarnation switches w to a new incarnation, which is zero if it is not known yet, and
-// settles the runs of the earlier one.
+// newIncarnation records that w has restarted.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
+	e.switchIncarnation(w, incarnation)
+}
+
+// switchIncarnation switches w to a new incarnation, which is zero if it is not known yet,
+// and settles the runs of the earlier one.
+func (e *Engine) switchIncarnation(w *worker, incarnation int64) {
 	w.incarnation = incarnation
 	w.incarnationSince = e.now
 	e.settleRunsOfEarlierIncarnations(w)
@@ -197,6 +211,7 @@
 	w.draining = false
 	w.cursor, w.appliedCursor = 0, 0
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
+	w.unknownClockAt = time.Time{}
 	w.nextRenewal = e.now
 	w.health = health{}
 	e.needsPlacement = true
@@ -206,13 +221,15 @@
 func (w *worker) replaced() bool { return w.replacedIncarnation != 0 && w.replacedAddress == w.address }
 
 // workerReplaced records that another worker has answered at the address of w, whose entry in
-// the directory is older than that. Until the entry changes it counts as not listed.
+// the directory is older than that. Until the entry names another incarnation or address it
+// counts as not listed.
 func (e *Engine) workerReplaced(w *worker, source string) {
+	e.log.Info("worker replaced", "worker", w.id, "life", w.incarnation, "address", w.address, "source", source, "runs", len(w.runs))
 	w.replacedIncarnation, w.replacedAddress = w.incarnation, w.address
 	if w.listed {
 		w.listed, w.unlistedSince = false, e.now
 	}
-	e.newIncarnation(w, 0, source)
+	e.switchIncarnation(w, 0)
 }
 
 // settleRunsOfEarlierIncarnations ends the runs that an earlier incarnation of w had. A
@@ -223,7 +240,7 @@
 	for _, r := range w.currentRuns() {
 		switch {
 		case r.incarnation == 0 || r.incarnation == w.incarnation:
-		case w.incarnation != 0 && r.mayStartLate():
+		case w.incarnation != 0 && r.mayRunInAnotherIncarnation():
 			e.moveToIncarnation(r, w.incarnation)
 			if r.phase == running {
 				r.phase = unconfirmed // the next report decides
