Fix: leases of a worker that came back at its address are renewed again

What callers may see: work is lost and runs again.

Cause: a worker that had been replaced at its address, and came back there, still counted as replaced. When its entry expired, for instance as the store was down, it got no renewals any more, although it had runs.

Change: a new entry in the directory ends that state.

Evidence: TestLeasesOfAWorkerThatCameBackAreNotRenewed fails before (three starts instead of two).

--- a/internal/cell/engine/restarts_test.go
+++ b/internal/cell/engine/restarts_test.go
@@ -108,6 +108,25 @@
 	assert.True(t, w.engine.workers["w00"].usable(w.now), "the restarted worker is used")
 }
 
+// A worker comes back at the address where another one had answered, and then leaves the
+// directory while it runs tasks.
+func TestLeasesOfAWorkerThatCameBackAreNotRenewed(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	w.restartUnlisted("w00")
+	w.run(3 * time.Second)
+	w.publishDirectory()
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(2, 1000, 20*time.Second))
+	w.run(time.Second)
+	w.engine.Handle(w.now, &WorkersListed{})
+	w.run(8 * time.Second)
+	w.publishDirectory()
+	w.run(30 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 2, w.starts)
+}
+
 // A worker accepts a start after an unseen restart, which its clock shows, and is cut off.
 func TestLeaseOfAnUnknownIncarnationExpiresTooSoon(t *testing.T) {
 	w := newWorld(t, 2, 1)
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -182,6 +182,7 @@
 		w.nextRenewal = e.now
 	}
 	w.listed = true
+	w.replacedIncarnation, w.replacedAddress = 0, ""
 	w.address, w.service, w.labels, w.capacity = l.Address, l.Service, l.Labels, l.Capacity
 	w.rack = rackOf(l.Labels)
 	if l.Draining && !w.draining {
