Fix: a stop refused for an earlier incarnation no longer counts for the next one

What callers may see: jobs wait for ever as live workers get no work (LOST). On the platform a 421 does not tell an incarnation, so it takes a run that moved while its stop was under way.

Cause: the refusal of a stop that named the earlier incarnation told of the next one. The run moved there, and the refusal then counted for the run's new incarnation: the worker was taken as replaced, and its entry in the directory was passed over.

Change: it counts only if the command named the run's present incarnation.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -276,7 +276,9 @@
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
 	case OtherIncarnation:
-		e.incarnationRefused(r)
+		if ev.Stop.Incarnation == r.incarnation { // else the command is sent again
+			e.incarnationRefused(r)
+		}
 	}
 }
 
