Keep, a start that reaches a later incarnation, as a known failure

A worker is silent until its lease is over, its runs start elsewhere or are about to, and it restarts under its id. A start command that was sent ten seconds before is carried out by the new incarnation, whose clock begins anew, so the deadline in the command does not stop it. The leader cannot know of it in time.

--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -20,6 +20,7 @@
 		{name: "the same, with the restart seen in a report", seed: 400702, keptIDs: true, untold: true},
 		{name: "a lease was never over as the clock came from an incarnation that was not told", seed: 404088, keptIDs: true, untold: true},
 		{name: "a stop that was refused for an earlier incarnation counted for the next one, which got no work any more", seed: 700786},
+		{name: "a start reached the next incarnation after its run was given up for the lease of the earlier one", seed: 701739, keptIDs: true, untold: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
 		t.Run(c.name, func(t *testing.T) {
