--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -290,10 +290,10 @@
 }
 
 const (
-	// isolationTimeout is how long a leader that has lost most of its followers goes on without an
-	// answer from the store. Another may lead by then, and counts a worker that it cannot
-	// reach as lost after the maximum lease. The leases that this one has renewed must
-	// have expired before.
+	// isolationTimeout is how long a leader that has lost most of its followers goes on
+	// without an answer from the store. Another may lead by then, and counts a worker that
+	// it cannot reach as lost after the maximum lease. The leases that this one has renewed
+	// must have expired before.
 	isolationTimeout = 2500 * time.Millisecond
 	// memberTimeout is how long after its last ping an instance counts as one that should
 	// follow. It is longer than an isolated leader goes on.
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -79,22 +79,22 @@
 // job's id, so one whose answer was lost is sent again, also to the next leader.
 func (n *Node) request(ctx context.Context, method string, args any, newEvent func(func(engine.Answer)) any) (engine.Answer, error) {
 	start := time.Now()
-	var doubts doubts
+	var inDoubt doubts
 	for {
 		leaderChange := n.leaderChanged()
 		a := n.attempt(ctx, leaderChange, method, args, newEvent)
 		switch {
-		case a.answered && a.answer.Outcome == engine.Refused && !doubts.settledBy(a.leader):
+		case a.answered && a.answer.Outcome == engine.Refused && !inDoubt.settledBy(a.leader):
 			return engine.Answer{}, noAnswerError(true, verdict.CodeInDoubt, "refused ("+a.answer.Why+"), but an earlier attempt got no answer")
 		case a.answered:
 			return a.answer, nil
 		case a.sent:
-			doubts = append(doubts, a.leader)
+			inDoubt = append(inDoubt, a.leader)
 		}
 		if ctx.Err() != nil {
-			return engine.Answer{}, noAnswerError(len(doubts) > 0, verdict.CodeDeadline, "no answer from the leader in time")
+			return engine.Answer{}, noAnswerError(len(inDoubt) > 0, verdict.CodeDeadline, "no answer from the leader in time")
 		}
-		if len(doubts) == 0 && time.Since(start) > noLeaderTimeout {
+		if len(inDoubt) == 0 && time.Since(start) > noLeaderTimeout {
 			return engine.Answer{}, noAnswerError(false, verdict.CodeUnavailable, "no leader in reach")
 		}
 		wait.Until(ctx, leaderChange, leaderRetryDelay)
@@ -104,9 +104,10 @@
 // doubts are the leaders that a request was sent to without an answer.
 type doubts []*Leadership
 
-// settledBy reports whether a refusal by the given leader holds for all attempts: those
-// that the others may still handle have no effect, as it has fenced them off, and it knows what they had
-// stored before. The same leader may handle an earlier attempt after a later one.
+// settledBy reports whether a refusal by the given leader holds for all attempts. It has
+// fenced off the earlier leaders, so what they may still handle has no effect, and it knows
+// what they had stored before. The same leader may handle an earlier attempt after a later
+// one.
 func (d doubts) settledBy(leader *Leadership) bool {
 	for _, earlier := range d {
 		if earlier.Session == leader.Session || earlier.Term >= leader.Term {
