--- a/internal/cell/engine/jobs_test.go
+++ b/internal/cell/engine/jobs_test.go
@@ -31,6 +31,15 @@
 	assert.Equal(t, StateRunning, w.state(id))
 }
 
+// startLeaderWithoutDeclarations replaces the engine by that of a new leader that has no
+// declarations yet.
+func (w *world) startLeaderWithoutDeclarations() {
+	declared := w.policy
+	w.policy = new(policy.Policy)
+	w.startLeader()
+	w.policy = declared
+}
+
 // A leader hears of failed runs before it has the declarations, which allow three attempts.
 func TestJobFailsTooSoonUnderALeaderWithoutDeclarations(t *testing.T) {
 	w := newWorld(t, 2, 1)
@@ -38,13 +47,10 @@
 	w.run(time.Second)
 	id := w.submit("batch", "a", tasks(1, 1000, 500*time.Millisecond))
 	w.run(200 * time.Millisecond)
-	declared := w.policy
-	w.policy = new(policy.Policy)
-	w.startLeader()
-	w.policy = declared
+	w.startLeaderWithoutDeclarations()
 	w.run(2 * time.Second)
 	assert.Equal(t, StateRunning, w.state(id))
-	w.engine.Handle(w.now, &PolicyChanged{Policy: declared})
+	w.engine.Handle(w.now, &PolicyChanged{Policy: w.policy})
 	w.run(4 * time.Second)
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.Equal(t, 3, w.starts)
@@ -59,12 +65,9 @@
 	for w.starts < 2 {
 		w.run(simTick)
 	}
-	declared := w.policy
-	w.policy = new(policy.Policy)
-	w.startLeader()
-	w.policy = declared
+	w.startLeaderWithoutDeclarations()
 	w.run(2 * time.Second)
-	w.engine.Handle(w.now, &PolicyChanged{Policy: declared})
+	w.engine.Handle(w.now, &PolicyChanged{Policy: w.policy})
 	w.run(2 * time.Second)
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.Equal(t, 2, w.starts)
