Look for expired leases before listing the runs that they end

Behaviour is the same. The check runs every 20 ms for each worker with runs, and since it built a list of these runs each time, also for the many whose leases have not expired.

--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -197,12 +197,11 @@
 	}
 	e.leasesCheckedAt = e.now
 	for _, w := range e.workerList {
-		sent := w.sentRuns()
-		if len(sent) == 0 {
+		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		end := e.leasesExpireAt(w)
-		if e.now.Before(end.Add(e.cfg.LeaseExpiryMargin)) {
+		sent := w.sentRuns()
+		if len(sent) == 0 {
 			continue
 		}
 		e.log.Warn("leases expired", "worker", w.id, "life", w.incarnation, "runs", len(sent), "reported", w.reported,
