Tell a worker that has ended from one that does not answer

The logs could not distinguish a worker whose process has ended right after a start from one that is cut off, frozen or slow: both are `worker does not answer`, and `run ended` says `worker restarted` some seconds later. A closed port tells them apart. No decision uses it yet.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -97,6 +97,9 @@
 	r := ev.Start.run
 	w := r.worker
 	r.startsInFlight--
+	if ev.ConnectionRefused && ev.Start.Incarnation == w.incarnation {
+		e.connectionRefused(w)
+	}
 	if ev.Outcome == Accepted && !r.ended && ev.Incarnation > r.incarnation {
 		e.moveToIncarnation(r, ev.Incarnation) // the worker restarted while the command was under way
 	}
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -144,14 +144,16 @@
 		Report      *Report
 		Fenced      bool // the worker has seen a newer leader
 		// OtherIncarnation reports whether the worker answered that it is another incarnation.
-		OtherIncarnation bool
+		OtherIncarnation  bool
+		ConnectionRefused bool // nothing listens at the worker's address
 	}
 	// StartAnswered is the outcome of a Start.
 	StartAnswered struct {
-		Start       *Start
-		Outcome     CommandOutcome
-		Incarnation int64 // incarnation of the worker that answered, zero if unknown
-		Clock       int64 // the worker's clock, in ms
+		Start             *Start
+		Outcome           CommandOutcome
+		Incarnation       int64 // incarnation of the worker that answered, zero if unknown
+		Clock             int64 // the worker's clock, in ms
+		ConnectionRefused bool  // nothing listens at the worker's address
 	}
 	// StopAnswered is the outcome of a Stop.
 	StopAnswered struct {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -43,6 +43,7 @@
 	nextRenewal      time.Time
 	lastAnswer       time.Time // when the last answer arrived
 	missedRenewals   int       // consecutive renewals without an answer
+	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not
 	renewWithoutWait bool      // the next renewal asks for an immediate answer
 	cursor           int64     // number of the last finished run that is stored
 	appliedCursor    int64     // number of the last finished run that is applied
@@ -72,6 +73,7 @@
 	}
 	w.lastAnswer = at
 	w.missedRenewals = 0
+	w.refusingSince = time.Time{}
 	if clock >= w.clock {
 		w.clock, w.clockAt = clock, at
 		return
@@ -213,6 +215,7 @@
 	w.cursor, w.appliedCursor = 0, 0
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
 	w.unknownClockAt = time.Time{}
+	w.refusingSince = time.Time{}
 	w.nextRenewal = e.now
 	w.health = health{}
 	e.needsPlacement = true
@@ -408,6 +411,9 @@
 		w.nextRenewal = e.now // a report of finished runs may have been lost
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
+	if ev.ConnectionRefused {
+		e.connectionRefused(w)
+	}
 	if ev.OtherIncarnation && ev.Incarnation == w.incarnation && w.incarnation != 0 {
 		e.workerReplaced(w, "renewal refused")
 	}
--- a/internal/cell/node/relay.go
+++ b/internal/cell/node/relay.go
@@ -35,16 +35,17 @@
 }
 
 // RelayResult is the outcome of a command. Outcome and Clock are set for commands, Report,
-// Fenced and OtherIncarnation for renewals.
+// Fenced and OtherIncarnation for renewals, ConnectionRefused for starts and renewals.
 type RelayResult struct {
-	Number           uint64
-	Outcome          engine.CommandOutcome
-	Incarnation      int64 // incarnation of the worker that answered, zero if unknown
-	Clock            int64 // the worker's clock, in ms
-	Report           *engine.Report
-	Fenced           bool
-	OtherIncarnation bool
-	PayloadMissing   bool // nothing was sent to the worker, as the payload is not known
+	Number            uint64
+	Outcome           engine.CommandOutcome
+	Incarnation       int64 // incarnation of the worker that answered, zero if unknown
+	Clock             int64 // the worker's clock, in ms
+	Report            *engine.Report
+	Fenced            bool
+	OtherIncarnation  bool
+	ConnectionRefused bool
+	PayloadMissing    bool // nothing was sent to the worker, as the payload is not known
 }
 
 // RelayedArgs are results of commands that an instance has relayed.
@@ -113,10 +114,12 @@
 	switch ev := n.callWorker(context.Background(), term, c.action()).(type) {
 	case *engine.StartAnswered:
 		result.Outcome, result.Incarnation, result.Clock = ev.Outcome, ev.Incarnation, ev.Clock
+		result.ConnectionRefused = ev.ConnectionRefused
 	case *engine.StopAnswered:
 		result.Outcome, result.Incarnation = ev.Outcome, ev.Incarnation
 	case *engine.RenewalAnswered:
 		result.Report, result.Fenced, result.OtherIncarnation = ev.Report, ev.Fenced, ev.OtherIncarnation
+		result.ConnectionRefused = ev.ConnectionRefused
 	}
 	return result
 }
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -382,14 +382,15 @@
 func (a *relayedAction) event(result *RelayResult) any {
 	switch action := a.action.(type) {
 	case *engine.Start:
-		return &engine.StartAnswered{Start: action, Outcome: result.Outcome, Incarnation: result.Incarnation, Clock: result.Clock}
+		return &engine.StartAnswered{Start: action, Outcome: result.Outcome, Incarnation: result.Incarnation, Clock: result.Clock,
+			ConnectionRefused: result.ConnectionRefused}
 	case *engine.Stop:
 		return &engine.StopAnswered{Stop: action, Outcome: result.Outcome, Incarnation: result.Incarnation}
 	case *engine.Renew:
 		// The relay sends the renewal after sentAt, so what its report lacks was not there
 		// at sentAt or later.
 		return &engine.RenewalAnswered{Worker: action.Worker, Incarnation: action.Incarnation, SentAt: a.sentAt,
-			Report: result.Report, Fenced: result.Fenced, OtherIncarnation: result.OtherIncarnation}
+			Report: result.Report, Fenced: result.Fenced, OtherIncarnation: result.OtherIncarnation, ConnectionRefused: result.ConnectionRefused}
 	}
 	panic("not an action for a relay")
 }
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -352,3 +352,19 @@
 		assert.Equal(t, direct, c.leader().stats.Renewals.Count())
 	})
 }
+
+// refusingWorker is a worker that has ended.
+type refusingWorker struct{ workerAccess }
+
+// Renew implements Workers.
+func (refusingWorker) Renew(_ context.Context, _ int64, renewal *engine.Renew) *engine.RenewalAnswered {
+	return &engine.RenewalAnswered{Worker: renewal.Worker, ConnectionRefused: true}
+}
+
+func TestRelayForgetsThatAWorkerRefusesConnections(t *testing.T) {
+	n := &Node{ports: Ports{Workers: refusingWorker{}}, stats: NewStats()}
+	renewal := &engine.Renew{Worker: "w1", Timeout: time.Second}
+	result := n.executeRelayed(1, &RelayCommand{Number: 1, Renew: renewal})
+	event := (&relayedAction{action: renewal}).event(&result)
+	assert.True(t, event.(*engine.RenewalAnswered).ConnectionRefused)
+}
