Reproduce a task that is started without end on workers that it crashes

The engine's world gets workers that crash: the task's run is gone, open calls end, the machine refuses connections for 3 to 3.5 s, then another incarnation answers. Two tests fail: the task is started again after each crash, 16 times in a minute, with one leader and with a new one after each crash.

--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -209,7 +209,9 @@
 }
 
 // clear ends the faults of a link.
-func (l *link) clear() { *l = link{maxDelay: usualDelay, downUntil: l.downUntil} }
+func (l *link) clear() {
+	*l = link{maxDelay: usualDelay, downUntil: l.downUntil, refusesUntil: l.refusesUntil}
+}
 
 // clearFaults ends all faults.
 func (n *network) clearFaults() {
--- a/internal/cell/engine/world_lives_test.go
+++ b/internal/cell/engine/world_lives_test.go
@@ -80,6 +80,7 @@
 		r := s.runs[a.Task]
 		r.foreign = foreign
 		n.rules.started(r, a, sent)
+		n.crashLater(s, r)
 	}
 	return ev
 }
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -28,6 +28,9 @@
 	settled        map[string]bool      // runs that have ended or were stopped in some incarnation
 	rules          taskRules
 	reports        map[string][]*Report // by worker and incarnation, for a planted fault
+
+	deadly map[string]time.Duration // how long after its start a task crashes its worker, by task
+	open   map[string][]*call       // calls that have arrived and have no answer, by worker
 }
 
 // link holds the faults of the calls to one worker.
@@ -39,6 +42,7 @@
 	refusedRatio   float64       // share of calls that are refused
 	refusals       []CommandOutcome
 	downUntil      time.Time // end of a restart
+	refusesUntil   time.Time // until when the machine refuses connections, as the worker's process has ended
 }
 
 const (
@@ -50,6 +54,7 @@
 func (w *world) useNetwork(seed uint64) *network {
 	n := &network{w: w, rand: rand.New(rand.NewPCG(seed, 3)), links: make(map[string]*link), endsPerReport: 500,
 		knownSince: make(map[string]time.Time), lastSent: make(map[string]int), settled: make(map[string]bool),
+		deadly: make(map[string]time.Duration), open: make(map[string][]*call),
 		reports: make(map[string][]*Report), rules: taskRules{w: w, tasks: make(map[string]*taskHistory)}}
 	w.net = n
 	for _, id := range w.ids {
@@ -117,16 +122,26 @@
 // arrive carries out a call that has reached its worker.
 func (n *network) arrive(c *call) {
 	s, l := n.w.workers[c.worker], n.links[c.worker]
-	if s.unreachable || n.w.now.Before(l.downUntil) {
+	switch {
+	case s.unreachable:
+		return
+	case n.w.now.Before(l.refusesUntil):
+		n.w.after(l.delay(n.rand), func() { n.answer(c, refusedConnection(c.unanswered)) })
+		return
+	case n.w.now.Before(l.downUntil):
 		return
 	}
-	incarnation := s.incarnation
+	incarnation, replied := s.incarnation, false
 	c.carryOut(s, func(event any) {
+		replied = true
 		if n.rand.Float64() < l.lostReplyRatio || s.unreachable || s.incarnation != incarnation {
 			return
 		}
 		n.w.after(l.delay(n.rand), func() { n.answer(c, event) })
 	})
+	if !replied {
+		n.open[c.worker] = append(n.open[c.worker], c)
+	}
 }
 
 // answer delivers the outcome of a call unless it has one.
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -20,6 +20,9 @@
 	starts int
 	ends   map[string]*taskEnd // by worker, incarnation and number
 	failed int
+
+	crashes          int // workers that crashed while they ran the task
+	startsSinceThird int // starts since the third of them
 }
 
 // taskEnd is a run of a task that ended done or failed.
@@ -43,6 +46,7 @@
 func (c *taskRules) started(r *simRun, a *Start, sent time.Time) {
 	h := c.history(a.Task)
 	h.starts++
+	c.checkCrashes(a.Task, h)
 	c.resume(r, a)
 	c.check(a.Task, h)
 	if c.w.stepOf(a.Task).Speculative {
@@ -201,6 +205,9 @@
 			if sum += failed; failed >= c.attempts(id) || spec.Gang && sum >= c.attempts(id) {
 				return true
 			}
+			if _, deadly := c.w.net.deadly[taskName(id, step, i)]; deadly && c.history(taskName(id, step, i)).crashes >= 2 {
+				return true
+			}
 		}
 	}
 	return false
