Fix: a task that crashes its workers is no longer started without end

A task that crashes each worker that starts it was started up to 16 times in a minute, each time with the loss of all that ran beside it.

Cause: the end of a run with its worker is `lapsed`, which is no failed attempt, and nothing else counted it. So the budget of attempts never ran out.

Change: the crashes of workers are counted by task, in the step's record, so that they hold under the next leader. What tells a crash from a cut, a freeze or a lapsed lease is a refused connection soon after the last answer, confirmed by another incarnation in the worker's place. A task is blamed if the worker has not worked on for 250 ms after the start, on the worker's own clock; crashes of three workers at once and those whose moment is not known count as doubtful. At two caused crashes, or four of both, the job fails.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -140,6 +140,7 @@
 // worker or by one that the answer does not tell.
 func (e *Engine) startAccepted(r *run, ev *StartAnswered) {
 	t := r.task
+	e.runSeen(r, ev.Clock)
 	if r.phase != running { // a report has not shown it
 		r.unattributed = ev.Incarnation == 0
 	}
@@ -175,10 +176,10 @@
 // has answered. That counts for the worker unless it is known in a later incarnation.
 func (e *Engine) incarnationRefused(r *run) {
 	w := r.worker
-	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 	if w.incarnation != 0 && r.incarnation == w.incarnation {
 		e.workerReplaced(w, "command refused")
 	}
+	e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 }
 
 // answeredAtLeast returns the earliest incarnation of a worker that can have answered a
--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -1,6 +1,45 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"pollenbend/internal/cell/record"
+)
+
+// A task may crash each worker that starts it. The end of a run with its worker is no
+// failed attempt, so such crashes are counted by task, by what is known of their cause, and
+// the job is given up before the task takes down worker after worker.
+
+const (
+	// survivalTime is how long a worker has to work on after the start of a run until the
+	// start counts as harmless.
+	survivalTime = 250 * time.Millisecond
+	// maxCrashOnset is the maximum time from the first sign of silence of a worker to the
+	// first refused connection within which its process ended by itself. A worker that was
+	// silent for longer may have been cut off or frozen first.
+	maxCrashOnset = time.Second
+	// sharedCrashWindow is the time within which the crashes of maxSharedCrashes workers or
+	// more have a common cause outside of their tasks, such as the loss of a rack.
+	sharedCrashWindow = 150 * time.Millisecond
+	maxSharedCrashes  = 3
+	// crashMemory is how long the engine remembers when workers crashed. It is longer than
+	// a lease, after which a crash is counted at the latest.
+	crashMemory = 30 * time.Second
+	// maxCausedCrashes is the number of crashes caused by a task at which its job is given
+	// up, and maxCrashes that of all crashes right after its start, whatever their cause.
+	maxCausedCrashes = 2
+	maxCrashes       = 4
+	// lateCrashesToSuspect is the number of crashes long after its start from which a task
+	// is suspected of them.
+	lateCrashesToSuspect = 2
+)
+
+// crashOnset is the moment at which a worker first refused a connection.
+type crashOnset struct {
+	worker *worker
+	at     time.Time
+}
 
 // connectionRefused records that nothing listens at the address of w, so its process has
 // ended. A worker that is cut off or frozen does not refuse connections.
@@ -9,6 +48,8 @@
 		return
 	}
 	w.refusingSince = e.now
+	e.crashOnsets = slices.DeleteFunc(e.crashOnsets, func(c crashOnset) bool { return e.now.Sub(c.at) > crashMemory })
+	e.crashOnsets = append(e.crashOnsets, crashOnset{w, e.now})
 	e.log.Warn("worker refuses connections", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer), "last_start_ms", e.msSince(w.lastStart()))
 }
 
@@ -22,3 +63,125 @@
 	}
 	return last
 }
+
+// runSeen records that the worker of r has it at the given time on the worker's clock, in ms.
+func (e *Engine) runSeen(r *run, clock int64) {
+	r.crashCounted = false
+	switch {
+	case clock <= 0:
+	case r.startedClock == 0:
+		r.startedClock = clock
+	case clock-r.startedClock >= survivalTime.Milliseconds():
+		e.outlivedStart(r.task)
+	}
+}
+
+// runProgressed records the progress of r, in percent. A run that has worked for a while was
+// started by a worker that worked on, as far as a leader that has not seen the start can tell.
+func (e *Engine) runProgressed(r *run, percent int) {
+	if time.Duration(percent)*r.task.step.spec.Estimate/100 >= survivalTime {
+		e.outlivedStart(r.task)
+	}
+}
+
+// outlivedStart records that a worker has worked on after it had started t.
+func (e *Engine) outlivedStart(t *task) {
+	t.harmless = true
+	if t.crashes.Caused == 0 && t.crashes.Doubtful == 0 {
+		return
+	}
+	e.log.Info("task no longer suspected", "job", t.step.job().id, "task", t.name, "caused", t.crashes.Caused, "doubtful", t.crashes.Doubtful)
+	t.crashes.Caused, t.crashes.Doubtful = 0, 0
+	e.markDirty(t.step)
+}
+
+// processEnded reports whether the process of w certainly ended by itself, at a moment that
+// is known and at which no common cause ended others, too.
+func (e *Engine) processEnded(w *worker) bool {
+	if w.refusingSince.IsZero() || w.lastAnswer.IsZero() || w.draining || !w.silentSince.IsZero() && w.refusingSince.Sub(w.silentSince) > maxCrashOnset {
+		return false
+	}
+	shared := 0
+	for _, c := range e.crashOnsets {
+		if c.at.Sub(w.refusingSince).Abs() <= sharedCrashWindow {
+			shared++
+		}
+	}
+	return shared < maxSharedCrashes
+}
+
+// mayHaveRun reports whether r was on its worker when that crashed. Unless the process is
+// known to have ended, only an answer of the worker tells that it had started r.
+func (r *run) mayHaveRun(ended bool) bool {
+	since := r.worker.refusingSince
+	switch {
+	case r.crashCounted || !r.startSent || !since.IsZero() && !r.startSentAt.Before(since):
+		return false
+	case ended:
+		return true
+	}
+	return r.restored || r.startedClock > 0
+}
+
+// countCrash counts the crash of w for the tasks of runs, which ended with it. It returns
+// those that have to be given up. The crash is confirmed if another incarnation has answered
+// in place of w.
+func (e *Engine) countCrash(w *worker, runs []*run, confirmed bool) []*task {
+	ended := confirmed && e.processEnded(w)
+	runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.mayHaveRun(ended) })
+	var giveUp []*task
+	for _, r := range runs {
+		certain := ended && !r.restored
+		r.crashCounted = true
+		t, before := r.task, r.task.crashes
+		c := &t.crashes
+		switch {
+		case t.done || t.step.job().state.Final():
+			continue
+		case t.harmless && !certain:
+			continue
+		case t.harmless && c.Late >= lateCrashesToSuspect && len(runs) == 1:
+			c.Caused++
+		case t.harmless && t.step.spec.LongRunning:
+			continue // it has to last through crashes with other causes
+		case t.harmless:
+			c.Late++
+		case certain:
+			c.Caused++
+		default:
+			c.Doubtful++
+		}
+		e.markDirty(t.step)
+		if *c != before && t.suspect() {
+			e.log.Warn("task suspected of crashing its worker", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id, "life", r.incarnation,
+				"runs_beside", len(runs)-1, "caused", c.Caused, "doubtful", c.Doubtful, "late", c.Late, "certain", certain,
+				"refusing_ms", e.msSince(w.refusingSince), "silent_ms", e.msSince(w.silentSince), "started_ms", e.msSince(r.startSentAt))
+		}
+		if t.exceedsCrashes() {
+			giveUp = append(giveUp, t)
+		}
+	}
+	return giveUp
+}
+
+// suspect reports whether t may crash the worker that starts it.
+func (t *task) suspect() bool {
+	return t.crashes.Caused > 0 || t.crashes.Doubtful > 0 || t.crashes.Late >= lateCrashesToSuspect
+}
+
+// exceedsCrashes reports whether t must not be started again.
+func (t *task) exceedsCrashes() bool {
+	return t.crashes.Caused >= maxCausedCrashes || t.crashes.Caused+t.crashes.Doubtful >= maxCrashes
+}
+
+// giveUp fails the jobs of tasks that crash their workers.
+func (e *Engine) giveUp(tasks []*task) {
+	for _, t := range tasks {
+		j := t.step.job()
+		if t.done || j.state.Final() {
+			continue
+		}
+		e.log.Warn("job failed", "job", j.id, "task", t.name, "reason", "its task crashes workers", "caused", t.crashes.Caused, "doubtful", t.crashes.Doubtful, "late", t.crashes.Late)
+		e.finishJob(j, record.Failed)
+	}
+}
--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -28,5 +28,5 @@
 		n.startLeader()
 	}
 	assert.Equal(t, StateFailed, w.state(id))
-	assert.LessOrEqual(t, n.crashesUnder(id), 3)
+	assert.LessOrEqual(t, n.crashesUnder(id), maxCrashes)
 }
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -159,7 +159,7 @@
 	if q == nil || t.done || j.state.Final() || t.failures < max(1, q.Attempts) {
 		return
 	}
-	e.log.Info("job failed", "job", j.id, "task", t.name, "failures", t.failures, "attempts", max(1, q.Attempts))
+	e.log.Info("job failed", "job", j.id, "task", t.name, "reason", "attempts used up", "failures", t.failures, "attempts", max(1, q.Attempts))
 	e.finishJob(j, record.Failed)
 }
 
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -67,6 +67,7 @@
 	pools           map[string]*pool         // by service
 	heldWorkers     []*worker                // workers on which the last placement round held resources for gangs
 	stragglers      []*run                   // runs for whose tasks a speculative run is worth starting
+	crashOnsets     []crashOnset             // of the last crashMemory
 	unknownRunStops map[string]time.Time     // when a stop was last sent for an unknown run, by task
 	usage           map[string]job.Resources // by team
 	queued          map[string]int           // jobs without a schedule that have not started, by queue
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -47,6 +47,9 @@
 	if t == nil {
 		return
 	}
+	if end.Reason == EndedDone || end.Reason == EndedFailed {
+		e.outlivedStart(t)
+	}
 	for _, r := range t.runs {
 		if r.worker == w && r.number == end.Run {
 			e.markStarted(t.step.job())
@@ -86,7 +89,7 @@
 			e.log.Warn("worker reported a run of an unknown task", "worker", w.id, "task", s.Task, "reason", err.Error())
 			continue
 		}
-		e.applyStatus(w, ref, s)
+		e.applyStatus(w, ref, s, ev.Report.Clock)
 	}
 	if ev.Report.MoreEnds {
 		return // a run that is missing may be among the ends that were left out
@@ -101,12 +104,14 @@
 }
 
 // applyStatus applies one run that a worker reports as running.
-func (e *Engine) applyStatus(w *worker, ref job.TaskRef, s *RunStatus) {
+func (e *Engine) applyStatus(w *worker, ref job.TaskRef, s *RunStatus, clock int64) {
 	t := e.task(ref)
 	if t != nil {
 		for _, r := range t.runs {
 			if r.worker == w && r.number == s.Run {
 				e.runReported(r, s)
+				e.runSeen(r, clock)
+				e.runProgressed(r, s.Percent)
 				return
 			}
 		}
@@ -206,9 +211,14 @@
 		}
 		e.log.Warn("leases expired", "worker", w.id, "life", w.incarnation, "runs", len(sent), "reported", w.reported,
 			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd)
+		var crashing []*task
+		if !w.refusingSince.IsZero() {
+			crashing = e.countCrash(w, sent, false)
+		}
 		for _, r := range sent {
 			e.endRun(r, EndedLeaseExpired, "", "lease expired without contact")
 		}
+		e.giveUp(crashing)
 	}
 }
 
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -95,6 +95,8 @@
 	for i := range min(len(s.tasks), len(rec.Tasks)) {
 		t, stored := s.tasks[i], &rec.Tasks[i]
 		t.lastRun, t.failures, t.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
+		t.crashes = rec.Crashes[i]
+		t.harmless = stored.Failures > 0 || stored.Checkpoint != ""
 		s.lastGangRun = max(s.lastGangRun, stored.Run)
 		if rec.Begun || stored.Done || stored.Failures > 0 || stored.Checkpoint != "" {
 			s.job().started = true // a planned run alone may never have started
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -75,6 +75,8 @@
 	runs         []*run
 	lastFailedOn string // worker on which the last failed run was
 	lastEnd      lastEnd
+	crashes      record.Crashes // of workers that ran it
+	harmless     bool           // a worker has worked on after it had started a run of it
 }
 
 // lastEnd tells how the last run of a task that ended became known to have ended. It decides
@@ -123,6 +125,8 @@
 	baseAt           time.Time // when that report arrived
 	ended            bool      // removed from its task and its worker
 	restored         bool      // known only from the records of an earlier leader
+	startedClock     int64     // the worker's clock when it first told that it has the run, in ms; zero if it has not
+	crashCounted     bool      // a crash of its worker is counted, and no worker has told since that it has the run
 }
 
 func (t *task) hasRuns() bool { return len(t.runs) > 0 }
@@ -183,6 +187,12 @@
 		if t.done {
 			out.Checkpoint = ""
 		}
+		if t.crashes != (record.Crashes{}) && !t.done {
+			if r.Crashes == nil {
+				r.Crashes = make(map[int]record.Crashes)
+			}
+			r.Crashes[i] = t.crashes
+		}
 		for n, u := range t.runs {
 			if n == 0 {
 				out.Worker, out.Incarnation, out.Run = u.worker.id, u.incarnation, u.number
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -43,6 +43,7 @@
 	nextRenewal      time.Time
 	lastAnswer       time.Time // when the last answer arrived
 	missedRenewals   int       // consecutive renewals without an answer
+	silentSince      time.Time // when the first of them failed; zero if there is none
 	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not
 	renewWithoutWait bool      // the next renewal asks for an immediate answer
 	cursor           int64     // number of the last finished run that is stored
@@ -73,7 +74,7 @@
 	}
 	w.lastAnswer = at
 	w.missedRenewals = 0
-	w.refusingSince = time.Time{}
+	w.silentSince, w.refusingSince = time.Time{}, time.Time{}
 	if clock >= w.clock {
 		w.clock, w.clockAt = clock, at
 		return
@@ -215,7 +216,7 @@
 	w.cursor, w.appliedCursor = 0, 0
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
 	w.unknownClockAt = time.Time{}
-	w.refusingSince = time.Time{}
+	w.silentSince, w.refusingSince = time.Time{}, time.Time{}
 	w.nextRenewal = e.now
 	w.health = health{}
 	e.needsPlacement = true
@@ -241,9 +242,13 @@
 // that is still under way may start its run in the new incarnation. Such a run moves there.
 // If the next report lacks it, it is stopped, which makes the worker refuse the command.
 func (e *Engine) settleRunsOfEarlierIncarnations(w *worker) {
-	for _, r := range w.currentRuns() {
+	earlier := slices.DeleteFunc(w.currentRuns(), func(r *run) bool { return r.incarnation == 0 || r.incarnation == w.incarnation })
+	if len(earlier) == 0 {
+		return
+	}
+	crashing := e.countCrash(w, earlier, true)
+	for _, r := range earlier {
 		switch {
-		case r.incarnation == 0 || r.incarnation == w.incarnation:
 		case w.incarnation != 0 && r.mayRunInAnotherIncarnation():
 			e.moveToIncarnation(r, w.incarnation)
 			if r.phase == running {
@@ -253,12 +258,13 @@
 			e.endRun(r, EndedLeaseExpired, "", "worker restarted")
 		}
 	}
+	e.giveUp(crashing)
 }
 
 // moveToIncarnation makes r a run of another incarnation of its worker. What is known of
 // its stop concerns the earlier one.
 func (e *Engine) moveToIncarnation(r *run, incarnation int64) {
-	r.incarnation = incarnation
+	r.incarnation, r.startedClock = incarnation, 0
 	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
 	e.markDirty(r.task.step)
 }
@@ -408,6 +414,7 @@
 	case w.missedRenewals > 1:
 		w.nextRenewal = e.now.Add(unlistedRenewalRetryDelay)
 	default:
+		w.silentSince = e.now
 		w.nextRenewal = e.now // a report of finished runs may have been lost
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -19,14 +19,24 @@
 	Checkpoint  string
 }
 
+// Crashes counts the workers that crashed under a task.
+type Crashes struct {
+	_        struct{} `cbor:",toarray"`
+	Caused   int      // crashes that the task most likely caused
+	Doubtful int      // crashes right after its start that may have another cause
+	Late     int      // crashes after it had run for a while, among other tasks
+}
+
 // doneAtOnce is a task that was done by its first run, as most are.
 var doneAtOnce = Task{Done: true, Run: 1}
 
 // Step is the progress of the tasks of a step. The keys of SpeculativeRuns are indexes
 // of tasks. GoodWorkers holds the workers that the adviser recommended and Asked those
 // that it was asked about. Both are kept while tasks wait, as advice is slow to get.
+// The keys of Crashes are indexes of tasks, too.
 type Step struct {
 	Tasks           []Task
+	Crashes         map[int]Crashes
 	SpeculativeRuns map[int]Task
 	GoodWorkers     []GoodWorker
 	Asked           NameSet
@@ -58,6 +68,8 @@
 	Rows       []taskRow    `cbor:"8,keyasint,omitempty"`  // other tasks that had a run, and speculative runs
 	Workers    []GoodWorker `cbor:"9,keyasint,omitempty"`  // the good ones first
 	GoodCount  int          `cbor:"10,keyasint,omitempty"` // number of good ones
+
+	Crashes map[int]Crashes `cbor:"11,keyasint,omitempty"` // by task
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -109,7 +121,7 @@
 // encoded returns the encoded form of s.
 func (s *Step) encoded() *stepRecord {
 	r := stepEncoder{stepRecord: stepRecord{
-		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers),
+		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers), Crashes: s.Crashes,
 		Workers: slices.Clip(s.GoodWorkers), Rows: make([]taskRow, 0, len(s.Tasks)),
 	}}
 	for i := range s.Tasks {
@@ -139,7 +151,7 @@
 	if r.Count < 0 || r.Count > job.MaxTasks || len(r.DoneAtOnce) > (r.Count+7)/8 || r.GoodCount < 0 || r.GoodCount > len(r.Workers) {
 		return errors.Newf("a step of %d tasks and %d workers with inconsistent fields", r.Count, len(r.Workers))
 	}
-	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun}
+	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun, Crashes: r.Crashes}
 	if r.GoodCount > 0 {
 		s.GoodWorkers = r.Workers[:r.GoodCount]
 	}
--- a/internal/cell/record/step_test.go
+++ b/internal/cell/record/step_test.go
@@ -43,6 +43,9 @@
 				in.SpeculativeRuns[i] = drawTask(t)
 			}
 		}
+		if rapid.Bool().Draw(t, "crashes") {
+			in.Crashes = map[int]Crashes{0: {Caused: rapid.IntRange(0, 2).Draw(t, "caused"), Doubtful: 1, Late: 3}}
+		}
 		for i := range rapid.IntRange(0, 3).Draw(t, "good") {
 			in.GoodWorkers = append(in.GoodWorkers, GoodWorker{Worker: fmt.Sprintf("w%d", i), Incarnation: 1})
 			in.Asked.Add(fmt.Sprintf("w%d", i))
@@ -52,6 +55,7 @@
 		assert.Equal(t, in, out)
 		earlier, err := cbor.Marshal(&earlierStep{in.Tasks, in.SpeculativeRuns, in.GoodWorkers, in.Asked, in.Begun})
 		require.NoError(t, err)
+		in.Crashes = nil // not known to earlier versions
 		out = new(Step)
 		require.NoError(t, Decode(earlier, out))
 		assert.Equal(t, in, out)
