Fix: a start that got no answer is no longer given up while it may still be carried out

A silent worker's runs were given up when its leases were over, also those whose start command had got no answer. The worker restarts under its id, knows nothing of leases, and carries out the command, which may be late by up to 12 s: the task runs there and where it was started since.

Cause: the expiry of a lease is evidence about what has been started, not about a command that is still under way.

Runs that an earlier leader started count from the start of the new leader. A run whose every command was answered is given up as before.

Left: a command that is carried out after its run has ended with proof in the earlier incarnation.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -71,6 +71,7 @@
 	w, t := r.worker, r.task
 	r.startAttempts++
 	r.startsInFlight++
+	r.startRepeatedAt = e.now
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
@@ -221,12 +222,14 @@
 // still have one, although none was confirmed.
 func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
 
+// inherited reports whether the start command for r was sent by an earlier leader.
+func (r *run) inherited() bool { return r.startSent && r.startAttempts == 0 }
+
 // mayRunInAnotherIncarnation reports whether a start command for r may have been carried
 // out, or still be, by a later incarnation of its worker than r names. An earlier leader
 // may have sent some that this one does not know.
 func (r *run) mayRunInAnotherIncarnation() bool {
-	inherited := r.startSent && r.startAttempts == 0
-	return inherited || r.unattributed || r.startsInFlight > 0 || r.unansweredStarts > 0
+	return r.inherited() || r.unattributed || r.startsInFlight > 0 || r.unansweredStarts > 0
 }
 
 // stopRun requests the end of a run for the given reason. The run keeps its worker's
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -21,6 +21,7 @@
 	Lease                   time.Duration    // how long runs continue without contact with the leader
 	MaxLease                time.Duration    // maximum lease that workers grant
 	LeaseExpiryMargin       time.Duration    // time after the end of a lease until its runs count as ended
+	MaxCommandDelay         time.Duration    // time after which a command that got no answer is no longer carried out
 	MaxStopDuration         time.Duration    // maximum time that a stop takes
 	GangStartTimeout        time.Duration    // maximum time that members of a gang wait for each other
 	OffRackMultiplier       float64          // runtime of a task outside its preferred rack relative to that inside
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -205,7 +206,7 @@
 		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		sent := w.sentRuns()
+		sent := slices.DeleteFunc(w.sentRuns(), e.mayStartLate)
 		if len(sent) == 0 {
 			continue
 		}
@@ -222,6 +223,20 @@
 	}
 }
 
+// mayStartLate reports whether a start command for r without an answer may still be carried
+// out. A worker that restarts under its id knows nothing of earlier leases, so it may do so
+// after they have expired.
+func (e *Engine) mayStartLate(r *run) bool {
+	sent := r.startRepeatedAt
+	switch {
+	case r.inherited():
+		sent = e.startedAt // of this leader; an earlier one may have sent it just before
+	case r.unansweredStarts == 0 && r.startsInFlight == 0:
+		return false
+	}
+	return e.now.Sub(sent) <= e.cfg.MaxCommandDelay
+}
+
 // leasesExpireAt returns when the leases of all runs on w have certainly expired if w is not
 // reached again.
 func (e *Engine) leasesExpireAt(w *worker) time.Time {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -115,6 +115,7 @@
 	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
 	unansweredStarts int       // number of these commands that got no answer; each may still take effect
 	startSentAt      time.Time // when this leader first sent it
+	startRepeatedAt  time.Time // when this leader last sent it
 	stopReason       string
 	stopSentAt       time.Time
 	stopInFlight     bool      // a stop command has no answer yet
