Fix: a start for which no connection was made no longer waits for its worker

What callers saw: a task whose start went to a worker that had just ended waited until the worker's lease was over or another one answered in its place, 3 to 6 s.

Cause: a failed dial was reported as a command without an answer, which may still be carried out.

The engine then takes the command as refused and starts the task elsewhere, and uses no worker that refuses connections until it answers.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -203,6 +203,9 @@
 	case BadTicket:
 		r.task.step.invalidateTicket(r.worker)
 		source = "ticket refused"
+	case NotSent:
+		r.worker.renewWithoutWait = true
+		r.worker.nextRenewal = e.now // shows whether it is still there
 	case StaleRun:
 		source = "run number already used"
 	case Accepted, OtherIncarnation:
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -74,8 +74,8 @@
 	MoreEnds    bool // the list of finished runs may be cut off
 }
 
-// CommandOutcome is the outcome of a command to a worker: Accepted, NoAnswer, or the
-// reason why the worker refused the command.
+// CommandOutcome is the outcome of a command to a worker: Accepted, NoAnswer, NotSent, or
+// the reason why the worker refused the command.
 type CommandOutcome uint8
 
 // The outcomes of a command.
@@ -90,9 +90,10 @@
 	OtherIncarnation                // the command names another incarnation of the worker
 	Unhealthy                       // the worker reports that it accepts no work
 	Invalid                         // the command is malformed
+	NotSent                         // no connection was made, so the worker has not seen the command
 )
 
-var commandOutcomeNames = [...]string{"accepted", "unknown", "fenced", "old_run", "too_late", "no_room", "bad_ticket", "other_life", "unhealthy", "invalid"}
+var commandOutcomeNames = [...]string{"accepted", "unknown", "fenced", "old_run", "too_late", "no_room", "bad_ticket", "other_life", "unhealthy", "invalid", "not_sent"}
 
 // String returns the name of o that logs use.
 func (o CommandOutcome) String() string { return commandOutcomeNames[o] }
--- a/internal/cell/engine/unconfirmed_start_test.go
+++ b/internal/cell/engine/unconfirmed_start_test.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// The worker's process has ended since its last answer.
+func TestStartThatWasNeverSentWaitsForItsWorker(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	n := w.useNetwork(1)
+	w.run(time.Second)
+	for _, id := range w.ids[:1] {
+		n.crash(id, time.Minute)
+	}
+	ids := []string{w.submit("batch", "a", tasks(1, 5000, time.Second)), w.submit("batch", "a", tasks(1, 5000, time.Second))}
+	w.run(4 * time.Second)
+	for _, id := range ids {
+		assert.Equal(t, StateCompleted, w.state(id))
+	}
+}
+
 func TestRefusedRepeatOfAStartLetsTheFirstStartTheTaskLater(t *testing.T) {
 	for _, outcome := range refusals {
 		t.Run(outcome.String(), func(t *testing.T) {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -138,7 +138,7 @@
 
 // usable reports whether new tasks may be sent to w.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.draining && w.reported && w.missedRenewals == 0 && w.unknownRuns == 0 && !w.health.quarantined(now)
+	return w.listed && !w.draining && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
 }
 
 // workersListed applies the directory of workers.
--- a/internal/cell/engine/world_crashes_test.go
+++ b/internal/cell/engine/world_crashes_test.go
@@ -41,7 +41,7 @@
 	switch ev := unanswered.(type) {
 	case *StartAnswered:
 		refused := *ev
-		refused.ConnectionRefused = true
+		refused.Outcome, refused.ConnectionRefused = NotSent, true
 		return &refused
 	case *RenewalAnswered:
 		refused := *ev
