Fix: what a crashed worker ran starts elsewhere at once

What callers saw: after a crash, everything that ran on the worker waited until another incarnation answered in its place, 3.1 to 3.5 s, or until the lease was over, 6 s.

Cause: the engine had no evidence of a crash but the next incarnation.

A run whose start command may still be carried out by the next incarnation is kept, as before.

TestTasksOfACrashedWorkerWaitUntilItIsBack failed before (4 of 6 tasks run a second after a crash) and passes.

--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -23,6 +23,9 @@
 	// more have a common cause outside of their tasks, such as the loss of a rack.
 	sharedCrashWindow = 150 * time.Millisecond
 	maxSharedCrashes  = 3
+	// minRefusal is how long a worker has to refuse connections until its process counts as
+	// ended: until other workers that ended at the same time are known.
+	minRefusal = 100 * time.Millisecond
 	// crashMemory is how long the engine remembers when workers crashed. It is longer than
 	// a lease, after which a crash is counted at the latest.
 	crashMemory = 30 * time.Second
@@ -42,9 +45,13 @@
 }
 
 // connectionRefused records that nothing listens at the address of w, so its process has
-// ended. A worker that is cut off or frozen does not refuse connections.
+// ended. A worker that is cut off or frozen does not refuse connections. Its runs end once
+// it has refused connections for minRefusal.
 func (e *Engine) connectionRefused(w *worker) {
 	if !w.refusingSince.IsZero() {
+		if e.now.Sub(w.refusingSince) >= minRefusal {
+			e.endRunsOfEndedProcess(w)
+		}
 		return
 	}
 	w.refusingSince = e.now
@@ -53,6 +60,22 @@
 	e.log.Warn("worker refuses connections", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer), "last_start_ms", e.msSince(w.lastStart()))
 }
 
+// endRunsOfEndedProcess ends the runs on w, whose process has ended. A start command that may
+// still be carried out by its next incarnation is waited for.
+func (e *Engine) endRunsOfEndedProcess(w *worker) {
+	runs := slices.DeleteFunc(w.sentRuns(), func(r *run) bool { return r.incarnation != w.incarnation || r.crashCounted })
+	if len(runs) == 0 || w.incarnation == 0 {
+		return
+	}
+	crashing := e.countCrash(w, runs, true)
+	for _, r := range runs {
+		if !r.mayRunInAnotherIncarnation() {
+			e.endRun(r, EndedLeaseExpired, "", "worker's process has ended")
+		}
+	}
+	e.giveUp(crashing)
+}
+
 // lastStart returns when the newest run on w was started, or zero.
 func (w *worker) lastStart() time.Time {
 	var last time.Time
