Fix: tasks that crash workers no longer take their neighbors and most of the fleet along

What callers saw: jobs of other queues late, refused and, before the bound on starts, LOST.

Cause: a task that is suspected was started like any other, beside whatever its next worker ran, and all suspects at once. The steps that could not be placed also used up the budgets of the rounds.

Change: a start that may crash its worker is risky, and goes to the worker with the least work at stake. If the task is suspected itself, other jobs are kept off that worker until it has worked on for 150 ms, so that the next crash has one possible cause. All starts of a queue are risky while its tasks crash workers, with the probability measured from crashes and survivals. The workers that are down or expected to be are bounded by a part of the service, by how much the start is worth, and more while capacity is idle. A step that waits for this takes nothing from the budgets of the round. Blame: a risky start before others, a recent one before those that a worker has outlived; crashes under risky starts are no sign of a common cause. Counters: workers ended, tasks suspected, jobs given up.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -6,7 +6,7 @@
 
 // planRun reserves the resources for a run of t on w and writes its record. The start
 // command is sent once the record is stored.
-func (e *Engine) planRun(t *task, w *worker, number int, tkt ticket) {
+func (e *Engine) planRun(t *task, w *worker, number int, tkt ticket) *run {
 	s := t.step
 	if !t.hasRuns() {
 		s.waiting--
@@ -18,6 +18,7 @@
 	e.reserve(r)
 	e.markDirty(s)
 	e.afterAppend(func() { e.sendStart(r) })
+	return r
 }
 
 // reserve adds the charge of r to the resources used on its worker, and the need of its
--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -14,15 +14,15 @@
 const (
 	// survivalTime is how long a worker has to work on after the start of a run until the
 	// start counts as harmless.
-	survivalTime = 250 * time.Millisecond
+	survivalTime = 150 * time.Millisecond
 	// maxCrashOnset is the maximum time from the first sign of silence of a worker to the
 	// first refused connection within which its process ended by itself. A worker that was
 	// silent for longer may have been cut off or frozen first.
 	maxCrashOnset = time.Second
-	// sharedCrashWindow is the time within which the crashes of maxSharedCrashes workers or
+	// sharedCrashWindow is the time within which the crashes of minSharedCrashes workers or
 	// more have a common cause outside of their tasks, such as the loss of a rack.
 	sharedCrashWindow = 150 * time.Millisecond
-	maxSharedCrashes  = 3
+	minSharedCrashes  = 3
 	// minRefusal is how long a worker has to refuse connections until its process counts as
 	// ended: until other workers that ended at the same time are known.
 	minRefusal = 100 * time.Millisecond
@@ -40,8 +40,9 @@
 
 // crashOnset is the moment at which a worker first refused a connection.
 type crashOnset struct {
-	worker *worker
-	at     time.Time
+	worker  *worker
+	at      time.Time
+	exposed bool // a risky start may explain it
 }
 
 // connectionRefused records that nothing listens at the address of w, so its process has
@@ -56,7 +57,7 @@
 	}
 	w.refusingSince = e.now
 	e.crashOnsets = slices.DeleteFunc(e.crashOnsets, func(c crashOnset) bool { return e.now.Sub(c.at) > crashMemory })
-	e.crashOnsets = append(e.crashOnsets, crashOnset{w, e.now})
+	e.crashOnsets = append(e.crashOnsets, crashOnset{w, e.now, w.exposed > 0})
 	e.log.Warn("worker refuses connections", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer), "last_start_ms", e.msSince(w.lastStart()))
 }
 
@@ -67,6 +68,7 @@
 	if len(runs) == 0 || w.incarnation == 0 {
 		return
 	}
+	e.count(WorkerEnded)
 	crashing := e.countCrash(w, runs, true)
 	for _, r := range runs {
 		if !r.mayRunInAnotherIncarnation() {
@@ -110,6 +112,15 @@
 // outlivedStart records that a worker has worked on after it had started t.
 func (e *Engine) outlivedStart(t *task) {
 	t.harmless = true
+	if t.crashes.Late < lateCrashesToSuspect {
+		for _, r := range t.runs {
+			if r.crashRisk > 0 {
+				r.endExposure()
+				e.hazardOf(t.step.job().queue).survived++
+				e.needsPlacement = true
+			}
+		}
+	}
 	if t.crashes.Caused == 0 && t.crashes.Doubtful == 0 {
 		return
 	}
@@ -124,13 +135,13 @@
 	if w.refusingSince.IsZero() || w.lastAnswer.IsZero() || w.draining || !w.silentSince.IsZero() && w.refusingSince.Sub(w.silentSince) > maxCrashOnset {
 		return false
 	}
-	shared := 0
+	shared := 1
 	for _, c := range e.crashOnsets {
-		if c.at.Sub(w.refusingSince).Abs() <= sharedCrashWindow {
+		if c.worker != w && !c.exposed && c.at.Sub(w.refusingSince).Abs() <= sharedCrashWindow {
 			shared++
 		}
 	}
-	return shared < maxSharedCrashes
+	return shared < minSharedCrashes
 }
 
 // mayHaveRun reports whether r was on its worker when that crashed. Unless the process is
@@ -146,12 +157,44 @@
 	return r.restored || r.startedClock > 0
 }
 
+// likelyCauses returns the runs among those on a crashed worker that are most likely its
+// cause: the risky ones, else those that no worker is known to have outlived.
+func likelyCauses(runs []*run) []*run {
+	var risky, recent []*run
+	for _, r := range runs {
+		if r.crashRisk > 0 {
+			risky = append(risky, r)
+		}
+		if !r.task.harmless {
+			recent = append(recent, r)
+		}
+	}
+	if len(risky) > 0 {
+		return risky
+	}
+	return recent
+}
+
+// oneJob reports whether all runs are of the same job.
+func oneJob(runs []*run) bool {
+	for _, r := range runs {
+		if r.task.step.job() != runs[0].task.step.job() {
+			return false
+		}
+	}
+	return true
+}
+
 // countCrash counts the crash of w for the tasks of runs, which ended with it. It returns
 // those that have to be given up. The crash is confirmed if another incarnation has answered
 // in place of w.
 func (e *Engine) countCrash(w *worker, runs []*run, confirmed bool) []*task {
 	ended := confirmed && e.processEnded(w)
 	runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.mayHaveRun(ended) })
+	likely := likelyCauses(runs)
+	if ended {
+		e.noteHazards(likely)
+	}
 	var giveUp []*task
 	for _, r := range runs {
 		certain := ended && !r.restored
@@ -161,7 +204,7 @@
 		switch {
 		case t.done || t.step.job().state.Final():
 			continue
-		case t.harmless && !certain:
+		case len(likely) > 0 && !slices.Contains(likely, r) || t.harmless && !certain:
 			continue
 		case t.harmless && c.Late >= lateCrashesToSuspect && len(runs) == 1:
 			c.Caused++
@@ -174,8 +217,11 @@
 		default:
 			c.Doubtful++
 		}
+		t.onlyCause = oneJob(likely)
 		e.markDirty(t.step)
 		if *c != before && t.suspect() {
+			t.step.suspected = true
+			e.count(TaskSuspected)
 			e.log.Warn("task suspected of crashing its worker", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id, "life", r.incarnation,
 				"runs_beside", len(runs)-1, "caused", c.Caused, "doubtful", c.Doubtful, "late", c.Late, "certain", certain,
 				"refusing_ms", e.msSince(w.refusingSince), "silent_ms", e.msSince(w.silentSince), "started_ms", e.msSince(r.startSentAt))
@@ -205,6 +251,13 @@
 			continue
 		}
 		e.log.Warn("job failed", "job", j.id, "task", t.name, "reason", "its task crashes workers", "caused", t.crashes.Caused, "doubtful", t.crashes.Doubtful, "late", t.crashes.Late)
+		e.count(JobGivenUp)
 		e.finishJob(j, record.Failed)
 	}
 }
+
+func (e *Engine) count(event CrashEvent) {
+	if e.cfg.CountCrash != nil {
+		e.cfg.CountCrash(event)
+	}
+}
--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -41,3 +41,72 @@
 	w.run(time.Second)
 	assert.Equal(t, 6, w.runningTasks(id, 0))
 }
+
+// Several tasks that crash their workers start at the same moment as others.
+func TestNeighborsOfATaskThatCrashesWorkersFailWithIt(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(t, 8, seed)
+		n := w.useNetwork(seed)
+		w.run(time.Second)
+		var deadly, innocent []string
+		for range 3 {
+			deadly = append(deadly, n.submitDeadly("batch", "a", crashDelay))
+			for range 4 {
+				innocent = append(innocent, w.submit("batch", "a", tasks(2, 1000, 3*time.Second)))
+			}
+		}
+		w.run(25 * time.Second)
+		for _, id := range deadly {
+			assert.Equal(t, StateFailed, w.state(id), "seed %d", seed)
+			assert.LessOrEqual(t, n.crashesUnder(id), 3, "seed %d", seed)
+		}
+		for _, id := range innocent {
+			assert.Equal(t, StateCompleted, w.state(id), "seed %d: %s", seed, id)
+		}
+	}
+}
+
+// down returns how many workers are down.
+func (n *network) down() int {
+	down := 0
+	for _, id := range n.w.ids {
+		if n.w.now.Before(n.links[id].downUntil) {
+			down++
+		}
+	}
+	return down
+}
+
+// Three in ten jobs of a queue crash the workers that start them.
+func TestQueueWhoseTasksCrashWorkersTakesMostOfThemDown(t *testing.T) {
+	w := newWorld(t, 24, 1)
+	n := w.useNetwork(1)
+	w.run(time.Second)
+	var deadly, others []string
+	most := 0
+	for i := range 200 {
+		if n.rand.IntN(10) < 3 {
+			deadly = append(deadly, n.submitDeadly("urgent", "a", crashDelay))
+		} else {
+			w.submit("urgent", "a", tasks(1, 1000, time.Second))
+		}
+		if i%10 == 0 {
+			others = append(others, w.submit("batch", "a", tasks(10, 1000, 3*time.Second)))
+		}
+		w.run(50 * time.Millisecond)
+		most = max(most, n.down())
+	}
+	assert.LessOrEqual(t, most, len(w.ids)/2)
+	w.run(10 * time.Second)
+	for _, id := range others {
+		assert.Equal(t, StateCompleted, w.state(id))
+	}
+	w.run(80 * time.Second)
+	for _, id := range deadly {
+		if w.accepted[id] {
+			assert.Equal(t, StateFailed, w.state(id))
+			assert.Equal(t, 2, n.crashesUnder(id))
+		}
+	}
+	t.Logf("%d jobs that crash workers, at most %d workers down", len(deadly), most)
+}
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -114,6 +114,7 @@
 // removeRun removes a run from its task and its worker and releases its resources.
 func (e *Engine) removeRun(r *run) {
 	r.ended = true
+	r.endExposure()
 	t := r.task
 	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(other *run) bool { return other == r })
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -35,8 +35,19 @@
 	MinPlacementInterval    time.Duration    // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration    // how long the state of an ended job is kept
 	Now                     func() time.Time // measures the duration of a placement round
+	CountCrash              func(CrashEvent) // counts what the engine finds out about crashes; nil for no counts
 }
 
+// CrashEvent is what the engine finds out about crashes of workers.
+type CrashEvent uint8
+
+// The events that Config.CountCrash counts.
+const (
+	WorkerEnded   CrashEvent = iota // a worker with runs has refused connections
+	TaskSuspected                   // a task is suspected of a crash
+	JobGivenUp                      // a job has failed as its task crashes workers
+)
+
 // maxPlacementInterval is the maximum interval between placement rounds while steps
 // wait. Rounds have to run without an event too, as none occurs when a ticket expires or
 // a retry delay ends.
@@ -68,6 +79,7 @@
 	pools           map[string]*pool         // by service
 	heldWorkers     []*worker                // workers on which the last placement round held resources for gangs
 	stragglers      []*run                   // runs for whose tasks a speculative run is worth starting
+	hazards         map[string]*hazard       // by queue
 	crashOnsets     []crashOnset             // of the last crashMemory
 	unknownRunStops map[string]time.Time     // when a stop was last sent for an unknown run, by task
 	usage           map[string]job.Resources // by team
@@ -108,7 +120,7 @@
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
 		unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), entitlements: make(map[string]*tokenBucket),
-		demands: make(map[int]*demand), pools: make(map[string]*pool),
+		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
 }
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -96,6 +96,7 @@
 		t, stored := s.tasks[i], &rec.Tasks[i]
 		t.lastRun, t.failures, t.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
 		t.crashes = rec.Crashes[i]
+		s.suspected = s.suspected || t.suspect()
 		t.harmless = stored.Failures > 0 || stored.Checkpoint != ""
 		s.lastGangRun = max(s.lastGangRun, stored.Run)
 		if rec.Begun || stored.Done || stored.Failures > 0 || stored.Checkpoint != "" {
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -16,6 +16,7 @@
 	speculativeBudget int64        // CPU that may still be used for speculative runs, in thousandths of a core
 	asksLeft          int          // steps for which the adviser may still be called
 	failuresLeft      int          // steps that may still be tried without a run or a call coming of it
+	exposure          *exposure    // nil until a step with risky starts is tried
 	passedOver        []*stepState // steps that were not tried, in the order of urgency
 }
 
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -24,6 +24,10 @@
 			continue // the queue is not declared any more, or nothing is left to place
 		}
 		round := e.roundOf(rounds, q.Service)
+		if e.waitsForExposure(s, round) {
+			e.logWait(s, round)
+			continue // it must not use up the budgets of the round
+		}
 		if !e.tryStep(s, q, round) {
 			round.passedOver = append(round.passedOver, s)
 		}
@@ -154,15 +158,17 @@
 	if q.Advice != nil {
 		e.advise(s, q, round)
 	}
-	workers := e.placeableWorkers(s, q, round)
-	chosen := placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
+	workers, chosen := e.choose(s, q, round, tasks)
 	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement {
 		s.started = true
 		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
 	}
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
-		e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
+		r := e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
+		if risk := e.crashRisk(t); risk > 0 {
+			r.expose(risk)
+		}
 	}
 	if len(chosen) == 0 {
 		e.holdForGang(s, round, len(tasks))
@@ -170,6 +176,16 @@
 	return len(chosen) > 0 || round.asksLeft < asksLeft
 }
 
+// choose chooses workers for tasks of s. It returns those that were considered, and the index
+// of one for each task that it places.
+func (e *Engine) choose(s *stepState, q *policy.Queue, round *placementRound, tasks []*task) ([]*worker, []int) {
+	if risk := e.highestRisk(s, tasks); risk > 0 {
+		return e.chooseForRisky(s, q, round, tasks, risk)
+	}
+	workers := e.placeableWorkers(s, q, round)
+	return workers, placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
+}
+
 // request returns the placement request for count tasks of s.
 func (e *Engine) request(s *stepState, count int) placement.Request {
 	return placement.Request{
@@ -186,6 +202,9 @@
 		if s.spec.MaxPerWorker > 0 {
 			out[i].Running = s.tasksOn(w)
 		}
+		if w.closedTo(s.job()) {
+			out[i].Free = job.Resources{}
+		}
 	}
 	return out
 }
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -53,6 +53,8 @@
 	ready          bool // the steps that it depends on are done
 	readyAt        time.Time
 	waitLoggedAt   time.Time // when logWait last logged it
+	suspected      bool      // one of its tasks was suspected of a crash
+	riskySince     time.Time // since when it waits to place tasks whose start is risky; zero if it does not
 	placementTried bool      // a placement round has tried to place its tasks
 	started        bool      // this leader has planned runs for its tasks
 	lastGangRun    int       // highest run number of the gang
@@ -76,6 +78,7 @@
 	lastFailedOn string // worker on which the last failed run was
 	lastEnd      lastEnd
 	crashes      record.Crashes // of workers that ran it
+	onlyCause    bool           // no other job can have caused the last of them
 	harmless     bool           // a worker has worked on after it had started a run of it
 }
 
@@ -126,6 +129,7 @@
 	baseAt           time.Time // when that report arrived
 	ended            bool      // removed from its task and its worker
 	restored         bool      // known only from the records of an earlier leader
+	crashRisk        float64   // see Engine.crashRisk; zero from when its worker is not exposed to its start any more
 	startedClock     int64     // the worker's clock when it first told that it has the run, in ms; zero if it has not
 	crashCounted     bool      // a crash of its worker is counted, and no worker has told since that it has the run
 }
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -49,6 +49,7 @@
 	cursor           int64     // number of the last finished run that is stored
 	appliedCursor    int64     // number of the last finished run that is applied
 	unstoredBatches  int       // batches of finished runs that are being stored
+	exposed          int       // runs whose start is risky and not yet known to be harmless
 	unknownRuns      int       // unknown runs in the last report; their resource use is unknown too
 	health           health
 }
@@ -329,6 +330,9 @@
 	if !w.reported || w.missedRenewals > 0 || w.renewWithoutWait || w.unstoredBatches > 0 {
 		wait = 0
 	}
+	if w.exposed > 0 {
+		wait = min(wait, survivalTime) // the report shows whether the start was harmless
+	}
 	w.renewWithoutWait = false
 	deadline := int64(0)
 	if len(w.runs) > 0 && w.reported && w.missedRenewals == 0 {
--- a/internal/cell/engine/world_crashes_test.go
+++ b/internal/cell/engine/world_crashes_test.go
@@ -33,6 +33,9 @@
 	n.open[id] = nil
 	n.restart(id, downTime, n.upTo(200*time.Millisecond))
 	l.refusesUntil = l.downUntil
+	s := n.w.workers[id]
+	s.crashed = true
+	n.w.after(downTime, func() { s.crashed = false })
 }
 
 // refusedConnection returns the event of a call whose connection was refused, from that of
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -129,6 +129,7 @@
 	endedRuns      map[string]int // highest run number that was stopped or has ended, by task
 	unreachable    bool
 	draining       bool
+	crashed        bool // the directory lists its last incarnation
 	pendingAnswers []func()
 	slowdown       float64 // runtime of a run as a multiple of its estimate
 	expiredEnds    int64   // number of the last end that was listed when the lease had expired
@@ -253,7 +254,11 @@
 	var list []WorkerInfo
 	for _, id := range w.ids {
 		s := w.workers[id]
-		list = append(list, WorkerInfo{ID: id, Incarnation: s.incarnation, Address: id, Service: "s", Labels: []string{"a", "r1-" + id[2:]},
+		incarnation := s.incarnation
+		if s.crashed {
+			incarnation--
+		}
+		list = append(list, WorkerInfo{ID: id, Incarnation: incarnation, Address: id, Service: "s", Labels: []string{"a", "r1-" + id[2:]},
 			Capacity: s.capacity, Draining: s.draining, LeavesIn: 2 * time.Second})
 	}
 	return list
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -3,6 +3,7 @@
 import (
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/metrics"
 )
 
@@ -14,6 +15,10 @@
 	Advice   gometrics.Counter // calls to the adviser
 	Append   gometrics.Timer   // time until a batch is stored
 	Start    gometrics.Timer   // time until a worker answers a start command
+
+	WorkersEnded   gometrics.Counter // workers with runs that refused connections
+	TasksSuspected gometrics.Counter // crashes of which a task is suspected
+	JobsGivenUp    gometrics.Counter // jobs that failed as their tasks crash workers
 }
 
 // NewStats returns stats in a new registry.
@@ -26,6 +31,10 @@
 		Advice:   gometrics.NewRegisteredCounter(metrics.Name("cell_advice_total"), r),
 		Append:   gometrics.NewRegisteredTimer(metrics.Name("cell_append_seconds"), r),
 		Start:    gometrics.NewRegisteredTimer(metrics.Name("cell_start_seconds"), r),
+
+		WorkersEnded:   gometrics.NewRegisteredCounter(metrics.Name("cell_workers_ended_total"), r),
+		TasksSuspected: gometrics.NewRegisteredCounter(metrics.Name("cell_tasks_suspected_total"), r),
+		JobsGivenUp:    gometrics.NewRegisteredCounter(metrics.Name("cell_jobs_given_up_total"), r),
 	}
 }
 
@@ -35,3 +44,15 @@
 	name := metrics.Name("cell_answer_seconds", metrics.Label{Name: "method", Value: method}, metrics.Label{Name: "status", Value: status})
 	return gometrics.GetOrRegisterTimer(name, s.Registry)
 }
+
+// countCrash counts an event of the engine.
+func (s *Stats) countCrash(event engine.CrashEvent) {
+	switch event {
+	case engine.WorkerEnded:
+		s.WorkersEnded.Inc(1)
+	case engine.TaskSuspected:
+		s.TasksSuspected.Inc(1)
+	case engine.JobGivenUp:
+		s.JobsGivenUp.Inc(1)
+	}
+}
--- a/internal/cell/placement/placement.go
+++ b/internal/cell/placement/placement.go
@@ -15,6 +15,7 @@
 	Free     job.Resources
 	Rack     string
 	Slowness float64 // expected run time relative to a healthy worker's, at least 1
+	AtStake  float64 // work on the worker that should not be put at risk, in core-seconds
 	Running  int     // number of tasks of the step that already run on the worker
 }
 
@@ -76,13 +77,14 @@
 // option is a candidate on which at least one task fits.
 type option struct {
 	index     int
+	atStake   float64
 	fit       int     // number of tasks that fit
 	score     float64 // expected relative run time, lower is better
 	unusedCPU int64   // CPU that remains when the candidate is filled with such tasks
 }
 
-// place places the tasks of req on the candidates whose indexes are in among: on the
-// fastest first, among equally fast ones on those where the least CPU stays unused.
+// place places the tasks of req on the candidates whose indexes are in among: on those with
+// the least at stake first, among these on the fastest, among equally fast ones on those where the least CPU stays unused.
 func place(req Request, candidates []Candidate, among []int) []int {
 	options := make([]option, 0, len(among))
 	total := 0
@@ -101,13 +103,16 @@
 		if req.Need.CPU > 0 {
 			unusedCPU -= int64(fit) * req.Need.CPU
 		}
-		options = append(options, option{i, fit, score, unusedCPU})
+		options = append(options, option{i, c.AtStake, fit, score, unusedCPU})
 	}
 	if total == 0 || req.AllOrNothing && total < req.Count {
 		return nil
 	}
 	sort.Slice(options, func(a, b int) bool {
 		x, y := options[a], options[b]
+		if x.atStake != y.atStake {
+			return x.atStake < y.atStake
+		}
 		bucketX, bucketY := int(x.score/slownessBucket), int(y.score/slownessBucket)
 		if bucketX != bucketY {
 			return bucketX < bucketY
