Fix: a start that was decided before its worker shrank is no longer sent

What callers would see: LIMIT. Capacity falls below what runs and is planned while the records of the starts are being stored; the starts were sent all the same, and repeated if they got no answer.

Cause: the capacity is looked at when a run is planned, not when its start command is sent. A planned run is part of what its worker uses, so a worker whose use exceeds its capacity must not get the command. What is being stopped still counts.

Change: sendStart drops the run, and the repeat of a start is left out, if the worker's use exceeds its capacity in any resource.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -45,6 +45,10 @@
 		e.endRun(r, EndedStopped, "", "ticket expired before the record was stored")
 		return
 	}
+	if w.overcommitted() {
+		e.endRun(r, EndedStopped, "", "worker has shrunk")
+		return
+	}
 	if w.draining && !w.leavesAt.IsZero() && !t.step.spec.Gang {
 		e.endRun(r, EndedStopped, "", "worker is draining")
 		return
@@ -84,7 +88,7 @@
 // and the worker would still accept it. It reports whether it did.
 func (e *Engine) retryStart(r *run) bool {
 	w, t := r.worker, r.task
-	if r.startAttempts > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || t.done || t.step.job().state.Final() {
+	if r.startAttempts > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || w.overcommitted() || t.done || t.step.job().state.Final() {
 		return false
 	}
 	if r.ticket.value != "" && !e.now.Before(r.ticket.validUntil) {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -121,6 +121,10 @@
 // free returns the resources that are free for new tasks.
 func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.heldForGangs) }
 
+// overcommitted reports whether the runs on w use more than its capacity, which may have
+// shrunk, in any resource.
+func (w *worker) overcommitted() bool { return !w.used.Fits(w.capacity) }
+
 // canHold reports whether w could run a task of s if it were idle.
 func (w *worker) canHold(s *job.Step) bool {
 	return s.Charge().Fits(w.capacity) && (s.Label == "" || slices.Contains(w.labels, s.Label))
