Fix: a restarted worker is not taken for as large as before

What callers would see: LIMIT, or starts without the label that they require. A worker restarts under its id, smaller or of another kind. A report or an answer tells of the new incarnation before its entry in the directory does, and tasks were placed by the capacity and the labels of the earlier one.

Change: the worker's view keeps the incarnation that its entry describes. A worker whose present incarnation is another one gets no tasks until the directory describes it.

--- a/internal/cell/engine/capacity_test.go
+++ b/internal/cell/engine/capacity_test.go
@@ -29,3 +29,21 @@
 	w.run(15 * time.Second)
 	assert.LessOrEqual(t, w.workers["w00"].runningCPU(), int64(3000))
 }
+
+// The worker comes back smaller, and a report tells of the restart before the directory does.
+func TestRestartedWorkerIsTakenForAsLargeAsBefore(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	s := w.workers["w00"]
+	before := w.directory()
+	w.restartUnlisted("w00")
+	s.capacity = job.Resources{CPU: 2000, MemMB: 4000}
+	w.engine.Handle(w.now, &RenewalAnswered{Worker: "w00", Incarnation: 2, SentAt: w.now, Report: &Report{Incarnation: 2, Clock: w.now.UnixMilli()}})
+	w.engine.Handle(w.now, &WorkersListed{Workers: before})
+	id := w.submit("batch", "a", tasks(4, 1000, 2*time.Second))
+	w.run(500 * time.Millisecond)
+	assert.Zero(t, s.runningCPU())
+	w.publishDirectory()
+	w.run(10 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -27,6 +27,7 @@
 	runs             []*run        // in the order in which they were planned
 
 	listed              bool
+	entryIncarnation    int64 // incarnation that the directory's entry describes; zero if it does not tell
 	unlistedSince       time.Time // when it last left the directory
 	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
 	replacedAddress     string    // where that was
@@ -121,6 +122,12 @@
 // free returns the resources that are free for new tasks.
 func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.heldForGangs) }
 
+// described reports whether the directory's entry is of the present incarnation, which may
+// have another capacity and other labels than the one before.
+func (w *worker) described() bool {
+	return w.entryIncarnation == 0 || w.incarnation == 0 || w.entryIncarnation == w.incarnation
+}
+
 // overcommitted reports whether the runs on w use more than its capacity, which may have
 // shrunk, in any resource.
 func (w *worker) overcommitted() bool { return !w.used.Fits(w.capacity) }
@@ -143,7 +150,7 @@
 
 // usable reports whether new tasks may be sent to w.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.draining && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
+	return w.listed && w.described() && !w.draining && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
 }
 
 // workersListed applies the directory of workers.
@@ -191,6 +198,7 @@
 	}
 	w.listed = true
 	w.replacedIncarnation, w.replacedAddress = 0, ""
+	w.entryIncarnation = l.Incarnation
 	w.address, w.service, w.labels, w.capacity = l.Address, l.Service, l.Labels, l.Capacity
 	w.rack = rackOf(l.Labels)
 	if l.Draining && !w.draining {
