Fix: a worker beyond its capacity in one resource takes no task, and hides nothing that is free on others

What callers would see: LIMIT when one resource alone shrinks below what runs, as a task that needs none of it was still placed there; and jobs refused with capacity free, as the negative rest of shrunk workers was subtracted from the free CPU of the others.

Cause: whether a task fits was asked only for the resources that it needs, and the sum of free CPU took negative terms.

Change: a worker whose use exceeds its capacity in any resource has nothing free; admission counts its free CPU as zero.

TestWorkerBeyondOneResourceTakesTasksThatDoNotNeedIt and TestShrunkWorkerHidesTheFreeCapacityOfOthers failed before and pass.

--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -149,7 +149,7 @@
 		}
 		if w.listed && !w.draining && w.missedRenewals == 0 && !w.health.quarantined(e.now) {
 			load.Capacity += float64(w.capacity.CPU) / 1000
-			load.Free += float64(w.capacity.CPU-w.used.CPU) / 1000
+			load.Free += float64(max(0, w.capacity.CPU-w.used.CPU)) / 1000
 		}
 		if w.usable(e.now) && w.canHold(first) {
 			fits += charge.CountIn(w.free(), first.Count)
--- a/internal/cell/engine/capacity_test.go
+++ b/internal/cell/engine/capacity_test.go
@@ -47,3 +47,31 @@
 	w.run(10 * time.Second)
 	assert.Equal(t, StateCompleted, w.state(id))
 }
+
+// One resource alone shrinks below what runs.
+func TestWorkerBeyondOneResourceTakesTasksThatDoNotNeedIt(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	w.submit("batch", "a", tasks(4, 1000, 20*time.Second))
+	w.run(time.Second)
+	w.resize("w00", job.Resources{CPU: 8000, MemMB: 300}, 0)
+	w.run(5 * time.Second)
+	needless := tasks(1, 1000, time.Second)
+	needless.Need.MemMB = 0
+	w.submit("batch", "a", needless)
+	w.run(2 * time.Second)
+	assert.EqualValues(t, 4000, w.workers["w00"].runningCPU())
+}
+
+// A worker with more in use than its capacity does not take from what is free on others.
+func TestShrunkWorkerHidesTheFreeCapacityOfOthers(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	w.submit("batch", "a", tasks(8, 1000, time.Minute))
+	w.run(time.Second)
+	w.resize("w00", job.Resources{CPU: 100, MemMB: 100}, 0)
+	w.resize("w01", job.Resources{CPU: 100, MemMB: 100}, 0)
+	w.run(time.Second)
+	load := w.engine.loadFor(w.policy.Queue("batch"), &job.Step{Count: 1, Need: job.Resources{CPU: 100}})
+	assert.GreaterOrEqual(t, load.Free, 0.0)
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -27,7 +27,7 @@
 	runs             []*run        // in the order in which they were planned
 
 	listed              bool
-	entryIncarnation    int64 // incarnation that the directory's entry describes; zero if it does not tell
+	entryIncarnation    int64     // incarnation that the directory's entry describes; zero if it does not tell
 	unlistedSince       time.Time // when it last left the directory
 	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
 	replacedAddress     string    // where that was
@@ -119,8 +119,13 @@
 	}
 }
 
-// free returns the resources that are free for new tasks.
-func (w *worker) free() job.Resources { return w.capacity.Sub(w.used).Sub(w.heldForGangs) }
+// free returns the resources that are free for new tasks: none if w is overcommitted.
+func (w *worker) free() job.Resources {
+	if w.overcommitted() {
+		return job.Resources{}
+	}
+	return w.capacity.Sub(w.used).Sub(w.heldForGangs)
+}
 
 // described reports whether the directory's entry is of the present incarnation, which may
 // have another capacity and other labels than the one before.
