Plant faults of crashes and of capacity

Five faults for the schedules with crashes: a cut taken for an ended process, an unanswered start taken for one that was not sent, crash counts that are not stored, ends of workers that are not told, and a shrunk worker that is listed as before.

--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"runtime"
 	"testing"
+
+	"pollenbend/internal/cell/record"
 )
 
 // plantedFault is a fault of what passes between the engine and the world.
@@ -12,6 +14,8 @@
 	action              func(n *network, action any) any // changes an action of the engine; nil drops it
 	event               func(n *network, event any) any  // changes an event for the engine
 	restartsKeepID      bool                             // the fault shows in schedules with kept ids
+	crashes             bool                             // the fault shows in schedules with crashes and workers that shrink
+	hidesShrinkage      bool                             // the directory shows a shrunk worker's capacity as before
 	noLeases            bool                             // workers don't end runs whose lease has expired
 	noStops             bool                             // workers accept stops without carrying them out
 	forgetsReportedEnds bool                             // a reported end counts as acknowledged at once
@@ -124,6 +128,35 @@
 			ev.Outcome = OtherIncarnation
 		}
 	})},
+	{name: "a renewal without an answer counts as a refused connection", crashes: true, event: func(n *network, event any) any {
+		if ev, ok := event.(*RenewalAnswered); ok && ev.Report == nil && !ev.Fenced && !ev.OtherIncarnation {
+			ev.ConnectionRefused = true
+		}
+		return event
+	}},
+	{name: "a start without an answer counts as not sent", crashes: true, event: onStart(func(n *network, ev *StartAnswered) {
+		if ev.Outcome == NoAnswer {
+			ev.Outcome = NotSent
+		}
+	})},
+	{name: "the crashes under a task are not stored", crashes: true, action: func(n *network, action any) any {
+		if a, ok := action.(*Append); ok {
+			for i := range a.Records {
+				n.forgetCrashes(&a.Records[i])
+			}
+		}
+		return action
+	}},
+	{name: "the end of a worker is not told", crashes: true, event: func(n *network, event any) any {
+		switch ev := event.(type) {
+		case *RenewalAnswered:
+			ev.ConnectionRefused = false
+		case *StartAnswered:
+			ev.ConnectionRefused = false
+		}
+		return event
+	}},
+	{name: "a shrunk worker is listed as before", crashes: true, hidesShrinkage: true},
 	{name: "workers accept stops without carrying them out", noStops: true},
 	{name: "workers keep runs whose lease has expired", noLeases: true},
 	{name: "reported ends are forgotten before they are stored", forgetsReportedEnds: true},
@@ -170,6 +203,19 @@
 	return &copied
 }
 
+// forgetCrashes removes the crashes under tasks from the record of a step.
+func (n *network) forgetCrashes(r *record.Record) {
+	_, step, err := record.ParseKey(r.Key)
+	n.w.must(err)
+	if step == nil || len(r.Value) == 0 {
+		return
+	}
+	in := new(record.Step)
+	n.w.must(record.Decode(r.Value, in))
+	in.Crashes = nil
+	r.Value = record.Encode(in)
+}
+
 // recorder takes note of failed checks instead of failing the test.
 type recorder struct {
 	testing.TB
@@ -199,7 +245,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID})
+		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes})
 	}()
 	<-ended
 	return r.first
--- a/internal/cell/engine/world_capacity_test.go
+++ b/internal/cell/engine/world_capacity_test.go
@@ -44,6 +44,9 @@
 	s.shrunk = append(s.shrunk, shrinkage{s.capacity, w.now})
 	listed := s.listedCapacity()
 	s.capacity, s.listed = capacity, &listed
+	if w.net != nil && w.net.planted.hidesShrinkage {
+		return
+	}
 	w.after(delay, func() {
 		s.listed = nil
 		w.publishDirectory()
