Fix: a crash in a rack of which another worker answers no longer stays doubtful

Cause: any worker of the rack that ended at about the same moment made a crash doubtful, and all others of the rack were waited for. In a cell with many such tasks that is frequent, and says little: the loss of a rack leaves none of its workers.

Change: one worker of the rack that has not restarted and answers a renewal which was sent after the crash clears the rack, at once. If none does within a second, or all refuse connections, the crash stays doubtful.

--- a/internal/cell/engine/blame.go
+++ b/internal/cell/engine/blame.go
@@ -23,7 +23,7 @@
 	sharedCrashWindow = 150 * time.Millisecond
 	minSharedCrashes  = 3
 	// blameTimeout is how long the other workers of the rack may take to answer after a
-	// crash. If one does not, the crash remains doubtful.
+	// crash. If none does, the crash remains doubtful.
 	blameTimeout = time.Second
 )
 
@@ -59,12 +59,11 @@
 	open := e.openCrashes
 	e.openCrashes = nil
 	for _, c := range open {
-		shared := e.isShared(c)
-		if !shared && (e.now.Sub(c.at) < sharedCrashWindow || e.awaitsRackMates(c)) {
+		if age := e.now.Sub(c.at); age < sharedCrashWindow || age < blameTimeout && !c.rackSurvived() && c.awaitsRackMate() {
 			e.openCrashes = append(e.openCrashes, c)
 			continue
 		}
-		e.closeInvestigation(c, shared || c.silentRackMate() != nil)
+		e.closeInvestigation(c, e.endedTogether(c) >= minSharedCrashes || !c.rackSurvived())
 	}
 }
 
@@ -85,36 +84,28 @@
 	e.giveUp(slices.DeleteFunc(c.tasks, func(t *task) bool { return !t.exceedsCrashes() }))
 }
 
-// isShared reports whether other workers may have ended at the same moment as that of c: one of
-// its rack, or minSharedCrashes with it that no risky starts explain.
-func (e *Engine) isShared(c *crash) bool {
+// endedTogether returns how many workers ended at the same time as that of c, without those
+// whose end a risky start explains.
+func (e *Engine) endedTogether(c *crash) int {
 	count := 1
 	for _, other := range e.crashOnsets {
-		if other.worker == c.worker {
-			continue
-		}
-		if !other.exposed && other.at.Sub(c.at).Abs() <= sharedCrashWindow {
+		if other.worker != c.worker && !other.exposed && other.at.Sub(c.at).Abs() <= sharedCrashWindow {
 			count++
 		}
-		if slices.Contains(c.rackMates, other.worker) && other.lastAnswer.Before(c.at) && other.at.After(c.lastAnswer) {
-			return true
-		}
 	}
-	return count >= minSharedCrashes
+	return count
 }
 
-// awaitsRackMates reports whether a worker of the rack may still answer in time.
-func (e *Engine) awaitsRackMates(c *crash) bool {
-	return e.now.Sub(c.at) < blameTimeout && c.silentRackMate() != nil
+// rackSurvived reports whether the rack certainly did not fail: another worker of it, which
+// has not restarted, has answered a renewal that was sent after the crash, or there was none.
+func (c *crash) rackSurvived() bool {
+	answered := func(w *worker) bool {
+		return w.answeredSentAt.After(c.at) && !w.incarnationSince.After(c.lastAnswer)
+	}
+	return len(c.rackMates) == 0 || slices.ContainsFunc(c.rackMates, answered)
 }
 
-// silentRackMate returns a worker of the rack that has not answered a renewal which was sent
-// after the crash and does not refuse connections, or nil.
-func (c *crash) silentRackMate() *worker {
-	for _, w := range c.rackMates {
-		if w.refusingSince.IsZero() && w.answeredSentAt.Before(c.at) && w.listed {
-			return w
-		}
-	}
-	return nil
+// awaitsRackMate reports whether another worker of the rack may still answer.
+func (c *crash) awaitsRackMate() bool {
+	return slices.ContainsFunc(c.rackMates, func(w *worker) bool { return w.listed && w.refusingSince.IsZero() })
 }
--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -39,8 +39,6 @@
 	worker  *worker
 	at      time.Time
 	exposed bool // a risky start may explain it
-
-	lastAnswer time.Time // the worker's last one before
 }
 
 // connectionRefused records that nothing listens at the address of w, so its process has
@@ -55,7 +53,7 @@
 	}
 	w.refusingSince = e.now
 	e.crashOnsets = slices.DeleteFunc(e.crashOnsets, func(c crashOnset) bool { return e.now.Sub(c.at) > crashMemory })
-	e.crashOnsets = append(e.crashOnsets, crashOnset{worker: w, at: e.now, exposed: w.exposed > 0, lastAnswer: w.lastAnswer})
+	e.crashOnsets = append(e.crashOnsets, crashOnset{worker: w, at: e.now, exposed: w.exposed > 0})
 	e.log.Warn("worker refuses connections", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer), "last_start_ms", e.msSince(w.lastStart()))
 }
 
