Fix: advice about workers that are gone no longer adds up

What callers would see: nothing at once. A gang that waits while workers come back as new ones kept what the adviser had said of each, in memory and in its stored record, and the log told of good workers that no longer exist (`asked` 116, `good` 39 of 48 workers in the users' trace).

Cause: workers were only added to what is known of a step's advice.

Change: each answer of the adviser removes the workers that have restarted, or left the directory for 5 s, since they were asked about.

TestAdviceAboutWorkersThatAreGoneAddsUp failed before (33 workers asked about, of 4) and passes.

--- a/internal/cell/engine/adviser_calls_test.go
+++ b/internal/cell/engine/adviser_calls_test.go
@@ -40,3 +40,18 @@
 	submitAdvised(w, 40*time.Second)
 	assert.Zero(t, w.adviser.timeouts)
 }
+
+// A gang waits while workers come back as new ones.
+func TestAdviceAboutWorkersThatAreGoneAddsUp(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	n := w.useNetwork(1)
+	w.run(time.Second)
+	id := w.submit("advised", "a", gang(6, 8000, time.Second))
+	for range 30 {
+		n.replace(w.ids[0], time.Second)
+		w.run(3 * time.Second)
+	}
+	s := w.engine.jobs[id].occurrences[0].steps[0]
+	assert.LessOrEqual(t, len(s.advice.asked), 2*len(w.ids))
+	assert.LessOrEqual(t, len(s.advice.good), 2*len(w.ids))
+}
--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,26 @@
 	return s.advice
 }
 
+// adviceRetention is how long the advice about a worker that left the directory is kept, as it
+// may come back.
+const adviceRetention = 5 * time.Second
+
+// forgetGone removes the workers that have left or restarted since they were asked about. What
+// the adviser said of them is of no use any more.
+func (a *adviceState) forgetGone(now time.Time) {
+	gone := func(w *worker, incarnation int64) bool {
+		return w.incarnation != incarnation || !w.listed && now.Sub(w.unlistedSince) > adviceRetention
+	}
+	maps.DeleteFunc(a.asked, func(w *worker, incarnation int64) bool { return gone(w, incarnation) })
+	a.good = slices.DeleteFunc(a.good, func(g *goodWorker) bool {
+		if !gone(g.worker, g.ticket.incarnation) {
+			return false
+		}
+		delete(a.goodByWorker, g.worker)
+		return true
+	})
+}
+
 // markGood records that a worker is good for s.
 func (s *stepState) markGood(w *worker, t ticket) {
 	a := s.ensureAdvice()
@@ -410,6 +431,7 @@
 		e.log.Warn("adviser call failed", "step", s.name, "job", s.ref.Job, "arm", ev.Call.Delegate, "workers", len(ev.Call.Workers), "after_ms", e.msSince(ev.Call.sentAt))
 		return
 	}
+	s.advice.forgetGone(e.now)
 	newlyAsked := 0 // workers that no earlier answer covers
 	for _, w := range ev.Call.asked {
 		if s.advice.asked[w] != w.incarnation {
