--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -21,6 +21,7 @@
 	steps        int
 	cpu          int64
 	hopeless     bool // whether its first task always fails
+	deadly       bool // whether its first task crashes its workers
 	misreported  bool // whether a violation by its state is recorded
 	openAttempts int  // attempts that have no outcome yet
 	unknown      bool // whether the outcome of an attempt is not known
@@ -99,6 +100,7 @@
 	defer c.group.Done()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	rng := rand.New(rand.NewPCG(c.seed, uint64(100+number)))
+	deadly := rand.New(rand.NewPCG(c.seed, uint64(10_000+number)))
 	for n := 0; ; n++ {
 		select {
 		case <-c.stop:
@@ -106,6 +108,7 @@
 		case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
 		}
 		j := &submittedJob{id: fmt.Sprintf("%08x%08x", number, n), width: 1 + rng.IntN(4), steps: 1 + rng.IntN(2), cpu: int64(500 + rng.IntN(1500)), hopeless: rng.IntN(25) == 0}
+		j.deadly = c.fleet.crashes && deadly.IntN(20) == 0
 		c.fleet.mu.Lock()
 		c.fleet.jobs[j.id] = j
 		c.fleet.mu.Unlock()
--- a/internal/soak/worker_faults_test.go
+++ b/internal/soak/worker_faults_test.go
@@ -243,6 +243,12 @@
 	if w.down {
 		return
 	}
+	f.end(w, downtime, unlisted, nil)
+}
+
+// end ends a life of w. The next one begins after downtime, once before has succeeded unless it
+// is nil. The caller holds f.mu.
+func (f *fleet) end(w *worker, downtime, unlisted time.Duration, before func() error) {
 	f.endDueRuns(w)
 	w.down = true
 	for _, r := range w.runs {
@@ -251,6 +257,13 @@
 	}
 	clear(w.runs)
 	time.AfterFunc(downtime, func() {
+		if before != nil {
+			if err := before(); err != nil {
+				f.mu.Lock()
+				f.recordViolation("", "worker %s cannot listen again: %v", w.id, err)
+				f.mu.Unlock()
+			}
+		}
 		f.mu.Lock()
 		w.down, w.life = false, f.newLife()
 		f.mu.Unlock()
