Tell callers why a job failed whose task crashes workers

The state `failed` of such a job looked like one that has used up its attempts. The answer now has a `reason` that names the task; it is in the job's record, so that the next leader tells it, too.

--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -247,6 +247,7 @@
 		}
 		e.log.Warn("job failed", "job", j.id, "task", t.name, "reason", "its task crashes workers", "caused", t.crashes.Caused, "doubtful", t.crashes.Doubtful, "late", t.crashes.Late)
 		e.count(JobGivenUp)
+		j.reason = "task " + t.name + " crashes the workers that start it"
 		e.finishJob(j, record.Failed)
 	}
 }
--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -29,6 +29,7 @@
 	}
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.LessOrEqual(t, n.crashesUnder(id), maxCrashes)
+	w.engine.Handle(w.now, &Status{ID: id, Team: "a", Reply: func(a Answer) { assert.Contains(t, a.Why, "crashes the workers") }})
 }
 
 func TestTasksOfACrashedWorkerWaitUntilItIsBack(t *testing.T) {
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -162,7 +162,11 @@
 		ev.Reply(Answer{Outcome: NotFound})
 		return
 	}
-	ev.Reply(Answer{Outcome: OK, State: j.stateName()})
+	answer := Answer{Outcome: OK, State: j.stateName()}
+	if j.reportedState == record.Failed {
+		answer.Why = j.reason
+	}
+	ev.Reply(answer)
 }
 
 // stateName returns the state of j for callers, one of the State constants.
@@ -220,7 +224,7 @@
 // record returns the record of j. As long as an ended job has runs, the record keeps
 // the job's spec, from which the next leader knows what resources they use.
 func (j *jobState) record() *record.Job {
-	r := &record.Job{State: j.state, Team: j.team, Queue: j.queue, Accepted: j.acceptedAt, Ended: j.endedAt}
+	r := &record.Job{State: j.state, Team: j.team, Queue: j.queue, Accepted: j.acceptedAt, Ended: j.endedAt, Reason: j.reason}
 	if !j.state.Final() || j.hasRuns() {
 		r.Spec = j.spec
 	}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -40,7 +40,7 @@
 func (e *Engine) restoreJob(id string, rec *record.Job, wall int64, steps map[job.StepRef]*record.Step) {
 	if rec.Spec == nil {
 		j := &jobState{id: id, team: rec.Team, queue: rec.Queue, acceptedAt: rec.Accepted, endedAt: rec.Ended,
-			state: rec.State, reportedState: rec.State, stored: true, started: true, compacted: true}
+			state: rec.State, reason: rec.Reason, reportedState: rec.State, stored: true, started: true, compacted: true}
 		e.jobs[id] = j
 		e.endedJobs = append(e.endedJobs, j)
 		return
@@ -79,6 +79,7 @@
 // restoreEnded restores an ended job that may still have runs.
 func (e *Engine) restoreEnded(j *jobState, rec *record.Job) {
 	j.state, j.reportedState, j.endedAt, j.started = rec.State, rec.State, rec.Ended, true
+	j.reason = rec.Reason
 	e.endedJobs = append(e.endedJobs, j)
 	j.eachStep(func(s *stepState) {
 		for _, t := range s.tasks {
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -254,6 +254,6 @@
 	Outcome    Outcome
 	State      string        // of a job, one of the State constants
 	Pending    int           // jobs of a queue that have not started
-	Why        string        // reason for a refusal
+	Why        string        // reason for a refusal, or why a job failed if not for its attempts
 	RetryAfter time.Duration // delay before a refused request is worth repeating; zero if none is known
 }
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -56,6 +56,7 @@
 	Queue    string    `cbor:"4,keyasint,omitempty"`
 	Accepted int64     `cbor:"5,keyasint,omitempty"` // Unix milliseconds on the clock of the instance that accepted the job
 	Ended    int64     `cbor:"6,keyasint,omitempty"` // Unix milliseconds
+	Reason   string    `cbor:"7,keyasint,omitempty"` // why the job failed, if not for its attempts
 }
 
 // NameSet is a set of names, stored as a hash of four bytes each. With some hundreds
