--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -9,6 +9,7 @@
 		seed    uint64
 		keptIDs bool
 		untold  bool
+		crashes bool
 	}{
 		{name: "a refused repeat of a start ended a run that went on", seed: 163},
 		{name: "a lease of an earlier incarnation was never over", seed: 123},
@@ -21,11 +22,14 @@
 		{name: "a lease was never over as the clock came from an incarnation that was not told", seed: 404088, keptIDs: true, untold: true},
 		{name: "a stop that was refused for an earlier incarnation counted for the next one, which got no work any more", seed: 700786},
 		{name: "a start reached the next incarnation after its run was given up for the lease of the earlier one", seed: 701739, keptIDs: true, untold: true},
+		{name: "a task that crashes its workers was started three times more", seed: 1001484, crashes: true},
+		{name: "suspects that crash their workers waited for each other in a small fleet", seed: 1000801, crashes: true},
+		{name: "a crash with others of its rack blamed a task", seed: 1000099, crashes: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs, untold: c.untold})
+			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs, untold: c.untold, crashes: c.crashes})
 		})
 	}
 }
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -18,7 +18,7 @@
 	acceptedAt      int64     // Unix milliseconds
 	endedAt         int64     // Unix milliseconds
 	state           record.State
-	reason          string // why it failed, if not for its attempts
+	reason          string       // why it failed, if not for its attempts
 	reportedState   record.State // what callers get; set to state once that is stored
 	stored          bool         // the job's acceptance is stored
 	started         bool         // a task has started, or none ever will
