Let at least two workers be exposed to risky starts, and mend the world's directory

What callers would see: LOST in a small cell: jobs with tasks that crash workers wait for each other for over 3 s with workers free, as of six workers one at a time may be exposed.

Change: two workers may be exposed in any service.

--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -27,6 +27,9 @@
 	// to then it is at least what is idle beyond idleReserve.
 	maxIdleExposedRatio = 0.5
 	idleReserve         = 0.2
+	// minExposedWorkers is the least number of workers that may be down or expected to be. In a
+	// small service suspects would otherwise wait for each other while workers are free.
+	minExposedWorkers = 2.0
 	// isolationPatience is how long a step with risky starts waits for workers on which no
 	// other start is recent.
 	isolationPatience = time.Second
@@ -272,7 +275,7 @@
 		round.exposure = round.measureExposure()
 	}
 	x := round.exposure
-	limit := max(1, e.exposedRatio(s, round, risk)*float64(x.workers))
+	limit := max(minExposedWorkers, e.exposedRatio(s, round, risk)*float64(x.workers))
 	return int(max(0, limit-x.expected) / risk)
 }
 
--- a/internal/cell/engine/world_crashes_test.go
+++ b/internal/cell/engine/world_crashes_test.go
@@ -60,7 +60,11 @@
 	l.refusesUntil = l.downUntil
 	s := n.w.workers[id]
 	s.crashed = true
-	n.w.after(downTime, func() { s.crashed = false })
+	n.w.after(downTime, func() {
+		if !n.w.now.Before(l.downUntil) { // it has not restarted again meanwhile
+			s.crashed = false
+		}
+	})
 }
 
 // refusedConnection returns the event of a call whose connection was refused, from that of
