--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -24,6 +24,7 @@
 		{name: "a start reached the next incarnation after its run was given up for the lease of the earlier one", seed: 701739, keptIDs: true, untold: true},
 		{name: "a task that crashes its workers was started three times more", seed: 1001484, crashes: true},
 		{name: "suspects that crash their workers waited for each other in a small fleet", seed: 1000094, crashes: true},
+		{name: "the same, with two workers that may be exposed", seed: 1002586, crashes: true},
 		{name: "a crash with others of its rack blamed a task", seed: 1000271, crashes: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
