Close the addresses of crashed workers when a cell of the soak ends

A worker that was down when its cell had ended listened again while the clean-up read its server. The clean-up now holds the lock, and a worker that comes back later closes at once.

--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -33,11 +33,22 @@
 	server := &http.Server{Handler: c.fleet.serve(w.id)}
 	go func() { _ = server.Serve(l) }() // returns when the server is closed
 	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
 	w.server, w.address = server, l.Addr().String()
-	c.fleet.mu.Unlock()
+	if c.fleet.closed {
+		return server.Close()
+	}
 	return nil
 }
 
+// closeFor closes the address of w for good, also if w comes back from a crash later.
+func (f *fleet) closeFor(w *worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	_ = w.server.Close()
+}
+
 // deadly reports whether a task crashes its workers.
 func (f *fleet) deadly(task string) bool {
 	j := f.jobOf(task)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -119,7 +119,7 @@
 	c.fleet.listen = c.listenAt
 	for _, w := range c.fleet.workers {
 		require.NoError(c.t, c.listenAt(w, "127.0.0.1:0"))
-		c.t.Cleanup(func() { _ = w.server.Close() })
+		c.t.Cleanup(func() { c.fleet.closeFor(w) })
 		c.fleet.register(w)
 	}
 	c.store.put("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"soak.example","pathPrefix":"/q/","service":"s","attempts":`+strconv.Itoa(maxAttempts)+`,"stretch":4,"targetLatencyMs":60000,"timeoutMs":3000}],
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -27,6 +27,7 @@
 	crashRng   *rand.Rand     // of crashes and capacities
 	crashes    bool           // whether tasks crash their workers, and workers shrink and grow
 	crashed    int            // workers that tasks crashed
+	closed     bool           // whether the cell has ended
 	listen     func(w *worker, address string) error
 	register   func(w *worker) // writes the directory's entry of a worker
 	pending    sync.WaitGroup  // calls that are held back
