Log the incarnations that a start was sent to and answered by

No line told that. Now task started, start not confirmed, run ended and worker answers again do, and a stale entry of the directory is logged once. The decisions are unchanged.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -125,7 +125,7 @@
 	t := r.task
 	e.log.Warn("start not confirmed", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
 		"reason", ev.Outcome.String(), "orders", r.startAttempts, "unanswered", r.unansweredStarts, "reported", r.phase == running,
-		"order_ms", e.msSince(r.startSentAt))
+		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", w.incarnation, "order_ms", e.msSince(r.startSentAt))
 	switch ev.Outcome {
 	case Fenced:
 		e.stepDown("worker " + w.id + " has seen a newer leader")
@@ -158,6 +158,7 @@
 	}
 	e.markStarted(t.step.job())
 	e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", r.worker.id,
+		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", r.worker.incarnation, "orders", r.startAttempts, "unanswered", r.unansweredStarts,
 		"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
 	if r.phase == stopping {
 		e.sendStop(r)
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -72,7 +72,7 @@
 	e.log.Info(what, "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", reason.String(),
 		"source", source, "ran_ms", e.msSince(r.startSentAt), "percent", r.percent, "stop_reason", r.stopReason,
 		"orders", r.startAttempts, "unanswered", r.unansweredStarts, "stopped_ms", e.msSince(r.stopConfirmedAt), "worker_silent_ms", e.msSince(r.worker.lastAnswer),
-		"refusing_ms", e.msSince(r.worker.refusingSince), "runs_beside", len(r.worker.runs))
+		"life", r.incarnation, "worker_life", r.worker.incarnation, "refusing_ms", e.msSince(r.worker.refusingSince), "runs_beside", len(r.worker.runs))
 	t.lastEnd = lastEnd{run: r.number, reason: reason, source: source, at: e.now}
 	e.updateHealth(r, reason)
 	e.markDirty(s)
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -28,6 +28,7 @@
 
 	listed              bool
 	entryIncarnation    int64     // incarnation that the directory's entry describes; zero if it does not tell
+	staleEntry          int64     // the earlier incarnation that the last ignored entry was of; zero if there was none
 	unlistedSince       time.Time // when it last left the directory
 	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
 	replacedAddress     string    // where that was
@@ -188,6 +189,10 @@
 // workerListed applies the directory's entry of a worker.
 func (e *Engine) workerListed(w *worker, l *WorkerInfo) {
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation < w.incarnation {
+		if w.staleEntry != l.Incarnation {
+			w.staleEntry = l.Incarnation
+			e.log.Info("entry of an earlier incarnation ignored", "worker", w.id, "life", w.incarnation, "entry_life", l.Incarnation, "listed", w.listed)
+		}
 		return // the entry is older than the worker's restart
 	}
 	if l.Incarnation != 0 && l.Incarnation == w.replacedIncarnation && l.Address == w.replacedAddress {
@@ -400,7 +405,7 @@
 	}
 	first := !w.reported
 	if w.missedRenewals > 0 {
-		e.log.Info("worker answers again", "worker", w.id, "silent_ms", e.msSince(w.lastAnswer))
+		e.log.Info("worker answers again", "worker", w.id, "life", w.incarnation, "silent_ms", e.msSince(w.lastAnswer), "refusing_ms", e.msSince(w.refusingSince), "runs", len(w.runs))
 		e.needsPlacement = true
 	}
 	w.noteClock(ev.Report.Clock, e.now)
