--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -18,6 +18,7 @@
 	untold         bool // answers to commands don't tell the worker's incarnation
 	drains         bool // workers drain, and others replace them
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
+	cuts           bool // workers are behind cuts that refuse connections
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
@@ -33,7 +34,7 @@
 	if n.rand.IntN(3) == 0 {
 		n.endsPerReport = 1 + n.rand.IntN(4)
 	}
-	drains, crashes := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5))
+	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	for range 60 {
@@ -45,6 +46,9 @@
 		if o.crashes {
 			n.injectCrash(crashes)
 		}
+		if o.cuts {
+			n.injectCut(cuts)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
@@ -272,6 +276,16 @@
 	runRefusalSeeds(t, refusalOptions{crashes: true, restartsKeepID: true})
 }
 
+// Workers are behind cuts that refuse connections; some restart there under their ids.
+func TestRandomRefusalsWithRefusingCuts(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{cuts: true, restartsKeepID: true, untold: true})
+}
+
+// The same with tasks that crash workers.
+func TestRandomRefusalsWithRefusingCutsAndCrashes(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{cuts: true, crashes: true, restartsKeepID: true, untold: true})
+}
+
 // Workers that drain end seconds later, with what they run.
 func TestRandomRefusalsWithDrains(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
--- a/internal/cell/engine/world_crashes_test.go
+++ b/internal/cell/engine/world_crashes_test.go
@@ -51,13 +51,12 @@
 	}
 	n.rules.crashed(n.w.workers[id], others)
 	l := n.links[id]
-	for _, c := range n.open[id] {
-		n.w.after(l.delay(n.rand), func() { n.answer(c, c.unanswered) })
-	}
-	n.open[id] = nil
+	n.endOpenCalls(id)
 	n.leaveGangs(n.w.workers[id])
 	n.restart(id, downTime, n.upTo(200*time.Millisecond))
-	l.refusesUntil = l.downUntil
+	if l.downUntil.After(l.refusesUntil) {
+		l.refusesUntil = l.downUntil
+	}
 	s := n.w.workers[id]
 	s.crashed = true
 	n.w.after(downTime, func() {
--- /dev/null
+++ b/internal/cell/engine/world_cuts_test.go
@@ -0,0 +1,47 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// cut parts a worker from the engine, which sees its connections end and new ones refused. The
+// worker works on.
+func (n *network) cut(id string, d time.Duration) {
+	l := n.links[id]
+	if until := n.w.now.Add(d); until.After(l.refusesUntil) {
+		l.refusesUntil = until
+	}
+	n.endOpenCalls(id)
+}
+
+// endOpenCalls ends the calls that have arrived at a worker and have no answer.
+func (n *network) endOpenCalls(id string) {
+	for _, c := range n.open[id] {
+		n.w.after(n.links[id].delay(n.rand), func() { n.answer(c, c.unanswered) })
+	}
+	n.open[id] = nil
+}
+
+// injectCut cuts some workers off, with a probability of about a third. Some of them restart
+// behind the cut.
+func (n *network) injectCut(r *rand.Rand) {
+	if r.IntN(3) > 0 {
+		return
+	}
+	upTo := func(d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+	share := r.Float64()
+	for _, id := range n.w.ids {
+		if r.Float64() >= share {
+			continue
+		}
+		length := upTo(4 * time.Second)
+		if r.IntN(6) == 0 {
+			length += simConfig().Lease // longer than a lease
+		}
+		n.cut(id, length)
+		if r.IntN(3) == 0 {
+			n.w.after(upTo(length), func() { n.restart(id, upTo(time.Second), upTo(3*time.Second)) })
+		}
+	}
+}
