Fix: runs behind a cut that refuses connections no longer start elsewhere

Callers saw: tasks run twice at the same time.

Cause: since a worker that refused connections for 100 ms counted as ended, with its runs. A cut, a proxy or a firewall that answers with a reset refuses too, while the runs go on under their leases. Ruled out: late orders (the runs that go on were confirmed), the directory.

A refusal is now a hint: the worker gets no starts, the hazard of its queues is noted and the crash is investigated at once, but runs end only with the next incarnation or the lease. Blame waits for that proof, and a crash that began while others refused connections without a restart stays doubtful, so that a cut does not fail innocent jobs.

What a crashed worker ran waits 3 to 3.5 s again for proof.

--- a/internal/cell/engine/blame.go
+++ b/internal/cell/engine/blame.go
@@ -5,16 +5,27 @@
 	"time"
 )
 
-// crash is the end of a worker's process while it is not known yet whether it had a common
-// cause with that of other workers, such as the loss of a rack. Until then the crash counts as
+// crash is the supposed end of a worker's process, which began to refuse connections. Whether it
+// had a common cause with that of other workers, such as the loss of a rack, is investigated at
+// once; tasks are blamed for it when the end is certain. Until both are known the crash counts as
 // doubtful for the tasks that may have caused it, and they are not started again.
 type crash struct {
-	worker     *worker
-	lastAnswer time.Time // the last one before the crash
-	at         time.Time // when the worker first refused a connection
-	tasks      []*task
-	oneJob     bool      // the tasks are of one job
-	rackMates  []*worker // workers of the same rack that were there
+	worker      *worker
+	lastAnswer  time.Time // the last one before the crash
+	at          time.Time // when the worker first refused a connection
+	tasks       []*task   // blamed while the investigation was open
+	oneJob      bool      // the tasks are of one job
+	rackMates   []rackMate
+	closed      bool // the investigation has ended
+	shared      bool // its outcome: the crash had a common cause with others
+	hazardNoted bool // see Engine.noteHazardsOnce
+}
+
+// rackMate is another worker of the rack of a crashed one, as it was when that crashed.
+type rackMate struct {
+	*worker
+	incarnation int64
+	reported    bool // it had answered in this incarnation, so it was up
 }
 
 const (
@@ -27,27 +38,23 @@
 	blameTimeout = time.Second
 )
 
-// investigate begins to find out whether a crash had a common cause with others. Workers of the
-// same rack are asked for an answer at once.
-func (e *Engine) investigate(c *crash) {
-	if len(c.tasks) == 0 {
-		return
-	}
-	for _, w := range e.workerList {
-		if w == c.worker || w.rack == "" || w.rack != c.worker.rack || !w.listed || w.draining {
+// investigate begins to find out whether the end of w, which has begun to refuse connections, had a
+// common cause with others. Workers of the same rack are asked for an answer at once.
+func (e *Engine) investigate(w *worker) {
+	c := &crash{worker: w, lastAnswer: w.lastAnswer, at: w.refusingSince}
+	for _, mate := range e.workerList {
+		if mate == w || mate.rack == "" || mate.rack != w.rack || !mate.listed || mate.draining {
 			continue
 		}
-		if !w.refusingSince.IsZero() && w.refusingSince.Before(c.lastAnswer) {
+		if !mate.refusingSince.IsZero() && mate.refusingSince.Before(c.lastAnswer) {
 			continue // it ended before
 		}
-		c.rackMates = append(c.rackMates, w)
-		if w.answeredSentAt.Before(c.at) {
-			w.renewWithoutWait, w.nextRenewal = true, e.now
+		c.rackMates = append(c.rackMates, rackMate{worker: mate, incarnation: mate.incarnation, reported: mate.reported})
+		if len(w.runs) > 0 && mate.answeredSentAt.Before(c.at) {
+			mate.renewWithoutWait, mate.nextRenewal = true, e.now
 		}
 	}
-	for _, t := range c.tasks {
-		t.investigations++
-	}
+	w.crash = c
 	e.openCrashes = append(e.openCrashes, c)
 }
 
@@ -59,6 +66,9 @@
 	open := e.openCrashes
 	e.openCrashes = nil
 	for _, c := range open {
+		if c.worker.crash != c && len(c.tasks) == 0 {
+			continue // it refuses no longer, and nothing is blamed
+		}
 		if age := e.now.Sub(c.at); age < sharedCrashWindow || age < blameTimeout && !c.rackSurvived() && c.awaitsRackMate() {
 			e.openCrashes = append(e.openCrashes, c)
 			continue
@@ -67,23 +77,73 @@
 	}
 }
 
-// closeInvestigation counts c for its tasks, as caused by one of them unless it is shared.
+// closeInvestigation ends the investigation of c with the given outcome.
 func (e *Engine) closeInvestigation(c *crash, shared bool) {
+	c.closed, c.shared = true, shared
+	e.log.Info("crash investigated", "worker", c.worker.id, "tasks", len(c.tasks), "one_job", c.oneJob, "shared", shared, "rack_mates", len(c.rackMates), "after_ms", e.msSince(c.at))
+	if !shared && c.worker.crash == c {
+		e.noteHazardsOnce(c, likelyCauses(ranAtCrash(c.worker.runs, true)))
+	}
 	e.needsPlacement = true
 	for _, t := range c.tasks {
 		t.investigations--
-		if shared || t.done || t.step.job().state.Final() {
-			continue
-		}
-		t.crashes.Doubtful = max(0, t.crashes.Doubtful-1)
-		t.crashes.Caused++
-		t.onlyCause = c.oneJob
-		e.markDirty(t.step)
+		e.countCaused(c, t)
 	}
-	e.log.Info("crash investigated", "worker", c.worker.id, "tasks", len(c.tasks), "one_job", c.oneJob, "shared", shared, "rack_mates", len(c.rackMates), "after_ms", e.msSince(c.at))
 	e.giveUp(slices.DeleteFunc(c.tasks, func(t *task) bool { return !t.exceedsCrashes() }))
 }
 
+// noteHazardsOnce records c as a hazard of the queues of the runs that may explain it, unless that
+// was done.
+func (e *Engine) noteHazardsOnce(c *crash, causes []*run) {
+	if !c.hazardNoted {
+		c.hazardNoted = true
+		e.noteHazards(causes)
+	}
+}
+
+// cutPeriod is a time in which a worker refused connections although its process had not ended, most
+// likely as it was cut off.
+type cutPeriod struct{ from, to time.Time }
+
+// refusalDisproved records that w refused connections although its process had not ended.
+func (e *Engine) refusalDisproved(w *worker) {
+	e.log.Info("worker refused connections without a restart", "worker", w.id, "life", w.incarnation, "refused_ms", e.msSince(w.refusingSince))
+	e.cutPeriods = slices.DeleteFunc(e.cutPeriods, func(p cutPeriod) bool { return e.now.Sub(p.to) > crashMemory })
+	e.cutPeriods = append(e.cutPeriods, cutPeriod{w.refusingSince, e.now})
+}
+
+// amidCut reports whether other workers were cut off when that of c began to refuse connections, so
+// that it may have been, too.
+func (e *Engine) amidCut(c *crash) bool {
+	return slices.ContainsFunc(e.cutPeriods, func(p cutPeriod) bool {
+		return c.at.After(p.from.Add(-maxCrashOnset)) && c.at.Before(p.to)
+	})
+}
+
+// blame counts c, which is certain, as caused by t once it is known that it had no common cause
+// with others. oneJob says that no other job can have caused it.
+func (e *Engine) blame(c *crash, t *task, oneJob bool) {
+	c.oneJob = oneJob
+	if c.closed {
+		e.countCaused(c, t)
+		return
+	}
+	c.tasks = append(c.tasks, t)
+	t.investigations++
+}
+
+// countCaused turns a doubtful crash of t into one that t has caused, unless c is shared or the
+// worker may have been cut off first.
+func (e *Engine) countCaused(c *crash, t *task) {
+	if c.shared || e.amidCut(c) || t.done || t.step.job().state.Final() {
+		return
+	}
+	t.crashes.Doubtful = max(0, t.crashes.Doubtful-1)
+	t.crashes.Caused++
+	t.onlyCause = c.oneJob
+	e.markDirty(t.step)
+}
+
 // endedTogether returns how many workers ended at the same time as that of c, without those
 // whose end a risky start explains.
 func (e *Engine) endedTogether(c *crash) int {
@@ -96,16 +156,16 @@
 	return count
 }
 
-// rackSurvived reports whether the rack certainly did not fail: another worker of it, which
-// has not restarted, has answered a renewal that was sent after the crash, or there was none.
+// rackSurvived reports whether the rack certainly did not fail: another worker of it that was up has
+// answered, without a restart, a renewal that was sent after the crash, or there was none.
 func (c *crash) rackSurvived() bool {
-	answered := func(w *worker) bool {
-		return w.answeredSentAt.After(c.at) && !w.incarnationSince.After(c.lastAnswer)
+	survived := func(m rackMate) bool {
+		return m.reported && m.worker.incarnation == m.incarnation && m.answeredSentAt.After(c.at)
 	}
-	return len(c.rackMates) == 0 || slices.ContainsFunc(c.rackMates, answered)
+	return len(c.rackMates) == 0 || slices.ContainsFunc(c.rackMates, survived)
 }
 
 // awaitsRackMate reports whether another worker of the rack may still answer.
 func (c *crash) awaitsRackMate() bool {
-	return slices.ContainsFunc(c.rackMates, func(w *worker) bool { return w.listed && w.refusingSince.IsZero() })
+	return slices.ContainsFunc(c.rackMates, func(m rackMate) bool { return m.reported && m.listed && m.refusingSince.IsZero() })
 }
--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -19,9 +19,6 @@
 	// first refused connection within which its process ended by itself. A worker that was
 	// silent for longer may have been cut off or frozen first.
 	maxCrashOnset = time.Second
-	// minRefusal is how long a worker has to refuse connections until its process counts as
-	// ended.
-	minRefusal = 100 * time.Millisecond
 	// crashMemory is how long the engine remembers when workers crashed. It is longer than
 	// a lease, after which a crash is counted at the latest.
 	crashMemory = 30 * time.Second
@@ -41,39 +38,17 @@
 	exposed bool // a risky start may explain it
 }
 
-// connectionRefused records that nothing listens at the address of w, so its process has
-// ended. A worker that is cut off or frozen does not refuse connections. Its runs end once
-// it has refused connections for minRefusal.
+// connectionRefused records that w refuses connections. Its process may have ended, or a firewall, a
+// proxy or a cut answers in its place while its runs go on, so no run ends for it.
 func (e *Engine) connectionRefused(w *worker) {
 	if !w.refusingSince.IsZero() {
-		if e.now.Sub(w.refusingSince) >= minRefusal {
-			e.endRunsOfEndedProcess(w)
-		}
 		return
 	}
 	w.refusingSince = e.now
 	e.crashOnsets = slices.DeleteFunc(e.crashOnsets, func(c crashOnset) bool { return e.now.Sub(c.at) > crashMemory })
 	e.crashOnsets = append(e.crashOnsets, crashOnset{worker: w, at: e.now, exposed: w.exposed > 0})
 	e.log.Warn("worker refuses connections", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer), "last_start_ms", e.msSince(w.lastStart()))
-}
-
-// endRunsOfEndedProcess ends the runs on w, whose process has ended. A start command that may
-// still be carried out by its next incarnation is waited for.
-func (e *Engine) endRunsOfEndedProcess(w *worker) {
-	runs := slices.DeleteFunc(w.sentRuns(), func(r *run) bool {
-		return r.incarnation != w.incarnation || r.mayRunInAnotherIncarnation() && r.task.crashes.Run >= r.number // counted
-	})
-	if len(runs) == 0 || w.incarnation == 0 {
-		return
-	}
-	e.count(WorkerEnded)
-	crashing := e.countCrash(w, runs, true)
-	for _, r := range runs {
-		if !r.mayRunInAnotherIncarnation() {
-			e.endRun(r, EndedLeaseExpired, "", "worker's process has ended")
-		}
-	}
-	e.giveUp(crashing)
+	e.investigate(w)
 }
 
 // lastStart returns when the newest run on w was started, or zero.
@@ -99,9 +74,10 @@
 }
 
 // runProgressed records the progress of r, in percent. A run that has worked for a while was
-// started by a worker that worked on, as far as a leader that has not seen the start can tell.
+// started by a worker that worked on, as far as a leader that has not seen the start can tell: the
+// estimate may be far off.
 func (e *Engine) runProgressed(r *run, percent int) {
-	if time.Duration(percent)*r.task.step.spec.Estimate/100 >= survivalTime {
+	if r.inherited() && time.Duration(percent)*r.task.step.spec.Estimate/100 >= survivalTime {
 		e.outlivedStart(r.task)
 	}
 }
@@ -129,7 +105,8 @@
 	e.markDirty(t.step)
 }
 
-// endWasSeen reports whether the process of w ended by itself at a moment that is known.
+// endWasSeen reports whether the process of w, which has certainly ended, most likely did so by
+// itself when it began to refuse connections.
 func (w *worker) endWasSeen() bool {
 	switch {
 	case w.refusingSince.IsZero() || w.lastAnswer.IsZero() || w.draining:
@@ -153,6 +130,11 @@
 	return r.restored || r.startedClock > 0
 }
 
+// ranAtCrash returns those of runs that were on their worker when that crashed. See run.mayHaveRun.
+func ranAtCrash(runs []*run, ended bool) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.mayHaveRun(ended) })
+}
+
 // likelyCauses returns the runs among those on a crashed worker that are most likely its
 // cause: the risky ones, else those that no worker is known to have outlived.
 func likelyCauses(runs []*run) []*run {
@@ -183,15 +165,17 @@
 
 // countCrash counts the crash of w for the tasks of runs, which ended with it. It returns
 // those that have to be given up. The crash is confirmed if the process of w has certainly
-// ended. Whether it had a common cause with others is found out later.
+// ended. Whether it had a common cause with others may be found out later.
 func (e *Engine) countCrash(w *worker, runs []*run, confirmed bool) []*task {
 	seen := confirmed && w.endWasSeen()
-	runs = slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.mayHaveRun(seen) })
+	runs = ranAtCrash(runs, seen)
 	likely := likelyCauses(runs)
+	if confirmed {
+		e.count(WorkerEnded)
+	}
 	if seen {
-		e.noteHazards(likely)
+		e.noteHazardsOnce(w.crash, likely)
 	}
-	open := &crash{worker: w, lastAnswer: w.lastAnswer, at: w.refusingSince, oneJob: oneJob(likely)}
 	var giveUp []*task
 	for _, r := range runs {
 		t, certain := r.task, seen && !r.restored && r.startedClock > 0
@@ -199,7 +183,7 @@
 		switch {
 		case t.done || t.step.job().state.Final():
 			continue
-		case len(likely) > 0 && !slices.Contains(likely, r) || t.harmless && !certain:
+		case t.harmless && (!certain || len(likely) > 0 && !slices.Contains(likely, r)):
 			continue
 		case t.harmless && t.step.spec.LongRunning:
 			continue // it has to last through crashes with other causes
@@ -207,8 +191,8 @@
 			c.Late++
 		default:
 			c.Doubtful++
-			if certain {
-				open.tasks = append(open.tasks, t)
+			if certain && slices.Contains(likely, r) {
+				e.blame(w.crash, t, oneJob(likely))
 			}
 		}
 		c.Run = r.number // a crash is counted once for each run, also if it moves to the next incarnation
@@ -224,7 +208,6 @@
 			giveUp = append(giveUp, t)
 		}
 	}
-	e.investigate(open)
 	return giveUp
 }
 
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -43,7 +43,7 @@
 
 // The events that Config.CountCrash counts.
 const (
-	WorkerEnded   CrashEvent = iota // a worker with runs has refused connections
+	WorkerEnded   CrashEvent = iota // a worker has ended with its runs
 	TaskSuspected                   // a task is suspected of a crash
 	JobGivenUp                      // a job has failed as its task crashes workers
 )
@@ -82,6 +82,7 @@
 	hazards         map[string]*hazard // by queue
 	openCrashes     []*crash
 	crashOnsets     []crashOnset             // of the last crashMemory
+	cutPeriods      []cutPeriod              // of the last crashMemory
 	unknownRunStops map[string]time.Time     // when a stop was last sent for an unknown run, by task
 	usage           map[string]job.Resources // by team
 	queued          map[string]int           // jobs without a schedule that have not started, by queue
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -19,6 +19,7 @@
 	drains         bool // workers drain, and others replace them
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
 	cuts           bool // workers are behind cuts that refuse connections
+	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
@@ -58,6 +59,12 @@
 		}
 	}
 	n.clearFaults()
+	if o.newLeaders {
+		for range 6 {
+			w.run(shortLeadership)
+			n.startLeader()
+		}
+	}
 	n.finish()
 	for _, id := range sortedKeys(w.accepted) {
 		n.rules.checkShown(id)
@@ -72,6 +79,8 @@
 	// settleTime is how long after the last fault leases, late calls and quarantines may
 	// still keep a job from running.
 	settleTime = 25 * time.Second
+	// shortLeadership is shorter than the time that a new leader takes to see two crashes of a task.
+	shortLeadership = 5 * time.Second
 	// finishTime is how long the work that has piled up may take, as a team's limit may let
 	// through one job at a time.
 	finishTime = 5 * time.Minute
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -47,7 +47,8 @@
 	answeredSentAt   time.Time // when the last renewal with an answer was sent
 	missedRenewals   int       // consecutive renewals without an answer
 	silentSince      time.Time // when the first of them failed; zero if there is none
-	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not
+	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not. Hint of a crash, no proof
+	crash            *crash    // what refusingSince may be a sign of; nil if it is zero
 	renewWithoutWait bool      // the next renewal asks for an immediate answer
 	cursor           int64     // number of the last finished run that is stored
 	appliedCursor    int64     // number of the last finished run that is applied
@@ -78,7 +79,7 @@
 	}
 	w.lastAnswer = at
 	w.missedRenewals = 0
-	w.silentSince, w.refusingSince = time.Time{}, time.Time{}
+	w.resetSilence()
 	if clock >= w.clock {
 		w.clock, w.clockAt = clock, at
 		return
@@ -88,6 +89,11 @@
 	}
 }
 
+// resetSilence forgets that w did not answer or refused connections.
+func (w *worker) resetSilence() {
+	w.silentSince, w.refusingSince, w.crash = time.Time{}, time.Time{}, nil
+}
+
 // maxOvertakenAge is by how much the clock in an answer may be behind that of an answer
 // that overtook it. It is longer than the leader waits for an answer. A clock further
 // behind is that of a later incarnation that the answer does not tell.
@@ -240,7 +246,7 @@
 	w.cursor, w.appliedCursor = 0, 0
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
 	w.unknownClockAt = time.Time{}
-	w.silentSince, w.refusingSince = time.Time{}, time.Time{}
+	w.resetSilence()
 	w.nextRenewal = e.now
 	w.health = health{}
 	e.needsPlacement = true
@@ -408,6 +414,9 @@
 		e.log.Info("worker answers again", "worker", w.id, "life", w.incarnation, "silent_ms", e.msSince(w.lastAnswer), "refusing_ms", e.msSince(w.refusingSince), "runs", len(w.runs))
 		e.needsPlacement = true
 	}
+	if !w.refusingSince.IsZero() && w.incarnationSince.Before(w.refusingSince) && ev.SentAt.After(w.refusingSince) {
+		e.refusalDisproved(w)
+	}
 	w.noteClock(ev.Report.Clock, e.now)
 	w.answeredSentAt = ev.SentAt
 	if first {
@@ -446,7 +455,7 @@
 		w.nextRenewal = e.now // a report of finished runs may have been lost
 		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
 	}
-	if ev.ConnectionRefused {
+	if ev.ConnectionRefused && ev.Incarnation == w.incarnation {
 		e.connectionRefused(w)
 	}
 	if ev.OtherIncarnation && ev.Incarnation == w.incarnation && w.incarnation != 0 {
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -24,6 +24,8 @@
 	crashes          int // workers that crashed while they ran the task
 	crashesAlone     int // those that crashed without others of their rack
 	startsSinceThird int // starts since the third of them
+
+	lostUntil time.Time // until when nothing proves that the run on the last of them has ended
 }
 
 // taskEnd is a run of a task that ended done or failed.
@@ -219,6 +221,9 @@
 // half of its limit, under half of the workers' CPU is in use, and there is room for the job
 // twice over.
 func (c *taskRules) idleForNoReason(id string) bool {
+	if c.awaitsProof(id) {
+		return false
+	}
 	used, ofTeam, capacity := int64(0), int64(0), int64(0)
 	team := c.w.specs[id].Team
 	for _, worker := range c.w.ids {
