Reproduce late starts that the next incarnation of a worker carries out

What callers see: a task runs twice at the same time, or again after its success; teams above their limits, workers above their capacity. The random schedules left out each such start that came after the engine had settled the run, or gone on, as one that 'breaks a rule whatever the engine does'. No rule of the platform's says so: a command without an answer may be carried out seconds later, and a worker may start again under its id.

Both exemptions are gone.

--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -25,7 +25,7 @@
 	id := n.submitDeadly("batch", "a", crashDelay)
 	for range 10 {
 		w.run(5 * time.Second)
-		n.startLeader()
+		n.w.startLeader()
 	}
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.LessOrEqual(t, n.crashesUnder(id), maxCrashes)
--- a/internal/cell/engine/ends_test.go
+++ b/internal/cell/engine/ends_test.go
@@ -13,11 +13,11 @@
 // while the store is slow to take the first ones.
 func TestRunsWithEndsBeyondOneReportAreStartedAgain(t *testing.T) {
 	w := newWorld(t, 2, 1)
-	n := w.useNetwork(1)
+	w.useNetwork(1)
 	for _, id := range w.ids {
 		w.workers[id].capacity = job.Resources{CPU: 700_000, MemMB: 700_000}
 	}
-	n.publishDirectory()
+	w.publishDirectory()
 	w.run(time.Second)
 	w.workers["w01"].unreachable = true
 	w.run(time.Second)
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -30,7 +30,7 @@
 	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
 	if o.crashes {
 		w.useRacks()
-		n.startLeader()
+		n.w.startLeader()
 	}
 	if n.rand.IntN(3) == 0 {
 		n.endsPerReport = 1 + n.rand.IntN(4)
@@ -62,7 +62,7 @@
 	if o.newLeaders {
 		for range 6 {
 			w.run(shortLeadership)
-			n.startLeader()
+			n.w.startLeader()
 		}
 	}
 	n.finish()
@@ -183,7 +183,7 @@
 	s := w.workers[id]
 	switch n.rand.IntN(22) {
 	case 0:
-		n.startLeader()
+		n.w.startLeader()
 	case 1, 17:
 		s.unreachable = true
 		w.after(n.upTo(16*time.Second), func() { s.unreachable = false })
--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -26,6 +26,10 @@
 		{name: "suspects that crash their workers waited for each other in a small fleet", seed: 1000094, crashes: true},
 		{name: "the same, with two workers that may be exposed", seed: 1002586, crashes: true},
 		{name: "a crash with others of its rack blamed a task", seed: 1000271, crashes: true},
+		{name: "a late start was carried out after a restart and the success of its run", seed: 5332, keptIDs: true},
+		{name: "a late start was carried out after a restart while another run went on", seed: 5243, keptIDs: true},
+		{name: "a late start was carried out after a restart above the limit of the team", seed: 5259, keptIDs: true},
+		{name: "a late start was carried out after a restart above the capacity of the worker", seed: 5011, keptIDs: true, untold: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/cell/engine/world_lives_test.go
+++ b/internal/cell/engine/world_lives_test.go
@@ -44,17 +44,13 @@
 	return false
 }
 
-// start carries out a start command. It returns nil if the world leaves the command out.
+// start carries out a start command.
 func (n *network) start(s *simWorker, a *Start, sent time.Time, term int64) *StartAnswered {
 	ev := &StartAnswered{Start: a, Incarnation: s.incarnation, Clock: n.clock(s)}
-	foreign := a.Incarnation != s.incarnation
-	if foreign && !n.restartsKeepID {
+	if a.Incarnation != s.incarnation && !n.restartsKeepID {
 		ev.Outcome = OtherIncarnation
 		return ev
 	}
-	if foreign && n.hopeless(a) {
-		return nil
-	}
 	if outcome, refused := n.refusal(s); refused {
 		return n.refuseStart(s, a, ev, outcome, term)
 	}
@@ -75,10 +71,8 @@
 		ev.Outcome = BadTicket
 	default:
 		n.extendLease(s, a.Deadline)
-		n.leaveOutForeign(a, sent)
 		n.w.startRun(s, a, sent)
 		r := s.runs[a.Task]
-		r.foreign = foreign
 		n.rules.started(r, a, sent)
 		n.crashLater(s, r)
 	}
@@ -99,30 +93,6 @@
 	return ev
 }
 
-// hopeless reports whether a start command that a later incarnation carries out breaks a
-// rule whatever the engine does: the engine had settled the run before, with proof, or
-// has gone on to another run.
-func (n *network) hopeless(a *Start) bool {
-	return n.lastSent[a.Task] > a.Run || n.settled[runKey(a.Task, a.Run)] || n.w.succeeded(a.Task)
-}
-
-// leaveOutForeign removes runs that a later incarnation started from a command for an
-// earlier one, if the engine could not know of that incarnation when it sent a.
-func (n *network) leaveOutForeign(a *Start, sent time.Time) {
-	t := n.w.tasks[a.Task]
-	if t == nil {
-		return
-	}
-	for _, id := range sortedKeys(t.runs) {
-		r, s := t.runs[id], n.w.workers[id]
-		known, heard := n.knownSince[lifeKey(id, s.incarnation)]
-		if r.foreign && (!heard || sent.Before(known)) {
-			delete(t.runs, id)
-			delete(s.runs, a.Task)
-		}
-	}
-}
-
 // stop carries out a stop command.
 func (n *network) stop(s *simWorker, a *Stop, term int64) *StopAnswered {
 	ev := &StopAnswered{Stop: a, Incarnation: s.incarnation}
@@ -144,7 +114,6 @@
 	if n.planted.noStops {
 		return ev
 	}
-	n.settled[runKey(a.Task, a.Run)] = true
 	s.endedRuns[a.Task] = max(s.endedRuns[a.Task], a.Run)
 	if r := s.runs[a.Task]; r != nil && r.run <= a.Run {
 		n.w.after(time.Duration(n.rand.Int64N(int64(simConfig().MaxStopDuration))), func() { r.stopped = true })
@@ -235,7 +204,6 @@
 
 // ended records the end of a run in the list of its worker.
 func (n *network) ended(s *simWorker, r *simRun, reason EndReason) {
-	n.settled[runKey(r.task, r.run)] = true
 	end := &s.ended[len(s.ended)-1]
 	interval := checkpointInterval
 	if reason == EndedStopped {
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -22,10 +22,7 @@
 	// restartsKeepID says that calls name a worker's id, not its incarnation, so that a
 	// call which is under way when the worker restarts is carried out by the new one.
 	restartsKeepID bool
-	untold         bool                 // answers to commands don't tell the worker's incarnation
-	knownSince     map[string]time.Time // when the engine first heard of a worker's incarnation
-	lastSent       map[string]int       // highest run number of a start command, by task
-	settled        map[string]bool      // runs that have ended or were stopped in some incarnation
+	untold         bool // answers to commands don't tell the worker's incarnation
 	rules          taskRules
 	reports        map[string][]*Report // by worker and incarnation, for a planted fault
 
@@ -53,7 +50,6 @@
 
 func (w *world) useNetwork(seed uint64) *network {
 	n := &network{w: w, rand: rand.New(rand.NewPCG(seed, 3)), links: make(map[string]*link), endsPerReport: 500,
-		knownSince: make(map[string]time.Time), lastSent: make(map[string]int), settled: make(map[string]bool),
 		deadly: make(map[string]time.Duration), open: make(map[string][]*call),
 		reports: make(map[string][]*Report), rules: taskRules{w: w, tasks: make(map[string]*taskHistory)}}
 	w.net = n
@@ -61,34 +57,12 @@
 		n.links[id] = &link{maxDelay: usualDelay}
 		n.startClock(w.workers[id], 1+n.rand.Int64N(600_000))
 	}
-	n.startLeader()
+	w.startLeader()
 	return n
 }
 
-// startLeader replaces the engine, which hears of all incarnations.
-func (n *network) startLeader() {
-	n.w.startLeader()
-	n.learnAll()
-}
-
-func (n *network) learnAll() {
-	for _, id := range n.w.ids {
-		n.learn(id, n.w.workers[id].incarnation)
-	}
-}
-
-// learn records that the engine has heard of an incarnation.
-func (n *network) learn(id string, incarnation int64) {
-	key := lifeKey(id, incarnation)
-	if _, known := n.knownSince[key]; !known {
-		n.knownSince[key] = n.w.now
-	}
-}
-
 func lifeKey(id string, incarnation int64) string { return fmt.Sprintf("%s/%d", id, incarnation) }
 
-func runKey(task string, run int) string { return fmt.Sprintf("%s/%d", task, run) }
-
 // delay returns the delay of one call or answer.
 func (l *link) delay(r *rand.Rand) time.Duration {
 	return simTick + time.Duration(r.Int64N(int64(l.maxDelay)))
@@ -161,16 +135,10 @@
 		if n.untold {
 			ev.Incarnation = 0
 		}
-		n.learn(c.worker, ev.Incarnation)
 	case *StopAnswered:
 		if n.untold {
 			ev.Incarnation = 0
 		}
-		n.learn(c.worker, ev.Incarnation)
-	case *RenewalAnswered:
-		if ev.Report != nil {
-			n.learn(c.worker, ev.Report.Incarnation)
-		}
 	}
 	c.engine.Handle(n.w.now, event)
 }
@@ -195,13 +163,8 @@
 	sent, term := n.w.now, n.w.term
 	switch a := action.(type) {
 	case *Start:
-		n.lastSent[a.Task] = max(n.lastSent[a.Task], a.Run)
 		n.send(&call{engine: e, worker: a.Worker, timeout: a.Timeout, unanswered: &StartAnswered{Start: a, Outcome: NoAnswer},
-			carryOut: func(s *simWorker, reply func(any)) {
-				if ev := n.start(s, a, sent, term); ev != nil {
-					reply(ev)
-				}
-			}})
+			carryOut: func(s *simWorker, reply func(any)) { reply(n.start(s, a, sent, term)) }})
 	case *Stop:
 		n.send(&call{engine: e, worker: a.Worker, timeout: a.Timeout, unanswered: &StopAnswered{Stop: a, Outcome: NoAnswer},
 			carryOut: func(s *simWorker, reply func(any)) { reply(n.stop(s, a, term)) }})
@@ -265,7 +228,7 @@
 	s.leaseEnd = time.Time{}
 	n.links[id].downUntil = w.now.Add(downTime)
 	n.startClock(s, 1)
-	w.after(downTime+listDelay, n.publishDirectory)
+	w.after(downTime+listDelay, n.w.publishDirectory)
 }
 
 // replace ends a worker for good. Another one with a new id joins after a delay.
@@ -273,7 +236,7 @@
 	w := n.w
 	n.restart(id, 24*time.Hour, 0)
 	w.ids = slices.DeleteFunc(w.ids, func(other string) bool { return other == id })
-	n.publishDirectory()
+	n.w.publishDirectory()
 	w.after(delay, func() {
 		joined := fmt.Sprintf("w%02d", len(w.workers))
 		w.ids = append(w.ids, joined)
@@ -281,15 +244,10 @@
 		w.workers[joined] = s
 		n.links[joined] = &link{maxDelay: usualDelay}
 		n.startClock(s, 1)
-		n.publishDirectory()
+		n.w.publishDirectory()
 	})
 }
 
-func (n *network) publishDirectory() {
-	n.w.publishDirectory()
-	n.learnAll()
-}
-
 // drain has a worker drain. It ends some seconds later, and another one joins.
 func (n *network) drain(r *rand.Rand) {
 	w := n.w
@@ -298,7 +256,7 @@
 		return
 	}
 	w.workers[id].draining = true
-	n.publishDirectory()
+	n.w.publishDirectory()
 	w.after(drainTime+time.Duration(r.Int64N(int64(4*time.Second))), func() {
 		if slices.Contains(w.ids, id) {
 			n.replace(id, time.Second)
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -86,7 +86,6 @@
 	gang      *simGang
 
 	longRunning bool          // works until it is stopped
-	foreign     bool          // started by a later incarnation than the command named
 	resumedFrom string        // checkpoint
 	saved       time.Duration // work that the checkpoint saved
 }
