Fix: a late start is no longer carried out by the next incarnation while the task runs elsewhere or is done

Callers saw: a task runs twice at the same time or again after its success; a team above its limit, a worker above its capacity.

Cause: a start command without an answer may be carried out 2 to 12 s later, by whatever process has the id then. The engine took the confirmed stop of one incarnation, the end of the run or the acceptance of a second copy as the end of the matter, but the next incarnation knows none of these. Class: a command outlives the incarnation that it was meant for, and evidence of one incarnation is taken for evidence about the next.

Now a start command is sent once, and a run whose command may still arrive keeps its task until MaxCommandDelay after it was sent; it uses nothing on its worker once the stop is confirmed, and its resources are reserved again when the worker restarts. Starts with a ticket are repeated and not held, as the ticket is valid in one incarnation. The record of a step tells when its runs were planned, so that leaders that follow each other do not each wait anew, and a start is not sent later than 10 s after its planning.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -13,7 +13,7 @@
 	}
 	t.lastRun = number
 	s.lastGangRun = max(s.lastGangRun, number)
-	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned}
+	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned, plannedAt: e.wall()}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 	e.markDirty(s)
@@ -45,6 +45,10 @@
 		e.endRun(r, EndedStopped, "", "ticket expired before the record was stored")
 		return
 	}
+	if e.sincePlanned(r) > maxPlanAge {
+		e.endRun(r, EndedStopped, "", "record stored too late")
+		return
+	}
 	if w.overcommitted() {
 		e.endRun(r, EndedStopped, "", "worker has shrunk")
 		return
@@ -56,27 +60,17 @@
 	r.phase = starting
 	r.startSent, r.startSentAt = true, e.now
 	w.nextRenewal = e.now // the next renewal of an idle worker may be IdleRenewalInterval away
-	e.emitStart(r, firstStartTimeout)
+	timeout := startTimeout
+	if r.repeatable() {
+		timeout = firstStartTimeout
+	}
+	e.emitStart(r, timeout)
 }
 
-const (
-	// firstStartTimeout is the timeout of the first start command for a run. A healthy
-	// worker answers within a few milliseconds, and repeating the command is safe: a
-	// worker starts a run number at most once.
-	firstStartTimeout = 250 * time.Millisecond
-	// secondStartTimeout is the timeout of the second start command for a run.
-	secondStartTimeout = 700 * time.Millisecond
-	// stopTimeout is the timeout of a stop command. The command is sent again until the
-	// worker accepts it.
-	stopTimeout = 300 * time.Millisecond
-)
-
 // emitStart emits a start command for r.
 func (e *Engine) emitStart(r *run, timeout time.Duration) {
 	w, t := r.worker, r.task
-	r.startAttempts++
-	r.startsInFlight++
-	r.startRepeatedAt = e.now
+	r.startsSent++
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
@@ -84,25 +78,45 @@
 	})
 }
 
-// retryStart sends the start command for r a second time if the run is still wanted
-// and the worker would still accept it. It reports whether it did.
+// repeatable reports whether the start command for r may be sent a second time. Its ticket is valid
+// in one incarnation of the worker, which starts a run number once; without one, a copy that is
+// carried out by a later incarnation would run the task again.
+func (r *run) repeatable() bool { return r.ticket.value != "" }
+
+// retryStart sends the start command for r a second time if the run is still wanted and the worker
+// would still accept it. It reports whether it did.
 func (e *Engine) retryStart(r *run) bool {
 	w, t := r.worker, r.task
-	if r.startAttempts > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || w.overcommitted() || t.done || t.step.job().state.Final() {
+	if !r.repeatable() || r.startsSent > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || w.overcommitted() || t.done || t.step.job().state.Final() {
 		return false
 	}
-	if r.ticket.value != "" && !e.now.Before(r.ticket.validUntil) {
+	if !e.now.Before(r.ticket.validUntil) {
 		return false
 	}
-	e.emitStart(r, secondStartTimeout)
+	e.emitStart(r, startTimeout-firstStartTimeout)
 	return true
 }
 
+const (
+	// startTimeout is the timeout of a start command. A healthy worker answers within a few
+	// milliseconds, and its reports show the run if the answer is lost.
+	startTimeout = 950 * time.Millisecond
+	// firstStartTimeout is that of a command that is repeated if it gets no answer. Both take
+	// startTimeout together.
+	firstStartTimeout = 250 * time.Millisecond
+	// maxPlanAge is the time after the planning of a run until which its start command is sent. A
+	// later leader relies on it.
+	maxPlanAge = 10 * time.Second
+	// stopTimeout is the timeout of a stop command. The command is sent again until the
+	// worker accepts it.
+	stopTimeout = 300 * time.Millisecond
+)
+
 // startAnswered applies the outcome of a start command.
 func (e *Engine) startAnswered(ev *StartAnswered) {
 	r := ev.Start.run
 	w := r.worker
-	r.startsInFlight--
+	r.startSettled = r.startSettled || ev.Outcome == Accepted || ev.Outcome != NoAnswer && r.unansweredStarts == 0
 	if ev.ConnectionRefused && ev.Start.Incarnation == w.incarnation {
 		e.connectionRefused(w)
 	}
@@ -124,7 +138,7 @@
 	}
 	t := r.task
 	e.log.Warn("start not confirmed", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", w.id,
-		"reason", ev.Outcome.String(), "orders", r.startAttempts, "unanswered", r.unansweredStarts, "reported", r.phase == running,
+		"reason", ev.Outcome.String(), "orders", r.startsSent, "unanswered", r.unansweredStarts, "reported", r.phase == running,
 		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", w.incarnation, "order_ms", e.msSince(r.startSentAt))
 	switch ev.Outcome {
 	case Fenced:
@@ -158,15 +172,15 @@
 	}
 	e.markStarted(t.step.job())
 	e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", r.worker.id,
-		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", r.worker.incarnation, "orders", r.startAttempts, "unanswered", r.unansweredStarts,
+		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", r.worker.incarnation, "orders", r.startsSent, "unanswered", r.unansweredStarts,
 		"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
 	if r.phase == stopping {
 		e.sendStop(r)
 	}
 }
 
-// startUnanswered handles a start command without an answer: it is sent once more, and then
-// the run is stopped, unless a report has shown meanwhile that it has started.
+// startUnanswered stops a run whose start command got no answer, unless a report has shown
+// meanwhile that it has started, or the command can be repeated.
 func (e *Engine) startUnanswered(r *run) {
 	r.unansweredStarts++
 	if r.phase == running || e.retryStart(r) {
@@ -198,8 +212,8 @@
 	return sentTo
 }
 
-// startRefused applies the refusal of a start command. A refusal says that this command
-// had no effect, and nothing of an earlier one that got no answer.
+// startRefused applies the refusal of a start command, which says that it had no effect, and nothing
+// of an earlier one that got no answer.
 func (e *Engine) startRefused(r *run, outcome CommandOutcome) {
 	source := outcome.String()
 	switch outcome {
@@ -220,25 +234,59 @@
 	switch {
 	case r.phase == running:
 		// A report has shown that an earlier command started it.
-	case r.mayHaveStarted() || outcome == StaleRun: // StaleRun: it may be this run that has ended
+	case r.unansweredStarts > 0 || outcome == StaleRun: // StaleRun: it may be this run that has ended
 		e.stopRun(r, "start refused ("+source+"), an earlier one is unconfirmed")
 	default:
 		e.endRun(r, EndedStopped, "", source)
 	}
 }
 
-// mayHaveStarted reports whether a start command for r may have had an effect, or may
-// still have one, although none was confirmed.
-func (r *run) mayHaveStarted() bool { return r.unansweredStarts > 0 }
-
 // inherited reports whether the start command for r was sent by an earlier leader.
-func (r *run) inherited() bool { return r.startSent && r.startAttempts == 0 }
+func (r *run) inherited() bool { return r.startSent && r.startSentAt.IsZero() }
 
-// mayRunInAnotherIncarnation reports whether a start command for r may have been carried
-// out, or still be, by a later incarnation of its worker than r names. An earlier leader
-// may have sent some that this one does not know.
-func (r *run) mayRunInAnotherIncarnation() bool {
-	return r.inherited() || r.unattributed || r.startsInFlight > 0 || r.unansweredStarts > 0
+// startMayArrive reports whether the start command for r may still be carried out. A command that
+// got no answer may be, for MaxCommandDelay, also by a later incarnation of the worker, which knows
+// nothing of a stop or an end in the earlier one. Until then the task must not run elsewhere.
+func (e *Engine) startMayArrive(r *run) bool {
+	if !r.startSent || r.startSettled {
+		return false
+	}
+	if !r.inherited() {
+		return e.now.Sub(r.startSentAt) <= e.cfg.MaxCommandDelay
+	}
+	// An earlier leader may have sent it until this one took over.
+	return e.now.Sub(e.startedAt) <= e.cfg.MaxCommandDelay && (r.plannedAt == 0 || e.sincePlanned(r) <= maxPlanAge+e.cfg.MaxCommandDelay)
+}
+
+// sincePlanned returns how long ago r was planned, by the clocks of the leaders.
+func (e *Engine) sincePlanned(r *run) time.Duration {
+	return time.Duration(e.wall()-r.plannedAt) * time.Millisecond
+}
+
+// mayRunInAnotherIncarnation reports whether the start command for r may have been carried out, or
+// still be, by a later incarnation of its worker than r names.
+func (e *Engine) mayRunInAnotherIncarnation(r *run) bool {
+	return r.unattributed || e.startMayArrive(r)
+}
+
+// holdRun releases the resources of r on its worker, which refuses its start command from now on.
+// The task waits until no later incarnation may carry out the command either.
+func (e *Engine) holdRun(r *run) {
+	if r.held {
+		return
+	}
+	r.held = true
+	r.worker.setUsed(r.worker.used.Sub(r.charge))
+	e.needsPlacement = true
+}
+
+// unholdRun reserves the resources of r on its worker again, which has restarted and may carry out
+// its start command.
+func (e *Engine) unholdRun(r *run) {
+	if r.held {
+		r.held = false
+		r.worker.setUsed(r.worker.used.Add(r.charge))
+	}
 }
 
 // stopRun requests the end of a run for the given reason. The run keeps its worker's
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -126,7 +126,7 @@
 		r.phase = running
 		e.markStarted(r.task.step.job())
 	}
-	r.restored, r.unattributed = false, false
+	r.restored, r.unattributed, r.startSettled = false, false, true
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
@@ -186,9 +186,14 @@
 	case unconfirmed:
 		e.stopRun(r, "start unconfirmed")
 	case stopping:
-		if !r.stopConfirmedAt.IsZero() && ev.SentAt.After(r.stopConfirmedAt) {
-			e.endRun(r, EndedStopped, "", "absent after the stop")
+		if r.stopConfirmedAt.IsZero() || !ev.SentAt.After(r.stopConfirmedAt) {
+			return
+		}
+		if !r.repeatable() && e.startMayArrive(r) {
+			e.holdRun(r)
+			return
 		}
+		e.endRun(r, EndedStopped, "", "absent after the stop")
 	}
 }
 
@@ -206,7 +211,7 @@
 		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		sent := slices.DeleteFunc(w.sentRuns(), e.mayStartLate)
+		sent := slices.DeleteFunc(w.sentRuns(), e.startMayArrive)
 		if len(sent) == 0 {
 			continue
 		}
@@ -223,24 +228,15 @@
 	}
 }
 
-// mayStartLate reports whether a start command for r without an answer may still be carried
-// out. A worker that restarts under its id knows nothing of earlier leases, so it may do so
-// after they have expired.
-func (e *Engine) mayStartLate(r *run) bool {
-	sent := r.startRepeatedAt
-	switch {
-	case r.inherited():
-		sent = e.startedAt // of this leader; an earlier one may have sent it just before
-	case r.unansweredStarts == 0 && r.startsInFlight == 0:
-		return false
-	}
-	return e.now.Sub(sent) <= e.cfg.MaxCommandDelay
+// longestLease returns the longest time for which a worker may hold a lease.
+func (e *Engine) longestLease() time.Duration {
+	return e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift)
 }
 
 // leasesExpireAt returns when the leases of all runs on w have certainly expired if w is not
 // reached again.
 func (e *Engine) leasesExpireAt(w *worker) time.Time {
-	longest := e.cfg.MaxLease + time.Duration(float64(e.cfg.MaxLease)*2*clockDrift)
+	longest := e.longestLease()
 	end := e.startedAt.Add(longest)
 	if w.reported {
 		end = w.leasesExpireAt()
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -109,12 +109,12 @@
 			s.waiting--
 		}
 		if stored.Worker != "" {
-			e.restoreRun(t, stored)
+			e.restoreRun(t, stored, rec.PlannedAt)
 		}
 		if speculative, ok := rec.SpeculativeRuns[i]; ok {
 			t.lastRun = max(t.lastRun, speculative.Run)
 			if speculative.Worker != "" {
-				e.restoreRun(t, &speculative)
+				e.restoreRun(t, &speculative, rec.PlannedAt)
 			}
 		}
 	}
@@ -143,8 +143,9 @@
 	}
 }
 
-// restoreRun restores a run. Its worker is added if the directory does not list it.
-func (e *Engine) restoreRun(t *task, stored *record.Task) {
+// restoreRun restores a run that was planned by plannedAt, in Unix milliseconds. Its worker is added
+// if the directory does not list it.
+func (e *Engine) restoreRun(t *task, stored *record.Task, plannedAt int64) {
 	w := e.workers[stored.Worker]
 	if w == nil {
 		w = newWorker(stored.Worker)
@@ -156,7 +157,7 @@
 	if !t.hasRuns() && !t.done {
 		t.step.waiting--
 	}
-	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, restored: true, startSent: true}
+	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, plannedAt: plannedAt, restored: true, startSent: true}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 }
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -115,12 +115,13 @@
 	ticket           ticket
 	checkpoint       string    // from which it starts; empty for none
 	startSent        bool      // this leader or an earlier one has sent the start command
-	startAttempts    int       // number of times that this leader has sent the start command
-	startsInFlight   int       // number of these commands whose outcome is not known yet
+	plannedAt        int64     // Unix milliseconds when it was planned, by this leader or an earlier one; zero if unknown
+	held             bool      // it uses nothing on its worker, see Engine.holdRun
+	startsSent       int       // number of start commands that this leader has sent
+	unansweredStarts int       // number of these that got no answer
+	startSettled     bool      // the start command has been carried out or refused, so it will have no effect any more
 	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
-	unansweredStarts int       // number of these commands that got no answer; each may still take effect
-	startSentAt      time.Time // when this leader first sent it
-	startRepeatedAt  time.Time // when this leader last sent it
+	startSentAt      time.Time // when this leader sent it; zero if it has not
 	stopReason       string
 	stopSentAt       time.Time
 	stopInFlight     bool      // a stop command has no answer yet
@@ -189,6 +190,11 @@
 		r.SpeculativeRuns[index] = t
 	}
 	for i, t := range s.tasks {
+		for _, u := range t.runs {
+			if !u.startSettled {
+				r.PlannedAt = max(r.PlannedAt, u.plannedAt)
+			}
+		}
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
 			out.Checkpoint = ""
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -279,7 +279,7 @@
 	crashing := e.countCrash(w, earlier, true)
 	for _, r := range earlier {
 		switch {
-		case w.incarnation != 0 && r.mayRunInAnotherIncarnation():
+		case w.incarnation != 0 && e.mayRunInAnotherIncarnation(r):
 			e.moveToIncarnation(r, w.incarnation)
 			if r.phase == running {
 				r.phase = unconfirmed // the next report decides
@@ -294,6 +294,7 @@
 // moveToIncarnation makes r a run of another incarnation of its worker. What is known of
 // its stop concerns the earlier one.
 func (e *Engine) moveToIncarnation(r *run, incarnation int64) {
+	e.unholdRun(r)
 	r.incarnation, r.startedClock = incarnation, 0
 	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
 	e.markDirty(r.task.step)
--- a/internal/cell/engine/world_cuts_test.go
+++ b/internal/cell/engine/world_cuts_test.go
@@ -41,6 +41,9 @@
 		n.cut(id, length)
 		if r.IntN(3) == 0 {
 			n.w.after(upTo(length), func() {
+				if !slices.Contains(n.w.ids, id) {
+					return // it is gone for good
+				}
 				// To the engine, a single worker seems to crash when it is cut off.
 				n.rules.crashed(n.w.workers[id], len(ids) >= minSharedCrashes, length)
 				n.restart(id, upTo(time.Second), upTo(3*time.Second))
--- a/internal/cell/engine/world_lives_test.go
+++ b/internal/cell/engine/world_lives_test.go
@@ -172,6 +172,7 @@
 	r.Ended = r.Ended[:min(len(r.Ended), n.endsPerReport)]
 	r.MoreEnds = len(r.Ended) == n.endsPerReport
 	for i := range r.Running {
+		n.rules.history(r.Running[i].Task).openUntil = time.Time{}
 		r.Running[i].Checkpoint = n.checkpoint(s, s.runs[r.Running[i].Task], checkpointInterval)
 	}
 	if n.planted.forgetsReportedEnds && len(r.Ended) > 0 {
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -130,6 +130,9 @@
 	if n.w.engine != c.engine {
 		return
 	}
+	if ev, ok := event.(*StartAnswered); ok && ev.Outcome == NoAnswer && ev.Start.Ticket == "" {
+		n.rules.history(ev.Start.Task).openUntil = n.w.now.Add(simConfig().MaxCommandDelay + maxProofDelay)
+	}
 	switch ev := event.(type) {
 	case *StartAnswered:
 		if n.untold {
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -26,6 +26,7 @@
 	startsSinceThird int // starts since the third of them
 
 	lostUntil time.Time // until when nothing proves that the run on the last of them has ended
+	openUntil time.Time // until when a start command without an answer may be carried out
 }
 
 // taskEnd is a run of a task that ended done or failed.
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -41,7 +41,8 @@
 	SpeculativeRuns map[int]Task
 	GoodWorkers     []GoodWorker
 	Asked           NameSet
-	Begun           bool // a task of the job is known to have started
+	Begun           bool  // a task of the job is known to have started
+	PlannedAt       int64 // Unix milliseconds when the newest of the runs without a settled start was planned; zero if unknown
 }
 
 // GoodWorker is a worker that the adviser recommended for a step, in one incarnation.
@@ -71,6 +72,8 @@
 	GoodCount  int          `cbor:"10,keyasint,omitempty"` // number of good ones
 
 	Crashes map[int]Crashes `cbor:"11,keyasint,omitempty"` // by task
+
+	PlannedAt int64 `cbor:"12,keyasint,omitempty"` // see Step
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -122,7 +125,7 @@
 // encoded returns the encoded form of s.
 func (s *Step) encoded() *stepRecord {
 	r := stepEncoder{stepRecord: stepRecord{
-		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers), Crashes: s.Crashes,
+		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers), Crashes: s.Crashes, PlannedAt: s.PlannedAt,
 		Workers: slices.Clip(s.GoodWorkers), Rows: make([]taskRow, 0, len(s.Tasks)),
 	}}
 	for i := range s.Tasks {
@@ -152,7 +155,7 @@
 	if r.Count < 0 || r.Count > job.MaxTasks || len(r.DoneAtOnce) > (r.Count+7)/8 || r.GoodCount < 0 || r.GoodCount > len(r.Workers) {
 		return errors.Newf("a step of %d tasks and %d workers with inconsistent fields", r.Count, len(r.Workers))
 	}
-	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun, Crashes: r.Crashes}
+	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun, Crashes: r.Crashes, PlannedAt: r.PlannedAt}
 	if r.GoodCount > 0 {
 		s.GoodWorkers = r.Workers[:r.GoodCount]
 	}
