Let the soak cut workers off by refused connections, and carry late commands out in later lives

The soak left out each start and stop that a later life of a worker would carry out once the sender had settled the run, and all of the first half second: the same exemptions as in the random schedules. They are gone; renewals stay out, as their cursor would acknowledge ends that nobody has seen (listed as open). New are cuts that end connections and refuse new ones while the worker works on; some workers restart behind them under their ids.

--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -74,13 +74,55 @@
 // crash ends the process of w, whose address refuses connections until it is back. The caller
 // holds f.mu.
 func (f *fleet) crash(w *worker) {
-	for _, r := range w.runs {
-		f.task(r.task).crashes++
-	}
+	f.countCrash(w)
 	f.crashed++
 	_ = w.server.Close() // its connections end with it
 	downtime := crashedTime + time.Duration(f.crashRng.Int64N(int64(time.Second)))
-	f.end(w, downtime, time.Duration(f.crashRng.Int64N(int64(time.Second))), func() error { return f.listen(w, w.address) })
+	listen := func() error { return f.listen(w, w.address) }
+	if w.cut {
+		listen = nil // the end of the cut does it
+	}
+	f.end(w, downtime, time.Duration(f.crashRng.Int64N(int64(time.Second))), listen)
+}
+
+// countCrash counts a crash for the tasks that run on w.
+func (f *fleet) countCrash(w *worker) {
+	for _, r := range w.runs {
+		f.task(r.task).crashes++
+	}
+}
+
+// cutRandom parts some workers from all instances for up to 3 s by a cut that ends connections and
+// refuses new ones. The workers work on; some restart behind the cut.
+func (f *fleet) cutRandom() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashRng.IntN(6) > 0 {
+		return
+	}
+	for id := range f.crashRng.IntN(1 + len(f.workers)/2) {
+		w := f.workers[fmt.Sprintf("w%02d", id)]
+		if w.down || w.cut {
+			continue
+		}
+		f.cuts++
+		w.cut = true
+		_ = w.server.Close() // its connections end with it
+		length := time.Duration(f.crashRng.Int64N(int64(3 * time.Second)))
+		if f.restarts && f.crashRng.IntN(3) == 0 {
+			f.countCrash(w) // to the instances it looks as if it had crashed at once
+			f.end(w, length/2, length/2, nil)
+		}
+		time.AfterFunc(length, func() {
+			err := f.listen(w, w.address)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			w.cut = false
+			if err != nil && !f.closed {
+				f.recordViolation("", "worker %s cannot listen again after a cut: %v", w.id, err)
+			}
+		})
+	}
 }
 
 // checkCrashes checks that a deadly task is not started three times more after three workers
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,9 @@
 	// A new leader counted out attempts before it had read the declarations, and failed jobs
 	// after one failure. On 403c314 it failed in 2 of 6 plays.
 	1099,
+	// Runs behind a cut that refuses connections counted as ended (issue 32). On 01dcb1c it failed in
+	// 1 of 1 play.
+	3201,
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
@@ -99,6 +102,7 @@
 	for time.Now().Before(end) {
 		c.injectFault()
 		c.fleet.resizeRandom()
+		c.fleet.cutRandom()
 		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
 	}
 	close(c.stop)
@@ -214,8 +218,8 @@
 			accepted++
 		}
 	}
-	c.t.Logf("seed %d: %d jobs, %d accepted, %d starts, %d violations, %d workers crashed, restarts %v, calls under faults %v", c.seed, len(c.fleet.jobs),
-		accepted, c.fleet.starts, len(c.fleet.violations), c.fleet.crashed, c.fleet.restarts, c.fleet.faulty)
+	c.t.Logf("seed %d: %d jobs, %d accepted, %d starts, %d violations, %d workers crashed, %d cut off, restarts %v, calls under faults %v", c.seed, len(c.fleet.jobs),
+		accepted, c.fleet.starts, len(c.fleet.violations), c.fleet.crashed, c.fleet.cuts, c.fleet.restarts, c.fleet.faulty)
 	for i, v := range c.fleet.violations {
 		if i < 10 {
 			c.t.Error(v)
--- a/internal/soak/worker_faults_test.go
+++ b/internal/soak/worker_faults_test.go
@@ -80,32 +80,29 @@
 		f.note(req.Task, "call for run %d to %s held back", req.Run, w.name())
 		delay := minLate + time.Duration(f.rng.Int64N(int64(maxLate-minLate)))
 		f.mu.Unlock()
-		at := time.Now()
-		time.AfterFunc(delay, func() { f.carryOutLate(w, called, at, path, req) })
+		time.AfterFunc(delay, func() { f.carryOutLate(w, called, path, req) })
 		<-r.Context().Done()
 	case delayed:
 		f.sleep()
 		a := f.carryOut(w, called, path, req, ", delayed")
 		f.sleep()
-		f.sendReport(rw, w, path, a)
+		f.send(rw, a)
 	default:
 		f.answer(rw, r, w, called, req)
 	}
 }
 
 // carryOutLate carries out a call that was received by an earlier or the same life of w.
-// Commands name only the worker's id, so they reach a later life as well, unless no sender
-// can guard against that: renewals don't, as they would acknowledge ends of the later life,
-// nor do commands within timeToStop of its first report, nor starts of settled runs.
-func (f *fleet) carryOutLate(w *worker, called *life, at time.Time, path string, req *workerRequest) {
+// Commands name only the worker's id, so they reach a later life as well. Renewals don't, as the
+// cursor of an earlier life would acknowledge ends of the later one that nobody has seen.
+func (f *fleet) carryOutLate(w *worker, called *life, path string, req *workerRequest) {
 	defer f.pending.Done()
 	f.mu.Lock()
-	void, now := w.down, w.life
-	fault := ", late"
-	if w.life != called {
+	now, fault := w.life, ", late"
+	void := w.down
+	if now != called {
 		fault += " by a later life"
-		void = void || path == renewalPath || w.firstReport.IsZero() || time.Since(w.firstReport) < timeToStop ||
-			path == startPath && f.settled(called, at, req)
+		void = void || path == renewalPath
 	}
 	f.mu.Unlock()
 	if !void {
@@ -113,19 +110,6 @@
 	}
 }
 
-// settled reports whether the sender of a start to an earlier life had proof that the run
-// has ended or will not start: the task is done, that life has reported after it had closed
-// the run, or the lease that the start asked for has expired and another run has started.
-func (f *fleet) settled(called *life, at time.Time, req *workerRequest) bool {
-	t, closed := f.task(req.Task), called.closed[req.Task]
-	return t.count("done") > 0 || closed.run >= req.Run && closed.at.Before(called.lastReport) ||
-		t.lastRun > req.Run && time.Since(at) > maxLease
-}
-
-// timeToStop is the time that a sender needs to stop what an earlier life may have been
-// told to start, after it has learned of the later life.
-const timeToStop = 500 * time.Millisecond
-
 func (f *fleet) sleep() {
 	f.mu.Lock()
 	d := time.Duration(f.rng.Int64N(int64(maxDelay)))
@@ -156,19 +140,6 @@
 	}
 	a = w.report()
 	f.mu.Unlock()
-	f.sendReport(rw, w, renewalPath, a)
-}
-
-// sendReport writes an answer that may be a report of w.
-func (f *fleet) sendReport(rw http.ResponseWriter, w *worker, path string, a workerAnswer) {
-	f.mu.Lock()
-	if path == renewalPath && a.body["born"] == w.born {
-		w.lastReport = time.Now()
-		if w.firstReport.IsZero() {
-			w.firstReport = w.lastReport
-		}
-	}
-	f.mu.Unlock()
 	f.send(rw, a)
 }
 
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -27,6 +27,7 @@
 	crashRng   *rand.Rand     // of crashes and capacities
 	crashes    bool           // whether tasks crash their workers, and workers shrink and grow
 	crashed    int            // workers that tasks crashed
+	cuts       int            // cuts that refused connections
 	closed     bool           // whether the cell has ended
 	listen     func(w *worker, address string) error
 	register   func(w *worker) // writes the directory's entry of a worker
@@ -42,6 +43,7 @@
 	guards    bool    // whether it refuses a start that does not fit
 	hanging   bool    // whether it neither carries out nor answers calls
 	down      bool    // whether it is between two lives
+	cut       bool    // whether a cut refuses connections to it
 	cpu       int64   // capacity
 	past      []pastCapacity
 	server    *http.Server
@@ -62,22 +64,10 @@
 	// expiredEnd is the value of lastEnd when the lease was last seen expired. Ends up
 	// to this number don't count as acknowledged.
 	expiredEnd int64
-	closed     map[string]closedRun // by task
-	// firstReport and lastReport are the times of answers to renewals.
-	firstReport, lastReport time.Time
+	closed     map[string]int // highest run that may not start (again), by task
 }
 
-// closedRun is the highest run of a task that may not start (again) on a worker.
-type closedRun struct {
-	run int
-	at  time.Time
-}
-
-func (l *life) closeRun(task string, run int) {
-	if run > l.closed[task].run {
-		l.closed[task] = closedRun{run, time.Now()}
-	}
-}
+func (l *life) closeRun(task string, run int) { l.closed[task] = max(l.closed[task], run) }
 
 // taskRun is a run of a task on a worker.
 type taskRun struct {
@@ -124,7 +114,7 @@
 func (f *fleet) newLife() *life {
 	now := time.Now()
 	return &life{startedAt: now, clockStart: 1000 + f.rng.Int64N(1000), born: now.UnixMilli(),
-		runs: make(map[string]*taskRun), closed: make(map[string]closedRun)}
+		runs: make(map[string]*taskRun), closed: make(map[string]int)}
 }
 
 // clock returns the worker's clock.
@@ -242,7 +232,7 @@
 	switch r := w.runs[req.Task]; {
 	case r != nil && r.run == req.Run:
 		return w.ok()
-	case w.closed[req.Task].run >= req.Run:
+	case w.closed[req.Task] >= req.Run:
 		return w.conflict("old")
 	case w.guards && w.usedCPU+f.cpuOf(req.Task) > w.cpu:
 		return w.conflict("room")
