Fix: a leader that was paused for seconds no longer renews leases when it wakes

Callers could see a task run twice: an instance that leads, stands still (a stop signal, a freeze, a suspended machine) and wakes after the next leader has taken over sent the renewals and starts of its round before it heard of that. A worker that the next leader does not reach has seen no newer fence and extends its leases beyond the time after which the next leader takes its runs as ended.

Class: a process that was delayed acts on a permission that has run out.

--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -120,6 +120,7 @@
 func (l *leader) run(e *engine.Engine) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	roundStartedAt := time.Now()
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -129,12 +130,30 @@
 			l.handle(e, ev)
 			l.handleQueued(e)
 		}
-		for _, action := range e.Settle(time.Now()) {
+		actions := e.Settle(time.Now())
+		if paused := elapsed(roundStartedAt, time.Now()); paused > maxRoundDuration {
+			l.stop("paused for " + paused.Round(time.Millisecond).String())
+			return
+		}
+		roundStartedAt = time.Now()
+		for _, action := range actions {
 			l.execute(action)
 		}
 	}
 }
 
+// maxRoundDuration is the longest time between two rounds of the engine, which follow each other
+// every tickInterval. After a longer one the process was paused and another instance may lead.
+// The bound is that of a leader that is isolated, as both may renew leases that the next
+// leader takes to have expired.
+const maxRoundDuration = isolationTimeout
+
+// elapsed returns the time from one moment to another by the clock that has advanced more: the
+// monotonic clock stands still while a machine is suspended, the time of day does not.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // handle passes one event to the engine.
 func (l *leader) handle(e *engine.Engine, ev any) {
 	start := time.Now()
