End the term, not the process, when the engine panics on an event

Operators of similar systems had one malformed message or unexpected error take a whole process down. Nothing caught a panic in the goroutine of the engine, so an unexpected event would have cut off the callers of that instance as well. Now it is logged with its stack, the term ends, and the next leader starts from the stored state, without the event. TestEventThatTheEngineCannotHandleEndsTheProcess panics the test process without the change.

--- /dev/null
+++ b/internal/cell/engine/malformed_test.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Workers report tasks, runs and ends that no command named.
+func TestMalformedReportsStopTheEngine(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(t, 3, seed)
+		r := rand.New(rand.NewPCG(seed, 7))
+		w.run(time.Second)
+		id := w.submit("batch", "a", tasks(2, 1000, time.Second))
+		w.run(100 * time.Millisecond)
+		name := func() string {
+			if r.IntN(4) == 0 {
+				return []string{"", "x", id, id + ".0.0", id + ".-1.0.0", id + ".0.0.0.0", "unknown.0.0.0"}[r.IntN(7)]
+			}
+			return fmt.Sprintf("%s.%d.%d.%d", id, r.IntN(3), r.IntN(3), r.IntN(4))
+		}
+		for range 200 {
+			report := &Report{Incarnation: r.Int64N(4) - 1, Clock: r.Int64() - r.Int64(), MoreEnds: r.IntN(2) == 0}
+			for range r.IntN(4) {
+				report.Running = append(report.Running, RunStatus{Task: name(), Run: r.IntN(5) - 2, Percent: r.IntN(1000) - 500, Usage: r.Int64() - r.Int64()})
+				report.Ended = append(report.Ended, RunEnd{Number: r.Int64N(9) - 3, Task: name(), Run: r.IntN(5) - 2, Reason: EndReason(r.IntN(len(endReasonNames)))})
+			}
+			worker := fmt.Sprintf("w%02d", r.IntN(4))
+			w.engine.Handle(w.now, &RenewalAnswered{Worker: worker, Incarnation: r.Int64N(4) - 1, SentAt: w.now, Report: report, OtherIncarnation: r.IntN(9) == 0})
+			w.now = w.now.Add(simTick)
+			w.engine.Settle(w.now)
+		}
+	}
+}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -116,8 +118,15 @@
 }
 
 // run passes the events to the engine and executes its actions until the term ends. Only
-// its goroutine uses the engine.
+// its goroutine uses the engine. A panic of the engine ends the term, not the process: the next
+// leader starts from the stored state, without the event that caused it.
 func (l *leader) run(e *engine.Engine) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			l.n.log.Error("the engine failed", "term", l.rec.Term, "reason", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			l.stop("the engine failed")
+		}
+	}()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	roundStartedAt := time.Now()
--- a/internal/cell/node/pause_test.go
+++ b/internal/cell/node/term_end_test.go
@@ -22,6 +22,18 @@
 	})
 }
 
+func TestEventThatTheEngineCannotHandleEndsTheProcess(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		require.NotNil(t, old)
+		l := old.ownTerm.Load()
+		l.post(&engine.Pending{Queue: "q", Reply: func(engine.Answer) { panic("planted") }})
+		time.Sleep(3 * time.Second)
+		assert.Error(t, l.ctx.Err(), "the term has ended")
+		assert.NotNil(t, c.leader())
+	})
+}
+
 func TestSuspendedMachineCountsAsNotPaused(t *testing.T) {
 	from := time.Now()
 	woken := from.Add(time.Millisecond)
