Plant a start whose answer is not waited for under kept ids

The fault that the fix of late starts is for: a command without an answer counts as refused, so the task starts elsewhere at once. It is found in schedules with restarts under kept ids.

--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -130,6 +130,11 @@
 			ev.Outcome = OtherIncarnation
 		}
 	})},
+	{name: "a start without an answer is not waited for", restartsKeepID: true, event: onStart(func(n *network, ev *StartAnswered) {
+		if ev.Outcome == NoAnswer && ev.Start.Ticket == "" {
+			ev.Outcome = DeadlinePassed
+		}
+	})},
 	{name: "a refused connection counts as a restart", cuts: true, event: func(n *network, event any) any {
 		if ev, ok := event.(*RenewalAnswered); ok && ev.ConnectionRefused {
 			ev.OtherIncarnation = true
