Let tasks that are certain to crash their workers share one

A task that is the only possible cause of its first crash takes down its next worker almost surely, so up to eight of them now go to one worker, if their starts are planned in the same moment. Each has then had two workers crash under it, as the rule asks.

--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -59,6 +60,10 @@
 	minHazardRisk = 0.05
 	maxHazardRisk = 0.45
 	ambiguousRisk = 0.5
+	// certainRisk is that for a task that is the only possible cause of one, and
+	// maxSharedSuspects the number of such starts that may share a worker.
+	certainRisk       = 1
+	maxSharedSuspects = 8
 )
 
 // update brings the averages to the given time.
@@ -109,7 +114,7 @@
 	case t.harmless:
 		return 0
 	case t.crashes.Caused > 0 && t.onlyCause:
-		return 1
+		return certainRisk
 	case t.suspect():
 		return ambiguousRisk
 	case e.hazardous(t.step.job().queue):
@@ -199,6 +204,19 @@
 	return false
 }
 
+// doomed reports whether w is about to get a start that will most likely crash it. Until the
+// start is sent, others that are as certain to crash their worker may join it, so that they
+// take down one worker together.
+func (w *worker) doomed() bool {
+	certain := 0
+	for _, r := range w.runs {
+		if r.crashRisk >= certainRisk && r.phase == planned {
+			certain++
+		}
+	}
+	return certain > 0 && certain < maxSharedSuspects
+}
+
 // waitsForExposure reports whether s has risky starts that may expose no further worker in
 // this round.
 func (e *Engine) waitsForExposure(s *stepState, round *placementRound) bool {
@@ -206,7 +224,10 @@
 		return false
 	}
 	risk := e.highestRisk(s, s.waitingTasks())
-	return risk > 0 && e.exposuresLeft(s, round, risk) == 0
+	if risk == 0 || e.exposuresLeft(s, round, risk) > 0 {
+		return false
+	}
+	return risk < certainRisk || !slices.ContainsFunc(round.workers, (*worker).doomed)
 }
 
 // chooseForRisky chooses workers for tasks of s, whose starts have the given risk, those on
@@ -219,6 +240,12 @@
 	if q.Advice != nil {
 		workers = e.workersWithTicket(s)
 	}
+	if risk >= certainRisk {
+		if chosen := e.chooseDoomed(s, workers, len(tasks)); len(chosen) > 0 {
+			s.riskySince = time.Time{}
+			return workers, chosen
+		}
+	}
 	patient := risk >= ambiguousRisk && e.now.Sub(s.riskySince) < isolationPatience
 	candidates := e.candidates(s, workers)
 	for i, w := range workers {
@@ -238,6 +265,19 @@
 	return workers, chosen
 }
 
+// chooseDoomed chooses doomed workers for count tasks of s whose starts will most likely crash
+// theirs. It returns the indexes in workers.
+func (e *Engine) chooseDoomed(s *stepState, workers []*worker, count int) []int {
+	candidates := e.candidates(s, workers)
+	for i, w := range workers {
+		candidates[i].Free = job.Resources{}
+		if w.doomed() {
+			candidates[i].Free = w.free()
+		}
+	}
+	return placement.Place(e.request(s, count), candidates)
+}
+
 // exposure tells how many workers of a service are exposed to risky starts or down.
 type exposure struct {
 	workers  int
@@ -284,7 +324,7 @@
 func (e *Engine) exposedRatio(s *stepState, round *placementRound, risk float64) float64 {
 	ratio, timeliness := maxExposedRatio, ordering.TimelinessOf(s.urgency, e.now)
 	switch {
-	case risk >= 1 || timeliness == ordering.TooLate:
+	case risk >= certainRisk || timeliness == ordering.TooLate:
 		ratio = maxUselessRatio
 	case risk >= ambiguousRisk || timeliness == ordering.Late:
 		ratio = maxSuspectRatio
