Refuse jobs of a queue whose tasks crash workers when they would wait too long to be tried

Cause: the part of a service that may be exposed to risky starts bounds how many of these jobs can be tried, but admission knew only of CPU. More arrive than can be tried, and each that comes too late for its caller still has to be tried at the end. Now a job is refused at once, with the time after which to come back, if the jobs before it that still matter take the exposed workers too long.

--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -6,6 +6,7 @@
 
 	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
 )
 
@@ -23,6 +24,9 @@
 		return "", 0
 	}
 	criticalPath := slices.Max(e.criticalPathsOf(spec))
+	if delay := e.exposureDelay(q); delay > ordering.LateMultiplier*objective(q, criticalPath)-criticalPath {
+		return "tasks of the queue crash workers, and it would end too late", min(delay, maxExposureRetryAfter)
+	}
 	first := widest(spec)
 	load := e.loadFor(q, first)
 	decision := admission.Decide(admission.Job{
--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -119,3 +119,29 @@
 	}
 	t.Logf("%d jobs that crash workers, at most %d workers down", len(deadly), most)
 }
+
+// More jobs arrive than the workers that may be exposed can try.
+func TestJobsOfAQueueThatCrashesWorkersWaitInVain(t *testing.T) {
+	w := newWorld(t, 12, 1)
+	n := w.useNetwork(1)
+	w.run(time.Second)
+	var innocent []string
+	for range 300 {
+		if n.rand.IntN(10) < 4 {
+			n.submitDeadly("urgent", "a", crashDelay)
+		} else {
+			innocent = append(innocent, w.submit("urgent", "a", tasks(1, 1000, time.Second)))
+		}
+		w.run(30 * time.Millisecond)
+	}
+	refused := 0
+	w.run(14 * time.Second)
+	for _, id := range innocent {
+		if !w.accepted[id] {
+			refused++
+			continue
+		}
+		assert.Equal(t, StateCompleted, w.state(id), id)
+	}
+	assert.Positive(t, refused)
+}
--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -118,12 +118,16 @@
 	case t.suspect():
 		return ambiguousRisk
 	case e.hazardous(t.step.job().queue):
-		h := e.hazardOf(t.step.job().queue)
-		return min(maxHazardRisk, max(minHazardRisk, h.crashes/(h.crashes+h.survived)))
+		return e.hazardOf(t.step.job().queue).risk()
 	}
 	return 0
 }
 
+// risk returns the probability that is assumed for a crash by a start of the queue.
+func (h *hazard) risk() float64 {
+	return min(maxHazardRisk, max(minHazardRisk, h.crashes/(h.crashes+h.survived)))
+}
+
 // highestRisk returns the highest crash risk of tasks, which are of s.
 func (e *Engine) highestRisk(s *stepState, tasks []*task) float64 {
 	risk := 0.0
@@ -204,6 +208,30 @@
 	return false
 }
 
+const (
+	// expectedDownTime is how long a crashed worker is assumed to be away.
+	expectedDownTime = 3500 * time.Millisecond
+	// maxExposureRetryAfter bounds the time after which a caller is asked to come back to a queue
+	// whose tasks crash workers. The hazard may be over by then.
+	maxExposureRetryAfter = 5 * time.Second
+)
+
+// exposureDelay returns how long a new job of q is expected to wait until its risky start may expose
+// a worker. Steps that come too late for their callers are placed after it and do not count.
+func (e *Engine) exposureDelay(q *policy.Queue) time.Duration {
+	if !e.hazardous(q.Name) || e.pools[q.Service] == nil {
+		return 0
+	}
+	waiting := 0
+	for _, s := range e.openSteps {
+		if s.job().queue == q.Name && s.open() && ordering.TimelinessOf(s.urgency, e.now) != ordering.TooLate {
+			waiting++
+		}
+	}
+	workers := max(minExposedWorkers, maxExposedRatio*float64(len(e.pools[q.Service].workers)))
+	return time.Duration(float64(waiting) * e.hazardOf(q.Name).risk() / workers * float64(expectedDownTime))
+}
+
 // doomed reports whether w is about to get a start that will most likely crash it. Until the
 // start is sent, others that are as certain to crash their worker may join it, so that they
 // take down one worker together.
--- a/internal/cell/ordering/ordering.go
+++ b/internal/cell/ordering/ordering.go
@@ -17,9 +17,9 @@
 	Remaining       time.Duration // remaining critical path of the job
 }
 
-// lateMultiplier is how many times its objective a job may take while its result is
+// LateMultiplier is how many times its objective a job may take while its result is
 // still of some use to the caller.
-const lateMultiplier = 3
+const LateMultiplier = 3
 
 // Timeliness classifies a step by the expected end of its job relative to its objective.
 type Timeliness int
@@ -37,7 +37,7 @@
 	switch {
 	case duration <= s.Objective:
 		return InTime
-	case duration <= lateMultiplier*s.Objective:
+	case duration <= LateMultiplier*s.Objective:
 		return Late
 	}
 	return TooLate
