--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -13,27 +13,29 @@
 	"pollenbend/internal/cell/advice"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
+	"pollenbend/internal/cell/runtimes"
 )
 
 // Config holds the limits and intervals that the platform and the settings define.
 type Config struct {
-	Term                    int64            // number of this leader's term, higher than all earlier ones
-	Lease                   time.Duration    // how long runs continue without contact with the leader
-	MaxLease                time.Duration    // maximum lease that workers grant
-	LeaseExpiryMargin       time.Duration    // time after the end of a lease until its runs count as ended
-	MaxCommandDelay         time.Duration    // time after which a command that got no answer is no longer carried out
-	MaxStopDuration         time.Duration    // maximum time that a stop takes
-	GangStartTimeout        time.Duration    // maximum time that members of a gang wait for each other
-	OffRackMultiplier       float64          // runtime of a task outside its preferred rack relative to that inside
-	RenewalMaxWait          time.Duration    // maximum time that a worker may delay its answer to a renewal
-	RenewalRetryDelay       time.Duration    // delay after a renewal without an answer
-	IdleRenewalInterval     time.Duration    // interval between renewals of an idle worker
-	UnlistedRenewalWindow   time.Duration    // how long an idle worker is renewed after it left the directory
-	UnlistedWorkerRetention time.Duration    // time after which an idle worker that left the directory is dropped
-	StopRetryDelay          time.Duration    // interval between stop commands for the same run
-	StartReportTimeout      time.Duration    // time after its start from which a confirmed run must be in reports
-	MinPlacementInterval    time.Duration    // minimum interval between two placement rounds
-	EndedJobRetention       time.Duration    // how long the state of an ended job is kept
+	Term                    int64         // number of this leader's term, higher than all earlier ones
+	Lease                   time.Duration // how long runs continue without contact with the leader
+	MaxLease                time.Duration // maximum lease that workers grant
+	LeaseExpiryMargin       time.Duration // time after the end of a lease until its runs count as ended
+	MaxCommandDelay         time.Duration // time after which a command that got no answer is no longer carried out
+	MaxStopDuration         time.Duration // maximum time that a stop takes
+	GangStartTimeout        time.Duration // maximum time that members of a gang wait for each other
+	OffRackMultiplier       float64       // runtime of a task outside its preferred rack relative to that inside
+	RenewalMaxWait          time.Duration // maximum time that a worker may delay its answer to a renewal
+	RenewalRetryDelay       time.Duration // delay after a renewal without an answer
+	IdleRenewalInterval     time.Duration // interval between renewals of an idle worker
+	UnlistedRenewalWindow   time.Duration // how long an idle worker is renewed after it left the directory
+	UnlistedWorkerRetention time.Duration // time after which an idle worker that left the directory is dropped
+	StopRetryDelay          time.Duration // interval between stop commands for the same run
+	StartReportTimeout      time.Duration // time after its start from which a confirmed run must be in reports
+	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
+	EndedJobRetention       time.Duration // how long the state of an ended job is kept
+	Features                Features
 	Now                     func() time.Time // measures the duration of a placement round
 	CountCrash              func(CrashEvent) // counts what the engine finds out about crashes; nil for no counts
 }
@@ -89,6 +91,7 @@
 	delegates       []*delegate
 	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
+	runtimes        runtimes.Model
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
