Evacuate availability zones on request, and warm cold workers up

Workers that come back cold got as much work as warm ones.

Ruled out: the draining of single workers as the means, as a directory entry of each worker would have to change and the worker's own state would be overwritten.

Change: the evacuated zones travel with the declarations under a revision of their own, so pings pass them on to instances that do not reach the store, and each leader gets them before it places anything. Workers there are not usable, planned runs are dropped, repeated starts are not sent, admission does not count them and refuses what only they could run.

--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -23,6 +23,9 @@
 	if spec.Scheduled() {
 		return "", 0
 	}
+	if e.onlyEvacuatedFit(spec, q) {
+		return "the workers that could run it are in evacuated availability zones", evacuationRetryAfter
+	}
 	criticalPath := slices.Max(e.criticalPathsOf(spec))
 	if delay := e.exposureDelay(q); delay > ordering.LateMultiplier*objective(q, criticalPath)-criticalPath {
 		return "tasks of the queue crash workers, and it would end too late", min(delay, maxExposureRetryAfter)
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -147,7 +147,7 @@
 		if w.service != q.Service {
 			continue
 		}
-		if w.listed && !w.draining && w.missedRenewals == 0 && !w.health.quarantined(e.now) {
+		if w.listed && !w.draining && !w.evacuated && w.missedRenewals == 0 && !w.health.quarantined(e.now) {
 			load.Capacity += float64(w.capacity.CPU) / 1000
 			load.Free += float64(max(0, w.capacity.CPU-w.used.CPU)) / 1000
 		}
@@ -217,4 +217,5 @@
 		attrs = append(attrs, fmt.Sprintf("waiting_cpu_%d", priority), d.waitingCPU, fmt.Sprintf("arriving_cores_%d", priority), int(d.rate(e.now)))
 	}
 	e.log.Info("load of the cell", attrs...)
+	e.reportEvacuated()
 }
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -57,6 +57,10 @@
 		e.endRun(r, EndedStopped, "", "worker is draining")
 		return
 	}
+	if w.evacuated {
+		e.endRun(r, EndedStopped, "", "availability zone is evacuated")
+		return
+	}
 	r.phase = starting
 	r.startSent, r.startSentAt = true, e.now
 	w.nextRenewal = e.now // the next renewal of an idle worker may be IdleRenewalInterval away
@@ -87,7 +91,7 @@
 // would still accept it. It reports whether it did.
 func (e *Engine) retryStart(r *run) bool {
 	w, t := r.worker, r.task
-	if !r.repeatable() || r.startsSent > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || w.overcommitted() || t.done || t.step.job().state.Final() {
+	if !r.repeatable() || r.startsSent > 1 || r.phase != starting || w.incarnation != r.incarnation || !w.reported || !w.listed || w.evacuated || w.overcommitted() || t.done || t.step.job().state.Final() {
 		return false
 	}
 	if !e.now.Before(r.ticket.validUntil) {
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -36,8 +36,9 @@
 	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration // how long the state of an ended job is kept
 	Features                Features
-	Now                     func() time.Time // measures the duration of a placement round
-	CountCrash              func(CrashEvent) // counts what the engine finds out about crashes; nil for no counts
+	Now                     func() time.Time        // measures the duration of a placement round
+	CountCrash              func(CrashEvent)        // counts what the engine finds out about crashes; nil for no counts
+	ReportEvacuated         func(workers, runs int) // reports the workers in evacuated zones and their runs; nil for no reports
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -79,6 +80,7 @@
 	workers         map[string]*worker
 	workerList      []*worker          // in the order in which they were found
 	pools           map[string]*pool   // by service
+	coldWorkers     []*worker          // workers that are slow after their start
 	heldWorkers     []*worker          // workers on which the last placement round held resources for gangs
 	stragglers      []*run             // runs for whose tasks a speculative run is worth starting
 	hazards         map[string]*hazard // by queue
@@ -237,12 +239,18 @@
 }
 
 func (e *Engine) policyChanged(p *policy.Policy) {
-	if p.Version <= e.policy.Version {
+	if !p.Newer(e.policy) {
 		return
 	}
-	e.log.Info("declarations applied", "version", p.Version, "before", e.policy.Version, "queues", len(p.Queues), "teams", len(p.Teams))
 	before := e.policy
-	e.policy = p
+	e.policy = p.Merge(before)
+	if e.policy.Evacuations.Revision != before.Evacuations.Revision {
+		e.evacuationsChanged(&before.Evacuations)
+	}
+	if p.Version <= before.Version {
+		return
+	}
+	e.log.Info("declarations applied", "version", p.Version, "before", before.Version, "queues", len(p.Queues), "teams", len(p.Teams))
 	e.failExhaustedJobs(before)
 	for _, s := range e.openSteps {
 		s.urgency = e.urgencyOf(s)
--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -18,6 +18,7 @@
 	cuts                bool                             // the fault shows in schedules with cuts that refuse connections
 	newLeaders          bool                             // the fault shows in schedules whose leaders last for seconds only
 	hidesShrinkage      bool                             // the directory shows a shrunk worker's capacity as before
+	ignoresEvacuations  bool                             // the engine is not told of evacuations
 	noLeases            bool                             // workers don't end runs whose lease has expired
 	noStops             bool                             // workers accept stops without carrying them out
 	forgetsReportedEnds bool                             // a reported end counts as acknowledged at once
@@ -164,6 +165,7 @@
 		return event
 	}},
 	{name: "a shrunk worker is listed as before", crashes: true, hidesShrinkage: true},
+	{name: "evacuations are not told", ignoresEvacuations: true},
 	{name: "workers accept stops without carrying them out", noStops: true},
 	{name: "workers keep runs whose lease has expired", noLeases: true},
 	{name: "reported ends are forgotten before they are stored", forgetsReportedEnds: true},
@@ -252,7 +254,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, newLeaders: f.newLeaders})
+		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, newLeaders: f.newLeaders, evacuations: f.ignoresEvacuations})
 	}()
 	<-ended
 	return r.first
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -19,6 +19,7 @@
 	drains         bool // workers drain, and others replace them
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
 	cuts           bool // workers are behind cuts that refuse connections
+	evacuations    bool // availability zones are evacuated
 	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
@@ -36,6 +37,7 @@
 		n.endsPerReport = 1 + n.rand.IntN(4)
 	}
 	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
+	evacuations := rand.New(rand.NewPCG(seed, 7))
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	for range 60 {
@@ -50,6 +52,9 @@
 		if o.cuts {
 			n.injectCut(cuts)
 		}
+		if o.evacuations {
+			n.injectEvacuation(evacuations)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
@@ -59,6 +64,7 @@
 		}
 	}
 	n.clearFaults()
+	w.takeBackAll()
 	if o.newLeaders {
 		for range 6 {
 			w.run(shortLeadership)
@@ -299,3 +305,8 @@
 func TestRandomRefusalsWithDrains(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
 }
+
+// Availability zones are evacuated, at times all of them, and taken back.
+func TestRandomRefusalsWithEvacuations(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true, evacuations: true})
+}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -17,6 +17,7 @@
 	e.dropPlacedSteps()
 	e.sortOpenSteps()
 	e.clearHeld()
+	e.updateWithheld()
 	rounds := make(map[string]*placementRound)
 	for _, s := range e.openSteps {
 		q := e.queueOf(s.job())
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -20,12 +20,13 @@
 	Capacity    job.Resources
 	Draining    bool
 	LeavesIn    time.Duration // minimum time until a draining worker leaves
+	ColdFor     time.Duration // how much longer the worker is slow after its start
 }
 
 // Equal reports whether w and o say the same.
 func (w *WorkerInfo) Equal(o *WorkerInfo) bool {
 	return w.ID == o.ID && w.Incarnation == o.Incarnation && w.Address == o.Address && w.Service == o.Service && w.Zone == o.Zone &&
-		slices.Equal(w.Labels, o.Labels) && w.Capacity == o.Capacity && w.Draining == o.Draining && w.LeavesIn == o.LeavesIn
+		slices.Equal(w.Labels, o.Labels) && w.Capacity == o.Capacity && w.Draining == o.Draining && w.LeavesIn == o.LeavesIn && w.ColdFor == o.ColdFor
 }
 
 // EndReason is the way in which a run ended.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -15,6 +15,7 @@
 	incarnationSince time.Time // when this leader first heard of the incarnation
 	address          string
 	service          string
+	zone             string
 	rack             string
 	labels           []string
 	capacity         job.Resources
@@ -33,7 +34,11 @@
 	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
 	replacedAddress     string    // where that was
 	draining            bool
-	leavesAt            time.Time // earliest time at which a draining worker leaves
+	leavesAt            time.Time     // earliest time at which a draining worker leaves
+	evacuated           bool          // its availability zone is evacuated
+	coldUntil           time.Time     // until when it is slow after its start; zero if it is not
+	coldFor             time.Duration // how long it is slow in all
+	withheld            job.Resources // part of its capacity that it gets no tasks for while it is cold
 
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
@@ -132,7 +137,7 @@
 	if w.overcommitted() {
 		return job.Resources{}
 	}
-	return w.capacity.Sub(w.used).Sub(w.heldForGangs)
+	return w.capacity.Sub(w.used).Sub(w.heldForGangs).Sub(w.withheld)
 }
 
 // described reports whether the directory's entry is of the present incarnation, which may
@@ -163,7 +168,7 @@
 
 // usable reports whether new tasks may be sent to w.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.described() && !w.draining && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
+	return w.listed && w.described() && !w.draining && !w.evacuated && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
 }
 
 // workersListed applies the directory of workers.
@@ -218,6 +223,8 @@
 	w.entryIncarnation = l.Incarnation
 	w.address, w.service, w.labels, w.capacity = l.Address, l.Service, l.Labels, l.Capacity
 	w.rack = rackOf(l.Labels)
+	w.zone, w.evacuated = l.Zone, e.policy.Evacuations.Contains(l.Zone)
+	e.noteCold(w, l.ColdFor)
 	if l.Draining && !w.draining {
 		w.leavesAt = e.now.Add(l.LeavesIn)
 		e.log.Info("worker draining", "worker", w.id, "leaves_ms", l.LeavesIn.Milliseconds(), "runs", len(w.runs))
--- a/internal/cell/engine/world_lives_test.go
+++ b/internal/cell/engine/world_lives_test.go
@@ -71,6 +71,7 @@
 		ev.Outcome = BadTicket
 	default:
 		n.extendLease(s, a.Deadline)
+		n.w.checkEvacuation(s, a, sent)
 		n.w.startRun(s, a, sent)
 		r := s.runs[a.Task]
 		n.rules.started(r, a, sent)
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -229,7 +229,9 @@
 	team := c.w.specs[id].Team
 	for _, worker := range c.w.ids {
 		s := c.w.workers[worker]
-		capacity += s.capacity.CPU
+		if !c.w.evacuated(worker) {
+			capacity += s.capacity.CPU
+		}
 		for _, r := range s.runs {
 			other, _, _ := strings.Cut(r.task, ".")
 			if other == id {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -65,6 +65,8 @@
 	gangTimeouts     int                 // members that ended because their gang was not complete in time
 	net              *network            // carries the calls to workers if set
 	rackOf           func(id string) string
+	evacuatedSince   map[string]time.Time     // by availability zone
+	cold             map[string]time.Duration // how much longer workers are slow after their start
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -200,7 +202,7 @@
 		stored: make(map[string][]byte), workers: make(map[string]*simWorker), tasks: make(map[string]*simTask),
 		specs: make(map[string]*job.Spec), refused: make(map[string]bool), accepted: make(map[string]bool),
 		canceledAt: make(map[string]time.Time), answers: make(map[string]Answer), cancelRequested: make(map[string]bool),
-		submittedAt: make(map[string]time.Time), turnaround: make(map[string]time.Duration), delegates: []string{"i1", "i2", "i3"},
+		evacuatedSince: make(map[string]time.Time), submittedAt: make(map[string]time.Time), turnaround: make(map[string]time.Duration), delegates: []string{"i1", "i2", "i3"},
 		rackOf: func(id string) string { return "r1-" + id[2:] },
 		gangs:  make(map[string]*simGang), startCommands: make(map[string]int), adviser: simAdviser{queues: make(map[string][]*simAdviceCall)},
 	}
@@ -261,8 +263,8 @@
 		if s.crashed {
 			incarnation--
 		}
-		list = append(list, WorkerInfo{ID: id, Incarnation: incarnation, Address: id, Service: "s", Labels: []string{"a", w.rackOf(id)},
-			Capacity: s.listedCapacity(), Draining: s.draining, LeavesIn: 2 * time.Second})
+		list = append(list, WorkerInfo{ID: id, Incarnation: incarnation, Address: id, Service: "s", Zone: zoneOf(id), Labels: []string{"a", w.rackOf(id)},
+			Capacity: s.listedCapacity(), Draining: s.draining, LeavesIn: 2 * time.Second, ColdFor: w.cold[id]})
 	}
 	return list
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -130,19 +130,21 @@
 // Policy returns the newest declarations, or nil until the first version has arrived.
 func (n *Node) Policy() *policy.Policy { return n.policy.Load() }
 
-// setPolicy puts a version of the declarations in force unless the version in force is
-// the same or newer.
+// setPolicy puts declarations and evacuations in force, each unless those in force are
+// as new.
 func (n *Node) setPolicy(p *policy.Policy) {
 	for {
 		old := n.policy.Load()
-		if old != nil && p.Version <= old.Version {
+		if !p.Newer(old) {
 			return
 		}
+		p = p.Merge(old)
 		if n.policy.CompareAndSwap(old, p) {
 			break
 		}
 	}
-	n.log.Info("declarations received", "version", p.Version, "queues", len(p.Queues), "teams", len(p.Teams))
+	n.log.Info("declarations received", "version", p.Version, "queues", len(p.Queues), "teams", len(p.Teams),
+		"evacuated_zones", p.Evacuations.Zones, "evacuation_revision", p.Evacuations.Revision)
 	if l := n.leading.Load(); l != nil {
 		l.post(&engine.PolicyChanged{Policy: p})
 	}
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -39,23 +39,25 @@
 
 // PingArgs describe the instance that pings the leader.
 type PingArgs struct {
-	Instance string
-	Address  string        // address at which peers connect to it
-	Policy   int64         // version of the declarations in force there
-	StoreAge time.Duration // time since the store last answered that instance
-	CPUShare float64       // CPU that the instance can use at present, in cores
-	LinkMbps float64       // bandwidth of its link in Mbit/s, zero if unknown
-	Draining bool
-	Warm     bool   // it has a recent copy of the state
-	Others   uint64 // version of the list of instances that it has
+	Instance    string
+	Address     string        // address at which peers connect to it
+	Policy      int64         // version of the declarations in force there
+	Evacuations int64         // revision of the evacuations in force there
+	StoreAge    time.Duration // time since the store last answered that instance
+	CPUShare    float64       // CPU that the instance can use at present, in cores
+	LinkMbps    float64       // bandwidth of its link in Mbit/s, zero if unknown
+	Draining    bool
+	Warm        bool   // it has a recent copy of the state
+	Others      uint64 // version of the list of instances that it has
 }
 
 // PingReply describes the instance that was pinged.
 type PingReply struct {
-	Session string        // incarnation of the instance
-	Leading bool          // it leads, or has claimed the leadership and prepares to lead
-	Policy  int64         // version of the declarations in force there
-	Others  *instanceList // nil if the pinging instance has the leader's version, or the pinged one does not lead
+	Session     string        // incarnation of the instance
+	Leading     bool          // it leads, or has claimed the leadership and prepares to lead
+	Policy      int64         // version of the declarations in force there
+	Evacuations int64         // revision of the evacuations in force there
+	Others      *instanceList // nil if the pinging instance has the leader's version, or the pinged one does not lead
 	// StoreAway reports that the leader's last call to the store failed or that the store
 	// has not answered it for storeNoAnswerProbeDelay. The pinging instance then probes
 	// the store, so that the leader learns whether it could hand over to it.
@@ -129,7 +131,7 @@
 	n := s.n
 	reply.Session = n.incarnation
 	if p := n.policy.Load(); p != nil {
-		reply.Policy = p.Version
+		reply.Policy, reply.Evacuations = p.Version, p.Evacuations.Revision
 	}
 	l := n.leading.Load()
 	reply.Leading = l != nil || n.leadsOrPrepares() || n.claiming.Load()
@@ -142,7 +144,7 @@
 		}
 		reply.StoreAway = l.storeFailingSince.Load() != 0 || n.since(&n.storeAnsweredAt) > storeNoAnswerProbeDelay
 	}
-	if args.Policy > reply.Policy {
+	if args.Policy > reply.Policy || args.Evacuations > reply.Evacuations {
 		go n.fetchPolicy(args.Address)
 	}
 	return nil
@@ -152,7 +154,7 @@
 // are none.
 func (s *Service) Policy(_ *struct{}, reply *policy.Policy) error {
 	if p := s.n.policy.Load(); p != nil {
-		*reply = policy.Policy{Version: p.Version, Queues: p.Queues, Services: p.Services, Teams: p.Teams, HTTP: p.HTTP}
+		*reply = policy.Policy{Version: p.Version, Queues: p.Queues, Services: p.Services, Teams: p.Teams, HTTP: p.HTTP, Evacuations: p.Evacuations}
 	}
 	return nil
 }
@@ -218,7 +220,7 @@
 		StoreAge: n.since(&n.storeAnsweredAt), LinkMbps: n.settings.LinkMbps, Draining: n.draining.Load(), Warm: n.warm(),
 	}
 	if p := n.policy.Load(); p != nil {
-		args.Policy = p.Version
+		args.Policy, args.Evacuations = p.Version, p.Evacuations.Revision
 	}
 	if o := n.cellInstances.Load(); o != nil {
 		args.Others = o.Version
@@ -237,7 +239,7 @@
 	if reply.Others != nil {
 		n.cellInstances.Store(reply.Others)
 	}
-	if reply.Policy > args.Policy {
+	if reply.Policy > args.Policy || reply.Evacuations > args.Evacuations {
 		n.fetchPolicy(rec.Address)
 	}
 	return pingLeads, reply.StoreAway
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -19,6 +19,9 @@
 	WorkersEnded   gometrics.Counter // workers with runs that refused connections
 	TasksSuspected gometrics.Counter // crashes of which a task is suspected
 	JobsGivenUp    gometrics.Counter // jobs that failed as their tasks crash workers
+
+	WorkersEvacuated gometrics.Gauge // workers in evacuated availability zones, on the leader
+	RunsEvacuated    gometrics.Gauge // runs that are left on them
 }
 
 // NewStats returns stats in a new registry.
@@ -35,6 +38,9 @@
 		WorkersEnded:   gometrics.NewRegisteredCounter(metrics.Name("cell_workers_ended_total"), r),
 		TasksSuspected: gometrics.NewRegisteredCounter(metrics.Name("cell_tasks_suspected_total"), r),
 		JobsGivenUp:    gometrics.NewRegisteredCounter(metrics.Name("cell_jobs_given_up_total"), r),
+
+		WorkersEvacuated: gometrics.NewRegisteredGauge(metrics.Name("cell_workers_evacuated"), r),
+		RunsEvacuated:    gometrics.NewRegisteredGauge(metrics.Name("cell_runs_evacuated"), r),
 	}
 }
 
@@ -45,6 +51,13 @@
 	return gometrics.GetOrRegisterTimer(name, s.Registry)
 }
 
+// reportEvacuated sets the numbers of workers in evacuated availability zones and of their
+// runs.
+func (s *Stats) reportEvacuated(workers, runs int) {
+	s.WorkersEvacuated.Update(int64(workers))
+	s.RunsEvacuated.Update(int64(runs))
+}
+
 // countCrash counts an event of the engine.
 func (s *Stats) countCrash(event engine.CrashEvent) {
 	switch event {
--- a/internal/cell/policy/policy.go
+++ b/internal/cell/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -39,8 +40,9 @@
 type Service struct {
 	Name            string
 	HealthPath      string
-	RejectsOverload bool // workers refuse tasks that exceed their free resources
-	Spare           bool // its machines are switched off
+	RejectsOverload bool          // workers refuse tasks that exceed their free resources
+	Spare           bool          // its machines are switched off
+	ColdStart       time.Duration // how long a worker is slow after its start; zero if it is not
 }
 
 // Team is the owner of jobs, to which their use of resources is charged.
@@ -59,13 +61,25 @@
 	IdleTimeout   time.Duration
 }
 
-// Policy is one version of all declarations. It is not modified after Index.
+// Evacuations are the availability zones whose workers get no new tasks until operators
+// take the zones back.
+type Evacuations struct {
+	Revision int64 // grows with each change; zero if nothing is known
+	Zones    []string
+}
+
+// Contains reports whether zone is evacuated.
+func (e *Evacuations) Contains(zone string) bool { return slices.Contains(e.Zones, zone) }
+
+// Policy is one version of all declarations, with the evacuations in force, whose
+// revision grows independently. It is not modified after Index.
 type Policy struct {
-	Version  int64
-	Queues   []Queue
-	Services []Service
-	Teams    []Team
-	HTTP     HTTPLimits
+	Version     int64
+	Queues      []Queue
+	Services    []Service
+	Teams       []Team
+	HTTP        HTTPLimits
+	Evacuations Evacuations
 
 	byQueue map[string]*Queue
 	byTeam  map[string]*Team
@@ -91,6 +105,32 @@
 	return p
 }
 
+// Newer reports whether p has newer declarations or newer evacuations than o.
+func (p *Policy) Newer(o *Policy) bool {
+	return o == nil || p.Version > o.Version || p.Evacuations.Revision > o.Evacuations.Revision
+}
+
+// Merge returns the newer declarations with the newer evacuations of p and o. A nil o
+// stands for none.
+func (p *Policy) Merge(o *Policy) *Policy {
+	if o == nil {
+		return p
+	}
+	declared, evacuations := p, p.Evacuations
+	if o.Version > p.Version {
+		declared = o
+	}
+	if o.Evacuations.Revision > p.Evacuations.Revision {
+		evacuations = o.Evacuations
+	}
+	if evacuations.Revision == declared.Evacuations.Revision {
+		return declared
+	}
+	merged := *declared
+	merged.Evacuations = evacuations
+	return &merged
+}
+
 // Queue returns the queue with the given name, or nil.
 func (p *Policy) Queue(name string) *Queue { return p.byQueue[name] }
 
