--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -13,7 +13,6 @@
 	"pollenbend/internal/cell/advice"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
-	"pollenbend/internal/cell/runtimes"
 )
 
 // Config holds the limits and intervals that the platform and the settings define.
@@ -93,7 +92,6 @@
 	delegates       []*delegate
 	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
-	runtimes        runtimes.Model
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -11,6 +11,7 @@
 
 	"pollenbend/internal/cell/engine"
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
 	"pollenbend/internal/verdict"
 )
 
@@ -118,6 +119,30 @@
 	}
 }
 
+// An instance that does not reach the store learns of an evacuation from the leader, and the leader
+// of one that only a follower has read. An older revision never replaces a newer one.
+func TestEvacuationsReachInstancesWithoutStore(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		evacuated := func(revision int64, zones ...string) *policy.Policy {
+			p := *c.leader().Policy()
+			p.Evacuations = policy.Evacuations{Revision: revision, Zones: zones}
+			return &p
+		}
+		c.follower().setPolicy(evacuated(5, "z1"))
+		time.Sleep(time.Second)
+		for _, m := range c.all() {
+			assert.Equal(t, []string{"z1"}, m.Policy().Evacuations.Zones, m.settings.Instance)
+		}
+		c.leader().setPolicy(evacuated(9))
+		c.follower().setPolicy(evacuated(6, "z2"))
+		time.Sleep(time.Second)
+		for _, m := range c.all() {
+			assert.Empty(t, m.Policy().Evacuations.Zones, m.settings.Instance)
+			assert.EqualValues(t, 1, m.Policy().Version)
+		}
+	})
+}
+
 // The store refuses the leader and two of the other eight instances. They find the next
 // leader without it.
 func TestFormerLeaderFollowsSuccessorWithoutStore(t *testing.T) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,16 +20,17 @@
 
 // cell is a running cell of real processes with the stand-ins that it uses.
 type cell struct {
-	t         *testing.T
-	rng       *rand.Rand
-	seed      uint64
-	binary    string
-	dir       string
-	store     *store
-	fleet     *fleet
-	instances []*instance
-	stop      chan struct{} // closed when the clients must stop
-	group     sync.WaitGroup
+	t             *testing.T
+	rng           *rand.Rand
+	seed          uint64
+	binary        string
+	dir           string
+	store         *store
+	fleet         *fleet
+	instances     []*instance
+	evacuationRng *rand.Rand
+	stop          chan struct{} // closed when the clients must stop
+	group         sync.WaitGroup
 }
 
 // instance is one process of the program, with the proxy between it and the store.
@@ -89,7 +90,7 @@
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	instances := envInt("SOAK_INSTANCES", 5)
-	c := &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), binary: binary, dir: t.TempDir(), store: newStore(seed),
+	c := &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), evacuationRng: rand.New(rand.NewPCG(seed, 7)), binary: binary, dir: t.TempDir(), store: newStore(seed),
 		fleet: newFleet(6+instances/10, seed), stop: make(chan struct{})}
 	c.start(instances)
 	defer c.killAll()
@@ -103,9 +104,11 @@
 		c.injectFault()
 		c.fleet.resizeRandom()
 		c.fleet.cutRandom()
+		c.evacuateRandom()
 		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
 	}
 	close(c.stop)
+	c.takeBack()
 	c.endFaults()
 	c.group.Wait()
 	c.reportViolations()
@@ -118,7 +121,7 @@
 		c.fleet.mu.Lock()
 		born, cpu := w.born, w.cpu
 		c.fleet.mu.Unlock()
-		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, w.address, cpu, born))
+		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, w.address, zoneOf(w.id), cpu, born))
 	}
 	c.fleet.listen = c.listenAt
 	for _, w := range c.fleet.workers {
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -20,15 +20,16 @@
 	jobs       map[string]*submittedJob
 	violations []string
 	starts     int
-	faulty     map[string]int // calls that a fault has met, by fault
-	fault      string         // of the start that is being carried out
-	failRatio  float64        // ratio of runs that fail
-	restarts   bool           // whether workers restart
-	crashRng   *rand.Rand     // of crashes and capacities
-	crashes    bool           // whether tasks crash their workers, and workers shrink and grow
-	crashed    int            // workers that tasks crashed
-	cuts       int            // cuts that refused connections
-	closed     bool           // whether the cell has ended
+	faulty     map[string]int       // calls that a fault has met, by fault
+	fault      string               // of the start that is being carried out
+	failRatio  float64              // ratio of runs that fail
+	restarts   bool                 // whether workers restart
+	crashRng   *rand.Rand           // of crashes and capacities
+	crashes    bool                 // whether tasks crash their workers, and workers shrink and grow
+	crashed    int                  // workers that tasks crashed
+	evacuated  map[string]time.Time // evacuated zones, and since when
+	cuts       int                  // cuts that refused connections
+	closed     bool                 // whether the cell has ended
 	listen     func(w *worker, address string) error
 	register   func(w *worker) // writes the directory's entry of a worker
 	pending    sync.WaitGroup  // calls that are held back
@@ -99,7 +100,7 @@
 
 func newFleet(count int, seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 4)), startedAt: time.Now(), workers: make(map[string]*worker),
-		tasks: make(map[string]*taskState), jobs: make(map[string]*submittedJob), faulty: make(map[string]int)}
+		tasks: make(map[string]*taskState), jobs: make(map[string]*submittedJob), faulty: make(map[string]int), evacuated: make(map[string]time.Time)}
 	f.failRatio = []float64{0, 0.02, 0.1}[f.rng.IntN(3)]
 	f.restarts = f.rng.IntN(2) == 0
 	f.crashRng = rand.New(rand.NewPCG(seed, 5))
@@ -245,6 +246,7 @@
 func (f *fleet) startRun(w *worker, req *workerRequest) {
 	f.starts++
 	f.checkStart(w, req)
+	f.checkZone(w, req)
 	if r := w.runs[req.Task]; r != nil {
 		f.endRun(w, r, "stopped", w.clock()) // checkStart has recorded the violation
 	}
