Let the renewal that acknowledges ends wait for the next one

Cause: after each report with ends, the next renewal asked for an immediate answer, so each finished run took two.

Ruled out: that the acknowledgment waits too. The worker forgets the ends when the renewal arrives, not when it answers.

Change: only renewals that look for something at once (stops, unknown runs, silence) ask for an immediate answer.

--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -31,7 +31,6 @@
 	}
 	w.appliedCursor = last
 	w.unstoredBatches++
-	w.renewWithoutWait = true
 	incarnation := w.incarnation
 	e.afterAppend(func() {
 		w.unstoredBatches--
