Learn run times and worker speeds behind the feature learned-runtimes

Cause: one smoothed ratio of run time to estimate for each queue is pulled up by the tail, has no spread, is lost with each leader and does not know that workers differ.

With the feature on, the engine uses it for waiting work, critical paths, stalls, evacuations and speculation, and offers Engine.expectedEnd. It stores it as one record (record.ModelKey) and restores it; metrics and a log line tell the calibration.

--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -99,7 +99,7 @@
 
 // workOf returns the expected core-seconds of one task of s.
 func (e *Engine) workOf(s *stepState) float64 {
-	return float64(s.charge.CPU) / 1000 * e.estimator.expect(s.job().queue, s.spec.Estimate).Seconds()
+	return float64(s.charge.CPU) / 1000 * e.runtimeOf(s).mean.Seconds()
 }
 
 // demandMeasureInterval is the minimum interval between two measurements of the waiting
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -59,6 +59,7 @@
 	}
 	r.phase = starting
 	r.startSent, r.startSentAt = true, e.now
+	e.predict(r)
 	w.nextRenewal = e.now // the next renewal of an idle worker may be IdleRenewalInterval away
 	timeout := startTimeout
 	if r.repeatable() {
@@ -367,6 +368,7 @@
 
 // observeRuntime updates the runtime estimates with a successful run.
 func (e *Engine) observeRuntime(r *run) {
+	e.learnRuntime(r)
 	if r.startSentAt.IsZero() || r.restored {
 		return
 	}
--- a/internal/cell/engine/critical_path.go
+++ b/internal/cell/engine/critical_path.go
@@ -45,7 +45,8 @@
 	return time.Duration((1+estimateMargin)*float64(e.criticalPathFrom(s))) + e.storeLatency + dispatchTime
 }
 
-// criticalPaths returns the result of criticalPathsOf for a job, computed on first use.
+// criticalPaths returns the result of criticalPathsOf for a job, computed on first use and
+// kept from then on: the objective of an accepted job must not move while it waits.
 func (e *Engine) criticalPaths(j *jobState) []time.Duration {
 	if j.criticalPaths == nil {
 		j.criticalPaths = e.criticalPathsOf(j.spec)
@@ -61,7 +62,7 @@
 	lengths := make([]time.Duration, len(spec.Steps))
 	for i := len(spec.Steps) - 1; i >= 0; i-- {
 		s := &spec.Steps[i]
-		lengths[i] = after[i] + e.estimator.expect(spec.Queue, s.Estimate)
+		lengths[i] = after[i] + e.medianRuntime(spec, s)
 		for _, d := range s.DependsOn {
 			after[d] = max(after[d], lengths[i])
 		}
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -36,8 +36,9 @@
 	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration // how long the state of an ended job is kept
 	Features                Features
-	Now                     func() time.Time // measures the duration of a placement round
-	CountCrash              func(CrashEvent) // counts what the engine finds out about crashes; nil for no counts
+	Now                     func() time.Time    // measures the duration of a placement round
+	CountCrash              func(CrashEvent)    // counts what the engine finds out about crashes; nil for no counts
+	ReportRuntimes          func(RuntimeReport) // takes what is known of run times every few seconds; nil for no reports
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -92,6 +93,7 @@
 	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
 	runtimes        runtimes.Model
+	modelUpkeep     modelUpkeep
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
@@ -191,6 +193,7 @@
 		e.sendRenewals()
 		e.refuseUnstoredJobs()
 		e.logLoad()
+		e.maintainModel()
 		e.flush()
 	}
 	actions := e.actions
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -7,6 +7,7 @@
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/record"
+	"pollenbend/internal/cell/runtimes"
 )
 
 // jobState is the in-memory state of a job.
@@ -64,6 +65,9 @@
 	inOpenSteps    bool          // it is in Engine.openSteps
 	urgency        ordering.Step // when it was opened, or when the declarations last changed
 	key            ordering.Key  // set by sortOpenSteps
+
+	runtime stepRuntime // see Engine.runtimeOf
+	pace    gangPace    // see Engine.paceOf
 }
 
 // task is one task of a step.
@@ -134,6 +138,9 @@
 	restored         bool      // known only from the records of an earlier leader
 	crashRisk        float64   // see Engine.crashRisk; zero from when its worker is not exposed to its start any more
 	startedClock     int64     // the worker's clock when it first told that it has the run, in ms; zero if it has not
+
+	predicted runtimes.Prediction // of its run time, when its start was sent
+	ends      [2]knownEnd         // see Engine.expectedEnd
 }
 
 func (t *task) hasRuns() bool { return len(t.runs) > 0 }
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -61,6 +61,7 @@
 	}
 	clear(e.dirtySteps)
 	e.dirtyStepList = e.dirtyStepList[:0]
+	e.putModel()
 	if len(e.batch.Records) == 0 && len(e.batch.onStored) == 0 {
 		return
 	}
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -65,10 +65,21 @@
 
 // expectedRuntime returns the expected runtime of a run from its start to its end.
 func (e *Engine) expectedRuntime(r *run) time.Duration {
+	if e.cfg.Features.LearnedRuntimes {
+		return e.expectation(r).Median()
+	}
 	s := r.task.step
 	return e.estimator.expect(s.job().queue, s.spec.Estimate)
 }
 
+// remainingByRuntime returns the time that r still takes by its expected runtime.
+func (e *Engine) remainingByRuntime(r *run) time.Duration {
+	if e.cfg.Features.LearnedRuntimes {
+		return e.expectation(r).Remaining(e.workedTime(r), 0.5)
+	}
+	return max(0, e.expectedRuntime(r)-e.now.Sub(r.startSentAt))
+}
+
 // stalled reports whether r has made no progress for so long that its task should be
 // started on another worker.
 func (e *Engine) stalled(r *run) bool {
@@ -78,6 +89,9 @@
 	if r.task.step.spec.Gang && r.percent == 0 && e.now.Sub(r.startSentAt) < e.cfg.GangStartTimeout+minStallTime {
 		return false // it may be waiting for the other members
 	}
+	if e.now.Sub(r.progressAt) <= minStallTime {
+		return false // spares the expected runtime of most runs
+	}
 	// The progress of a long run changes rarely, as one percent of it takes a hundredth of
 	// the runtime. A run whose worker has not answered since limit/2 after the last progress
 	// is not stopped, as its progress is not known.
@@ -104,7 +118,7 @@
 	untilLeave := r.worker.leavesAt.Sub(e.now)
 	remaining, known := e.remainingTime(r)
 	if !known {
-		remaining = max(0, e.expectedRuntime(r)-e.now.Sub(r.startSentAt))
+		remaining = e.remainingByRuntime(r)
 	}
 	if remaining < untilLeave {
 		return false
@@ -149,7 +163,7 @@
 	if !known {
 		return false
 	}
-	fullRuntime := e.expectedRuntime(r)
+	fullRuntime := e.runtimeOf(r.task.step).median // on its own worker it would excuse a slow one
 	return float64(remaining) > speculationMinRatio*float64(fullRuntime)
 }
 
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -47,6 +47,7 @@
 	answeredSentAt   time.Time // when the last renewal with an answer was sent
 	missedRenewals   int       // consecutive renewals without an answer
 	silentSince      time.Time // when the first of them failed; zero if there is none
+	silenceEndedAt   time.Time // when it last answered after one
 	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not. Hint of a crash, no proof
 	crash            *crash    // what refusingSince may be a sign of; nil if it is zero
 	renewWithoutWait bool      // the next renewal asks for an immediate answer
@@ -412,6 +413,7 @@
 	}
 	first := !w.reported
 	if w.missedRenewals > 0 {
+		w.silenceEndedAt = e.now
 		e.log.Info("worker answers again", "worker", w.id, "life", w.incarnation, "silent_ms", e.msSince(w.lastAnswer), "refusing_ms", e.msSince(w.refusingSince), "runs", len(w.runs))
 		e.needsPlacement = true
 	}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -64,6 +64,8 @@
 	gangs            map[string]*simGang // by step and run
 	gangTimeouts     int                 // members that ended because their gang was not complete in time
 	net              *network            // carries the calls to workers if set
+	features         Features
+	runtime          func(ref job.TaskRef, step *job.Step) time.Duration // of a task on an ordinary worker; nil for its estimate
 	rackOf           func(id string) string
 }
 
@@ -219,7 +221,7 @@
 	w.term++
 	w.uncertain = make(map[*Append]bool)
 	cfg := simConfig()
-	cfg.Term = w.term
+	cfg.Term, cfg.Features = w.term, w.features
 	cfg.Now = func() time.Time { return w.now }
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	w.engine = New(cfg, log, func() int64 { return w.now.UnixMilli() }, w.now)
@@ -227,6 +229,10 @@
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
 	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
 	for key, value := range w.stored {
+		if key == record.ModelKey {
+			state.Model = value
+			continue
+		}
 		id, step, err := record.ParseKey(key)
 		if err != nil {
 			w.t.Fatal(err)
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -19,6 +19,12 @@
 	WorkersEnded   gometrics.Counter // workers with runs that refused connections
 	TasksSuspected gometrics.Counter // crashes of which a task is suspected
 	JobsGivenUp    gometrics.Counter // jobs that failed as their tasks crash workers
+
+	RuntimeCalibration gometrics.GaugeFloat64 // part of the runs that ended within the 0.9 quantile of their expected run time
+	RuntimeSamples     gometrics.Counter      // runs from which run times were learned
+	LeastSlowness      gometrics.GaugeFloat64 // of the workers, as learned
+	MedianSlowness     gometrics.GaugeFloat64
+	MostSlowness       gometrics.GaugeFloat64
 }
 
 // NewStats returns stats in a new registry.
@@ -35,9 +41,30 @@
 		WorkersEnded:   gometrics.NewRegisteredCounter(metrics.Name("cell_workers_ended_total"), r),
 		TasksSuspected: gometrics.NewRegisteredCounter(metrics.Name("cell_tasks_suspected_total"), r),
 		JobsGivenUp:    gometrics.NewRegisteredCounter(metrics.Name("cell_jobs_given_up_total"), r),
+
+		RuntimeCalibration: gometrics.NewRegisteredGaugeFloat64(metrics.Name("cell_runtime_calibration_ratio"), r),
+		RuntimeSamples:     gometrics.NewRegisteredCounter(metrics.Name("cell_runtime_samples_total"), r),
+		LeastSlowness:      newSlownessGauge("minimum", r),
+		MedianSlowness:     newSlownessGauge("median", r),
+		MostSlowness:       newSlownessGauge("maximum", r),
 	}
 }
 
+// newSlownessGauge returns a gauge of the slowness of the workers, in a new registry entry
+// with the given label.
+func newSlownessGauge(of string, r gometrics.Registry) gometrics.GaugeFloat64 {
+	return gometrics.NewRegisteredGaugeFloat64(metrics.Name("cell_worker_slowness", metrics.Label{Name: "of", Value: of}), r)
+}
+
+// reportRuntimes sets the metrics of the learned run times.
+func (s *Stats) reportRuntimes(r engine.RuntimeReport) {
+	s.RuntimeCalibration.Update(r.Calibration)
+	s.RuntimeSamples.Inc(int64(r.NewSamples))
+	s.LeastSlowness.Update(r.LeastSlowness)
+	s.MedianSlowness.Update(r.MedianSlowness)
+	s.MostSlowness.Update(r.MostSlowness)
+}
+
 // Answer returns the timer of the answers to callers with this method and status. It
 // registers the timer at the first call.
 func (s *Stats) Answer(method, status string) gometrics.Timer {
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -34,6 +34,7 @@
 	config := l.n.settings.Engine
 	config.Term = l.rec.Term
 	config.CountCrash = l.n.stats.countCrash
+	config.ReportRuntimes = l.n.stats.reportRuntimes
 	e := engine.New(config, l.n.log, wallClock, time.Now())
 	if list := <-workers; list != nil {
 		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
@@ -86,6 +87,10 @@
 // restoreRecord adds a record to state. It logs records that it cannot decode and leaves
 // them out.
 func (l *leader) restoreRecord(state *engine.Restored, r record.Record) {
+	if r.Key == record.ModelKey {
+		state.Model = r.Value
+		return
+	}
 	id, step, err := record.ParseKey(r.Key)
 	if err != nil {
 		l.n.log.Error("cannot parse the key of a record", "key", r.Key, "reason", err.Error())
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -83,6 +83,10 @@
 	stepPrefix = "s/"
 )
 
+// ModelKey is the key of the record of what is learned of run times, which
+// runtimes.Model encodes.
+const ModelKey = "m/runtimes"
+
 // JobKey returns the key of the record of a job.
 func JobKey(id string) string { return jobPrefix + id }
 
@@ -90,7 +94,8 @@
 func StepKey(ref job.StepRef) string { return stepPrefix + ref.String() }
 
 // ParseKey returns the id of the job and, for the key of a step, the step that key
-// identifies. It returns an error if key has neither form.
+// identifies. It returns an error if key has neither form,
+// such as ModelKey.
 func ParseKey(key string) (id string, step *job.StepRef, err error) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		return id, nil, nil
