--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -63,6 +63,7 @@
 	}
 	r.phase = starting
 	r.startSent, r.startSentAt = true, e.now
+	e.predict(r)
 	w.nextRenewal = e.now // the next renewal of an idle worker may be IdleRenewalInterval away
 	timeout := startTimeout
 	if r.repeatable() {
@@ -371,6 +372,7 @@
 
 // observeRuntime updates the runtime estimates with a successful run.
 func (e *Engine) observeRuntime(r *run) {
+	e.learnRuntime(r)
 	if r.startSentAt.IsZero() || r.restored {
 		return
 	}
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -13,6 +13,7 @@
 	"pollenbend/internal/cell/advice"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/policy"
+	"pollenbend/internal/cell/runtimes"
 )
 
 // Config holds the limits and intervals that the platform and the settings define.
@@ -38,6 +39,7 @@
 	Now                     func() time.Time        // measures the duration of a placement round
 	CountCrash              func(CrashEvent)        // counts what the engine finds out about crashes; nil for no counts
 	ReportEvacuated         func(workers, runs int) // reports the workers in evacuated zones and their runs; nil for no reports
+	ReportRuntimes          func(RuntimeReport)     // takes what is known of run times every few seconds; nil for no reports
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -92,6 +94,8 @@
 	delegates       []*delegate
 	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
+	runtimes        runtimes.Model
+	modelUpkeep     modelUpkeep
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
@@ -191,6 +195,7 @@
 		e.sendRenewals()
 		e.refuseUnstoredJobs()
 		e.logLoad()
+		e.maintainModel()
 		e.flush()
 	}
 	actions := e.actions
