Let a small idle service expose a fourth worker to risky starts

Half of six is the limit while a service is idle, so nothing risky started on the three workers that were left, with 1.2 of their 24 cores in use. A lasting job that was not known to be harmless waited until 40.7 s and was reported as lost.

Change: while half or more of the capacity is idle, four workers may be down or expected to be, if two are left. The limit of services of eight workers or more does not change.

--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -31,6 +31,11 @@
 	// minExposedWorkers is the least number of workers that may be down or expected to be. In a
 	// small service suspects would otherwise wait for each other while workers are free.
 	minExposedWorkers = 2.0
+	// minIdleExposedWorkers is that number while half of the service's capacity or more is idle, if as
+	// many as reservedWorkers are left. In a service of six workers maxIdleExposedRatio allows three,
+	// and jobs waited for over 3 s beside three idle workers while three were down.
+	minIdleExposedWorkers = 4.0
+	reservedWorkers       = 2
 	// isolationPatience is how long a step with risky starts waits for workers on which no
 	// other start is recent.
 	isolationPatience = time.Second
@@ -344,6 +349,9 @@
 	}
 	x := round.exposure
 	limit := max(minExposedWorkers, e.exposedRatio(s, round, risk)*float64(x.workers))
+	if round.idleRatio() >= maxIdleExposedRatio {
+		limit = max(limit, min(minIdleExposedWorkers, float64(x.workers-reservedWorkers)))
+	}
 	return int(max(0, limit-x.expected) / risk)
 }
 
@@ -357,13 +365,16 @@
 	case risk >= ambiguousRisk || timeliness == ordering.Late:
 		ratio = maxSuspectRatio
 	}
-	idle := float64(round.free) / float64(max(1, round.capacity))
+	idle := round.idleRatio()
 	if idle >= maxIdleExposedRatio {
 		return maxIdleExposedRatio
 	}
 	return max(ratio, idle-idleReserve)
 }
 
+// idleRatio returns the part of the service's capacity that is idle.
+func (r *placementRound) idleRatio() float64 { return float64(r.free) / float64(max(1, r.capacity)) }
+
 // onWorkers returns the first of the chosen candidates that are on at most n workers.
 func onWorkers(chosen []int, n int) []int {
 	seen := make(map[int]bool)
