Keep crashes doubtful beside silent workers and late answers

Cause (cuts): all six workers were cut off at 7.405 s. w03 and w00 refused connections from 7.44 and 7.45 s on. w05 refused at 7.56 s, but was not counted as a risky start explained it. w01 fell silent at 7.48 s and showed no refusal. So w03 counted as crashed alone, and its restart behind the cut was the second crash of an innocent task. Cause (crashes): the rack of w03 and w04 failed at 11.055 s. w04 refused from 11.095 s on. An answer that w03 had sent before arrived at 11.12 s, so w04 counted as having ended before w03 and was left out of the rack.

A worker is known to have been up when its last answered call was sent, not when the answer arrived.

No test or check is changed.

--- a/internal/cell/engine/blame.go
+++ b/internal/cell/engine/blame.go
@@ -11,7 +11,7 @@
 // doubtful for the tasks that may have caused it, and they are not started again.
 type crash struct {
 	worker      *worker
-	lastAnswer  time.Time // the last one before the crash
+	upSince     time.Time // when the last answered call before the crash was sent; the worker was up then or later
 	at          time.Time // when the worker first refused a connection
 	tasks       []*task   // blamed while the investigation was open
 	oneJob      bool      // the tasks are of one job
@@ -41,12 +41,12 @@
 // investigate begins to find out whether the end of w, which has begun to refuse connections, had a
 // common cause with others. Workers of the same rack are asked for an answer at once.
 func (e *Engine) investigate(w *worker) {
-	c := &crash{worker: w, lastAnswer: w.lastAnswer, at: w.refusingSince}
+	c := &crash{worker: w, upSince: w.aliveAt, at: w.refusingSince}
 	for _, mate := range e.workerList {
 		if mate == w || mate.rack == "" || mate.rack != w.rack || !mate.listed || mate.draining {
 			continue
 		}
-		if !mate.refusingSince.IsZero() && mate.refusingSince.Before(c.lastAnswer) {
+		if !mate.refusingSince.IsZero() && mate.refusingSince.Before(c.upSince) {
 			continue // it ended before
 		}
 		c.rackMates = append(c.rackMates, rackMate{worker: mate, incarnation: mate.incarnation, reported: mate.reported})
@@ -145,7 +145,8 @@
 }
 
 // endedTogether returns how many workers ended at the same time as that of c, without those
-// whose end a risky start explains.
+// whose end a risky start explains. A worker that fell silent then and still is counts too: its link may
+// lose the refusal that would tell.
 func (e *Engine) endedTogether(c *crash) int {
 	count := 1
 	for _, other := range e.crashOnsets {
@@ -153,9 +154,17 @@
 			count++
 		}
 	}
+	for _, other := range e.workerList {
+		if other != c.worker && other.listed && other.exposed == 0 && other.silentAlone() && other.silentSince.Sub(c.at).Abs() <= sharedCrashWindow {
+			count++
+		}
+	}
 	return count
 }
 
+// silentAlone reports whether w does not answer and has not refused a connection either.
+func (w *worker) silentAlone() bool { return !w.silentSince.IsZero() && w.refusingSince.IsZero() }
+
 // rackSurvived reports whether the rack certainly did not fail: another worker of it that was up has
 // answered, without a restart, a renewal that was sent after the crash, or there was none.
 func (c *crash) rackSurvived() bool {
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -128,6 +128,9 @@
 	}
 	if answeredAtLeast(ev.Incarnation, ev.Start.Incarnation) == w.incarnation {
 		w.noteClock(ev.Clock, e.now)
+		if ev.Clock > 0 {
+			w.noteAlive(r.startSentAt)
+		}
 	}
 	if r.ended {
 		return
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -45,6 +45,7 @@
 	nextRenewal      time.Time
 	lastAnswer       time.Time // when the last answer arrived
 	answeredSentAt   time.Time // when the last renewal with an answer was sent
+	aliveAt          time.Time // when the last call with an answer was sent
 	missedRenewals   int       // consecutive renewals without an answer
 	silentSince      time.Time // when the first of them failed; zero if there is none
 	refusingSince    time.Time // when it first refused a connection after the last answer; zero if it did not. Hint of a crash, no proof
@@ -89,6 +90,14 @@
 	}
 }
 
+// noteAlive records that w has answered a call that was sent at the given time, so it was up then or later.
+// The answer's arrival proves nothing about what happened while it was under way.
+func (w *worker) noteAlive(sentAt time.Time) {
+	if sentAt.After(w.aliveAt) {
+		w.aliveAt = sentAt
+	}
+}
+
 // resetSilence forgets that w did not answer or refused connections.
 func (w *worker) resetSilence() {
 	w.silentSince, w.refusingSince, w.crash = time.Time{}, time.Time{}, nil
@@ -420,6 +429,7 @@
 	}
 	w.noteClock(ev.Report.Clock, e.now)
 	w.answeredSentAt = ev.SentAt
+	w.noteAlive(ev.SentAt)
 	if first {
 		// An earlier leader may have requested the maximum lease just before.
 		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
