--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -240,7 +240,7 @@
 	}
 	validTasks, expiredTasks, expiredWorkers := e.ticketCapacity(s, validUntil)
 	if validTasks+expiredTasks >= need || !s.spec.Gang && expiredTasks > 0 {
-		return largestFirst(s, expiredWorkers, need-validTasks)
+		return largestFirst(s, expiredWorkers, need-validTasks, e.expiredOrder(s, q, round, expiredWorkers))
 	}
 	return e.rankForAdvice(s, q, round)
 }
@@ -272,12 +272,12 @@
 	return max(0, n)
 }
 
-// largestFirst returns enough of workers to hold need tasks, those that hold the most
-// tasks first, and spareRenewedTickets more. It returns at most as many workers as
+// largestFirst returns enough of workers to hold need tasks, those of the first classes in
+// the order and among these those that hold the most tasks first, and spareRenewedTickets more. It returns at most as many workers as
 // maxCalls calls accept.
-func largestFirst(s *stepState, workers []*worker, need int) []*worker {
+func largestFirst(s *stepState, workers []*worker, need int, order []int) []*worker {
 	slices.SortStableFunc(workers, func(a, b *worker) int {
-		return cmp.Compare(tasksThatFit(s, b, b.free()), tasksThatFit(s, a, a.free()))
+		return cmp.Or(cmp.Compare(order[a.speedClass], order[b.speedClass]), cmp.Compare(tasksThatFit(s, b, b.free()), tasksThatFit(s, a, a.free())))
 	})
 	for i, w := range workers {
 		need -= tasksThatFit(s, w, w.free())
@@ -336,36 +336,46 @@
 // maxRankedWorkers is the maximum number of workers among which rankForAdvice chooses.
 const maxRankedWorkers = 400
 
+// rankedWorker is a worker that the adviser may be asked about.
+type rankedWorker struct {
+	*worker
+	score float64 // available capacity in tasks, less the more other calls about it are pending
+	room  float64 // the part of it that is free now
+}
+
 // rankForAdvice returns workers that the adviser was not asked about yet for s: those with
 // the most available capacity, as many as are expected to include enough good ones.
 // Gangs, steps of the highest priority and steps whose calls to the adviser are long ask
 // in advance: for them, workers whose capacity is in use count too. Capacity counts less
-// the more other calls about the worker are pending, as their steps compete for it.
+// the more other calls about the worker are pending, as their steps compete for it. Workers of
+// the preferred speed come first.
 func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	ahead := (s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold) && !e.knowsEnoughWorkers(s)
 	class := callClass(q.Advice.Base)
-	type rankedWorker struct {
-		*worker
-		score float64
-	}
-	var ranked []rankedWorker
-	for w := range round.mostFree() {
-		if len(ranked) == maxRankedWorkers || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
-			break
-		}
-		if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w] == w.incarnation {
-			continue
-		}
-		capacity := float64(tasksThatFit(s, w, w.free()))
-		if ahead {
-			capacity += usedCapacityRatio * (float64(tasksThatFit(s, w, w.capacity)) - capacity)
-		}
-		if capacity <= 0 {
-			continue
+	classes := round.classesFor(e.preferenceOf(s, q))
+	ranked := make([]rankedWorker, 0, min(maxRankedWorkers, len(round.workers)))
+	for n, speedClass := range classes {
+		limit := len(ranked) + round.rankQuota(classes, n, maxRankedWorkers-len(ranked))
+		for w := range round.mostFreeOf(speedClass) {
+			if len(ranked) == limit || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
+				break
+			}
+			if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w] == w.incarnation {
+				continue
+			}
+			free := float64(tasksThatFit(s, w, w.free()))
+			capacity := free
+			if ahead {
+				capacity += usedCapacityRatio * (float64(tasksThatFit(s, w, w.capacity)) - free)
+			}
+			if capacity <= 0 {
+				continue
+			}
+			competitors := float64(1 + w.pendingAsks[class])
+			ranked = append(ranked, rankedWorker{w, capacity / competitors, free / competitors})
 		}
-		ranked = append(ranked, rankedWorker{w, capacity / float64(1+w.pendingAsks[class])})
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedWorker) int { return cmp.Compare(b.score, a.score) })
+	e.sortByPreference(s, q, ranked, classes)
 	share := e.goodShare(q.Name)
 	want := float64(s.waiting) * askMultiplier
 	if s.spec.Gang {
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -92,9 +92,10 @@
 	delegateLoads   []*advice.Delegate // of delegates, in the same order
 	estimator       runtimeEstimator
 	runtimes        runtimes.Model
-	entitlements    map[string]*tokenBucket // by team
-	demands         map[int]*demand         // by priority
-	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
+	slownessOf      func(worker string) float64 // of workers, instead of that by runtimes; nil except in tests
+	entitlements    map[string]*tokenBucket     // by team
+	demands         map[int]*demand             // by priority
+	goodShares      map[string]float64          // share of workers that the adviser finds good, by queue
 
 	needsPlacement    bool          // placement may have work to do
 	placedAt          time.Time     // when the last placement round started
--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -269,7 +269,7 @@
 		workers = e.workersWithTicket(s)
 	}
 	if risk >= certainRisk {
-		if chosen := e.chooseDoomed(s, workers, len(tasks)); len(chosen) > 0 {
+		if chosen := e.chooseDoomed(s, q, workers, len(tasks)); len(chosen) > 0 {
 			s.riskySince = time.Time{}
 			return workers, chosen
 		}
@@ -282,7 +282,7 @@
 		}
 		candidates[i].AtStake = e.atStake(w)
 	}
-	chosen := placement.Place(e.request(s, len(tasks)), candidates)
+	chosen := placement.Place(e.request(s, q, len(tasks)), candidates)
 	if !s.spec.Gang {
 		chosen = onWorkers(chosen, e.exposuresLeft(s, round, risk))
 	}
@@ -295,7 +295,7 @@
 
 // chooseDoomed chooses doomed workers for count tasks of s whose starts will most likely crash
 // theirs. It returns the indexes in workers.
-func (e *Engine) chooseDoomed(s *stepState, workers []*worker, count int) []int {
+func (e *Engine) chooseDoomed(s *stepState, q *policy.Queue, workers []*worker, count int) []int {
 	candidates := e.candidates(s, workers)
 	for i, w := range workers {
 		candidates[i].Free = job.Resources{}
@@ -303,7 +303,7 @@
 			candidates[i].Free = w.free()
 		}
 	}
-	return placement.Place(e.request(s, count), candidates)
+	return placement.Place(e.request(s, q, count), candidates)
 }
 
 // exposure tells how many workers of a service are exposed to risky starts or down.
--- a/internal/cell/engine/pool.go
+++ b/internal/cell/engine/pool.go
@@ -3,15 +3,19 @@
 import (
 	"iter"
 	"time"
+
+	"pollenbend/internal/cell/placement"
 )
 
 // pool holds the listed workers of a service, indexed by their free CPU, so that a
 // placement round on a large fleet visits only workers that may hold a task.
 type pool struct {
 	workers []*worker // in the order in which they were found
-	// byFreeCPU[i] holds the workers with i to i+1 cores free; the first list also
-	// holds overcommitted workers, the last one all with more.
-	byFreeCPU [maxIndexedCores + 1][]*worker
+	// byFreeCPU[class][i] holds the workers of a speed class with i to i+1 cores free; the
+	// first list also holds overcommitted workers, the last one all with more.
+	byFreeCPU [][maxIndexedCores + 1][]*worker
+	speeds    placement.Classes // of the workers
+	speedsAt  time.Time         // when they were last divided into classes
 
 	nextPassedOver int // index in placementRound.passedOver at which the next round goes on
 
@@ -29,6 +33,7 @@
 
 // rebuildPools assigns every listed worker to the pool of its service.
 func (e *Engine) rebuildPools() {
+	before := e.pools
 	e.pools = make(map[string]*pool)
 	for _, w := range e.workerList {
 		w.pool = nil
@@ -36,7 +41,13 @@
 			continue
 		}
 		p := e.poolOf(w.service)
-		w.pool = p
+		if old := before[w.service]; old != nil && len(p.workers) == 0 {
+			p.speeds, p.speedsAt = old.speeds, old.speedsAt
+		}
+		w.pool, w.speedClass = p, 0
+		if e.cfg.Features.SpeedPlacement {
+			w.speedClass = p.speeds.ClassOf(e.modelSlowness(w))
+		}
 		p.workers = append(p.workers, w)
 		p.add(w)
 	}
@@ -56,11 +67,24 @@
 // thousandths of a core.
 func coresFree(cpu int64) int { return int(min(maxIndexedCores, max(0, cpu/1000))) }
 
-// add adds w to the list for its free CPU.
+// add adds w to the list for its class and its free CPU.
 func (p *pool) add(w *worker) {
+	for len(p.byFreeCPU) <= w.speedClass {
+		p.byFreeCPU = append(p.byFreeCPU, [maxIndexedCores + 1][]*worker{})
+	}
+	lists := &p.byFreeCPU[w.speedClass]
 	w.poolIndex = coresFree(w.capacity.CPU - w.used.CPU)
-	w.poolSlot = len(p.byFreeCPU[w.poolIndex])
-	p.byFreeCPU[w.poolIndex] = append(p.byFreeCPU[w.poolIndex], w)
+	w.poolSlot = len(lists[w.poolIndex])
+	lists[w.poolIndex] = append(lists[w.poolIndex], w)
+}
+
+// remove removes w from its list.
+func (p *pool) remove(w *worker) {
+	lists := &p.byFreeCPU[w.speedClass]
+	list := lists[w.poolIndex]
+	last := list[len(list)-1]
+	list[w.poolSlot], last.poolSlot = last, w.poolSlot
+	lists[w.poolIndex] = list[:len(list)-1]
 }
 
 // update moves w to the list for its free CPU after its use has changed.
@@ -68,32 +92,41 @@
 	if coresFree(w.capacity.CPU-w.used.CPU) == w.poolIndex {
 		return
 	}
-	list := p.byFreeCPU[w.poolIndex]
-	last := list[len(list)-1]
-	list[w.poolSlot], last.poolSlot = last, w.poolSlot
-	p.byFreeCPU[w.poolIndex] = list[:len(list)-1]
+	p.remove(w)
 	p.add(w)
 }
 
+// classSize returns the number of workers of a class.
+func (p *pool) classSize(class int) int {
+	n := 0
+	if class < len(p.byFreeCPU) {
+		for _, list := range p.byFreeCPU[class] {
+			n += len(list)
+		}
+	}
+	return n
+}
+
 // mostFree iterates over the workers, those with the most whole cores free first.
 func (p *pool) mostFree() iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for i := len(p.byFreeCPU) - 1; i >= 0; i-- {
-			for _, w := range p.byFreeCPU[i] {
-				if !yield(w) {
-					return
+		for i := maxIndexedCores; i >= 0; i-- {
+			for class := range p.byFreeCPU {
+				for _, w := range p.byFreeCPU[class][i] {
+					if !yield(w) {
+						return
+					}
 				}
 			}
 		}
 	}
 }
 
-// leastFree iterates over the workers with at least the given CPU free, in thousandths of
-// a core, rounded down to whole cores, those with the least CPU free first.
-func (p *pool) leastFree(cpu int64) iter.Seq[*worker] {
+// mostFreeOf iterates over the workers of a class, those with the most whole cores free first.
+func (p *pool) mostFreeOf(class int) iter.Seq[*worker] {
 	return func(yield func(*worker) bool) {
-		for i := coresFree(cpu); i < len(p.byFreeCPU); i++ {
-			for _, w := range p.byFreeCPU[i] {
+		for i := maxIndexedCores; i >= 0 && class < len(p.byFreeCPU); i-- {
+			for _, w := range p.byFreeCPU[class][i] {
 				if !yield(w) {
 					return
 				}
@@ -102,6 +135,23 @@
 	}
 }
 
+// leastFree iterates over the workers of the classes, in their order, with at least the given
+// CPU free, in thousandths of a core, rounded down to whole cores, those of a class with the
+// least CPU free first.
+func (p *pool) leastFree(cpu int64, classes []int) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for _, class := range classes {
+			for i := coresFree(cpu); i <= maxIndexedCores && class < len(p.byFreeCPU); i++ {
+				for _, w := range p.byFreeCPU[class][i] {
+					if !yield(w) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // mostFreeCPU returns the largest free CPU of a usable worker, in thousandths of a core.
 func (p *pool) mostFreeCPU(now time.Time) int64 {
 	most, index := int64(0), 0
--- a/internal/cell/engine/pool_test.go
+++ b/internal/cell/engine/pool_test.go
@@ -44,7 +44,7 @@
 	assert.Len(t, seen, 50)
 	fit := 0
 	previous = 10
-	for w := range p.leastFree(10_000) {
+	for w := range p.leastFree(10_000, []int{0}) {
 		cores := coresFree(w.free().CPU)
 		require.GreaterOrEqual(t, cores, previous)
 		previous = cores
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -42,6 +42,7 @@
 func (e *Engine) newRound(service string) *placementRound {
 	p := e.poolOf(service)
 	p.measure(e.now)
+	e.measureSpeeds(p)
 	return &placementRound{
 		pool:              p,
 		cpuBudget:         int64(budgetFreeRatio*float64(p.free) + budgetCapacityRatio*float64(p.capacity)),
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -183,14 +183,16 @@
 		return e.chooseForRisky(s, q, round, tasks, risk)
 	}
 	workers := e.placeableWorkers(s, q, round)
-	return workers, placement.Place(e.request(s, len(tasks)), e.candidates(s, workers))
+	return workers, placement.Place(e.request(s, q, len(tasks)), e.candidates(s, workers))
 }
 
 // request returns the placement request for count tasks of s.
-func (e *Engine) request(s *stepState, count int) placement.Request {
+func (e *Engine) request(s *stepState, q *policy.Queue, count int) placement.Request {
+	preference := e.preferenceOf(s, q)
 	return placement.Request{
 		Need: s.charge, Count: count, AllOrNothing: s.spec.Gang, SameRack: s.spec.SameRack,
 		PreferredRack: s.spec.PreferredRack, OffRackMultiplier: e.cfg.OffRackMultiplier, MaxPerWorker: s.spec.MaxPerWorker,
+		Speed: preference.speed, MaxSlowness: preference.maxSlowness,
 	}
 }
 
@@ -198,7 +200,7 @@
 func (e *Engine) candidates(s *stepState, workers []*worker) []placement.Candidate {
 	out := make([]placement.Candidate, len(workers))
 	for i, w := range workers {
-		out[i] = placement.Candidate{Free: w.free(), Rack: w.rack, Slowness: w.health.slowness()}
+		out[i] = placement.Candidate{Free: w.free(), Rack: w.rack, Slowness: w.classSlowness(), Penalty: w.health.slowness()}
 		if s.spec.MaxPerWorker > 0 {
 			out[i].Running = s.tasksOn(w)
 		}
@@ -268,7 +270,7 @@
 	if len(round.workers) <= smallFleet || s.spec.PreferredRack != "" || s.spec.SameRack {
 		return e.eligible(s, round)
 	}
-	return e.bestFitting(s, round)
+	return e.bestFitting(s, q, round)
 }
 
 // eligible returns the usable workers that could hold a task of s, whatever their
@@ -295,11 +297,11 @@
 )
 
 // bestFitting returns a sample of the usable workers that tasks of s fit on now, those on
-// which the least CPU stays unused.
-func (e *Engine) bestFitting(s *stepState, round *placementRound) []*worker {
+// which the least CPU stays unused, of the preferred speed first.
+func (e *Engine) bestFitting(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	var out []*worker
 	fit := 0
-	for w := range round.leastFree(s.charge.CPU) {
+	for w := range round.leastFree(s.charge.CPU, round.classesFor(e.preferenceOf(s, q))) {
 		if !w.usable(e.now) || !w.canHold(s.spec) {
 			continue
 		}
--- /dev/null
+++ b/internal/cell/engine/speed.go
@@ -0,0 +1,220 @@
+package engine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"pollenbend/internal/cell/ordering"
+	"pollenbend/internal/cell/placement"
+	"pollenbend/internal/cell/policy"
+	"pollenbend/internal/cell/runtimes"
+)
+
+// With Features.SpeedPlacement, steps of the highest declared priority take the fastest workers
+// with free resources, and the others the slowest on which they still end in time. Workers
+// are divided into classes of about the same speed, within which they are packed as before.
+
+// speedInterval is the minimum interval between two divisions of a pool's workers into classes.
+const speedInterval = 500 * time.Millisecond
+
+// modelSlowness returns the run time of a task on w as a multiple of that on a worker of
+// ordinary speed, as it is known from finished runs.
+func (e *Engine) modelSlowness(w *worker) float64 {
+	if e.slownessOf != nil {
+		return e.slownessOf(w.id)
+	}
+	return e.runtimes.Slowness(w.id)
+}
+
+// measureSpeeds divides the workers of p into classes by their speed, unless that is recent.
+func (e *Engine) measureSpeeds(p *pool) {
+	if !e.cfg.Features.SpeedPlacement || e.now.Sub(p.speedsAt) < speedInterval {
+		return
+	}
+	p.speedsAt = e.now
+	slowness := make([]float64, len(p.workers))
+	for i, w := range p.workers {
+		slowness[i] = e.modelSlowness(w)
+	}
+	p.speeds = placement.NewClasses(slowness)
+	for i, w := range p.workers {
+		if class := p.speeds.ClassOf(slowness[i]); class != w.speedClass {
+			p.remove(w)
+			w.speedClass = class
+			p.add(w)
+		}
+	}
+}
+
+// classSlowness returns the typical slowness of the class of w.
+func (w *worker) classSlowness() float64 {
+	if w.pool == nil {
+		return 1
+	}
+	return w.pool.speeds.Slowness(w.speedClass)
+}
+
+// speedPreference tells which workers a step prefers.
+type speedPreference struct {
+	speed       placement.Speed
+	maxSlowness float64 // slowness up to which its tasks end in time
+}
+
+// endQuantile is the quantile of the run time of a task that counts for whether it ends in time.
+const endQuantile = 0.9
+
+// preferenceOf returns which workers s prefers. Fast workers are of no use to a step that comes
+// too late for its caller.
+func (e *Engine) preferenceOf(s *stepState, q *policy.Queue) speedPreference {
+	if !e.cfg.Features.SpeedPlacement {
+		return speedPreference{speed: placement.AvoidSlow}
+	}
+	timeliness := ordering.TimelinessOf(s.urgency, e.now)
+	p := speedPreference{placement.PreferSlow, e.maxSlowness(s, timeliness)}
+	if q.Priority == e.highestPriority(q.Service) && timeliness != ordering.TooLate {
+		p.speed = placement.PreferFast
+	}
+	return p
+}
+
+// highestPriority returns the highest priority of the queues of a service.
+func (e *Engine) highestPriority(service string) int {
+	highest := math.MaxInt
+	for i := range e.policy.Queues {
+		if q := &e.policy.Queues[i]; q.Service == service {
+			highest = min(highest, q.Priority)
+		}
+	}
+	return highest
+}
+
+// maxSlowness returns the slowness of a worker on which a task of s that is placed now ends in
+// time. For a step that is late it is that on which it is still useful to its caller, and
+// for one that comes too late any. A task without an expected end is not put on slow workers.
+func (e *Engine) maxSlowness(s *stepState, timeliness ordering.Timeliness) float64 {
+	if s.spec.LongRunning {
+		return 1
+	}
+	left := s.urgency.Objective
+	switch timeliness {
+	case ordering.Late:
+		left *= ordering.LateMultiplier
+	case ordering.TooLate:
+		return math.Inf(1)
+	}
+	left -= e.now.Sub(s.urgency.Arrived) + e.storeLatency + dispatchTime
+	first, after := e.expectedRuntimeAt(s, 1, endQuantile), e.criticalPathFrom(s)-e.expectedRuntimeAt(s, 1, 0.5)
+	if first <= 0 {
+		return math.Inf(1)
+	}
+	return float64(left-max(0, after)) / float64(first)
+}
+
+// expectedRuntimeAt returns the run time of a task of s that it does not exceed with
+// probability p on a worker of the given slowness.
+func (e *Engine) expectedRuntimeAt(s *stepState, slowness, p float64) time.Duration {
+	j := s.job()
+	expected := e.estimator.expect(j.queue, s.spec.Estimate)
+	if e.cfg.Features.LearnedRuntimes {
+		t := runtimes.Task{Queue: j.queue, Team: j.team, Image: s.spec.Image, Step: s.name, CPU: s.charge.CPU, Estimate: s.spec.Estimate}
+		expected = e.runtimes.Expect(t, "").Quantile(p)
+	}
+	return time.Duration(slowness * float64(expected))
+}
+
+// late reports whether tasks of a step with preference p do not end in time on workers of the
+// given slowness.
+func (p speedPreference) late(slowness float64) bool { return slowness > p.maxSlowness }
+
+// classesFor returns the classes of the workers of p in the order in which a step with the given
+// preference uses them.
+func (p *pool) classesFor(preference speedPreference) []int {
+	n := p.speeds.Count()
+	order := make([]int, 0, n)
+	slowestInTime := n - 1
+	for slowestInTime >= 0 && preference.late(p.speeds.Slowness(slowestInTime)) {
+		slowestInTime--
+	}
+	if preference.speed != placement.PreferSlow {
+		slowestInTime = -1
+	}
+	for class := slowestInTime; class >= 0; class-- {
+		order = append(order, class)
+	}
+	for class := slowestInTime + 1; class < n; class++ {
+		order = append(order, class)
+	}
+	return order
+}
+
+// rankQuota returns how many workers of classes[n] rankForAdvice chooses among when it may still
+// choose among left workers: an equal part, or more if the following classes leave more.
+func (p *pool) rankQuota(classes []int, n, left int) int {
+	following := 0
+	for _, class := range classes[n+1:] {
+		following += p.classSize(class)
+	}
+	return max(left/(len(classes)-n), left-following)
+}
+
+// sortByPreference sorts workers that the adviser may be asked about: those with free capacity
+// by class, then the others by class, and within a class those with the most capacity first.
+// Without the free capacity of other classes an urgent step would wait for a fast worker.
+// classes are in the order of preference.
+func (e *Engine) sortByPreference(s *stepState, q *policy.Queue, ranked []rankedWorker, classes []int) {
+	byScore := func(a, b rankedWorker) int { return cmp.Compare(b.score, a.score) }
+	if len(classes) == 1 {
+		slices.SortStableFunc(ranked, byScore)
+		return
+	}
+	if s.spec.Gang {
+		room := make([]float64, len(classes))
+		share := e.goodShare(q.Name)
+		for _, r := range ranked {
+			room[r.speedClass] += share * r.room
+		}
+		classes = sufficientFirst(classes, room, float64(s.waiting))
+	}
+	order := positions(classes)
+	tier := func(r rankedWorker) int {
+		if r.room < 1 { // the steps whose calls are pending will use what is free
+			return len(classes) + order[r.speedClass]
+		}
+		return order[r.speedClass]
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedWorker) int { return cmp.Or(cmp.Compare(tier(a), tier(b)), byScore(a, b)) })
+}
+
+// sufficientFirst returns classes with the first one first whose room, by class, is enough for a
+// gang of the given number of tasks, so that the gang need not be mixed.
+func sufficientFirst(classes []int, room []float64, count float64) []int {
+	i := slices.IndexFunc(classes, func(class int) bool { return room[class] >= count })
+	if i <= 0 {
+		return classes
+	}
+	return append([]int{classes[i]}, slices.Delete(slices.Clone(classes), i, i+1)...)
+}
+
+// positions returns the position of each class in classes.
+func positions(classes []int) []int {
+	order := make([]int, len(classes))
+	for i, class := range classes {
+		order[class] = i
+	}
+	return order
+}
+
+// expiredOrder returns by class the order in which the tickets of s for workers are renewed.
+func (e *Engine) expiredOrder(s *stepState, q *policy.Queue, round *placementRound, workers []*worker) []int {
+	classes := round.classesFor(e.preferenceOf(s, q))
+	if s.spec.Gang {
+		room := make([]float64, len(classes))
+		for _, w := range workers {
+			room[w.speedClass] += float64(tasksThatFit(s, w, w.free()))
+		}
+		classes = sufficientFirst(classes, room, float64(s.waiting))
+	}
+	return positions(classes)
+}
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -149,8 +149,7 @@
 	if !known {
 		return false
 	}
-	fullRuntime := e.expectedRuntime(r)
-	return float64(remaining) > speculationMinRatio*float64(fullRuntime)
+	return float64(remaining) > speculationMinRatio*float64(e.shortestNewRun(r))
 }
 
 // placeSpeculativeRun plans a speculative run for the task of r if a worker is free for
@@ -160,7 +159,7 @@
 	if round.speculativeBudget <= 0 || len(e.withinLimit(s, []*task{r.task})) == 0 {
 		return
 	}
-	for _, w := range e.placeableWorkers(s, q, round) {
+	for _, w := range e.fasterWorkers(r, e.placeableWorkers(s, q, round)) {
 		if w == r.worker || w.closedTo(s.job()) || !s.charge.Fits(w.free()) || w.health.failures > 0 {
 			continue
 		}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -21,7 +21,8 @@
 	used             job.Resources
 	heldForGangs     job.Resources // kept free for gangs in this placement round
 	pool             *pool         // nil for a worker that was not listed when the pools were built
-	poolIndex        int           // index of its list in pool.byFreeCPU
+	speedClass       int           // index of its class in pool.byFreeCPU
+	poolIndex        int           // index of its list in those of its class
 	poolSlot         int           // its index in that list
 	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
 	runs             []*run        // in the order in which they were planned
--- a/internal/cell/placement/placement.go
+++ b/internal/cell/placement/placement.go
@@ -14,7 +14,8 @@
 type Candidate struct {
 	Free     job.Resources
 	Rack     string
-	Slowness float64 // expected run time relative to a healthy worker's, at least 1
+	Slowness float64 // expected run time relative to that on a worker of ordinary speed
+	Penalty  float64 // expected run time relative to that on a healthy worker, at least 1; zero counts as 1
 	AtStake  float64 // work on the worker that should not be put at risk, in core-seconds
 	Running  int     // number of tasks of the step that already run on the worker
 }
@@ -28,12 +29,10 @@
 	PreferredRack     string        // empty for no preference
 	OffRackMultiplier float64       // run time outside the preferred rack relative to that inside
 	MaxPerWorker      int           // zero for no limit
+	Speed             Speed         // which workers to prefer
+	MaxSlowness       float64       // slowness up to which the tasks end in time; ignored for AvoidSlow
 }
 
-// slownessBucket is the width of the ranges of slowness within which workers count
-// as equally fast. It is less than the spread among healthy workers.
-const slownessBucket = 0.15
-
 // Place returns the index of a candidate for each task that it places, at most
 // Request.Count. With Request.AllOrNothing it returns nil unless all tasks are placed.
 func Place(req Request, candidates []Candidate) []int {
@@ -54,7 +53,8 @@
 	return all
 }
 
-// onOneRack returns a complete placement on a single rack, or nil.
+// onOneRack returns a complete placement on a single rack, or nil. Of the racks that can hold
+// all tasks it takes the one whose least preferred worker is preferred most.
 func onOneRack(req Request, candidates []Candidate) []int {
 	racks := make(map[string][]int)
 	var names []string
@@ -66,25 +66,35 @@
 	}
 	sort.Strings(names)
 	req.AllOrNothing = true
+	var best []int
+	var bestRank rank
 	for _, name := range names {
-		if chosen := place(req, candidates, racks[name]); chosen != nil {
+		chosen := place(req, candidates, racks[name])
+		if chosen == nil {
+			continue
+		}
+		if req.Speed == AvoidSlow {
 			return chosen
 		}
+		if worst := worstRank(req, candidates, chosen); best == nil || worst.compare(bestRank) < 0 {
+			best, bestRank = chosen, worst
+		}
 	}
-	return nil
+	return best
 }
 
 // option is a candidate on which at least one task fits.
 type option struct {
 	index     int
 	atStake   float64
-	fit       int     // number of tasks that fit
-	score     float64 // expected relative run time, lower is better
-	unusedCPU int64   // CPU that remains when the candidate is filled with such tasks
+	fit       int // number of tasks that fit
+	rank      rank
+	unusedCPU int64 // CPU that remains when the candidate is filled with such tasks
 }
 
 // place places the tasks of req on the candidates whose indexes are in among: on those with
-// the least at stake first, among these on the fastest, among equally fast ones on those where the least CPU stays unused.
+// the least at stake first, among these on those of the preferred speed, among equally fast ones on those
+// where the least CPU stays unused.
 func place(req Request, candidates []Candidate, among []int) []int {
 	options := make([]option, 0, len(among))
 	total := 0
@@ -95,15 +105,11 @@
 			continue
 		}
 		total += fit
-		score := c.Slowness
-		if req.PreferredRack != "" && c.Rack != req.PreferredRack {
-			score *= max(1, req.OffRackMultiplier)
-		}
 		unusedCPU := c.Free.CPU
 		if req.Need.CPU > 0 {
 			unusedCPU -= int64(fit) * req.Need.CPU
 		}
-		options = append(options, option{i, c.AtStake, fit, score, unusedCPU})
+		options = append(options, option{i, c.AtStake, fit, rankOf(req, c), unusedCPU})
 	}
 	if total == 0 || req.AllOrNothing && total < req.Count {
 		return nil
@@ -113,9 +119,8 @@
 		if x.atStake != y.atStake {
 			return x.atStake < y.atStake
 		}
-		bucketX, bucketY := int(x.score/slownessBucket), int(y.score/slownessBucket)
-		if bucketX != bucketY {
-			return bucketX < bucketY
+		if order := x.rank.compare(y.rank); order != 0 {
+			return order < 0
 		}
 		if x.unusedCPU != y.unusedCPU {
 			return x.unusedCPU < y.unusedCPU
@@ -125,6 +130,9 @@
 		}
 		return x.index < y.index
 	})
+	if req.AllOrNothing && req.Speed != AvoidSlow {
+		options = atOnePace(req, options)
+	}
 	chosen := make([]int, 0, req.Count)
 	for _, o := range options {
 		for n := 0; n < o.fit && len(chosen) < req.Count; n++ {
