--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -352,7 +352,7 @@
 func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	ahead := (s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold) && !e.knowsEnoughWorkers(s)
 	class := callClass(q.Advice.Base)
-	classes := round.classesFor(e.preferenceOf(s, q))
+	classes := round.classesFor(e.preferenceAfterCall(s, q))
 	ranked := make([]rankedWorker, 0, min(maxRankedWorkers, len(round.workers)))
 	for n, speedClass := range classes {
 		limit := len(ranked) + round.rankQuota(classes, n, maxRankedWorkers-len(ranked))
--- a/internal/cell/engine/speed.go
+++ b/internal/cell/engine/speed.go
@@ -90,6 +90,15 @@
 	return highest
 }
 
+// preferenceAfterCall returns which workers s will prefer when a call to the adviser has returned.
+func (e *Engine) preferenceAfterCall(s *stepState, q *policy.Queue) speedPreference {
+	p := e.preferenceOf(s, q)
+	if first := e.expectedRuntimeAt(s, 1, endQuantile); first > 0 && !s.spec.LongRunning {
+		p.maxSlowness -= float64(q.Advice.CallDuration(min(gangCallSize, max(minWorkersAsked, s.waiting)))) / float64(first)
+	}
+	return p
+}
+
 // maxSlowness returns the slowness of a worker on which a task of s that is placed now ends in
 // time. For a step that is late it is that on which it is still useful to its caller, and
 // for one that comes too late any. A task without an expected end is not put on slow workers.
@@ -162,20 +171,21 @@
 // sortByPreference sorts workers that the adviser may be asked about: those with free capacity
 // by class, then the others by class, and within a class those with the most capacity first.
 // Without the free capacity of other classes an urgent step would wait for a fast worker.
-// classes are in the order of preference.
+// A gang for which no class has enough prefers none, as its calls are long and others take what
+// is free meanwhile. classes are in the order of preference.
 func (e *Engine) sortByPreference(s *stepState, q *policy.Queue, ranked []rankedWorker, classes []int) {
 	byScore := func(a, b rankedWorker) int { return cmp.Compare(b.score, a.score) }
-	if len(classes) == 1 {
-		slices.SortStableFunc(ranked, byScore)
-		return
-	}
-	if s.spec.Gang {
+	if s.spec.Gang && len(classes) > 1 {
 		room := make([]float64, len(classes))
 		share := e.goodShare(q.Name)
 		for _, r := range ranked {
 			room[r.speedClass] += share * r.room
 		}
-		classes = sufficientFirst(classes, room, float64(s.waiting))
+		classes = sufficientFirst(classes, room, askMultiplier*float64(s.waiting))
+	}
+	if len(classes) <= 1 {
+		slices.SortStableFunc(ranked, byScore)
+		return
 	}
 	order := positions(classes)
 	tier := func(r rankedWorker) int {
@@ -188,11 +198,12 @@
 }
 
 // sufficientFirst returns classes with the first one first whose room, by class, is enough for a
-// gang of the given number of tasks, so that the gang need not be mixed.
+// gang of the given number of tasks, so that the gang need not be mixed. It returns nil if there
+// is none.
 func sufficientFirst(classes []int, room []float64, count float64) []int {
 	i := slices.IndexFunc(classes, func(class int) bool { return room[class] >= count })
-	if i <= 0 {
-		return classes
+	if i < 0 {
+		return nil
 	}
 	return append([]int{classes[i]}, slices.Delete(slices.Clone(classes), i, i+1)...)
 }
@@ -214,7 +225,9 @@
 		for _, w := range workers {
 			room[w.speedClass] += float64(tasksThatFit(s, w, w.free()))
 		}
-		classes = sufficientFirst(classes, room, float64(s.waiting))
+		if one := sufficientFirst(classes, room, float64(s.waiting)); one != nil {
+			classes = one
+		}
 	}
 	return positions(classes)
 }
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -101,6 +101,9 @@
 		w.t.Errorf("%s started %v after its cancellation", a.Task, w.now.Sub(at))
 	}
 	r := &simRun{task: a.Task, run: a.Run, startedAt: w.now, runtime: step.Estimate, need: step.Need, longRunning: step.LongRunning, fails: w.rand.Float64() < w.failureRatio}
+	if w.runtimeOf != nil {
+		r.runtime = w.runtimeOf(a.Task, r.runtime)
+	}
 	if step.Gang {
 		key := fmt.Sprintf("%s/%d", ref.StepRef, a.Run)
 		g := w.gangs[key]
