--- a/internal/cell/engine/engine_test.go
+++ b/internal/cell/engine/engine_test.go
@@ -247,7 +247,10 @@
 // runRandomFaults submits random jobs while injecting random faults, and checks that
 // every accepted job reaches a final state.
 func runRandomFaults(t *testing.T, seed uint64) *world {
-	w := newWorld(t, 6, seed)
+	return runRandomFaultsIn(t, newWorld(t, 6, seed), seed)
+}
+
+func runRandomFaultsIn(t *testing.T, w *world, seed uint64) *world {
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	queues := []string{"urgent", "gangs", "batch", "advised"}
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -180,13 +180,25 @@
 func BenchmarkRound(b *testing.B) {
 	for _, workers := range []int{300, 1100, 3000, 12_000} {
 		for _, steps := range []int{1500, 5000} {
-			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) { benchmarkRound(b, workers, steps) })
+			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) { benchmarkRound(b, newLargeWorld(b, workers), steps) })
 		}
 	}
 }
 
-func benchmarkRound(b *testing.B, workers, steps int) {
-	w := newLargeWorld(b, workers)
+// BenchmarkRoundWithSpeeds measures the same on a fleet of three speeds.
+func BenchmarkRoundWithSpeeds(b *testing.B) {
+	for _, steps := range []int{1500, 5000} {
+		b.Run(fmt.Sprintf("12000-workers-%d-steps", steps), func(b *testing.B) {
+			w := newLargeWorld(b, 12_000)
+			w.useSpeeds()
+			w.startLeader()
+			w.run(time.Second)
+			benchmarkRound(b, w, steps)
+		})
+	}
+}
+
+func benchmarkRound(b *testing.B, w *world, steps int) {
 	e := w.engine
 	var running []*run
 	for _, worker := range e.workerList {
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -19,6 +19,7 @@
 	drains         bool // workers drain, and others replace them
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
 	cuts           bool // workers are behind cuts that refuse connections
+	speeds         bool // tasks are placed by the speeds of the workers, which seem to change
 	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
@@ -26,6 +27,9 @@
 // or overtaken, workers restart and leaders change, and checks the rules on runs.
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
+	if o.speeds {
+		w.useChangingSpeeds(seed)
+	}
 	n := w.useNetwork(seed)
 	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
 	if o.crashes {
@@ -299,3 +303,13 @@
 func TestRandomRefusalsWithDrains(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
 }
+
+// Workers seem to become faster and slower, and tasks are placed by it.
+func TestRandomRefusalsWithSpeeds(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{speeds: true, restartsKeepID: true, drains: true})
+}
+
+// The same with tasks that crash workers.
+func TestRandomRefusalsWithSpeedsAndCrashes(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{speeds: true, crashes: true})
+}
--- a/internal/cell/engine/speed_world_test.go
+++ b/internal/cell/engine/speed_world_test.go
@@ -61,13 +61,28 @@
 		}
 		return time.Duration(factor * float64(estimate))
 	}
+	w.useSpeeds()
 	w.features.SpeedPlacement, w.slowestMemberCounts = on, true
-	w.slownessOf = func(id string) float64 { return unevenSlowness[speedOf(id)] * math.Exp(0.1*normalOf(id)) }
 	w.startLeader()
 	w.run(time.Second)
 	return w
 }
 
+// useSpeeds makes the next leader place tasks by the speeds of speedOf, which it knows with an
+// error of 0.1.
+func (w *world) useSpeeds() {
+	w.features.SpeedPlacement = true
+	w.slownessOf = func(id string) float64 { return unevenSlowness[speedOf(id)] * math.Exp(0.1*normalOf(id)) }
+}
+
+// useChangingSpeeds makes the next leader place tasks by speeds that change every second.
+func (w *world) useChangingSpeeds(seed uint64) {
+	w.features.SpeedPlacement = true
+	w.slownessOf = func(id string) float64 {
+		return math.Exp(0.6 * normalOf(fmt.Sprint(seed, id, w.now.Sub(w.startTime).Truncate(time.Second))))
+	}
+}
+
 func unevenPolicy() *policy.Policy {
 	ttl := 1500 * time.Millisecond
 	advice := func(base, perWorker time.Duration) *policy.AdviceCost {
