Place tasks by what the speed of a worker is worth to them

Cause: on workers of 0.6, 1.0 and 1.6 times the ordinary speed, urgent runs are spread evenly, so that those on slow workers end late, and nearly all gangs mix speeds and run at the pace of their slowest member.

Change, with Features.SpeedPlacement: workers are divided into classes at the minima of the smoothed distribution of their slowness. Steps of the highest priority take the fastest class with room, others the slowest on which they end in time, gangs one class if one suffices. The ranking for the adviser, the samples of large fleets and speculative runs follow the same preference. Without the feature all workers are of one class and each choice is as before.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -272,9 +272,9 @@
 	return max(0, n)
 }
 
-// largestFirst returns enough of workers to hold need tasks, those of the first classes in
-// the order and among these those that hold the most tasks first, and spareRenewedTickets more. It returns at most as many workers as
-// maxCalls calls accept.
+// largestFirst returns enough of workers to hold need tasks, and spareRenewedTickets more: those
+// whose speed class is first in the order, which is given by class, and of a class those that hold
+// the most tasks. It returns at most as many workers as maxCalls calls accept.
 func largestFirst(s *stepState, workers []*worker, need int, order []int) []*worker {
 	slices.SortStableFunc(workers, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(order[a.speedClass], order[b.speedClass]), cmp.Compare(tasksThatFit(s, b, b.free()), tasksThatFit(s, a, a.free())))
--- a/internal/cell/engine/speed.go
+++ b/internal/cell/engine/speed.go
@@ -187,7 +187,7 @@
 		slices.SortStableFunc(ranked, byScore)
 		return
 	}
-	order := positions(classes)
+	order := positions(classes, len(classes))
 	tier := func(r rankedWorker) int {
 		if r.room < 1 { // the steps whose calls are pending will use what is free
 			return len(classes) + order[r.speedClass]
@@ -208,20 +208,26 @@
 	return append([]int{classes[i]}, slices.Delete(slices.Clone(classes), i, i+1)...)
 }
 
-// positions returns the position of each class in classes.
-func positions(classes []int) []int {
-	order := make([]int, len(classes))
+// positions returns the position in classes of each class below n. A class that is not in it has
+// the first one.
+func positions(classes []int, n int) []int {
+	order := make([]int, n)
 	for i, class := range classes {
 		order[class] = i
 	}
 	return order
 }
 
-// expiredOrder returns by class the order in which the tickets of s for workers are renewed.
+// expiredOrder returns by class the order in which the tickets of s for workers are renewed. A
+// worker may have moved to another service, which has more classes.
 func (e *Engine) expiredOrder(s *stepState, q *policy.Queue, round *placementRound, workers []*worker) []int {
 	classes := round.classesFor(e.preferenceOf(s, q))
+	n := len(classes)
+	for _, w := range workers {
+		n = max(n, w.speedClass+1)
+	}
 	if s.spec.Gang {
-		room := make([]float64, len(classes))
+		room := make([]float64, n)
 		for _, w := range workers {
 			room[w.speedClass] += float64(tasksThatFit(s, w, w.free()))
 		}
@@ -229,5 +235,5 @@
 			classes = one
 		}
 	}
-	return positions(classes)
+	return positions(classes, n)
 }
--- a/internal/cell/placement/placement.go
+++ b/internal/cell/placement/placement.go
@@ -1,7 +1,8 @@
 // Package placement chooses workers for the tasks of a step. It is designed for a
 // fleet that is nearly full with tasks of very different sizes: best-fit packing
 // puts small tasks where they leave the least CPU unused, so that large blocks
-// of capacity stay free for large tasks. A gang is placed entirely or not at all.
+// of capacity stay free for large tasks. A gang is placed entirely or not at all. On workers of
+// different speeds, urgent tasks get fast workers and others the slowest that suffice.
 package placement
 
 import (
