--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -20,6 +20,7 @@
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
 	cuts           bool // workers are behind cuts that refuse connections
 	evacuations    bool // availability zones are evacuated
+	speeds         bool // tasks are placed by the speeds of the workers, which seem to change
 	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
@@ -27,6 +28,10 @@
 // or overtaken, workers restart and leaders change, and checks the rules on runs.
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
+	if o.speeds {
+		w.features.SpeedPlacement = true
+		w.slownessOf = func(id string) float64 { return 0.3 + 3*seeded(fmt.Sprint(seed, id, w.now.Unix())).Float64() }
+	}
 	n := w.useNetwork(seed)
 	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
 	if o.crashes {
@@ -310,3 +315,9 @@
 func TestRandomRefusalsWithEvacuations(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true, evacuations: true})
 }
+
+// Tasks are placed by the speeds of workers, which seem to change.
+func TestRandomRefusalsWithSpeeds(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{speeds: true, restartsKeepID: true, drains: true})
+	runRefusalSeeds(t, refusalOptions{speeds: true, crashes: true})
+}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -69,6 +69,7 @@
 	rackOf           func(id string) string
 	evacuatedSince   map[string]time.Time     // by availability zone
 	cold             map[string]time.Duration // how much longer workers are slow after their start
+	slownessOf       func(id string) float64  // what the engine takes for a worker's slowness; if nil, what it has learned
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -227,6 +228,7 @@
 	cfg.Now = func() time.Time { return w.now }
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	w.engine = New(cfg, log, func() int64 { return w.now.UnixMilli() }, w.now)
+	w.engine.slownessOf = w.slownessOf
 	debugLog(w.t, w)
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
 	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
