--- /dev/null
+++ b/internal/cell/admission/contention.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// Contention describes the work that competes with a new job: what the fleet has left
+// for it, and what is placed before it.
+type Contention struct {
+	Capacity       float64 // cores of the usable workers that can hold one of the job's tasks
+	PackedCapacity float64 // part of Capacity that tasks like the job's would use if nothing else ran
+	// Room is the number of cores that tasks like the job's can use at once, without what
+	// is held or reserved for others. ClaimedCores is the part of AheadCores that will use
+	// that room before the job: tasks that no placement round has tried and tasks that wait
+	// for the adviser. The other tasks ahead could not use it.
+	Room, ClaimedCores    float64
+	AheadCores, AheadWork float64 // cores and core-seconds of the waiting tasks that are placed before the job
+	ArrivingCores         float64 // expected number of cores that newly arriving work which is placed before the job occupies
+	BlockedCores          float64 // cores that teams at their limits keep, as more of their work waits
+	GoodRatio             float64 // part of the workers that the adviser finds good for the job; 1 without an adviser
+	AdviceWait            time.Duration
+	// RecentWait is the time that tasks of the job's priority which started lately had
+	// waited for other reasons than their team's limit.
+	RecentWait time.Duration
+	// TeamWait is the time until the work of the job's team that is placed before it leaves
+	// enough of the team's limit, see LimitSchedule.
+	TeamWait time.Duration
+}
+
+// Contender is the job to decide on.
+type Contender struct {
+	ID              string
+	Cores           float64       // cores of its first tasks
+	Work            float64       // core-seconds of these
+	TypicalWork     float64       // core-seconds of the first tasks of an average job of its queue; zero if unknown
+	TimeToEnd       time.Duration // from its placement on an idle fleet until its end
+	Objective       time.Duration // target time from its arrival to its end
+	OverEntitlement bool          // exceeds the entitlement of its team
+	Gang            bool          // its first tasks start together
+}
+
+// The reasons for which Contend refuses a job.
+const (
+	ReasonNoWorker    = "no worker is usable"
+	ReasonEntitlement = "the team is beyond its allowance and the fleet is full"
+	ReasonTooLate     = "it would end too late"
+	ReasonTeamLimit   = "the work of its team fills the team's limit for too long"
+)
+
+const (
+	// minSizeRatio is the part of its slack that the largest job may wait. Jobs above the
+	// typical size of their queue are refused earlier, as each displaces several others.
+	minSizeRatio = 0.5
+	// retrySpread is the part by which retry delays differ in both directions.
+	retrySpread = 0.25
+)
+
+// Contend decides whether job j is accepted beside the work that competes with it.
+func Contend(j Contender, l Contention) Decision {
+	if l.Capacity <= 0 {
+		return Decision{Reason: ReasonNoWorker, RetryAfter: RetryDelay(j.ID, 0)}
+	}
+	fleet, fits := fleetWait(j, l)
+	d := Decision{Wait: max(fleet, l.TeamWait) + l.AdviceWait}
+	bearable := bearableWait(j)
+	switch {
+	case j.OverEntitlement && !fits:
+		d.Reason = ReasonEntitlement
+		if l.TeamWait > fleet {
+			d.Reason = ReasonTeamLimit
+		}
+	case d.Wait <= bearable:
+		d.Accept = true
+		return d
+	case l.TeamWait > fleet:
+		d.Reason = ReasonTeamLimit
+	case j.OverEntitlement:
+		d.Reason = ReasonEntitlement
+	default:
+		d.Reason = ReasonTooLate
+	}
+	d.RetryAfter = RetryDelay(j.ID, d.Wait-bearable)
+	return d
+}
+
+// bearableWait returns how long j may wait in the queue.
+func bearableWait(j Contender) time.Duration {
+	slack := max(0, j.Objective-j.TimeToEnd)
+	if j.OverEntitlement {
+		return min(slack, overEntitlementMaxWait)
+	}
+	ratio := 1.0
+	if j.TypicalWork > 0 && j.Work > j.TypicalWork {
+		ratio = max(minSizeRatio, math.Sqrt(j.TypicalWork/j.Work))
+	}
+	return time.Duration(ratio * float64(slack))
+}
+
+// fleetWait returns how long j waits for cores, and whether there is room for it at once.
+func fleetWait(j Contender, l Contention) (time.Duration, bool) {
+	left := max(0, l.Room-l.ClaimedCores)
+	if j.Cores <= left {
+		return 0, true
+	}
+	work := j.Work * (1 - left/j.Cores) / max(0.01, l.GoodRatio)
+	rate := max(l.Capacity*packingRatio-l.ArrivingCores-l.BlockedCores, l.Capacity*minCapacityRatio)
+	switch {
+	case j.Gang:
+		// It waits until tasks that start now have ended too, on the cores that it can use.
+		work += l.AheadWork
+		rate = min(rate, l.PackedCapacity)
+	case l.AheadCores > 0:
+		work += l.AheadWork * (1 - min(l.Room, l.ClaimedCores)/l.AheadCores)
+	}
+	wait := seconds(work / rate)
+	if l.AheadCores > 0 {
+		wait = max(wait, l.RecentWait)
+	}
+	return wait, false
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// RetryDelay returns the delay for a job that would wait for excess longer than it can.
+// The bounds hold with the spread, so that the delays differ at the bounds too.
+func RetryDelay(id string, excess time.Duration) time.Duration {
+	lowest := minRetryDelay.Seconds() / (1 - retrySpread)
+	highest := maxRetryDelay.Seconds() / (1 + retrySpread)
+	d := Spread(id, seconds(min(highest, max(lowest, excess.Seconds()))))
+	return min(maxRetryDelay, max(minRetryDelay, d)) // rounding may pass the bounds
+}
+
+// Spread changes a delay by up to retrySpread in both directions. The change depends only
+// on the job's id, so that callers which are refused together come back at different times.
+func Spread(id string, d time.Duration) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 32 // consecutive ids differ in the low bits alone
+	x *= 0x9e3779b97f4a7c15
+	part := float64(x>>11) / (1 << 53)
+	return time.Duration(float64(d) * (1 - retrySpread + 2*retrySpread*part))
+}
--- a/internal/cell/advice/advice.go
+++ b/internal/cell/advice/advice.go
@@ -99,3 +99,20 @@
 	}
 	return best
 }
+
+// Wait returns the shortest time until a delegate that may take a call of the given expected
+// duration is free. It is zero if there are no delegates.
+func Wait(delegates []*Delegate, now time.Time, expectedDuration time.Duration) time.Duration {
+	first := 0
+	if expectedDuration >= LongCallThreshold && len(delegates) > 1 {
+		first = int(float64(len(delegates))*shortOnlyRatio + 0.5)
+	}
+	best := time.Duration(-1)
+	for _, d := range delegates[first:] {
+		wait := max(0, d.busyUntil.Sub(now), d.backoffUntil.Sub(now))
+		if best < 0 || wait < best {
+			best = wait
+		}
+	}
+	return max(0, best)
+}
--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -25,7 +25,11 @@
 	}
 	criticalPath := slices.Max(e.criticalPathsOf(spec))
 	if delay := e.exposureDelay(q); delay > ordering.LateMultiplier*objective(q, criticalPath)-criticalPath {
-		return "tasks of the queue crash workers, and it would end too late", min(delay, maxExposureRetryAfter)
+		return "tasks of the queue crash workers, and it would end too late", e.retryAfter(spec.ID, min(delay, maxExposureRetryAfter))
+	}
+	if e.contention != nil {
+		decision := e.admitByContention(spec, q, criticalPath)
+		return decision.Reason, decision.RetryAfter
 	}
 	first := widest(spec)
 	load := e.loadFor(q, first)
--- a/internal/cell/engine/backlog.go
+++ b/internal/cell/engine/backlog.go
@@ -86,6 +86,7 @@
 	d := e.demandAt(q.Priority)
 	d.arrivalRate = d.rate(e.now) + total/arrivalWindow.Seconds()
 	d.arrivalRateAt = e.now
+	e.countContender(o, q, total)
 	if !o.job.overEntitlement {
 		d.waitingWork += total
 		for _, s := range o.steps {
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -28,6 +28,7 @@
 	r.worker.setUsed(r.worker.used.Add(r.charge))
 	team := r.task.step.job().team
 	e.usage[team] = e.usage[team].Add(r.task.step.spec.Need)
+	e.contention.runReserved(r)
 }
 
 // sendStart sends the start command for a run whose record is stored. It ends the run
--- /dev/null
+++ b/internal/cell/engine/contention_room.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pollenbend/internal/cell/job"
+)
+
+// room is the free capacity of the workers of a service at the last measurement.
+type room struct {
+	workers []roomWorker // with free CPU or with tasks that need none; those with the most whole cores free first
+	// capacity holds the cores of the workers by their capacity, for each label that
+	// jobs have asked for. The empty label stands for all workers.
+	capacity map[string]map[job.Resources]float64
+}
+
+// roomWorker is a usable worker.
+type roomWorker struct {
+	free   job.Resources // without what is held or reserved for gangs
+	unheld job.Resources // free, and what is held for gangs
+	*worker
+}
+
+// newRoom returns the room on the workers of p.
+func newRoom(p *pool, now time.Time) *room {
+	r := &room{workers: make([]roomWorker, 0, len(p.workers)), capacity: make(map[string]map[job.Resources]float64)}
+	for w := range p.mostFree() {
+		if w.usable(now) && !w.overcommitted() {
+			r.workers = append(r.workers, roomWorker{w.free(), w.capacity.Sub(w.used), w})
+		}
+	}
+	return r
+}
+
+// roomOf returns the room of a service.
+func (e *Engine) roomOf(service string) *room {
+	r := e.contention.rooms[service]
+	if r == nil {
+		r = newRoom(e.poolOf(service), e.now)
+		e.contention.rooms[service] = r
+	}
+	return r
+}
+
+// capacityFor returns the cores of the workers that could run a task of s if they were idle,
+// and the part of these that such tasks would use if nothing else ran.
+func (r *room) capacityFor(s *job.Step, p *pool, now time.Time) (sum, packed float64) {
+	byCapacity := r.capacity[s.Label]
+	if byCapacity == nil {
+		byCapacity = make(map[job.Resources]float64)
+		for _, w := range p.workers {
+			if !w.draining && w.missedRenewals == 0 && !w.health.quarantined(now) && (s.Label == "" || slices.Contains(w.labels, s.Label)) {
+				byCapacity[w.capacity] += float64(w.capacity.CPU) / 1000
+			}
+		}
+		r.capacity[s.Label] = byCapacity
+	}
+	charge := s.Charge()
+	for capacity, cores := range byCapacity {
+		if charge.Fits(capacity) {
+			sum += cores
+			packed += cores
+			if charge.CPU > 0 {
+				packed -= cores * (1 - float64(charge.CPU*int64(charge.CountIn(capacity, math.MaxInt)))/float64(capacity.CPU))
+			}
+		}
+	}
+	return sum, packed
+}
+
+// coresFor returns the free cores that tasks like those of s can use, at least up to enough
+// if there are so many. unheld counts what is held for gangs too.
+func (r *room) coresFor(s *job.Step, unheld bool, enough float64) float64 {
+	charge := s.Charge()
+	cores, atOnce := float64(charge.CPU)/1000, s.Count
+	if s.MaxPerWorker > 0 {
+		atOnce = min(atOnce, s.MaxPerWorker)
+	}
+	if cores <= 0 {
+		return math.Inf(1) // CPU does not limit it
+	}
+	sum := 0.0
+	for i := range r.workers {
+		w := &r.workers[i]
+		if coresFree(w.unheld.CPU) < coresFree(charge.CPU) {
+			break
+		}
+		free := w.free
+		if unheld {
+			free = w.unheld
+		}
+		n := charge.CountIn(free, atOnce)
+		if n == 0 || s.Label != "" && !slices.Contains(w.labels, s.Label) {
+			continue
+		}
+		if sum += cores * float64(n); sum >= enough {
+			break
+		}
+	}
+	return sum
+}
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -123,6 +123,7 @@
 	}
 	team := t.step.job().team
 	e.usage[team] = e.usage[team].Sub(t.step.spec.Need)
+	e.contention.runReleased(r)
 	if !t.done && !t.hasRuns() {
 		t.step.waiting++
 		e.reopen(t.step)
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -36,8 +36,9 @@
 	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration // how long the state of an ended job is kept
 	Features                Features
-	Now                     func() time.Time // measures the duration of a placement round
-	CountCrash              func(CrashEvent) // counts what the engine finds out about crashes; nil for no counts
+	Now                     func() time.Time    // measures the duration of a placement round
+	CountCrash              func(CrashEvent)    // counts what the engine finds out about crashes; nil for no counts
+	CountRefused            func(reason string) // counts a refused job, see refusalLabels; nil for no counts
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -94,6 +95,7 @@
 	runtimes        runtimes.Model
 	entitlements    map[string]*tokenBucket // by team
 	demands         map[int]*demand         // by priority
+	contention      *contention             // nil without the feature
 	goodShares      map[string]float64      // share of workers that the adviser finds good, by queue
 
 	needsPlacement    bool          // placement may have work to do
@@ -119,7 +121,7 @@
 // New returns an engine without jobs or workers. wall returns the wall clock time in
 // Unix milliseconds.
 func New(cfg Config, log *slog.Logger, wall func() int64, now time.Time) *Engine {
-	return &Engine{
+	e := &Engine{
 		cfg: cfg, log: log, wall: wall, now: now, startedAt: now,
 		policy: (&policy.Policy{}).Index(),
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
@@ -128,6 +130,10 @@
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
+	if cfg.Features.ContentionAdmission {
+		e.contention = newContention()
+	}
+	return e
 }
 
 // Handle applies an event that happened at now.
@@ -186,6 +192,7 @@
 			e.placedAt = now
 			start := e.cfg.Now()
 			e.place()
+			e.contentionAfterRound()
 			e.placementTook = e.cfg.Now().Sub(start)
 		}
 		e.sendRenewals()
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -24,6 +24,7 @@
 	why, retryAfter := e.admit(ev.Spec)
 	if why == "" {
 		why, retryAfter = e.storeUnavailable(ev.Wait)
+		retryAfter = e.retryAfter(ev.Spec.ID, retryAfter)
 	}
 	if why != "" {
 		e.refuse(ev.Spec, why, retryAfter, ev.Reply)
@@ -51,6 +52,7 @@
 
 // refuse answers the submitters of a job that it is not accepted.
 func (e *Engine) refuse(spec *job.Spec, why string, retryAfter time.Duration, replies ...func(Answer)) {
+	e.countRefused(why)
 	e.log.Info("job refused", "job", spec.ID, "queue", spec.Queue, "team", spec.Team, "reason", why, "retry_ms", retryAfter.Milliseconds(), "open_steps", len(e.openSteps))
 	for _, reply := range replies {
 		reply(Answer{Outcome: Refused, Why: why, RetryAfter: retryAfter})
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -107,6 +107,7 @@
 
 // sortOpenSteps sorts the open steps by urgency.
 func (e *Engine) sortOpenSteps() {
+	e.updateYields()
 	for _, s := range e.openSteps {
 		s.key = ordering.KeyOf(s.urgency, e.now)
 	}
@@ -159,7 +160,7 @@
 		e.advise(s, q, round)
 	}
 	workers, chosen := e.choose(s, q, round, tasks)
-	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement {
+	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement && (e.contention == nil || !s.waitedForLimit) {
 		s.started = true
 		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
 	}
@@ -253,6 +254,7 @@
 		return tasks
 	}
 	n := s.spec.Need.CountWithin(team.Limit, e.usage[team.Name], len(tasks))
+	s.waitedForLimit = s.waitedForLimit || n < len(tasks)
 	if s.spec.Gang && n < len(tasks) {
 		return nil
 	}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -56,6 +56,7 @@
 	waitLoggedAt   time.Time // when logWait last logged it
 	suspected      bool      // one of its tasks was suspected of a crash
 	riskySince     time.Time // since when it waits to place tasks whose start is risky; zero if it does not
+	waitedForLimit bool      // its team's limit kept tasks of it from running
 	placementTried bool      // a placement round has tried to place its tasks
 	started        bool      // this leader has planned runs for its tasks
 	lastGangRun    int       // highest run number of the gang
@@ -133,6 +134,7 @@
 	ended            bool      // removed from its task and its worker
 	restored         bool      // known only from the records of an earlier leader
 	crashRisk        float64   // see Engine.crashRisk; zero from when its worker is not exposed to its start any more
+	teamSlot         int       // index in contention.runs of its team
 	startedClock     int64     // the worker's clock when it first told that it has the run, in ms; zero if it has not
 }
 
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -178,7 +178,7 @@
 	refused := make(map[string]bool, len(e.batch.jobs))
 	for _, j := range e.batch.jobs {
 		refused[j.id] = true
-		e.refuse(j.spec, why, retryAfter, j.pendingReplies...)
+		e.refuse(j.spec, why, e.retryAfter(j.id, retryAfter), j.pendingReplies...)
 		j.pendingReplies = nil
 		e.dropUnstoredJob(j)
 	}
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -45,6 +45,12 @@
 	return gometrics.GetOrRegisterTimer(name, s.Registry)
 }
 
+// countRefused counts a refused job. It registers the counter of a reason at the first call.
+func (s *Stats) countRefused(reason string) {
+	name := metrics.Name("cell_refused_jobs_total", metrics.Label{Name: "reason", Value: reason})
+	gometrics.GetOrRegisterCounter(name, s.Registry).Inc(1)
+}
+
 // countCrash counts an event of the engine.
 func (s *Stats) countCrash(event engine.CrashEvent) {
 	switch event {
--- a/internal/cell/ordering/ordering.go
+++ b/internal/cell/ordering/ordering.go
@@ -15,6 +15,7 @@
 	Arrived         time.Time     // arrival of the job
 	Objective       time.Duration // target time from the arrival to the end of the job
 	Remaining       time.Duration // remaining critical path of the job
+	Yields          bool          // its team is above its share, see Yielding
 }
 
 // LateMultiplier is how many times its objective a job may take while its result is
@@ -48,12 +49,13 @@
 	overEntitlement bool
 	timeliness      Timeliness
 	priority        int
+	yields          bool
 	latestStart     time.Time // latest time to place the step for the job to finish in time
 }
 
 // KeyOf returns the key of s at now.
 func KeyOf(s Step, now time.Time) Key {
-	return Key{s.OverEntitlement, TimelinessOf(s, now), s.Priority, s.Arrived.Add(s.Objective - s.Remaining)}
+	return Key{s.OverEntitlement, TimelinessOf(s, now), s.Priority, s.Yields, s.Arrived.Add(s.Objective - s.Remaining)}
 }
 
 // Compare returns a negative number if the step with key a is placed before the one with
@@ -69,6 +71,11 @@
 		return cmp.Compare(a.timeliness, b.timeliness)
 	case a.priority != b.priority:
 		return cmp.Compare(a.priority, b.priority)
+	case a.yields != b.yields:
+		if b.yields {
+			return -1
+		}
+		return 1
 	}
 	return a.latestStart.Compare(b.latestStart)
 }
