--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -11,8 +11,8 @@
 type Contention struct {
 	Capacity       float64 // cores of the usable workers that can hold one of the job's tasks
 	PackedCapacity float64 // part of Capacity that tasks like the job's would use if nothing else ran
-	// Room is the number of cores that tasks like the job's can use at once, without what
-	// is held or reserved for others. ClaimedCores is the part of AheadCores that will use
+	// Room is the number of cores that tasks like the job's can use at once, whether or not
+	// the adviser finds their workers good, without what is held or reserved for others. ClaimedCores is the part of AheadCores that will use
 	// that room before the job: tasks that no placement round has tried and tasks that wait
 	// for the adviser. The other tasks ahead could not use it.
 	Room, ClaimedCores    float64
@@ -27,6 +27,9 @@
 	// TeamWait is the time until the work of the job's team that is placed before it leaves
 	// enough of the team's limit, see LimitSchedule.
 	TeamWait time.Duration
+	// OwedCores are the cores of the smallest job that was lately refused to a team which is
+	// further below its share than the job's team; zero if there is none.
+	OwedCores float64
 }
 
 // Contender is the job to decide on.
@@ -53,6 +56,12 @@
 	// minSizeRatio is the part of its slack that the largest job may wait. Jobs above the
 	// typical size of their queue are refused earlier, as each displaces several others.
 	minSizeRatio = 0.5
+	// waitRatio is the part of its slack that a job may be expected to wait. A step that
+	// misses its latest start comes after all others, so an error of the expectation is
+	// worse than a refusal.
+	waitRatio = 0.9
+	// minSurplusRatio bounds the wait of a job that gets no cores.
+	minSurplusRatio = 0.001
 	// retrySpread is the part by which retry delays differ in both directions.
 	retrySpread = 0.25
 )
@@ -62,16 +71,13 @@
 	if l.Capacity <= 0 {
 		return Decision{Reason: ReasonNoWorker, RetryAfter: RetryDelay(j.ID, 0)}
 	}
-	fleet, fits := fleetWait(j, l)
+	fleet, fleetBound := fleetWait(j, l)
 	d := Decision{Wait: max(fleet, l.TeamWait) + l.AdviceWait}
 	bearable := bearableWait(j)
 	switch {
-	case j.OverEntitlement && !fits:
+	case j.OverEntitlement && owesRoom(j, l):
 		d.Reason = ReasonEntitlement
-		if l.TeamWait > fleet {
-			d.Reason = ReasonTeamLimit
-		}
-	case d.Wait <= bearable:
+	case max(fleetBound, l.TeamWait)+l.AdviceWait <= bearable:
 		d.Accept = true
 		return d
 	case l.TeamWait > fleet:
@@ -85,6 +91,18 @@
 	return d
 }
 
+// owesRoom reports whether j would take the room for a job of a team that is further below
+// its share. Without that, what is left beyond the entitlements would go to the team that
+// sends the most jobs.
+func owesRoom(j Contender, l Contention) bool {
+	left := l.left()
+	useless := j.Cores <= left && left < l.OwedCores // the room is too small for the other job
+	return l.OwedCores > 0 && left-j.Cores < l.OwedCores && !useless
+}
+
+// left returns the cores that tasks like the job's can use at once.
+func (l *Contention) left() float64 { return max(0, l.Room-l.ClaimedCores) * l.GoodRatio }
+
 // bearableWait returns how long j may wait in the queue.
 func bearableWait(j Contender) time.Duration {
 	slack := max(0, j.Objective-j.TimeToEnd)
@@ -95,17 +113,20 @@
 	if j.TypicalWork > 0 && j.Work > j.TypicalWork {
 		ratio = max(minSizeRatio, math.Sqrt(j.TypicalWork/j.Work))
 	}
-	return time.Duration(ratio * float64(slack))
+	return time.Duration(waitRatio * ratio * float64(slack))
 }
 
-// fleetWait returns how long j waits for cores, and whether there is room for it at once.
-func fleetWait(j Contender, l Contention) (time.Duration, bool) {
-	left := max(0, l.Room-l.ClaimedCores)
+// fleetWait returns how long j is expected to wait for cores, and how long if none are sure to
+// be left for it. A job beyond its team's entitlement is accepted by that bound, as work that
+// is placed before it may keep it from starting at all.
+func fleetWait(j Contender, l Contention) (expected, bound time.Duration) {
+	left := l.left()
 	if j.Cores <= left {
-		return 0, true
+		return 0, 0
 	}
 	work := j.Work * (1 - left/j.Cores) / max(0.01, l.GoodRatio)
-	rate := max(l.Capacity*packingRatio-l.ArrivingCores-l.BlockedCores, l.Capacity*minCapacityRatio)
+	surplus := l.Capacity*packingRatio - l.ArrivingCores - l.BlockedCores
+	rate := max(surplus, l.Capacity*minCapacityRatio)
 	switch {
 	case j.Gang:
 		// It waits until tasks that start now have ended too, on the cores that it can use.
@@ -114,11 +135,14 @@
 	case l.AheadCores > 0:
 		work += l.AheadWork * (1 - min(l.Room, l.ClaimedCores)/l.AheadCores)
 	}
-	wait := seconds(work / rate)
+	expected = seconds(work / rate)
 	if l.AheadCores > 0 {
-		wait = max(wait, l.RecentWait)
+		expected = max(expected, l.RecentWait)
+	}
+	if !j.OverEntitlement {
+		return expected, expected
 	}
-	return wait, false
+	return expected, max(expected, seconds(work/max(l.Capacity*minSurplusRatio, surplus)))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/cell/advice/advice_test.go
+++ b/internal/cell/advice/advice_test.go
@@ -59,3 +59,21 @@
 	assert.InDelta(t, 0.5, IdleRatio(all, now), 0.001)
 	assert.InDelta(t, 1, IdleRatio(all, now.Add(2*time.Second)), 0.001)
 }
+
+// A long call does not wait for the delegates of short ones, nor a short one for all of them.
+func TestWaitIsThatOfTheDelegatesThatMayTakeTheCall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	short, long := 20*time.Millisecond, time.Second
+	var delegates []*Delegate
+	assert.Zero(t, Wait(delegates, now, long))
+	for range 3 {
+		delegates = append(delegates, &Delegate{})
+	}
+	delegates[1].CallSent(now, long)
+	assert.Zero(t, Wait(delegates, now, long))
+	delegates[2].CallSent(now, 3*time.Second)
+	assert.Equal(t, long, Wait(delegates, now, long))
+	assert.Zero(t, Wait(delegates, now, short))
+	delegates[0].CallSent(now, short)
+	assert.Equal(t, short, Wait(delegates, now, short))
+}
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -1,9 +1,9 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
-	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
@@ -17,13 +17,15 @@
 	measuredAt   time.Time
 	measuredWall int64         // the same in Unix milliseconds
 	interval     time.Duration // minimum interval until the next measurement
-	classes      map[workClass]*classLoad
+	classes      []*classLoad  // in the order in which they were found, so that sums do not depend on the order of a map
 	teams        map[string]*teamBacklog
-	rooms        map[string]*room               // by service
-	arrivals     map[arrivalSource]*arrivalRate // of work within the entitlements
-	typical      map[string]float64             // by queue: smoothed core-seconds of the first tasks of submitted jobs
-	yields       map[string]bool                // teams whose steps yield to those of teams below their shares
-	runs         map[string][]*run              // by team
+	rooms        map[string]*room   // by service
+	arrivals     []*arrivalRate     // of work within the entitlements
+	typical      map[string]float64 // by queue: smoothed core-seconds of the first tasks of submitted jobs
+	yields       map[string]bool    // teams whose steps yield to those of teams below their shares
+	runs         map[string][]*run  // by team
+	excess       map[string]float64 // by team: cores of its accepted work above its share
+	refusals     map[string]refusal // by team: its last job that was refused for lack of room
 }
 
 // workClass is a group of steps that come in one order relative to those of other groups.
@@ -45,19 +47,22 @@
 		return true
 	case c.overEntitlement || c.late:
 		return false
-	case c.priority != j.priority:
-		return c.priority < j.priority
 	}
-	return !c.yields || j.yields
+	// Accepted steps of teams that yield count too, so that they are not displaced.
+	return c.priority <= j.priority
 }
 
 // classLoad is the waiting and arriving work of a class, in cores and core-seconds.
 type classLoad struct {
+	workClass
 	cores, work float64 // of the tasks that their teams' limits allow to run
 	claimed     float64 // part of cores that will use free capacity, see admission.Contention
-	blocked     float64 // cores that teams at their limits use, as more of their work of this class waits
-	arriving    float64
-	gangs       bool // a gang waits
+	// claimedLater is the same for tasks that wait for a long call to the adviser. Other jobs
+	// can start before it ends.
+	claimedLater float64
+	blocked      float64 // cores that teams at their limits use, as more of their work of this class waits
+	arriving     float64
+	gangs        bool // a gang waits
 }
 
 // arrivalSource is an origin of arriving work.
@@ -69,6 +74,7 @@
 
 // arrivalRate is the average rate of arriving work, in cores, see demand.
 type arrivalRate struct {
+	arrivalSource
 	cores float64
 	at    time.Time
 }
@@ -83,15 +89,17 @@
 	// measurements take at most about 2% of the time.
 	minContentionInterval = 5 * time.Millisecond
 	contentionWorkers     = 2000
+	// minArrivingCores is the rate below which a source of arriving work is forgotten.
+	minArrivingCores = 0.01
 	// maxContentionAge is the age from which the load is measured without a placement round.
 	maxContentionAge = 4 * maxPlacementInterval
 )
 
 func newContention() *contention {
 	return &contention{
-		classes: make(map[workClass]*classLoad), teams: make(map[string]*teamBacklog), rooms: make(map[string]*room),
-		arrivals: make(map[arrivalSource]*arrivalRate), typical: make(map[string]float64),
-		yields: make(map[string]bool), runs: make(map[string][]*run),
+		teams: make(map[string]*teamBacklog), rooms: make(map[string]*room),
+		typical: make(map[string]float64),
+		yields:  make(map[string]bool), excess: make(map[string]float64), refusals: make(map[string]refusal), runs: make(map[string][]*run),
 	}
 }
 
@@ -115,7 +123,7 @@
 func (e *Engine) measureContention() {
 	c := e.contention
 	c.measuredAt, c.measuredWall, c.interval = e.now, e.wall(), minContentionInterval*time.Duration(1+len(e.workerList)/contentionWorkers)
-	clear(c.classes)
+	c.classes = nil
 	clear(c.teams)
 	clear(c.rooms)
 	for service, p := range e.pools {
@@ -126,12 +134,10 @@
 			e.addWaiting(s, q, s.waiting)
 		}
 	}
-	for source, r := range c.arrivals {
-		cores := r.rate(e.now)
-		if cores < 0.01 {
-			delete(c.arrivals, source)
-			continue
-		}
+	e.measureExcess()
+	c.arrivals = slices.DeleteFunc(c.arrivals, func(r *arrivalRate) bool { return r.rate(e.now) < minArrivingCores })
+	for _, r := range c.arrivals {
+		cores, source := r.rate(e.now), r.arrivalSource
 		if team := e.policy.Team(source.team); team != nil && team.Limit.CPU > 0 {
 			cores = min(cores, float64(team.Limit.CPU)/1000)
 		}
@@ -141,11 +147,13 @@
 
 // class returns the load of a class and creates it on first use.
 func (c *contention) class(k workClass) *classLoad {
-	l := c.classes[k]
-	if l == nil {
-		l = &classLoad{}
-		c.classes[k] = l
+	for _, l := range c.classes {
+		if l.workClass == k {
+			return l
+		}
 	}
+	l := &classLoad{workClass: k}
+	c.classes = append(c.classes, l)
 	return l
 }
 
@@ -167,7 +175,11 @@
 	l.gangs = l.gangs || s.spec.Gang
 	l.blocked += backlog.block(cores * float64(waiting-allowed))
 	if s.usesRoomLater(q) {
-		l.claimed += cores * float64(allowed)
+		claimed := &l.claimed
+		if q.Advice != nil && callClass(q.Advice.Base) > 0 {
+			claimed = &l.claimedLater
+		}
+		*claimed += cores * float64(allowed)
 	}
 	backlog.waiting = append(backlog.waiting, waitingTasks{k, s.spec, waiting, e.expectedRuntimeOf(s.job().queue, s.spec)})
 	backlog.schedules = nil
@@ -201,16 +213,18 @@
 	j := o.job
 	if !j.overEntitlement {
 		source := arrivalSource{q.Service, q.Priority, j.team}
-		r := c.arrivals[source]
-		if r == nil {
-			r = &arrivalRate{at: e.now}
-			c.arrivals[source] = r
+		i := slices.IndexFunc(c.arrivals, func(r *arrivalRate) bool { return r.arrivalSource == source })
+		if i < 0 {
+			i = len(c.arrivals)
+			c.arrivals = append(c.arrivals, &arrivalRate{arrivalSource: source, at: e.now})
 		}
+		r := c.arrivals[i]
 		r.cores, r.at = r.rate(e.now)+work/arrivalWindow.Seconds(), e.now
 		c.class(e.classOf(q, j.team, false)).arriving += work / arrivalWindow.Seconds()
 	}
 	for _, s := range o.steps {
 		if len(s.spec.DependsOn) == 0 && s.waiting > 0 {
+			c.excess[j.team] += float64(s.charge.CPU) / 1000 * float64(s.waiting)
 			s.urgency = e.urgencyOf(s)
 			e.addWaiting(s, q, s.waiting)
 		}
@@ -238,171 +252,3 @@
 	list[len(list)-1] = nil
 	c.runs[team] = list[:len(list)-1]
 }
-
-// updateYields determines which teams' steps yield to those of teams below their shares, and
-// sets that for the open steps.
-func (e *Engine) updateYields() {
-	c := e.contention
-	if c == nil {
-		return
-	}
-	waiting := make(map[string]bool)
-	for _, s := range e.openSteps {
-		if s.open() && !waiting[s.job().team] {
-			team := e.policy.Team(s.job().team)
-			waiting[s.job().team] = team != nil && s.spec.Need.CountWithin(team.Limit, e.usage[team.Name], 1) > 0
-		}
-	}
-	capacity := int64(0)
-	for _, p := range e.pools {
-		capacity += p.capacity
-	}
-	uses := make([]ordering.TeamUse, len(e.policy.Teams))
-	for i := range e.policy.Teams {
-		t := &e.policy.Teams[i]
-		uses[i] = ordering.TeamUse{Weight: t.Weight, Cores: float64(e.usage[t.Name].CPU) / 1000, Waiting: waiting[t.Name]}
-	}
-	clear(c.yields)
-	for i, yields := range ordering.Yielding(uses, float64(capacity)/1000) {
-		if yields {
-			c.yields[e.policy.Teams[i].Name] = true
-		}
-	}
-	for _, s := range e.openSteps {
-		s.urgency.Yields = c.yields[s.job().team]
-	}
-}
-
-// teamBacklog is the accepted work of a team.
-type teamBacklog struct {
-	limit     job.Resources
-	running   job.Resources
-	used      job.Resources // running tasks, and waiting ones as far as the limit allows them to run now
-	blockable float64       // cores of the running tasks that blocked has not counted yet
-	waiting   []waitingTasks
-	schedules map[scheduleKey]*admission.LimitSchedule
-}
-
-// waitingTasks are waiting tasks of one step.
-type waitingTasks struct {
-	class  workClass
-	spec   *job.Step
-	count  int
-	length time.Duration
-}
-
-// scheduleKey identifies a schedule of a team's work: that placed before a job of a class,
-// in one kind of resource.
-type scheduleKey struct {
-	class workClass
-	kind  int
-}
-
-// backlogOf returns the accepted work of a team since the last measurement.
-func (e *Engine) backlogOf(name string) *teamBacklog {
-	b := e.contention.teams[name]
-	if b == nil {
-		b = &teamBacklog{running: e.usage[name], used: e.usage[name], blockable: float64(e.usage[name].CPU) / 1000}
-		if team := e.policy.Team(name); team != nil {
-			b.limit = team.Limit
-		}
-		e.contention.teams[name] = b
-	}
-	return b
-}
-
-// allow returns how many waiting tasks of s the limit allows to run now, besides those that it
-// allowed before.
-func (b *teamBacklog) allow(s *stepState, waiting int) int {
-	n := s.spec.Need.CountWithin(b.limit, b.used, waiting)
-	if s.spec.Gang && n < waiting {
-		n = 0
-	}
-	b.used = b.used.Add(s.spec.Need.Times(n))
-	return n
-}
-
-// block returns how many of the team's cores blocked tasks will take over.
-func (b *teamBacklog) block(cores float64) float64 {
-	cores = min(cores, b.blockable)
-	b.blockable -= cores
-	return cores
-}
-
-// kinds returns the amounts of the kinds of resources.
-func kinds(r job.Resources) [3]float64 {
-	return [3]float64{float64(r.CPU), float64(r.MemMB), float64(r.GPU)}
-}
-
-// limitWait returns how long a job whose first tasks are count tasks of first waits for the
-// work of its own team to leave it enough of the team's limit.
-func (e *Engine) limitWait(team string, class workClass, first *job.Step, length time.Duration) time.Duration {
-	b := e.backlogOf(team)
-	if b.limit == (job.Resources{}) {
-		return 0
-	}
-	limit, need, used := kinds(b.limit), kinds(first.Need.Times(first.Count)), kinds(b.running)
-	for _, t := range b.waiting {
-		for k, n := range kinds(t.spec.Need.Times(t.count)) {
-			used[k] += n
-		}
-	}
-	kind, most := -1, 1.0
-	for k := range limit {
-		if limit[k] > 0 && (used[k]+need[k])/limit[k] > most {
-			kind, most = k, (used[k]+need[k])/limit[k]
-		}
-	}
-	if kind < 0 {
-		return 0
-	}
-	part := need[kind] / limit[kind]
-	own := time.Duration(max(0, part-1) * float64(length)) // it runs in several parts
-	return e.scheduleOf(b, team, scheduleKey{class, kind}).Wait(part) + own
-}
-
-// scheduleOf returns the schedule of the work of a team that is placed before a job of a
-// class. It is computed once between changes of that work.
-func (e *Engine) scheduleOf(b *teamBacklog, team string, key scheduleKey) *admission.LimitSchedule {
-	if s := b.schedules[key]; s != nil {
-		return s
-	}
-	limit := kinds(b.limit)[key.kind]
-	tasks := func(need job.Resources, count int, gang bool, length time.Duration) admission.TeamTask {
-		return admission.TeamTask{Part: kinds(need)[key.kind] / limit, Count: count, Gang: gang, Length: length}
-	}
-	var running, waiting []admission.TeamTask
-	for _, r := range e.contention.runs[team] {
-		if r.plannedAt > e.contention.measuredWall {
-			continue // its task is still counted as waiting
-		}
-		running = append(running, tasks(r.task.step.spec.Need, 1, false, e.remainingOf(r)))
-	}
-	for _, t := range b.waiting {
-		if t.class.before(key.class) {
-			waiting = append(waiting, tasks(t.spec.Need, t.count, t.spec.Gang, t.length))
-		}
-	}
-	if b.schedules == nil {
-		b.schedules = make(map[scheduleKey]*admission.LimitSchedule)
-	}
-	s := admission.NewLimitSchedule(running, waiting)
-	b.schedules[key] = s
-	return s
-}
-
-// minRemaining is the expected remaining time of a run that should have ended.
-const minRemaining = 100 * time.Millisecond
-
-// remainingOf returns the expected time until the end of a run.
-func (e *Engine) remainingOf(r *run) time.Duration {
-	s := r.task.step
-	start := e.now.Add(dispatchTime)
-	switch {
-	case !r.startSentAt.IsZero():
-		start = r.startSentAt
-	case r.plannedAt > 0:
-		start = e.now.Add(-e.sincePlanned(r))
-	}
-	return max(minRemaining, e.expectedRuntimeOf(s.job().queue, s.spec)-e.now.Sub(start))
-}
--- a/internal/cell/engine/contention_admit.go
+++ b/internal/cell/engine/contention_admit.go
@@ -22,7 +22,9 @@
 		Objective: objective(q, criticalPath), OverEntitlement: !e.hasToken(spec.Team), Gang: first.Gang,
 	}
 	e.contention.noteTypical(q.Name, j.Work)
-	return admission.Contend(j, e.contentionFor(spec, q, first, j, length))
+	d := admission.Contend(j, e.contentionFor(spec, q, first, j, length))
+	e.contention.noteRefusal(spec.Team, cores, d.Reason, e.now)
+	return d
 }
 
 // retryAfter returns the delay for the caller of a refused job. Without the feature all
@@ -50,8 +52,10 @@
 func (e *Engine) contentionFor(spec *job.Spec, q *policy.Queue, first *job.Step, j admission.Contender, length time.Duration) admission.Contention {
 	class := e.classOf(q, spec.Team, j.OverEntitlement)
 	l := admission.Contention{GoodRatio: 1}
+	longCall := q.Advice != nil && callClass(q.Advice.Base) > 0
 	firstGang := math.MaxInt // priority of the first waiting gang in order
-	for k, load := range e.contention.classes {
+	for _, load := range e.contention.classes {
+		k := load.workClass
 		if load.gangs && k.service == class.service && !k.overEntitlement && !k.late {
 			firstGang = min(firstGang, k.priority)
 		}
@@ -61,6 +65,9 @@
 		l.AheadCores += load.cores
 		l.AheadWork += load.work
 		l.ClaimedCores += load.claimed
+		if longCall {
+			l.ClaimedCores += load.claimedLater
+		}
 		l.BlockedCores += load.blocked
 		if k.priority < class.priority || class.overEntitlement || class.yields && !k.yields {
 			l.ArrivingCores += load.arriving
@@ -77,11 +84,13 @@
 	l.Capacity, l.PackedCapacity = room.capacityFor(first, e.poolOf(q.Service), e.now)
 	// What is held for gangs is free for a job that is placed before all of them.
 	unheld := !class.overEntitlement && class.priority < firstGang
-	l.Room = l.GoodRatio * room.coresFor(first, unheld, (l.ClaimedCores+j.Cores)/l.GoodRatio)
+	owed := e.owedCores(spec.Team)
+	l.Room = room.coresFor(first, unheld, l.ClaimedCores+(j.Cores+owed)/l.GoodRatio)
 	if d := e.demands[q.Priority]; d != nil {
 		l.RecentWait = d.waitingTime(e.now)
 	}
 	l.TeamWait = e.limitWait(spec.Team, class, first, length)
+	l.OwedCores = owed
 	return l
 }
 
--- a/internal/cell/engine/contention_room.go
+++ b/internal/cell/engine/contention_room.go
@@ -11,9 +11,9 @@
 // room is the free capacity of the workers of a service at the last measurement.
 type room struct {
 	workers []roomWorker // with free CPU or with tasks that need none; those with the most whole cores free first
-	// capacity holds the cores of the workers by their capacity, for each label that
+	// capacity holds the number of workers by their capacity, for each label that
 	// jobs have asked for. The empty label stands for all workers.
-	capacity map[string]map[job.Resources]float64
+	capacity map[string]map[job.Resources]int64
 }
 
 // roomWorker is a usable worker.
@@ -25,7 +25,7 @@
 
 // newRoom returns the room on the workers of p.
 func newRoom(p *pool, now time.Time) *room {
-	r := &room{workers: make([]roomWorker, 0, len(p.workers)), capacity: make(map[string]map[job.Resources]float64)}
+	r := &room{workers: make([]roomWorker, 0, len(p.workers)), capacity: make(map[string]map[job.Resources]int64)}
 	for w := range p.mostFree() {
 		if w.usable(now) && !w.overcommitted() {
 			r.workers = append(r.workers, roomWorker{w.free(), w.capacity.Sub(w.used), w})
@@ -49,25 +49,27 @@
 func (r *room) capacityFor(s *job.Step, p *pool, now time.Time) (sum, packed float64) {
 	byCapacity := r.capacity[s.Label]
 	if byCapacity == nil {
-		byCapacity = make(map[job.Resources]float64)
+		byCapacity = make(map[job.Resources]int64)
 		for _, w := range p.workers {
 			if !w.draining && w.missedRenewals == 0 && !w.health.quarantined(now) && (s.Label == "" || slices.Contains(w.labels, s.Label)) {
-				byCapacity[w.capacity] += float64(w.capacity.CPU) / 1000
+				byCapacity[w.capacity]++
 			}
 		}
 		r.capacity[s.Label] = byCapacity
 	}
-	charge := s.Charge()
-	for capacity, cores := range byCapacity {
-		if charge.Fits(capacity) {
-			sum += cores
-			packed += cores
-			if charge.CPU > 0 {
-				packed -= cores * (1 - float64(charge.CPU*int64(charge.CountIn(capacity, math.MaxInt)))/float64(capacity.CPU))
-			}
+	charge, all, used := s.Charge(), int64(0), int64(0)
+	for capacity, count := range byCapacity {
+		if !charge.Fits(capacity) {
+			continue
+		}
+		all += count * capacity.CPU
+		if charge.CPU > 0 {
+			used += count * charge.CPU * int64(charge.CountIn(capacity, math.MaxInt))
+		} else {
+			used += count * capacity.CPU
 		}
 	}
-	return sum, packed
+	return float64(all) / 1000, float64(used) / 1000
 }
 
 // coresFor returns the free cores that tasks like those of s can use, at least up to enough
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -19,6 +19,7 @@
 	drains         bool // workers drain, and others replace them
 	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
 	cuts           bool // workers are behind cuts that refuse connections
+	features       Features
 	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
@@ -26,6 +27,7 @@
 // or overtaken, workers restart and leaders change, and checks the rules on runs.
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
+	w.features = o.features
 	n := w.useNetwork(seed)
 	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
 	if o.crashes {
@@ -299,3 +301,9 @@
 func TestRandomRefusalsWithDrains(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
 }
+
+// The same schedules with admission by who competes, which refuses other jobs and keeps its own
+// account of the runs of each team.
+func TestRandomRefusalsWithContentionAdmission(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{features: Features{ContentionAdmission: true}, restartsKeepID: true, untold: true, drains: true})
+}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -65,6 +65,7 @@
 	gangTimeouts     int                 // members that ended because their gang was not complete in time
 	net              *network            // carries the calls to workers if set
 	rackOf           func(id string) string
+	features         Features
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -220,6 +221,7 @@
 	w.uncertain = make(map[*Append]bool)
 	cfg := simConfig()
 	cfg.Term = w.term
+	cfg.Features = w.features
 	cfg.Now = func() time.Time { return w.now }
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	w.engine = New(cfg, log, func() int64 { return w.now.UnixMilli() }, w.now)
