--- a/internal/cell/advice/advice.go
+++ b/internal/cell/advice/advice.go
@@ -110,6 +110,9 @@
 	best := time.Duration(-1)
 	for _, d := range delegates[first:] {
 		wait := max(0, d.busyUntil.Sub(now), d.backoffUntil.Sub(now))
+		if wait == 0 {
+			return 0
+		}
 		if best < 0 || wait < best {
 			best = wait
 		}
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -125,9 +126,9 @@
 	c.measuredAt, c.measuredWall, c.interval = e.now, e.wall(), minContentionInterval*time.Duration(1+len(e.workerList)/contentionWorkers)
 	c.classes = nil
 	clear(c.teams)
-	clear(c.rooms)
+	maps.DeleteFunc(c.rooms, func(service string, _ *room) bool { return e.pools[service] == nil })
 	for service, p := range e.pools {
-		c.rooms[service] = newRoom(p, e.now)
+		e.roomOf(service).measure(p, e.now)
 	}
 	for _, s := range e.openSteps {
 		if q := e.queueOf(s.job()); q != nil && s.open() {
@@ -181,6 +182,9 @@
 		}
 		*claimed += cores * float64(allowed)
 	}
+	if backlog.limit == (job.Resources{}) {
+		return
+	}
 	backlog.waiting = append(backlog.waiting, waitingTasks{k, s.spec, waiting, e.expectedRuntimeOf(s.job().queue, s.spec)})
 	backlog.schedules = nil
 }
--- a/internal/cell/engine/contention_room.go
+++ b/internal/cell/engine/contention_room.go
@@ -23,22 +23,22 @@
 	*worker
 }
 
-// newRoom returns the room on the workers of p.
-func newRoom(p *pool, now time.Time) *room {
-	r := &room{workers: make([]roomWorker, 0, len(p.workers)), capacity: make(map[string]map[job.Resources]int64)}
+// measure sets the room to that on the workers of p.
+func (r *room) measure(p *pool, now time.Time) {
+	r.workers = slices.Grow(r.workers[:0], len(p.workers))
+	clear(r.capacity)
 	for w := range p.mostFree() {
 		if w.usable(now) && !w.overcommitted() {
 			r.workers = append(r.workers, roomWorker{w.free(), w.capacity.Sub(w.used), w})
 		}
 	}
-	return r
 }
 
-// roomOf returns the room of a service.
+// roomOf returns the room of a service and creates it on first use.
 func (e *Engine) roomOf(service string) *room {
 	r := e.contention.rooms[service]
 	if r == nil {
-		r = newRoom(e.poolOf(service), e.now)
+		r = &room{capacity: make(map[string]map[job.Resources]int64)}
 		e.contention.rooms[service] = r
 	}
 	return r
--- a/internal/cell/engine/contention_scenarios_test.go
+++ b/internal/cell/engine/contention_scenarios_test.go
@@ -106,22 +106,26 @@
 	assert.InDelta(t, 8.4, w.answers[id].RetryAfter.Seconds(), 0.25*8.4+0.1, "9 s until the end of the work, 0.6 s can be borne")
 }
 
-// Work waits only for its own team's limit. Jobs of other teams were refused beside idle
-// workers, as the time that such work had waited counted for them.
-func TestJobIsRefusedBesideIdleWorkersForAnothersLimit(t *testing.T) {
+// The waiting work of a team at its limit does not take the cores of others. Their jobs were
+// refused whenever they did not find room at once, as all of that work counted.
+func TestJobIsRefusedForWorkThatItsTeamsLimitKeepsWaiting(t *testing.T) {
 	w := newContendedWorld(t, 20, true, contendedPolicy(false, policy.Team{Name: "capped", Weight: 1000, Limit: cpuLimit(40)}, policy.Team{Name: "b", Weight: 1000}))
-	var jobs []string
-	for range 100 {
-		w.submit("batch", "capped", tasks(8, 5000, 600*time.Millisecond))
-		w.submit("urgent", "capped", tasks(2, 5000, 500*time.Millisecond))
-		jobs = append(jobs, w.submit("urgent", "b", urgentTasks))
-		w.run(50 * time.Millisecond)
+	for range 4 {
+		w.submit("batch", "capped", tasks(8, 5000, 10*time.Second))
 	}
-	w.run(3 * time.Second)
-	for _, id := range jobs {
-		assert.True(t, w.accepted[id], w.answers[id].Why)
-		assert.LessOrEqual(t, w.turnaround[id], 1200*time.Millisecond)
+	w.run(time.Second)
+	for range 60 { // as if accepted earlier
+		j := w.addOpenJob("batch", tasks(8, 5000, 10*time.Second)).job()
+		j.team, j.spec.Team = "capped", "capped"
 	}
+	from := w.now
+	w.send(6*time.Second, traffic{queue: "batch", team: "b", rate: 10.5, step: tasks(20, 5000, 500*time.Millisecond)})
+	to := w.now
+	w.run(5 * time.Second)
+	b := w.countTeam("b", from, to)
+	t.Logf("%+v", b)
+	assert.Equal(t, b.submitted, b.accepted)
+	assert.GreaterOrEqual(t, float64(b.inTime), 0.95*float64(b.submitted))
 }
 
 // One team overloads a fleet on which the others leave room. A refused job must not find room
