--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -30,6 +30,15 @@
 	// OwedCores are the cores of the smallest job that was lately refused to a team which is
 	// further below its share than the job's team; zero if there is none.
 	OwedCores float64
+	Surplus   Surplus
+}
+
+// Surplus describes the accepted work beyond the entitlements that is placed before a job or
+// together with it.
+type Surplus struct {
+	Waiting   float64       // cores of the waiting tasks
+	Oldest    time.Duration // how long the oldest of them has waited
+	StartRate float64       // cores of the tasks that have started lately, per second
 }
 
 // Contender is the job to decide on.
@@ -60,8 +69,10 @@
 	// misses its latest start comes after all others, so an error of the expectation is
 	// worse than a refusal.
 	waitRatio = 0.9
-	// minSurplusRatio bounds the wait of a job that gets no cores.
-	minSurplusRatio = 0.001
+	// minSurplusRate and maxSurplusSeconds bound the wait of a job when no work beyond the
+	// entitlements has started lately.
+	minSurplusRate    = 0.001
+	maxSurplusSeconds = 60
 	// retrySpread is the part by which retry delays differ in both directions.
 	retrySpread = 0.25
 )
@@ -116,17 +127,16 @@
 	return time.Duration(waitRatio * ratio * float64(slack))
 }
 
-// fleetWait returns how long j is expected to wait for cores, and how long if none are sure to
-// be left for it. A job beyond its team's entitlement is accepted by that bound, as work that
-// is placed before it may keep it from starting at all.
+// fleetWait returns how long j is expected to wait for cores, and how long it may wait to be
+// accepted. For a job beyond its team's entitlement these differ: what the work before it
+// leaves depends on the sizes of its tasks, so the job is accepted by what lately started.
 func fleetWait(j Contender, l Contention) (expected, bound time.Duration) {
 	left := l.left()
 	if j.Cores <= left {
 		return 0, 0
 	}
 	work := j.Work * (1 - left/j.Cores) / max(0.01, l.GoodRatio)
-	surplus := l.Capacity*packingRatio - l.ArrivingCores - l.BlockedCores
-	rate := max(surplus, l.Capacity*minCapacityRatio)
+	rate := max(l.Capacity*packingRatio-l.ArrivingCores-l.BlockedCores, l.Capacity*minCapacityRatio)
 	switch {
 	case j.Gang:
 		// It waits until tasks that start now have ended too, on the cores that it can use.
@@ -142,7 +152,16 @@
 	if !j.OverEntitlement {
 		return expected, expected
 	}
-	return expected, max(expected, seconds(work/max(l.Capacity*minSurplusRatio, surplus)))
+	return expected, surplusWait(j, l.Surplus)
+}
+
+// surplusWait returns how long j waits behind other work beyond the entitlements, by what has
+// lately started of it. It is zero if none waits: the job then shows whether such work starts.
+func surplusWait(j Contender, s Surplus) time.Duration {
+	if s.Waiting <= 0 {
+		return 0
+	}
+	return max(s.Oldest, seconds(min(maxSurplusSeconds, (s.Waiting+j.Cores)/max(s.StartRate, minSurplusRate))))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -22,6 +22,7 @@
 	teams        map[string]*teamBacklog
 	rooms        map[string]*room   // by service
 	arrivals     []*arrivalRate     // of work within the entitlements
+	starts       []*startRate       // of work beyond the entitlements
 	typical      map[string]float64 // by queue: smoothed core-seconds of the first tasks of submitted jobs
 	yields       map[string]bool    // teams whose steps yield to those of teams below their shares
 	runs         map[string][]*run  // by team
@@ -63,7 +64,8 @@
 	claimedLater float64
 	blocked      float64 // cores that teams at their limits use, as more of their work of this class waits
 	arriving     float64
-	gangs        bool // a gang waits
+	oldest       time.Duration // how long the oldest step has waited, besides for a first answer of the adviser
+	gangs        bool          // a gang waits
 }
 
 // arrivalSource is an origin of arriving work.
@@ -174,6 +176,9 @@
 	l.cores += cores * float64(allowed)
 	l.work += e.workOf(s) * float64(allowed)
 	l.gangs = l.gangs || s.spec.Gang
+	if allowed > 0 && (q.Advice == nil || s.advice != nil && len(s.advice.asked) > 0) {
+		l.oldest = max(l.oldest, e.now.Sub(s.readyAt))
+	}
 	l.blocked += backlog.block(cores * float64(waiting-allowed))
 	if s.usesRoomLater(q) {
 		claimed := &l.claimed
--- a/internal/cell/engine/contention_admit.go
+++ b/internal/cell/engine/contention_admit.go
@@ -91,6 +91,9 @@
 	}
 	l.TeamWait = e.limitWait(spec.Team, class, first, length)
 	l.OwedCores = owed
+	if j.OverEntitlement {
+		l.Surplus = e.contention.surplusFor(class, e.now)
+	}
 	return l
 }
 
--- a/internal/cell/engine/contention_shares.go
+++ b/internal/cell/engine/contention_shares.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/ordering"
+	"pollenbend/internal/cell/policy"
 )
 
 // refusal is a job of a team that was refused for lack of room.
@@ -91,3 +93,50 @@
 		s.urgency.Yields = c.yields[s.job().team]
 	}
 }
+
+// surplusWindow is the time constant of the rate at which work beyond the entitlements starts.
+const surplusWindow = time.Second
+
+// startRate is the rate at which tasks beyond the entitlements start.
+type startRate struct {
+	service  string
+	priority int
+	cores    float64 // per second
+	at       time.Time
+}
+
+func (r *startRate) rate(now time.Time) float64 {
+	return r.cores * decay(now.Sub(r.at), surplusWindow)
+}
+
+// noteSurplusStart records that tasks of s start, if they are beyond the entitlement.
+func (c *contention) noteSurplusStart(s *stepState, q *policy.Queue, count int, now time.Time) {
+	if c == nil || count == 0 || !s.job().overEntitlement {
+		return
+	}
+	i := slices.IndexFunc(c.starts, func(r *startRate) bool { return r.service == q.Service && r.priority == q.Priority })
+	if i < 0 {
+		i = len(c.starts)
+		c.starts = append(c.starts, &startRate{service: q.Service, priority: q.Priority, at: now})
+	}
+	r := c.starts[i]
+	r.cores = r.rate(now) + float64(s.charge.CPU)/1000*float64(count)/surplusWindow.Seconds()
+	r.at = now
+}
+
+// surplusFor returns the work beyond the entitlements that competes with a job of a class.
+func (c *contention) surplusFor(class workClass, now time.Time) admission.Surplus {
+	var s admission.Surplus
+	for _, l := range c.classes {
+		if l.overEntitlement && l.service == class.service && l.priority <= class.priority {
+			s.Waiting += l.cores
+			s.Oldest = max(s.Oldest, l.oldest)
+		}
+	}
+	for _, r := range c.starts {
+		if r.service == class.service && r.priority <= class.priority {
+			s.StartRate += r.rate(now)
+		}
+	}
+	return s
+}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -164,6 +164,7 @@
 		s.started = true
 		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
 	}
+	e.contention.noteSurplusStart(s, q, len(chosen), e.now)
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
 		r := e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
