--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -69,10 +69,10 @@
 	// misses its latest start comes after all others, so an error of the expectation is
 	// worse than a refusal.
 	waitRatio = 0.9
-	// minSurplusRate and maxSurplusSeconds bound the wait of a job when no work beyond the
-	// entitlements has started lately.
-	minSurplusRate    = 0.001
-	maxSurplusSeconds = 60
+	// minStartRatio is the part of the fleet's cores on which work beyond the entitlements is
+	// assumed to start per second, until some has waited too long. A few jobs at a time show
+	// whether it does.
+	minStartRatio = 0.04
 	// retrySpread is the part by which retry delays differ in both directions.
 	retrySpread = 0.25
 )
@@ -152,16 +152,17 @@
 	if !j.OverEntitlement {
 		return expected, expected
 	}
-	return expected, surplusWait(j, l.Surplus)
+	return expected, surplusWait(j, l)
 }
 
 // surplusWait returns how long j waits behind other work beyond the entitlements, by what has
 // lately started of it. It is zero if none waits: the job then shows whether such work starts.
-func surplusWait(j Contender, s Surplus) time.Duration {
+func surplusWait(j Contender, l Contention) time.Duration {
+	s := l.Surplus
 	if s.Waiting <= 0 {
 		return 0
 	}
-	return max(s.Oldest, seconds(min(maxSurplusSeconds, (s.Waiting+j.Cores)/max(s.StartRate, minSurplusRate))))
+	return max(s.Oldest, seconds((s.Waiting+j.Cores)/max(s.StartRate, minStartRatio*l.Capacity)))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
