--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -12,15 +12,17 @@
 	Capacity       float64 // cores of the usable workers that can hold one of the job's tasks
 	PackedCapacity float64 // part of Capacity that tasks like the job's would use if nothing else ran
 	// Room is the number of cores that tasks like the job's can use at once, whether or not
-	// the adviser finds their workers good, without what is held or reserved for others. ClaimedCores is the part of AheadCores that will use
-	// that room before the job: tasks that no placement round has tried and tasks that wait
-	// for the adviser. The other tasks ahead could not use it.
+	// the adviser finds their workers good, without what is held or reserved for others.
+	// ClaimedCores is the part of AheadCores that will use that room before the job: tasks
+	// that no placement round has tried and tasks that wait for the adviser. The other tasks
+	// ahead could not use it.
 	Room, ClaimedCores    float64
 	AheadCores, AheadWork float64 // cores and core-seconds of the waiting tasks that are placed before the job
 	ArrivingCores         float64 // expected number of cores that newly arriving work which is placed before the job occupies
 	BlockedCores          float64 // cores that teams at their limits keep, as more of their work waits
 	GoodRatio             float64 // part of the workers that the adviser finds good for the job; 1 without an adviser
-	AdviceWait            time.Duration
+	// AdviceWait is the time that the adviser needs for the job if all delegates are busy.
+	AdviceWait time.Duration
 	// RecentWait is the time that tasks of the job's priority which started lately had
 	// waited for other reasons than their team's limit.
 	RecentWait time.Duration
@@ -30,7 +32,7 @@
 	// OwedCores are the cores of the smallest job that was lately refused to a team which is
 	// further below its share than the job's team; zero if there is none.
 	OwedCores float64
-	Surplus   Surplus
+	Surplus   Surplus // counts for a job beyond its team's entitlement
 }
 
 // Surplus describes the accepted work beyond the entitlements that is placed before a job or
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -82,6 +82,7 @@
 	at    time.Time
 }
 
+// rate returns the rate at the given time.
 func (r *arrivalRate) rate(now time.Time) float64 {
 	return r.cores * decay(now.Sub(r.at), arrivalWindow)
 }
@@ -89,7 +90,7 @@
 const (
 	// minContentionInterval is the minimum interval between two measurements. On large pools
 	// it is longer by one such interval for every contentionWorkers workers, so that the
-	// measurements take at most about 2% of the time.
+	// measurements take a few percent of the time on any fleet.
 	minContentionInterval = 5 * time.Millisecond
 	contentionWorkers     = 2000
 	// minArrivingCores is the rate below which a source of arriving work is forgotten.
@@ -98,11 +99,12 @@
 	maxContentionAge = 4 * maxPlacementInterval
 )
 
+// newContention returns a contention that was not measured yet.
 func newContention() *contention {
 	return &contention{
 		teams: make(map[string]*teamBacklog), rooms: make(map[string]*room),
-		typical: make(map[string]float64),
-		yields:  make(map[string]bool), excess: make(map[string]float64), refusals: make(map[string]refusal), runs: make(map[string][]*run),
+		typical: make(map[string]float64), yields: make(map[string]bool), runs: make(map[string][]*run),
+		excess: make(map[string]float64), refusals: make(map[string]refusal),
 	}
 }
 
@@ -160,7 +162,7 @@
 	return l
 }
 
-// classOf returns the class of a step of j.
+// classOf returns the class of a step of a team in time, or of its new job.
 func (e *Engine) classOf(q *policy.Queue, team string, over bool) workClass {
 	return workClass{service: q.Service, overEntitlement: over, priority: q.Priority, yields: e.contention.yields[team]}
 }
@@ -240,7 +242,7 @@
 	}
 }
 
-// runReserved and runReleased keep the runs by team.
+// runReserved adds r to the runs of its team.
 func (c *contention) runReserved(r *run) {
 	if c == nil {
 		return
@@ -250,6 +252,7 @@
 	c.runs[team] = append(c.runs[team], r)
 }
 
+// runReleased removes r from the runs of its team.
 func (c *contention) runReleased(r *run) {
 	if c == nil {
 		return
--- a/internal/cell/engine/contention_scenarios_test.go
+++ b/internal/cell/engine/contention_scenarios_test.go
@@ -160,19 +160,14 @@
 func TestCallersRefusedTogetherComeBackTogether(t *testing.T) {
 	w := newContendedWorld(t, 4, true, contendedPolicy(false, policy.Team{Name: "a", Weight: 1}))
 	delays := make(map[time.Duration]int)
-	lowest, highest := time.Hour, time.Duration(0)
 	for range 300 {
 		if id := w.submit("urgent", "a", urgentTasks); w.refused[id] {
-			d := w.answers[id].RetryAfter
-			delays[d.Truncate(100*time.Millisecond)]++
-			lowest, highest = min(lowest, d), max(highest, d)
+			delays[w.answers[id].RetryAfter.Truncate(100*time.Millisecond)]++
 		}
 	}
-	assert.GreaterOrEqual(t, lowest, time.Second)
-	assert.LessOrEqual(t, highest, 15*time.Second)
-	assert.GreaterOrEqual(t, float64(highest), 1.5*float64(lowest))
+	assert.GreaterOrEqual(t, len(delays), 6)
 	for d, n := range delays {
-		assert.LessOrEqual(t, n, 90, "%v", d)
+		assert.True(t, d >= time.Second && d <= 15*time.Second && n <= 90, "%d come back after %v", n, d)
 	}
 }
 
--- a/internal/cell/engine/contention_shares.go
+++ b/internal/cell/engine/contention_shares.go
@@ -105,6 +105,7 @@
 	at       time.Time
 }
 
+// rate returns the rate at the given time.
 func (r *startRate) rate(now time.Time) float64 {
 	return r.cores * decay(now.Sub(r.at), surplusWindow)
 }
--- a/internal/cell/engine/refusals_test.go
+++ b/internal/cell/engine/refusals_test.go
@@ -25,20 +25,14 @@
 	for range 10 {
 		w.submit("urgent", "a", urgentTasks)
 	}
-	refused := 0
 	for id := range w.specs {
 		if w.refused[id] {
-			refused++
+			counts["all"]++
 		}
 	}
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	assert.Equal(t, refused, total)
+	assert.Equal(t, counts["all"], counts["no_queue"]+counts["never_fits"]+counts["team_limit"]+counts["entitlement"])
 	assert.Equal(t, 1, counts["no_queue"])
 	assert.Equal(t, 1, counts["never_fits"])
 	assert.Positive(t, counts["team_limit"])
 	assert.Positive(t, counts["entitlement"])
-	assert.Zero(t, counts["other"])
 }
