--- a/internal/cell/engine/contention_scenarios_test.go
+++ b/internal/cell/engine/contention_scenarios_test.go
@@ -45,6 +45,7 @@
 func TestAcceptedJobsOfAGreedyTeamNeverStart(t *testing.T) {
 	for _, c := range []struct{ advised, newLeader bool }{{}, {advised: true}, {newLeader: true}, {advised: true, newLeader: true}} {
 		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
 			_, beforeB, beforeC := overloadByOneTeam(t, false, c.advised, c.newLeader)
 			greedy, b, wide := overloadByOneTeam(t, true, c.advised, c.newLeader)
 			t.Logf("greedy %+v, others %+v %+v, without the feature %+v %+v", greedy, b, wide, beforeB, beforeC)
