--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -40,6 +40,7 @@
 	CountCrash              func(CrashEvent)        // counts what the engine finds out about crashes; nil for no counts
 	ReportEvacuated         func(workers, runs int) // reports the workers in evacuated zones and their runs; nil for no reports
 	ReportRuntimes          func(RuntimeReport)     // takes what is known of run times every few seconds; nil for no reports
+	CountRefused            func(reason string)     // counts a refused job, see refusalLabels; nil for no counts
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -100,6 +101,7 @@
 	entitlements    map[string]*tokenBucket     // by team
 	demands         map[int]*demand             // by priority
 	goodShares      map[string]float64          // share of workers that the adviser finds good, by queue
+	contention      *contention                 // nil without the feature
 
 	needsPlacement    bool          // placement may have work to do
 	placedAt          time.Time     // when the last placement round started
@@ -124,7 +126,7 @@
 // New returns an engine without jobs or workers. wall returns the wall clock time in
 // Unix milliseconds.
 func New(cfg Config, log *slog.Logger, wall func() int64, now time.Time) *Engine {
-	return &Engine{
+	e := &Engine{
 		cfg: cfg, log: log, wall: wall, now: now, startedAt: now,
 		policy: (&policy.Policy{}).Index(),
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
@@ -133,6 +135,10 @@
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
+	if cfg.Features.ContentionAdmission {
+		e.contention = newContention()
+	}
+	return e
 }
 
 // Handle applies an event that happened at now.
@@ -191,6 +197,7 @@
 			e.placedAt = now
 			start := e.cfg.Now()
 			e.place()
+			e.contentionAfterRound()
 			e.placementTook = e.cfg.Now().Sub(start)
 		}
 		e.sendRenewals()
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -21,6 +21,7 @@
 	cuts           bool // workers are behind cuts that refuse connections
 	evacuations    bool // availability zones are evacuated
 	speeds         bool // tasks are placed by the speeds of the workers, which seem to change
+	features       Features
 	newLeaders     bool // leaders last for shortLeadership after the last fault
 }
 
@@ -28,6 +29,7 @@
 // or overtaken, workers restart and leaders change, and checks the rules on runs.
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
+	w.features = o.features
 	if o.speeds {
 		w.features.SpeedPlacement = true
 		w.slownessOf = func(id string) float64 { return 0.3 + 3*seeded(fmt.Sprint(seed, id, w.now.Unix())).Float64() }
@@ -321,3 +323,9 @@
 	runRefusalSeeds(t, refusalOptions{speeds: true, restartsKeepID: true, drains: true})
 	runRefusalSeeds(t, refusalOptions{speeds: true, crashes: true})
 }
+
+// The same schedules with admission by who competes, which refuses other jobs and keeps its own
+// account of the runs of each team.
+func TestRandomRefusalsWithContentionAdmission(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{features: Features{ContentionAdmission: true}, restartsKeepID: true, untold: true, drains: true})
+}
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -83,6 +83,12 @@
 	s.RunsEvacuated.Update(int64(runs))
 }
 
+// countRefused counts a refused job. It registers the counter of a reason at the first call.
+func (s *Stats) countRefused(reason string) {
+	name := metrics.Name("cell_refused_jobs_total", metrics.Label{Name: "reason", Value: reason})
+	gometrics.GetOrRegisterCounter(name, s.Registry).Inc(1)
+}
+
 // countCrash counts an event of the engine.
 func (s *Stats) countCrash(event engine.CrashEvent) {
 	switch event {
