Keep the bound of a reservation when its step is not tried

Cause: a gang that became late fell behind a backlog of work that can still end in time, so no round tried it, its bound was never checked, and it starved (seen in TestGangStartsAfterChangesOfLeader, where it did not start within 8 s). Change: the bound is checked and firm reservations are held at the beginning of each round, and their steps are tried in each round. Gangs ask about more workers in one call. The tickets of a gang are checked only when a call is due.

--- a/internal/cell/engine/renewals.go
+++ b/internal/cell/engine/renewals.go
@@ -52,9 +52,6 @@
 // others, so that the step can start sooner.
 func (e *Engine) workersForReservation(s *stepState, q *policy.Queue, round *placementRound) []*worker {
 	r := s.reservation
-	if validTasks, _, _ := e.ticketCapacity(s, e.now); validTasks >= s.waiting {
-		return nil // it starts with these tickets
-	}
 	neededAt := r.start
 	if earliest := e.now.Add(callTime(s, q, len(r.shares))); neededAt.Before(earliest) {
 		neededAt = earliest
@@ -77,6 +74,9 @@
 		if missing == 0 {
 			return nil
 		}
+		if validTasks, _, _ := e.ticketCapacity(s, e.now); validTasks >= s.waiting {
+			return nil // it starts with the tickets that it has
+		}
 		r.committed = true
 		return stale
 	}
@@ -99,7 +99,7 @@
 	rankHorizon = 2500 * time.Millisecond
 	// soonestMultiplier is the capacity on good workers that a gang asks for, as a multiple of
 	// what it needs, while delegates are scarce.
-	soonestMultiplier = 2.5
+	soonestMultiplier = 4
 )
 
 // rankBySoonest returns workers that the adviser was not asked about yet for a gang: those on
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -95,7 +95,7 @@
 }
 
 // firm reports whether r keeps its workers from round to round.
-func (r *stepReservation) firm() bool { return r.strict || r.committed }
+func (r *stepReservation) firm() bool { return r != nil && (r.strict || r.committed) }
 
 // heldFrom returns from when on the reserved resources are not available to others.
 func (r *stepReservation) heldFrom(now time.Time) time.Time {
@@ -105,16 +105,17 @@
 	return r.start
 }
 
-// holdFirmReservations holds what the firm reservations need before the steps are placed.
+// holdFirmReservations holds what the firm reservations need before the steps are placed. A
+// reservation whose bound has passed becomes strict here, as more urgent steps may keep the round
+// from trying its step.
 func (e *Engine) holdFirmReservations(rounds map[string]*placementRound) {
 	for _, s := range e.openSteps {
-		r := s.reservation
-		if r == nil {
+		r, q := s.reservation, e.queueOf(s.job())
+		if r == nil || q == nil || !s.open() {
 			continue
 		}
 		r.reached = false
-		q := e.queueOf(s.job())
-		if !r.firm() || q == nil || !s.open() {
+		if !r.firm() && e.now.Sub(r.promised) <= r.bound {
 			continue
 		}
 		round := e.roundOf(rounds, q.Service)
@@ -122,15 +123,24 @@
 			s.reservation = nil // it waits for something else
 			continue
 		}
-		if e.keepsWorkers(r, q) {
-			e.hold(r, round)
-			r.bindsAll = round.firmCPU == 0 || round.firmCPU+r.cpu() <= int64(firmRatio*float64(round.capacity))
-			round.firmCPU += r.cpu()
-			r.rank = round.reserving
+		if r.start.Before(e.now) {
+			r.start = e.now
+		}
+		e.checkSlip(r)
+		if r.firm() && round.reserving < maxReservingSteps && e.keepsWorkers(r, q, round) {
+			e.holdFirm(r, round)
 		}
 	}
 }
 
+// holdFirm holds the resources of a firm reservation before the steps are placed.
+func (e *Engine) holdFirm(r *stepReservation, round *placementRound) {
+	r.bindsAll = round.firmCPU == 0 || round.firmCPU+r.cpu() <= int64(firmRatio*float64(round.capacity))
+	r.rank = round.reserving
+	round.firmCPU += r.cpu()
+	e.hold(r, round)
+}
+
 // reserveStart reserves the resources for tasks of s, which could not be placed now.
 func (e *Engine) reserveStart(s *stepState, q *policy.Queue, round *placementRound, waiting int) {
 	count := e.reservedTasks(s, waiting)
@@ -216,6 +226,9 @@
 
 // planStart finds the earliest start of count tasks of s and the workers for it.
 func (e *Engine) planStart(s *stepState, q *policy.Queue, round *placementRound, count int) (stepPlan, bool) {
+	if count == 0 {
+		return stepPlan{}, false
+	}
 	workers := e.reservable(s, q, round, count)
 	round.examined += len(workers)
 	lines := make([]reservation.Worker, len(workers))
@@ -289,30 +302,43 @@
 		"start_ms", r.start.Sub(e.now).Milliseconds(), "workers", len(r.shares))
 }
 
-// keepsWorkers updates the start of a firm reservation on the workers that it has. It reports
-// false if the step cannot start there any more.
-func (e *Engine) keepsWorkers(r *stepReservation, q *policy.Queue) bool {
+// keepsWorkers updates the start of a firm reservation on the workers that it has. If its step
+// cannot start there any more it finds others. It reports false if there are none.
+func (e *Engine) keepsWorkers(r *stepReservation, q *policy.Queue, round *placementRound) bool {
+	plan, ok := e.startOnShares(r, q)
+	if !ok {
+		plan, ok = e.planStart(r.step, q, round, e.reservedTasks(r.step, r.step.waiting))
+	}
+	if !ok {
+		r.step.reservation, r.step.neverFits = nil, true
+		return false
+	}
+	r.use(plan, e.now)
+	return true
+}
+
+// startOnShares finds the start of a reservation on the workers that it has.
+func (e *Engine) startOnShares(r *stepReservation, q *policy.Queue) (stepPlan, bool) {
 	s := r.step
 	plan := stepPlan{start: e.now, shares: r.shares, spare: r.spare}
 	for _, sh := range r.shares {
 		w := sh.worker
 		good := q.Advice == nil || s.advice != nil && s.advice.goodByWorker[w] != nil && s.ticket(w).incarnation == w.incarnation
 		if !good || !w.usable(e.now) {
-			return false
+			return stepPlan{}, false
 		}
 		line := e.timeline(w, s)
 		line.MaxTasks = sh.tasks
 		found, ok := reservation.Find(reservation.Request{Need: s.charge, Count: sh.tasks, From: e.now}, []reservation.Worker{line})
 		if !ok {
-			return false
+			return stepPlan{}, false
 		}
 		if found.Start.After(plan.start) {
 			plan.start = found.Start
 		}
 	}
 	plan.start = e.startWithTickets(s, q, plan)
-	r.use(plan, e.now)
-	return true
+	return plan, true
 }
 
 // cpu returns the CPU that r reserves, in thousandths of a core.
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -51,9 +51,10 @@
 	return round
 }
 
-// tryStep tries to place s. It reports false if the budgets of the round are used up.
+// tryStep tries to place s. It reports false if the budgets of the round are used up. A step
+// with a firm reservation is tried always, as resources wait for it.
 func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) bool {
-	if round.cpuBudget <= 0 || round.failuresLeft <= 0 {
+	if (round.cpuBudget <= 0 || round.failuresLeft <= 0) && !s.reservation.firm() {
 		return false
 	}
 	if !e.placeStep(s, q, round) {
--- a/internal/cell/reservation/reservation.go
+++ b/internal/cell/reservation/reservation.go
@@ -89,19 +89,19 @@
 // Plan is the earliest start of a request.
 type Plan struct {
 	Start  time.Time
-	Shares []Share
-	Spare  []int // workers that become free next
+	Shares []Share // in the order in which the workers are free
+	Spare  []int   // workers that become free next
 }
 
 // event is the time from which more tasks fit on a worker for good.
 type event struct {
 	at     time.Time // from when they can start
-	free   time.Time // from when they fit
 	worker int
 	tasks  int // how many more
 }
 
-// Find returns the earliest plan for req, or false if the tasks never fit.
+// Find returns the earliest plan for req, or false if the tasks never fit. The tasks go on the
+// workers that are free first.
 func Find(req Request, workers []Worker) (Plan, bool) {
 	events := make([]event, 0, 2*len(workers))
 	for i := range workers {
@@ -115,11 +115,8 @@
 		if need -= ev.tasks; need > 0 {
 			continue
 		}
-		for n+1 < len(events) && events[n+1].at.Equal(ev.at) {
-			n++
-		}
-		chosen := latest(events[:n+1], workers, req.Count)
-		shares, index := sharesOf(chosen, len(workers))
+		shares, index := sharesOf(events[:n+1], len(workers))
+		shares[index[ev.worker]-1].Tasks += need // the last worker gets only what is left
 		return Plan{Start: ev.at, Shares: shares, Spare: spareOf(events[n+1:], index, req.Spare)}, true
 	}
 	return Plan{}, false
@@ -200,11 +197,7 @@
 			if i > 0 {
 				at = changes[i-1].at
 			}
-			free := at
-			if i == 0 {
-				free = w.freeSince(req.Need, n, at)
-			}
-			events = append(events, event{at, free, index, n - before})
+			events = append(events, event{at, index, n - before})
 			before = n
 		}
 	}
@@ -244,32 +237,3 @@
 func SlipBound(wait time.Duration) time.Duration {
 	return max(minSlip, time.Duration(slipRatio*float64(wait)))
 }
-
-// latest chooses events for count tasks that can all start at the time of the last one: those of
-// preferred workers first, then those whose resources become free last, so that the least is
-// idle until then.
-func latest(events []event, workers []Worker, count int) []event {
-	chosen := slices.Clone(events)
-	slices.SortStableFunc(chosen, func(a, b event) int {
-		return cmp.Or(comparePreferred(workers, a, b), b.free.Compare(a.free))
-	})
-	for i := range chosen {
-		if count -= chosen[i].tasks; count <= 0 {
-			chosen[i].tasks += count
-			return chosen[:i+1]
-		}
-	}
-	return chosen
-}
-
-// freeSince returns from when n tasks fit on w that can start at the given time.
-func (w *Worker) freeSince(need job.Resources, n int, at time.Time) time.Time {
-	free, since := w.Free.Sub(w.heldAt(at)), time.Time{}
-	for _, r := range w.Releases {
-		if need.CountIn(free, n) >= n || r.At.After(at) {
-			break
-		}
-		free, since = free.Add(r.Resources), r.At
-	}
-	return since
-}
