Ask the adviser only if a gang can never reserve on its good workers

Cause: a gang that found no start because others had reserved its good workers counted as one that can never start there, and asked about more workers each time. Change: it counts only if it does not fit beside runs without an end.

--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -166,7 +166,6 @@
 		return
 	}
 	plan, ok := e.planStart(s, q, round, count)
-	s.neverFits = !ok
 	if !ok {
 		s.reservation = nil
 		return
@@ -247,6 +246,7 @@
 		req.Count = count
 		found, ok = reservation.Find(req, lines)
 	}
+	s.neverFits = !ok && !fitsBesideLongRuns(s, lines, count)
 	if !ok {
 		return stepPlan{}, false
 	}
@@ -261,6 +261,20 @@
 	return plan, true
 }
 
+// fitsBesideLongRuns reports whether count tasks of s fit when the runs that have an end have
+// ended and no other step holds anything.
+func fitsBesideLongRuns(s *stepState, lines []reservation.Worker, count int) bool {
+	fit := 0
+	for _, line := range lines {
+		free := line.Free
+		for _, r := range line.Releases {
+			free = free.Add(r.Resources)
+		}
+		fit += s.charge.CountIn(free, max(0, line.MaxTasks))
+	}
+	return fit >= count
+}
+
 // has reports whether tasks are to start on w.
 func (r *stepReservation) has(w *worker) bool {
 	return r != nil && slices.ContainsFunc(r.shares, func(s share) bool { return s.worker == w })
@@ -310,7 +324,7 @@
 		plan, ok = e.planStart(r.step, q, round, e.reservedTasks(r.step, r.step.waiting))
 	}
 	if !ok {
-		r.step.reservation, r.step.neverFits = nil, true
+		r.step.reservation = nil
 		return false
 	}
 	r.use(plan, e.now)
@@ -341,20 +355,6 @@
 	return plan, true
 }
 
-// cpu returns the CPU that r reserves, in thousandths of a core.
-func (r *stepReservation) cpu() int64 {
-	n := 0
-	for _, sh := range r.shares {
-		n += sh.tasks
-	}
-	return int64(n) * r.step.charge.CPU
-}
-
-// holding reports whether r has held its resources in this round.
-func (r *stepReservation) holding(round *placementRound) bool {
-	return slices.Contains(round.reservations, r)
-}
-
 // moveFirm moves a firm reservation to workers that are free much sooner.
 func (e *Engine) moveFirm(r *stepReservation, q *policy.Queue, round *placementRound, count int) {
 	if r.moves >= maxMoves || r.start.Sub(e.now) < minMoveGain {
@@ -369,27 +369,3 @@
 	r.use(plan, e.now)
 	e.hold(r, round)
 }
-
-// hold holds the resources of r on its workers.
-func (e *Engine) hold(r *stepReservation, round *placementRound) {
-	round.reservations = append(round.reservations, r)
-	round.reserving++
-	for _, sh := range r.shares {
-		if len(sh.worker.holds) == 0 {
-			e.heldWorkers = append(e.heldWorkers, sh.worker)
-		}
-		held := r.step.charge.Times(sh.tasks)
-		sh.worker.holds = append(sh.worker.holds, workerHold{r, held})
-		round.reservedCPU += held.CPU
-	}
-}
-
-// unhold releases what hold has held for r.
-func (e *Engine) unhold(r *stepReservation, round *placementRound) {
-	round.reservations = slices.DeleteFunc(round.reservations, func(o *stepReservation) bool { return o == r })
-	round.reserving--
-	for _, sh := range r.shares {
-		sh.worker.holds = slices.DeleteFunc(sh.worker.holds, func(h workerHold) bool { return h.by == r })
-		round.reservedCPU -= r.step.charge.Times(sh.tasks).CPU
-	}
-}
