Merge reservations and backfill, and keep headroom for urgent tasks

Change: the feature headroom keeps resources for the urgent tasks that arrive in the next 0.3 s, in pieces that hold one, at most a tenth of the service.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -36,11 +36,12 @@
 	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration // how long the state of an ended job is kept
 	Features                Features
-	Now                     func() time.Time        // measures the duration of a placement round
-	CountCrash              func(CrashEvent)        // counts what the engine finds out about crashes; nil for no counts
-	ReportEvacuated         func(workers, runs int) // reports the workers in evacuated zones and their runs; nil for no reports
-	ReportRuntimes          func(RuntimeReport)     // takes what is known of run times every few seconds; nil for no reports
-	CountRefused            func(reason string)     // counts a refused job, see refusalLabels; nil for no counts
+	Now                     func() time.Time                    // measures the duration of a placement round
+	CountCrash              func(CrashEvent)                    // counts what the engine finds out about crashes; nil for no counts
+	ReportEvacuated         func(workers, runs int)             // reports the workers in evacuated zones and their runs; nil for no reports
+	ReportRuntimes          func(RuntimeReport)                 // takes what is known of run times every few seconds; nil for no reports
+	CountRefused            func(reason string)                 // counts a refused job, see refusalLabels; nil for no counts
+	CountReservations       func(event ReservationEvent, n int) // counts what happens to reservations; nil for no counts
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -84,6 +85,9 @@
 	pools           map[string]*pool   // by service
 	coldWorkers     []*worker          // workers that are slow after their start
 	heldWorkers     []*worker          // workers on which the last placement round held resources for gangs
+	backfilled      int                // runs planned on reserved resources since the last line about the load
+	slipped         int                // reservations that became strict since then
+	reserving       int                // steps with a reservation in the last placement round
 	stragglers      []*run             // runs for whose tasks a speculative run is worth starting
 	hazards         map[string]*hazard // by queue
 	openCrashes     []*crash
--- a/internal/cell/engine/exposure.go
+++ b/internal/cell/engine/exposure.go
@@ -305,7 +305,7 @@
 	for i, w := range workers {
 		candidates[i].Free = job.Resources{}
 		if w.doomed() {
-			candidates[i].Free = w.free()
+			candidates[i].Free = e.freeFor(s, w)
 		}
 	}
 	return placement.Place(e.request(s, q, count), candidates)
--- a/internal/cell/engine/features.go
+++ b/internal/cell/engine/features.go
@@ -12,6 +12,7 @@
 	LearnedRuntimes     bool // expected run times and the speeds of workers are learned from finished runs
 	Backfill            bool // waiting gangs reserve resources from the time at which they can start
 	ContentionAdmission bool // admission counts the work of the job's own team and its limit
+	Headroom            bool // work of lower priorities leaves room for the urgent tasks that arrive next
 	SpeedPlacement      bool // urgent tasks get fast workers and tasks with time to spare slow ones
 }
 
@@ -20,6 +21,7 @@
 	"learned-runtimes":     func(f *Features) *bool { return &f.LearnedRuntimes },
 	"backfill":             func(f *Features) *bool { return &f.Backfill },
 	"contention-admission": func(f *Features) *bool { return &f.ContentionAdmission },
+	"headroom":             func(f *Features) *bool { return &f.Headroom },
 	"speed-placement":      func(f *Features) *bool { return &f.SpeedPlacement },
 }
 
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -180,7 +180,7 @@
 func BenchmarkRound(b *testing.B) {
 	for _, workers := range []int{300, 1100, 3000, 12_000} {
 		for _, steps := range []int{1500, 5000} {
-			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) { benchmarkRound(b, newLargeWorld(b, workers), steps) })
+			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) { benchmarkRound(b, newLargeWorld(b, workers), steps, 0) })
 		}
 	}
 }
@@ -189,12 +189,28 @@
 func BenchmarkRoundWithSpeeds(b *testing.B) {
 	for _, steps := range []int{1500, 5000} {
 		b.Run(fmt.Sprintf("12000-workers-%d-steps", steps), func(b *testing.B) {
-			benchmarkRound(b, newWorldOfSpeeds(b, 12_000, true, 0.1), steps)
+			benchmarkRound(b, newWorldOfSpeeds(b, 12_000, true, 0.1), steps, 0)
 		})
 	}
 }
 
-func benchmarkRound(b *testing.B, w *world, steps int) {
+// BenchmarkRoundWithGangs measures the same with 64 gangs that wait for resources on 100 good
+// workers each, without and with backfill.
+func BenchmarkRoundWithGangs(b *testing.B) {
+	for _, workers := range []int{1100, 12_000} {
+		for _, f := range []Features{{}, {Backfill: true}} {
+			b.Run(fmt.Sprintf("%d-workers-backfill-%v", workers, f.Backfill), func(b *testing.B) {
+				w := newLargeWorld(b, workers)
+				w.features = f
+				w.startLeader()
+				w.run(time.Second)
+				benchmarkRound(b, w, 1500, 64)
+			})
+		}
+	}
+}
+
+func benchmarkRound(b *testing.B, w *world, steps, gangs int) {
 	e := w.engine
 	var running []*run
 	for _, worker := range e.workerList {
@@ -212,6 +228,13 @@
 		}
 		w.addOpenJob(queue, tasks(4, 7800, time.Second))
 	}
+	for n := range gangs {
+		s := w.addOpenJob("gangs", gang(48, 9000, 6*time.Second))
+		for i := range 100 {
+			good := e.workerList[(n*37+i*11)%len(e.workerList)]
+			s.markGood(good, ticket{incarnation: good.incarnation})
+		}
+	}
 	placed := 0
 	for b.Loop() {
 		b.StopTimer()
--- a/internal/cell/engine/pool.go
+++ b/internal/cell/engine/pool.go
@@ -19,6 +19,8 @@
 
 	nextPassedOver int // index in placementRound.passedOver at which the next round goes on
 
+	urgent taskArrivals // of the highest priority
+
 	measuredAt time.Time
 	free       int64 // CPU that was free on usable workers at measuredAt, in thousandths of a core
 	capacity   int64 // CPU of these workers, in thousandths of a core
@@ -42,7 +44,7 @@
 		}
 		p := e.poolOf(w.service)
 		if old := before[w.service]; old != nil && len(p.workers) == 0 {
-			p.speeds, p.speedsAt = old.speeds, old.speedsAt
+			p.speeds, p.speedsAt, p.urgent = old.speeds, old.speedsAt, old.urgent
 		}
 		w.pool, w.speedClass = p, 0
 		if e.cfg.Features.SpeedPlacement {
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -15,14 +15,14 @@
 type refusalOptions struct {
 	planted        plantedFault
 	restartsKeepID bool
-	untold         bool // answers to commands don't tell the worker's incarnation
-	drains         bool // workers drain, and others replace them
-	crashes        bool // tasks crash their workers, racks fail, and workers shrink and grow
-	cuts           bool // workers are behind cuts that refuse connections
-	evacuations    bool // availability zones are evacuated
-	speeds         bool // tasks are placed by the speeds of the workers, which seem to change
-	features       Features
-	newLeaders     bool // leaders last for shortLeadership after the last fault
+	untold         bool     // answers to commands don't tell the worker's incarnation
+	drains         bool     // workers drain, and others replace them
+	crashes        bool     // tasks crash their workers, racks fail, and workers shrink and grow
+	cuts           bool     // workers are behind cuts that refuse connections
+	evacuations    bool     // availability zones are evacuated
+	speeds         bool     // tasks are placed by the speeds of the workers, which seem to change
+	features       Features // of the engine
+	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"pollenbend/internal/cell/job"
@@ -15,9 +16,17 @@
 	holds             bool         // something is held for a gang
 	speculativeBudget int64        // CPU that may still be used for speculative runs, in thousandths of a core
 	asksLeft          int          // steps for which the adviser may still be called
+	cpuBesideHeadroom int64        // CPU that work of lower priorities may still use, in thousandths of a core
 	failuresLeft      int          // steps that may still be tried without a run or a call coming of it
 	exposure          *exposure    // nil until a step with risky starts is tried
 	passedOver        []*stepState // steps that were not tried, in the order of urgency
+
+	// With Features.Backfill:
+	reservations []*stepReservation // that hold resources in this round
+	reserving    int                // their number
+	reservedCPU  int64              // their CPU, in thousandths of a core
+	firmCPU      int64              // the part of it that firm reservations hold
+	examined     int                // workers that were examined for reservations
 }
 
 const (
@@ -43,8 +52,13 @@
 	p := e.poolOf(service)
 	p.measure(e.now)
 	e.measureSpeeds(p)
+	beside := int64(math.MaxInt64)
+	if e.cfg.Features.Headroom {
+		beside = p.cpuBesideHeadroom(e.now)
+	}
 	return &placementRound{
 		pool:              p,
+		cpuBesideHeadroom: beside,
 		cpuBudget:         int64(budgetFreeRatio*float64(p.free) + budgetCapacityRatio*float64(p.capacity)),
 		holdBudget:        int64(gangHoldRatio * float64(p.capacity)),
 		speculativeBudget: int64(speculativeRatio * float64(p.capacity)),
@@ -57,6 +71,8 @@
 func (e *Engine) clearHeld() {
 	for _, w := range e.heldWorkers {
 		w.heldForGangs = job.Resources{}
+		clear(w.holds)
+		w.holds = w.holds[:0]
 	}
 	e.heldWorkers = e.heldWorkers[:0]
 }
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -19,6 +19,9 @@
 	e.clearHeld()
 	e.updateWithheld()
 	rounds := make(map[string]*placementRound)
+	if e.cfg.Features.Backfill {
+		e.holdFirmReservations(rounds)
+	}
 	for _, s := range e.openSteps {
 		q := e.queueOf(s.job())
 		if q == nil || !s.open() {
@@ -36,6 +39,7 @@
 	}
 	e.tryPassedOverSteps(rounds)
 	e.placeSpeculativeRuns(rounds)
+	e.noteReservations(rounds)
 }
 
 // roundOf returns the round for a service and creates it on first use.
@@ -48,9 +52,10 @@
 	return round
 }
 
-// tryStep tries to place s. It reports false if the budgets of the round are used up.
+// tryStep tries to place s. It reports false if the budgets of the round are used up. A step
+// with a firm reservation is tried always, as resources wait for it.
 func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) bool {
-	if round.cpuBudget <= 0 || round.failuresLeft <= 0 {
+	if (round.cpuBudget <= 0 || round.failuresLeft <= 0) && !s.reservation.firm() {
 		return false
 	}
 	if !e.placeStep(s, q, round) {
@@ -150,17 +155,19 @@
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return false // members of the last run are still being stopped
 	}
-	tasks = e.withinLimit(s, tasks)
+	tasks = e.withinHeadroom(s, q, round, e.withinLimit(s, tasks))
 	if len(tasks) == 0 {
 		return false
 	}
 	asksLeft := round.asksLeft
 	s.placementTried = true
+	s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
 	if q.Advice != nil {
 		e.advise(s, q, round)
 	}
 	workers, chosen := e.choose(s, q, round, tasks)
+	round.cpuBesideHeadroom = max(0, round.cpuBesideHeadroom-s.charge.CPU*int64(len(chosen)))
 	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement && (e.contention == nil || !s.waitedForLimit) {
 		s.started = true
 		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
@@ -168,12 +175,18 @@
 	e.contention.noteSurplusStart(s, q, len(chosen), e.now)
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
+		e.countBackfill(s, w)
 		r := e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
 		if risk := e.crashRisk(t); risk > 0 {
 			r.expose(risk)
 		}
 	}
-	if len(chosen) == 0 {
+	switch {
+	case len(chosen) > 0:
+		s.reservation = nil
+	case e.cfg.Features.Backfill:
+		e.reserveStart(s, q, round, len(tasks))
+	default:
 		e.holdForGang(s, round, len(tasks))
 	}
 	return len(chosen) > 0 || round.asksLeft < asksLeft
@@ -203,10 +216,11 @@
 func (e *Engine) candidates(s *stepState, workers []*worker) []placement.Candidate {
 	out := make([]placement.Candidate, len(workers))
 	for i, w := range workers {
-		out[i] = placement.Candidate{Free: w.free(), Rack: w.rack, Slowness: w.classSlowness(), Penalty: w.health.slowness()}
+		out[i] = placement.Candidate{Free: e.freeFor(s, w), Rack: w.rack, Slowness: w.classSlowness(), Penalty: w.health.slowness()}
 		if s.spec.MaxPerWorker > 0 {
 			out[i].Running = s.tasksOn(w)
 		}
+		out[i].AtStake = w.reservedAgainst(s)
 		if w.closedTo(s.job()) {
 			out[i].Free = job.Resources{}
 		}
@@ -309,7 +323,7 @@
 		if !w.usable(e.now) || !w.canHold(s.spec) {
 			continue
 		}
-		n := tasksThatFit(s, w, w.free())
+		n := tasksThatFit(s, w, e.freeFor(s, w))
 		if n == 0 {
 			continue
 		}
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -104,6 +104,9 @@
 	if w.runtime != nil {
 		r.runtime = w.runtime(ref, step)
 	}
+	if _, started := w.firstStart[ref.Job]; !started {
+		w.firstStart[ref.Job] = w.now
+	}
 	if step.Gang {
 		key := fmt.Sprintf("%s/%d", ref.StepRef, a.Run)
 		g := w.gangs[key]
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -70,6 +70,8 @@
 	evacuatedSince   map[string]time.Time     // by availability zone
 	cold             map[string]time.Duration // how much longer workers are slow after their start
 	slownessOf       func(id string) float64  // what the engine takes for a worker's slowness; if nil, what it has learned
+	firstStart       map[string]time.Time     // of a run of the job
+	feedShort        bool                     // feedSmall submits tasks of 100 ms too
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -207,7 +209,7 @@
 		canceledAt: make(map[string]time.Time), answers: make(map[string]Answer), cancelRequested: make(map[string]bool),
 		evacuatedSince: make(map[string]time.Time), submittedAt: make(map[string]time.Time), turnaround: make(map[string]time.Duration), delegates: []string{"i1", "i2", "i3"},
 		rackOf: func(id string) string { return "r1-" + id[2:] },
-		gangs:  make(map[string]*simGang), startCommands: make(map[string]int), adviser: simAdviser{queues: make(map[string][]*simAdviceCall)},
+		gangs:  make(map[string]*simGang), firstStart: make(map[string]time.Time), startCommands: make(map[string]int), adviser: simAdviser{queues: make(map[string][]*simAdviceCall)},
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -27,6 +27,9 @@
 	LeastSlowness      gometrics.GaugeFloat64 // of the workers, as learned
 	MedianSlowness     gometrics.GaugeFloat64
 	MostSlowness       gometrics.GaugeFloat64
+	Reservations       gometrics.Gauge   // steps with a reservation in the last placement round
+	BackfilledRuns     gometrics.Counter // runs planned on reserved resources
+	ReservationSlips   gometrics.Counter // reservations whose start was expected too late
 }
 
 // NewStats returns stats in a new registry.
@@ -51,6 +54,9 @@
 		LeastSlowness:      newSlownessGauge("minimum", r),
 		MedianSlowness:     newSlownessGauge("median", r),
 		MostSlowness:       newSlownessGauge("maximum", r),
+		Reservations:       gometrics.NewRegisteredGauge(metrics.Name("cell_reservations"), r),
+		BackfilledRuns:     gometrics.NewRegisteredCounter(metrics.Name("cell_backfilled_runs_total"), r),
+		ReservationSlips:   gometrics.NewRegisteredCounter(metrics.Name("cell_reservation_slips_total"), r),
 	}
 }
 
@@ -100,3 +106,15 @@
 		s.JobsGivenUp.Inc(1)
 	}
 }
+
+// countReservations counts an event of the engine.
+func (s *Stats) countReservations(event engine.ReservationEvent, n int) {
+	switch event {
+	case engine.StepsReserving:
+		s.Reservations.Update(int64(n))
+	case engine.RunBackfilled:
+		s.BackfilledRuns.Inc(int64(n))
+	case engine.ReservationSlipped:
+		s.ReservationSlips.Inc(int64(n))
+	}
+}
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -37,6 +37,7 @@
 	config.ReportEvacuated = l.n.stats.reportEvacuated
 	config.ReportRuntimes = l.n.stats.reportRuntimes
 	config.CountRefused = l.n.stats.countRefused
+	config.CountReservations = l.n.stats.countReservations
 	e := engine.New(config, l.n.log, wallClock, time.Now())
 	if list := <-workers; list != nil {
 		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
