Do not lend the room that urgent work needs next

Change: with the feature headroom, half of the cores that arriving urgent work occupies are not lent.

--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -33,6 +33,9 @@
 	// further below its share than the job's team; zero if there is none.
 	OwedCores float64
 	Surplus   Surplus // counts for a job beyond its team's entitlement
+	// HeadroomCores are the cores of Room that stay free for urgent work that will arrive. A job
+	// beyond its team's entitlement gets only what is left beside them.
+	HeadroomCores float64
 }
 
 // Surplus describes the accepted work beyond the entitlements that is placed before a job or
@@ -88,7 +91,7 @@
 	d := Decision{Wait: max(fleet, l.TeamWait) + l.AdviceWait}
 	bearable := bearableWait(j)
 	switch {
-	case j.OverEntitlement && owesRoom(j, l):
+	case j.OverEntitlement && (owesRoom(j, l) || l.HeadroomCores > 0 && j.Cores+l.HeadroomCores > l.left()):
 		d.Reason = ReasonEntitlement
 	case max(fleetBound, l.TeamWait)+l.AdviceWait <= bearable:
 		d.Accept = true
--- a/internal/cell/engine/contention_admit.go
+++ b/internal/cell/engine/contention_admit.go
@@ -93,6 +93,7 @@
 	l.OwedCores = owed
 	if j.OverEntitlement {
 		l.Surplus = e.contention.surplusFor(class, e.now)
+		l.HeadroomCores = e.lentHeadroom(q.Service)
 	}
 	return l
 }
--- a/internal/cell/engine/headroom.go
+++ b/internal/cell/engine/headroom.go
@@ -91,3 +91,22 @@
 	}
 	return tasks[:min(int64(len(tasks)), round.cpuBesideHeadroom/s.charge.CPU)]
 }
+
+// lentHeadroomRatio is the part of the cores that arriving work of the highest priority occupies
+// which are not lent to work beyond the entitlements. What was lent comes back only after the run
+// time of a task, and the rate of a burst is twice the usual one.
+const lentHeadroomRatio = 0.5
+
+// lentHeadroom returns the cores of a service that are not lent to work beyond the entitlements.
+func (e *Engine) lentHeadroom(service string) float64 {
+	if !e.cfg.Features.Headroom {
+		return 0
+	}
+	arriving, highest := 0.0, e.highestPriority(service)
+	for _, load := range e.contention.classes {
+		if load.service == service && load.priority == highest && !load.overEntitlement {
+			arriving += load.arriving
+		}
+	}
+	return lentHeadroomRatio * arriving
+}
--- a/internal/cell/engine/refusals.go
+++ b/internal/cell/engine/refusals.go
@@ -1,6 +1,11 @@
 package engine
 
-import "pollenbend/internal/cell/admission"
+import (
+	"maps"
+	"slices"
+
+	"pollenbend/internal/cell/admission"
+)
 
 // refusalLabels are the values of the label "reason" of the metric of refused jobs. The reasons
 // in answers are sentences, which may change.
@@ -19,6 +24,16 @@
 	"the store is too slow for the caller's timeout":              "store",
 }
 
+// otherRefusal is the label of reasons without one of their own.
+const otherRefusal = "other"
+
+// RefusalLabels returns the labels with which Config.CountRefused is called.
+func RefusalLabels() []string {
+	labels := append(slices.Collect(maps.Values(refusalLabels)), otherRefusal)
+	slices.Sort(labels)
+	return slices.Compact(labels)
+}
+
 // countRefused counts a refused job by the label of its reason.
 func (e *Engine) countRefused(why string) {
 	if e.cfg.CountRefused == nil {
@@ -26,7 +41,7 @@
 	}
 	label, known := refusalLabels[why]
 	if !known {
-		label = "other"
+		label = otherRefusal
 	}
 	e.cfg.CountRefused(label)
 }
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -35,7 +35,7 @@
 // NewStats returns stats in a new registry.
 func NewStats() *Stats {
 	r := gometrics.NewRegistry()
-	return &Stats{
+	s := &Stats{
 		Registry: r,
 		Events:   gometrics.NewRegisteredCounter(metrics.Name("cell_events_total"), r),
 		Renewals: gometrics.NewRegisteredCounter(metrics.Name("cell_looks_total"), r),
@@ -58,6 +58,10 @@
 		BackfilledRuns:     gometrics.NewRegisteredCounter(metrics.Name("cell_backfilled_runs_total"), r),
 		ReservationSlips:   gometrics.NewRegisteredCounter(metrics.Name("cell_reservation_slips_total"), r),
 	}
+	for _, reason := range engine.RefusalLabels() {
+		s.refused(reason) // shown before the first refusal
+	}
+	return s
 }
 
 // newSlownessGauge returns a gauge of the slowness of the workers, in a new registry entry
@@ -89,10 +93,14 @@
 	s.RunsEvacuated.Update(int64(runs))
 }
 
-// countRefused counts a refused job. It registers the counter of a reason at the first call.
+// refused returns the counter of the jobs that are refused for a reason.
+func (s *Stats) refused(reason string) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter(metrics.Name("cell_refused_jobs_total", metrics.Label{Name: "reason", Value: reason}), s.Registry)
+}
+
+// countRefused counts a refused job.
 func (s *Stats) countRefused(reason string) {
-	name := metrics.Name("cell_refused_jobs_total", metrics.Label{Name: "reason", Value: reason})
-	gometrics.GetOrRegisterCounter(name, s.Registry).Inc(1)
+	s.refused(reason).Inc(1)
 }
 
 // countCrash counts an event of the engine.
