Count leases that late commands to an earlier incarnation extend

Cause: a worker that restarts under its id carries out late renewals and start commands of its earlier incarnation. Their lease ends are on the clock of that incarnation, far ahead of the present one's, so the worker extends its lease up to the maximum, also when it refuses the start. The engine took the leases that it had requested of the present incarnation for all, and gave up runs that went on under the extended lease.

Change: the engine records when commands with a lease got no answer. After a restart the leases of the worker are over only MaxCommandDelay and the longest lease after the last of them was sent.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -79,7 +79,7 @@
 	e.emit(&Start{
 		Worker: w.id, Address: w.address, Incarnation: r.incarnation, Task: t.name, Run: r.number,
 		Payload: t.step.job().spec.Payload, Entry: t.step.job().spec.Entry, Deadline: w.extendLease(e.cfg.Lease, e.now),
-		Checkpoint: r.checkpoint, Ticket: r.ticket.value, Timeout: timeout, run: r,
+		Checkpoint: r.checkpoint, Ticket: r.ticket.value, Timeout: timeout, sentAt: e.now, run: r,
 	})
 }
 
@@ -131,6 +131,7 @@
 	if ev.Incarnation != 0 && w.incarnation != 0 && ev.Incarnation > w.incarnation {
 		e.newIncarnation(w, ev.Incarnation, "answer to a start")
 	}
+	e.noteLeaseOfStart(ev)
 	if answeredAtLeast(ev.Incarnation, ev.Start.Incarnation) == w.incarnation {
 		w.noteClock(ev.Clock, e.now)
 		if ev.Clock > 0 {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -248,5 +248,5 @@
 	if unknown := w.unknownClockAt.Add(longest); !w.unknownClockAt.IsZero() && unknown.After(end) {
 		end = unknown
 	}
-	return end
+	return latest(end, w.lateLeasesUntil)
 }
--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -33,6 +33,7 @@
 		{name: "a late start was carried out after a restart above the capacity of the worker", seed: 5011, keptIDs: true, untold: true},
 		{name: "workers that were cut off and restarted there failed an innocent job", seed: 100226, keptIDs: true, untold: true, cuts: true},
 		{name: "a rack that failed while an answer was under way blamed a task", seed: 100639, crashes: true},
+		{name: "a late start of an earlier incarnation was refused and extended the lease of the next one", seed: 702660, keptIDs: true, untold: true, crashes: true, cuts: true},
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -202,6 +202,7 @@
 		Checkpoint  string
 		Ticket      string
 		Timeout     time.Duration // for an answer
+		sentAt      time.Time     // by this engine
 		run         *run
 	}
 	// Stop is a command to a worker to end a run.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -44,9 +44,12 @@
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
 	leaseEnd         int64     // latest end of a lease that was requested, on the worker's clock, in ms
+	unansweredLease  time.Time // when the last command with a lease was sent to this incarnation that got no answer
+	lateLeasesUntil  time.Time // when all leases have ended that commands to earlier incarnations may have extended
 	unknownClockAt   time.Time // when the last answer of a later, unknown incarnation arrived; zero if there was none
 	reported         bool      // it has answered a renewal of this leader in this incarnation
 	renewalInFlight  bool
+	renewalExtends   bool // the last renewal requested a lease
 	renewalSentAt    time.Time
 	nextRenewal      time.Time
 	lastAnswer       time.Time // when the last answer arrived
@@ -257,6 +260,7 @@
 func (e *Engine) switchIncarnation(w *worker, incarnation int64) {
 	w.incarnation = incarnation
 	w.incarnationSince = e.now
+	e.noteLateLeasesOfRestart(w)
 	e.settleRunsOfEarlierIncarnations(w)
 	w.reported = false
 	w.unknownRuns = 0
@@ -388,6 +392,7 @@
 		// have certainly ended some time after the last answer.
 		deadline = w.extendLease(e.cfg.Lease, e.now)
 	}
+	w.renewalExtends = deadline > 0
 	e.emit(&Renew{Worker: w.id, Address: w.address, Incarnation: w.incarnation, Deadline: deadline, Cursor: w.cursor, MaxWait: wait, Timeout: wait + renewalAnswerTimeout})
 }
 
@@ -428,6 +433,7 @@
 		}
 		w.incarnation = ev.Report.Incarnation
 	}
+	e.noteLeaseOfRenewal(w, ev)
 	first := !w.reported
 	if w.missedRenewals > 0 {
 		w.silenceEndedAt = e.now
@@ -465,6 +471,7 @@
 
 // renewalFailed handles a renewal without a report.
 func (e *Engine) renewalFailed(w *worker, ev *RenewalAnswered) {
+	e.noteLeaseOfRenewal(w, ev)
 	w.missedRenewals++
 	switch {
 	case w.missedRenewals > 1 && w.listed:
