--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -170,10 +170,15 @@
 // its expectation. Jobs of a queue differ by about this much.
 const runtimeSpread = 0.5
 
+// spreadFactor returns the p-quantile of a log-normal distribution relative to its median.
+func spreadFactor(p, spread float64) float64 {
+	return math.Exp(math.Sqrt2 * math.Erfinv(2*p-1) * spread)
+}
+
 // meanFactor returns the p-quantile of the run time relative to its mean, which is what the
 // queue's smoothed ratio follows.
 func meanFactor(p float64) float64 {
-	return math.Exp(math.Sqrt2*math.Erfinv(2*p-1)*runtimeSpread - runtimeSpread*runtimeSpread/2)
+	return spreadFactor(p, runtimeSpread) * math.Exp(-runtimeSpread*runtimeSpread/2)
 }
 
 // scale returns d times factor.
--- a/internal/cell/engine/expected_end.go
+++ b/internal/cell/engine/expected_end.go
@@ -59,12 +59,42 @@
 	case r.task.step.spec.LongRunning:
 		return longRunningTime
 	}
+	if !e.cfg.Features.LearnedRuntimes {
+		return e.leftByEstimate(r, p)
+	}
 	if left, known := e.remainingTime(r); known {
 		return e.leftByProgress(r, left, p)
 	}
 	return e.expectation(r).Remaining(e.workedTime(r), p)
 }
 
+const (
+	// progressSpread is the assumed standard deviation of the logarithm of the remaining time of a
+	// run whose progress is known, without learned run times.
+	progressSpread = 0.15
+	// minTimeLeft is the least time that is expected of a run then. The report of an end takes
+	// about as long.
+	minTimeLeft = 50 * time.Millisecond
+)
+
+// leftByEstimate returns the time that r still takes with probability p by its progress or else by
+// its estimate and the smoothed ratio of its queue. A run that should have ended is expected to
+// take as long as it is late by now.
+func (e *Engine) leftByEstimate(r *run, p float64) time.Duration {
+	left, known := e.remainingTime(r)
+	switch {
+	case known && left > 0:
+		left = scale(left, spreadFactor(p, progressSpread))
+	case known:
+		left = e.now.Sub(r.progressAt)
+	case r.startSentAt.IsZero():
+		left = scale(e.expectedRuntime(r), meanFactor(p))
+	default:
+		left = (scale(e.expectedRuntime(r), meanFactor(p)) - e.now.Sub(r.startSentAt)).Abs()
+	}
+	return max(minTimeLeft, left)
+}
+
 // workedTime returns how long r has worked, zero if that is not known.
 func (e *Engine) workedTime(r *run) time.Duration {
 	switch {
