Explain where the tasks of a job would go

Cause: an operator sees only after a submission whether a job is refused and where its tasks run. Result: over 1,000 random cells the explanation equals what the submission then finds, and the state before and after is the same.

--- a/internal/cell/engine/admit.go
+++ b/internal/cell/engine/admit.go
@@ -13,30 +13,35 @@
 // admit decides whether a job is accepted. It returns the reason for a refusal, or "",
 // and the delay before a retry, or zero.
 func (e *Engine) admit(spec *job.Spec) (string, time.Duration) {
+	d := e.decideAdmission(spec)
+	return d.Reason, d.RetryAfter
+}
+
+// decideAdmission returns the decision about a job, with the wait that it is based on.
+func (e *Engine) decideAdmission(spec *job.Spec) admission.Decision {
 	q := e.policy.Queue(spec.Queue)
 	if q == nil {
-		return "no such queue", 0
+		return admission.Decision{Reason: "no such queue"}
 	}
 	if why := e.neverFits(spec, q); why != "" {
-		return why, 0
+		return admission.Decision{Reason: why}
 	}
 	if spec.Scheduled() {
-		return "", 0
+		return admission.Decision{Accept: true}
 	}
 	if e.onlyEvacuatedFit(spec, q) {
-		return "the workers that could run it are in evacuated availability zones", evacuationRetryAfter
+		return admission.Decision{Reason: "the workers that could run it are in evacuated availability zones", RetryAfter: evacuationRetryAfter}
 	}
 	criticalPath := slices.Max(e.criticalPathsOf(spec))
 	if delay := e.exposureDelay(q); delay > ordering.LateMultiplier*objective(q, criticalPath)-criticalPath {
-		return "tasks of the queue crash workers, and it would end too late", min(delay, maxExposureRetryAfter)
+		return admission.Decision{Reason: "tasks of the queue crash workers, and it would end too late", Wait: delay, RetryAfter: min(delay, maxExposureRetryAfter)}
 	}
 	first := widest(spec)
 	load := e.loadFor(q, first)
-	decision := admission.Decide(admission.Job{
+	return admission.Decide(admission.Job{
 		Cores: float64(first.Charge().CPU) / 1000 * float64(first.Count), CriticalPath: criticalPath,
 		Objective: objective(q, criticalPath), OverEntitlement: !e.hasToken(spec.Team),
 	}, load)
-	return decision.Reason, decision.RetryAfter
 }
 
 // neverFits returns the reason why the job could never run, or "": one of its steps is
@@ -92,21 +97,33 @@
 	return bucket.tokens+team.Weight*e.now.Sub(bucket.refilledAt).Seconds() >= 1
 }
 
+// tokensOf returns the tokens of a team. It reports false if the team's jobs are not metered.
+func (e *Engine) tokensOf(name string) (float64, bool) {
+	team := e.policy.Team(name)
+	if team == nil || team.Weight <= 0 {
+		return 0, false
+	}
+	burst := team.Weight * entitlementBurst.Seconds()
+	bucket := e.entitlements[name]
+	if bucket == nil {
+		return burst, true
+	}
+	return min(burst, bucket.tokens+team.Weight*e.now.Sub(bucket.refilledAt).Seconds()), true
+}
+
 // takeToken counts one more job of the team and reports whether it is within the team's
 // entitlement.
 func (e *Engine) takeToken(name string) bool {
-	team := e.policy.Team(name)
-	if team == nil || team.Weight <= 0 {
+	tokens, metered := e.tokensOf(name)
+	if !metered {
 		return true
 	}
-	burst := team.Weight * entitlementBurst.Seconds()
 	bucket := e.entitlements[name]
 	if bucket == nil {
-		bucket = &tokenBucket{tokens: burst, refilledAt: e.now}
+		bucket = &tokenBucket{}
 		e.entitlements[name] = bucket
 	}
-	bucket.tokens = min(burst, bucket.tokens+team.Weight*e.now.Sub(bucket.refilledAt).Seconds())
-	bucket.refilledAt = e.now
+	bucket.tokens, bucket.refilledAt = tokens, e.now
 	if bucket.tokens < 1 {
 		return false
 	}
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -7,6 +7,13 @@
 // planRun reserves the resources for a run of t on w and writes its record. The start
 // command is sent once the record is stored.
 func (e *Engine) planRun(t *task, w *worker, number int, tkt ticket) *run {
+	r := e.addRun(t, w, number, tkt)
+	e.storeRun(r)
+	return r
+}
+
+// addRun adds a run to its task and its worker.
+func (e *Engine) addRun(t *task, w *worker, number int, tkt ticket) *run {
 	s := t.step
 	if !t.hasRuns() {
 		s.waiting--
@@ -16,11 +23,16 @@
 	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned, plannedAt: e.wall()}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
-	e.markDirty(s)
-	e.afterAppend(func() { e.sendStart(r) })
 	return r
 }
 
+// storeRun stores the record of a run that addRun has returned, and sends its start command
+// after that.
+func (e *Engine) storeRun(r *run) {
+	e.markDirty(r.task.step)
+	e.afterAppend(func() { e.sendStart(r) })
+}
+
 // reserve adds the charge of r to the resources used on its worker, and the need of its
 // task to the usage of its team.
 func (e *Engine) reserve(r *run) {
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -101,6 +101,9 @@
 	demands         map[int]*demand             // by priority
 	goodShares      map[string]float64          // share of workers that the adviser finds good, by queue
 
+	trial       *trial       // the placement round that an explanation tries; nil otherwise
+	explainedAt [2]time.Time // when the last explanations were made
+
 	needsPlacement    bool          // placement may have work to do
 	placedAt          time.Time     // when the last placement round started
 	placementTook     time.Duration // duration of the last placement round
@@ -151,6 +154,10 @@
 		e.status(ev)
 	case *Pending:
 		ev.Reply(Answer{Outcome: OK, Pending: e.queued[ev.Queue]})
+	case *Explain:
+		e.explain(ev)
+	case *Runtimes:
+		e.describeRuntimes(ev)
 	case *PolicyChanged:
 		e.policyChanged(ev.Policy)
 	case *WorkersListed:
@@ -236,6 +243,10 @@
 		reply = ev.Reply
 	case *Pending:
 		reply = ev.Reply
+	case *Explain:
+		reply = ev.Reply
+	case *Runtimes:
+		reply = ev.Reply
 	default:
 		return
 	}
--- /dev/null
+++ b/internal/cell/engine/explain_test.go
@@ -0,0 +1,300 @@
+package engine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
+)
+
+// explainNow returns the explanation of a job, as if there had been none lately.
+func (w *world) explainNow(ev *Explain) Answer {
+	var answer Answer
+	ev.Reply = func(a Answer) { answer = a }
+	w.engine.explainedAt = [2]time.Time{}
+	w.engine.Handle(w.now, ev)
+	return answer
+}
+
+// fingerprint describes the state of an engine that decisions depend on. Pointers stand for their
+// identity, and the order in lists counts.
+func (e *Engine) fingerprint() string {
+	var b strings.Builder
+	for _, w := range e.workerList {
+		fmt.Fprintf(&b, "worker %+v\n", *w)
+	}
+	for _, id := range sortedKeys(e.jobs) {
+		e.jobs[id].eachStep(func(s *stepState) {
+			shown := *s
+			shown.key = stepState{}.key // a round computes it before it uses it
+			fmt.Fprintf(&b, "step %+v %x\n", shown, s.encode())
+			for _, t := range s.tasks {
+				fmt.Fprintf(&b, "task %+v\n", *t)
+				for _, r := range t.runs {
+					fmt.Fprintf(&b, "run %+v\n", *r)
+				}
+			}
+			if s.advice != nil {
+				fmt.Fprintf(&b, "advice %+v\n", *s.advice)
+			}
+		})
+	}
+	for _, name := range sortedKeys(e.pools) {
+		fmt.Fprintf(&b, "pool %s %+v\n", name, *e.pools[name])
+	}
+	for _, priority := range sortedInts(e.demands) {
+		fmt.Fprintf(&b, "demand %d %+v\n", priority, *e.demands[priority])
+	}
+	for _, queue := range sortedKeys(e.hazards) {
+		fmt.Fprintf(&b, "hazard %s %+v\n", queue, *e.hazards[queue])
+	}
+	for _, team := range sortedKeys(e.entitlements) {
+		fmt.Fprintf(&b, "tokens %s %+v\n", team, *e.entitlements[team])
+	}
+	for _, d := range e.delegates {
+		fmt.Fprintf(&b, "delegate %+v\n", *d)
+	}
+	fmt.Fprintf(&b, "%v %v %v %v %v %v %v %v %v %v %v %d %d %d\n", e.openSteps, e.usage, e.queued, e.coldWorkers, e.heldWorkers, e.goodShares,
+		e.estimator, e.needsPlacement, e.placedAt, e.demandMeasuredAt, e.dirtyStepList, len(e.actions), len(e.batch.Records), len(e.batch.onStored))
+	fmt.Fprintf(&b, "%x %v", e.runtimes.Encode(), e.runtimes.Queues())
+	return b.String()
+}
+
+func sortedInts[V any](m map[int]V) []int {
+	var keys []int
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// randomStep returns a step for the cells of these tests.
+func randomStep(r *rand.Rand) job.Step {
+	s := tasks(1+r.IntN(6), int64(500*(1+r.IntN(14))), time.Duration(200+r.IntN(3000))*time.Millisecond)
+	s.Gang = r.IntN(4) == 0
+	if r.IntN(6) == 0 {
+		s.MaxPerWorker = 1
+	}
+	if r.IntN(12) == 0 {
+		s.Label = "b"
+	}
+	return s
+}
+
+// randomSteps returns the steps of a job; the second one may depend on the first.
+func randomSteps(r *rand.Rand) []job.Step {
+	steps := []job.Step{randomStep(r)}
+	if r.IntN(3) == 0 {
+		second := randomStep(r)
+		if r.IntN(2) == 0 {
+			second.DependsOn = []int{0}
+		}
+		steps = append(steps, second)
+	}
+	return steps
+}
+
+// newRandomCell returns a small cell under a random load, at a random time.
+func newRandomCell(t *testing.T, seed uint64) (*world, *rand.Rand) {
+	r := rand.New(rand.NewPCG(seed, 77))
+	w := newWorld(t, 2+r.IntN(7), seed)
+	w.features = Features{LearnedRuntimes: r.IntN(2) == 0, SpeedPlacement: r.IntN(2) == 0}
+	for i := range w.policy.Teams {
+		w.policy.Teams[i].Weight = []float64{0.5, 3, 50}[r.IntN(3)]
+	}
+	for _, id := range w.ids {
+		w.workers[id].slowdown = 0.6 + r.Float64()
+	}
+	w.startLeader()
+	w.run(time.Second)
+	for range r.IntN(16) {
+		queue, team := []string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], []string{"a", "capped"}[r.IntN(2)]
+		w.submit(queue, team, randomSteps(r)...)
+		w.run(time.Duration(r.IntN(30)) * simTick)
+	}
+	if r.IntN(3) == 0 {
+		w.workers[w.ids[0]].draining = true
+		w.publishDirectory()
+	}
+	if r.IntN(4) == 0 {
+		p := *w.policy
+		p.Evacuations = policy.Evacuations{Revision: 5, Zones: []string{zoneOf(w.ids[1])}}
+		w.policy = p.Index()
+		w.engine.Handle(w.now, &PolicyChanged{Policy: w.policy})
+	}
+	if r.IntN(4) == 0 {
+		w.engine.workers[w.ids[len(w.ids)-1]].health.quarantine(w.now)
+	}
+	w.run(time.Duration(r.IntN(10)) * simTick)
+	if r.IntN(8) == 0 {
+		*w.engine.hazardOf("batch") = hazard{crashes: 3, survived: 2, at: w.now.Add(-time.Second), crashAt: w.now}
+	}
+	for range r.IntN(4) { // the next round places them as well
+		w.submit([]string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], "a", randomSteps(r)...)
+	}
+	return w, r
+}
+
+// An explanation that differs from the decision, or changes it, misleads the operator.
+func TestExplanationIsWhatASubmissionThenFinds(t *testing.T) {
+	var refused, placed, asked, waited, deferred int
+	for seed := range uint64(1000) {
+		w, r := newRandomCell(t, seed)
+		e := w.engine
+		queue, team := []string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], []string{"a", "capped"}[r.IntN(2)]
+		spec := &job.Spec{ID: "00000000000000ff", Queue: queue, Team: team, Steps: randomSteps(r)}
+		before := e.fingerprint()
+		answer := w.explainNow(&Explain{Spec: spec})
+		require.Equal(t, OK, answer.Outcome)
+		x := answer.Explanation
+		require.Equal(t, before, e.fingerprint(), "seed %d: the explanation leaves a trace", seed)
+
+		e.actions = nil
+		w.sendSubmit(spec)
+		j := e.jobs[spec.ID]
+		if x.Verdict == VerdictRefused {
+			refused++
+			require.Nil(t, j, "seed %d", seed)
+			got := w.answers[spec.ID]
+			require.Equal(t, []any{x.Reason, x.RetryAfterMS}, []any{got.Why, got.RetryAfter.Milliseconds()}, "seed %d", seed)
+			continue
+		}
+		require.NotNil(t, j, "seed %d: refused: %s", seed, w.answers[spec.ID].Why)
+		require.Equal(t, j.overEntitlement, x.BeyondAllowance, "seed %d", seed)
+		for _, p := range e.pools {
+			p.speedsAt = w.now // a trial leaves the speed classes as they are
+		}
+		e.place()
+		for i, s := range j.occurrences[0].steps {
+			out := x.Steps[i]
+			require.Equal(t, slices.Index(e.openSteps, s)+1, out.Place, "seed %d, step %d", seed, i)
+			if out.Place == 0 {
+				deferred++
+				continue
+			}
+			require.Equal(t, len(e.openSteps), out.OpenSteps, "seed %d", seed)
+			got, want := make(map[string]int), make(map[string]int)
+			for _, task := range s.tasks {
+				for _, run := range task.runs {
+					got[run.worker.id]++
+				}
+			}
+			total := 0
+			for _, c := range out.Chosen {
+				want[c.Worker] = c.Tasks
+				total += c.Tasks
+			}
+			require.Equal(t, got, want, "seed %d, step %d", seed, i)
+			require.Equal(t, out.Placed, total)
+			require.Equal(t, out.Placed < out.Waiting, out.WaitsBecause != "")
+			placed += total
+			if out.WaitsBecause != "" {
+				waited++
+			}
+			var called []string
+			for _, action := range e.actions {
+				if c, ok := action.(*AdviceCall); ok && c.step == s {
+					called = append(called, c.Workers...)
+				}
+			}
+			require.Equal(t, called, out.Asked, "seed %d, step %d", seed, i)
+			asked += len(called)
+			excluded := 0
+			for _, c := range out.Excluded {
+				excluded += c.Workers
+			}
+			require.Equal(t, x.WorkersOfService, excluded+out.Left)
+		}
+	}
+	t.Logf("refused %d, placed tasks %d, asked about workers %d, steps that wait %d, steps that depend %d", refused, placed, asked, waited, deferred)
+	assert.Positive(t, min(refused, placed, asked, waited, deferred))
+}
+
+// A waiting job is explained with its present runs and place, also without a trace.
+func TestWaitingJobIsExplained(t *testing.T) {
+	waiting := 0
+	for seed := range uint64(200) {
+		w, _ := newRandomCell(t, seed)
+		e := w.engine
+		for _, id := range sortedKeys(e.jobs) {
+			before := e.fingerprint()
+			x := w.explainNow(&Explain{ID: id}).Explanation
+			require.NotNil(t, x)
+			require.Equal(t, before, e.fingerprint(), "seed %d", seed)
+			require.Equal(t, e.jobs[id].stateName(), x.Verdict)
+			for _, s := range x.Steps {
+				if s.Open {
+					require.Positive(t, s.Place)
+					waiting++
+				}
+			}
+		}
+	}
+	assert.Positive(t, waiting)
+}
+
+// Explanations in quick succession would take the time of placement rounds from the leader.
+func TestExplanationsAreLimited(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	w.run(time.Second)
+	ask := func() (got Answer) {
+		w.engine.Handle(w.now, &Explain{ID: "0000000000000001", Reply: func(a Answer) { got = a }})
+		return got
+	}
+	assert.Equal(t, NotFound, ask().Outcome)
+	assert.Equal(t, NotFound, ask().Outcome)
+	busy := ask()
+	assert.Equal(t, Refused, busy.Outcome)
+	assert.Positive(t, busy.RetryAfter)
+	w.run(time.Second)
+	assert.Equal(t, NotFound, ask().Outcome)
+	assert.Equal(t, NotFound, ask().Outcome)
+	assert.Equal(t, Refused, ask().Outcome)
+}
+
+// A job that is not valid, or that takes much memory, must not reach the trial.
+func TestExplanationRefusesInvalidJobs(t *testing.T) {
+	w := newWorld(t, 3, 1)
+	w.run(time.Second)
+	none := &job.Spec{Queue: "batch", Team: "a"}
+	assert.Contains(t, w.explainNow(&Explain{Spec: none}).Why, "no steps")
+	many := &job.Spec{Queue: "batch", Team: "a", Steps: slices.Repeat([]job.Step{tasks(10_000, 100, time.Second)}, 3)}
+	assert.Contains(t, w.explainNow(&Explain{Spec: many}).Why, "30000 tasks")
+	steps := &job.Spec{Queue: "batch", Team: "a", Steps: slices.Repeat([]job.Step{tasks(1, 100, time.Second)}, 65)}
+	assert.Contains(t, w.explainNow(&Explain{Spec: steps}).Why, "65 steps")
+	x := w.explainNow(&Explain{Spec: &job.Spec{Queue: "none", Steps: []job.Step{tasks(1, 100, time.Second)}}}).Explanation
+	assert.Equal(t, []string{VerdictRefused, "no such queue"}, []string{x.Verdict, x.Reason})
+}
+
+// An explanation lists at most maxListedWorkers workers, however many tasks a step has.
+func TestExplanationListsFewWorkers(t *testing.T) {
+	w := newWorld(t, 60, 1)
+	w.run(time.Second)
+	x := w.explainNow(&Explain{Spec: &job.Spec{Queue: "batch", Team: "a", Steps: []job.Step{tasks(50, 8000, time.Second)}}}).Explanation
+	assert.Equal(t, []int{50, 50, maxListedWorkers}, []int{x.Steps[0].Placed, x.Steps[0].ChosenCount, len(x.Steps[0].Chosen)})
+}
+
+// BenchmarkExplanation measures an explanation beside a full queue.
+func BenchmarkExplanation(b *testing.B) {
+	for _, workers := range []int{300, 12_000} {
+		for _, steps := range []int{1500, 5000} {
+			b.Run(fmt.Sprintf("%d-workers-%d-steps", workers, steps), func(b *testing.B) {
+				w := newLargeWorld(b, workers)
+				fillForRounds(w, steps)
+				spec := &job.Spec{ID: "00000000000000ff", Queue: "urgent", Team: "a", Steps: []job.Step{tasks(8, 7800, 640*time.Millisecond)}}
+				for b.Loop() {
+					w.explainNow(&Explain{Spec: spec})
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/engine/explanation.go
@@ -0,0 +1,131 @@
+package engine
+
+// Explanation tells what would become of a job now, and why.
+type Explanation struct {
+	Job              string            `json:"job,omitempty"` // id of a known job
+	Queue            string            `json:"queue"`
+	Team             string            `json:"team"`
+	Service          string            `json:"service"`
+	Verdict          string            `json:"verdict"` // accepted or refused, or the state of a known job
+	Reason           string            `json:"reason,omitempty"`
+	WaitMS           int64             `json:"waitMs"` // expected time in the queue, as admission sees it
+	RetryAfterMS     int64             `json:"retryAfterMs,omitempty"`
+	BeyondAllowance  bool              `json:"beyondAllowance"` // exceeds the entitlement of its team
+	CriticalPathMS   int64             `json:"criticalPathMs"`
+	ObjectiveMS      int64             `json:"objectiveMs"`
+	WorkersOfService int               `json:"workersOfService"`
+	Steps            []StepExplanation `json:"steps"`
+}
+
+// The verdicts about a job that is not known yet.
+const (
+	VerdictAccepted = "accepted"
+	VerdictRefused  = "refused"
+)
+
+// StepExplanation tells where the tasks of a step would go.
+type StepExplanation struct {
+	Step        int    `json:"step"`
+	Occurrence  int    `json:"occurrence,omitempty"`
+	Tasks       int    `json:"tasks"`
+	Waiting     int    `json:"waiting"` // tasks that are neither done nor have a run
+	Gang        bool   `json:"gang,omitempty"`
+	Open        bool   `json:"open"`            // its tasks can be placed now
+	Place       int    `json:"place,omitempty"` // in the order of the open steps of the service, from 1
+	OpenSteps   int    `json:"openSteps,omitempty"`
+	TasksBefore int    `json:"tasksBefore"`
+	Timeliness  string `json:"timeliness,omitempty"`
+
+	MedianMS int64 `json:"medianMs"` // expected run time of a task on an ordinary worker
+	P90MS    int64 `json:"p90Ms"`
+	Samples  int   `json:"samples"` // runs behind the expectation; zero if it is the caller's estimate alone
+
+	LimitAllows int              `json:"limitAllows"` // waiting tasks that the limit of the team allows to run now
+	Excluded    []ExclusionCount `json:"excluded"`
+	Left        int              `json:"left"` // workers that nothing excludes
+
+	Placed       int            `json:"placed"` // tasks that would be placed now
+	Chosen       []ChosenWorker `json:"chosen"`
+	ChosenCount  int            `json:"chosenCount"`
+	Calls        int            `json:"calls"` // calls to the adviser that would be made now
+	Asked        []string       `json:"asked,omitempty"`
+	AskedCount   int            `json:"askedCount"`
+	WaitsBecause string         `json:"waitsBecause,omitempty"` // why not all tasks are placed
+}
+
+// ExclusionCount is the number of workers that are excluded for a reason. Each worker counts for
+// the first reason that holds.
+type ExclusionCount struct {
+	Reason  string `json:"reason"`
+	Workers int    `json:"workers"`
+}
+
+// ChosenWorker is a worker that tasks would be placed on, as it was before that.
+type ChosenWorker struct {
+	Worker    string  `json:"worker"`
+	Zone      string  `json:"zone"`
+	Tasks     int     `json:"tasks"`
+	Slowness  float64 `json:"slowness"`
+	FreeCPU   int64   `json:"freeCpu"` // thousandths of a core
+	FreeMemMB int64   `json:"freeMemMb"`
+	FreeGPU   int64   `json:"freeGpu"`
+}
+
+// exclusion is the reason why a worker cannot get a task of a step now.
+type exclusion uint8
+
+const (
+	notExcluded exclusion = iota
+	excludedNotListed
+	excludedNotDescribed
+	excludedDraining
+	excludedEvacuated
+	excludedSilent
+	excludedUnknownRuns
+	excludedQuarantined
+	excludedTooSmall
+	excludedLabel
+	excludedNotAsked
+	excludedNotGood
+	excludedNoTicket
+	excludedRisky
+	excludedFull
+	excludedLimit
+	exclusions
+)
+
+var exclusionNames = [exclusions]string{
+	"", "not listed", "listed as an earlier incarnation", "draining", "evacuated zone", "silent", "reports unknown runs", "quarantined",
+	"cannot hold the task", "lacks the label", "not yet asked of the adviser", "not recommended by the adviser", "no valid ticket",
+	"kept apart after a risky start", "no free capacity", "limit of the team",
+}
+
+// String returns the name of x in explanations.
+func (x exclusion) String() string { return exclusionNames[x] }
+
+// RuntimeSummary is what has been learned of run times.
+type RuntimeSummary struct {
+	Calibration float64         `json:"calibration"` // part of the recent runs that ended within their 0.9 quantile
+	Queues      []QueueRuntimes `json:"queues"`      // those with most samples first
+	QueueCount  int             `json:"queueCount"`
+	Workers     int             `json:"workers"` // workers of which something is known
+	Slowest     []WorkerSpeed   `json:"slowest"`
+	Fastest     []WorkerSpeed   `json:"fastest"`
+}
+
+// QueueRuntimes is what has been learned of a queue: quantiles of the ratio of run time to
+// estimate on a worker of ordinary speed.
+type QueueRuntimes struct {
+	Queue       string  `json:"queue"`
+	Samples     int     `json:"samples"`
+	Median      float64 `json:"median"`
+	P90         float64 `json:"p90"`
+	Calibration float64 `json:"calibration"`
+}
+
+// WorkerSpeed is what has been learned of the speed of a worker.
+type WorkerSpeed struct {
+	Worker   string  `json:"worker"`
+	Slowness float64 `json:"slowness"`
+	Samples  int     `json:"samples"`
+}
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -194,7 +194,8 @@
 	}
 }
 
-func benchmarkRound(b *testing.B, w *world, steps int) {
+// fillForRounds fills the fleet and adds steps that wait. It returns the runs.
+func fillForRounds(w *world, steps int) []*run {
 	e := w.engine
 	var running []*run
 	for _, worker := range e.workerList {
@@ -212,6 +213,11 @@
 		}
 		w.addOpenJob(queue, tasks(4, 7800, time.Second))
 	}
+	return running
+}
+
+func benchmarkRound(b *testing.B, w *world, steps int) {
+	e, running := w.engine, fillForRounds(w, steps)
 	placed := 0
 	for b.Loop() {
 		b.StopTimer()
--- a/internal/cell/engine/learned.go
+++ b/internal/cell/engine/learned.go
@@ -48,7 +48,11 @@
 	}
 	if s.runtime.at.IsZero() || e.now.Sub(s.runtime.at) >= stepRuntimeValidity {
 		x := e.runtimes.Expect(taskOf(s.job().spec, s.spec, s.name, 1), "")
-		s.runtime = stepRuntime{mean: x.Mean(), median: x.Median(), at: e.now}
+		r := stepRuntime{mean: x.Mean(), median: x.Median(), at: e.now}
+		if e.trial != nil {
+			return r
+		}
+		s.runtime = r
 	}
 	return s.runtime
 }
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -15,11 +15,17 @@
 // workers, the most urgent steps first.
 func (e *Engine) place() {
 	e.dropPlacedSteps()
-	e.sortOpenSteps()
+	e.sortByUrgency(e.openSteps)
 	e.clearHeld()
 	e.updateWithheld()
 	rounds := make(map[string]*placementRound)
-	for _, s := range e.openSteps {
+	e.tryInOrder(e.openSteps, rounds)
+	e.placeSpeculativeRuns(rounds)
+}
+
+// tryInOrder tries to place the given steps, which are sorted by urgency.
+func (e *Engine) tryInOrder(steps []*stepState, rounds map[string]*placementRound) {
+	for _, s := range steps {
 		q := e.queueOf(s.job())
 		if q == nil || !s.open() {
 			continue // the queue is not declared any more, or nothing is left to place
@@ -35,7 +41,6 @@
 		e.logWait(s, round)
 	}
 	e.tryPassedOverSteps(rounds)
-	e.placeSpeculativeRuns(rounds)
 }
 
 // roundOf returns the round for a service and creates it on first use.
@@ -50,6 +55,7 @@
 
 // tryStep tries to place s. It reports false if the budgets of the round are used up.
 func (e *Engine) tryStep(s *stepState, q *policy.Queue, round *placementRound) bool {
+	e.trial.consider(s, q)
 	if round.cpuBudget <= 0 || round.failuresLeft <= 0 {
 		return false
 	}
@@ -88,7 +94,7 @@
 
 // logWait logs why a step has been waiting for longer than waitLogDelay.
 func (e *Engine) logWait(s *stepState, round *placementRound) {
-	if !s.open() || e.now.Sub(s.readyAt) < waitLogDelay || e.now.Sub(s.waitLoggedAt) < waitLogDelay || e.now.Sub(e.waitLoggedAt) < waitLogInterval {
+	if e.trial != nil || !s.open() || e.now.Sub(s.readyAt) < waitLogDelay || e.now.Sub(s.waitLoggedAt) < waitLogDelay || e.now.Sub(e.waitLoggedAt) < waitLogInterval {
 		return
 	}
 	s.waitLoggedAt, e.waitLoggedAt = e.now, e.now
@@ -106,12 +112,12 @@
 		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "team_limit_cpu", limit.CPU, "window_left", round.cpuBudget)
 }
 
-// sortOpenSteps sorts the open steps by urgency.
-func (e *Engine) sortOpenSteps() {
-	for _, s := range e.openSteps {
+// sortByUrgency sorts steps by urgency.
+func (e *Engine) sortByUrgency(steps []*stepState) {
+	for _, s := range steps {
 		s.key = ordering.KeyOf(s.urgency, e.now)
 	}
-	slices.SortStableFunc(e.openSteps, func(a, b *stepState) int { return ordering.Compare(a.key, b.key) })
+	slices.SortStableFunc(steps, func(a, b *stepState) int { return ordering.Compare(a.key, b.key) })
 }
 
 // urgencyOf returns the properties of s that determine its urgency.
@@ -129,7 +135,7 @@
 func (e *Engine) dropPlacedSteps() {
 	kept := e.openSteps[:0]
 	for _, s := range e.openSteps {
-		if s.remaining > 0 && s.waiting > 0 && !s.job().state.Final() {
+		if s.hasTasksToPlace() {
 			kept = append(kept, s)
 			continue
 		}
@@ -139,12 +145,18 @@
 	e.openSteps = kept
 }
 
+// hasTasksToPlace reports whether s belongs to the open steps.
+func (s *stepState) hasTasksToPlace() bool {
+	return s.remaining > 0 && s.waiting > 0 && !s.job().state.Final()
+}
+
 // lowestPriority is the priority of jobs whose queue is not declared any more.
 const lowestPriority = 1 << 20
 
 // placeStep plans runs for as many waiting tasks of s as possible. It reports whether it
 // has planned one or called the adviser.
 func (e *Engine) placeStep(s *stepState, q *policy.Queue, round *placementRound) bool {
+	e.trial.save(s)
 	tasks := s.waitingTasks()
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return false // members of the last run are still being stopped
@@ -160,16 +172,20 @@
 		e.advise(s, q, round)
 	}
 	workers, chosen := e.choose(s, q, round, tasks)
-	if len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement {
+	if e.trial == nil && len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement {
 		s.started = true
 		e.demandAt(q.Priority).noteStart(e.now.Sub(s.readyAt), e.now)
 	}
 	for i, index := range chosen {
 		t, w := tasks[i], workers[index]
-		r := e.planRun(t, w, e.nextNumber(s, t), s.ticket(w))
+		e.trial.planning(t, w)
+		r := e.addRun(t, w, e.nextNumber(s, t), s.ticket(w))
 		if risk := e.crashRisk(t); risk > 0 {
 			r.expose(risk)
 		}
+		if e.trial == nil {
+			e.storeRun(r)
+		}
 	}
 	if len(chosen) == 0 {
 		e.holdForGang(s, round, len(tasks))
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -64,7 +64,7 @@
 	charge         job.Resources // of one task, see job.Step.Charge
 	inOpenSteps    bool          // it is in Engine.openSteps
 	urgency        ordering.Step // when it was opened, or when the declarations last changed
-	key            ordering.Key  // set by sortOpenSteps
+	key            ordering.Key  // set by sortByUrgency
 
 	runtime stepRuntime // see Engine.runtimeOf
 	pace    gangPace    // see Engine.paceOf
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -133,6 +133,15 @@
 		Queue string
 		Reply func(Answer)
 	}
+	// Explain asks what would become of a job now, without an effect: of Spec if it is not
+	// nil, else of the known job with the id.
+	Explain struct {
+		Spec  *job.Spec
+		ID    string
+		Reply func(Answer)
+	}
+	// Runtimes asks what has been learned of run times.
+	Runtimes struct{ Reply func(Answer) }
 	// PolicyChanged carries a new version of the declarations.
 	PolicyChanged struct{ Policy *policy.Policy }
 	// WorkersListed carries the complete directory of workers.
@@ -257,4 +266,7 @@
 	Pending    int           // jobs of a queue that have not started
 	Why        string        // reason for a refusal, or why a job failed if not for its attempts
 	RetryAfter time.Duration // delay before a refused request is worth repeating; zero if none is known
+
+	Explanation *Explanation    // answer to Explain
+	Runtimes    *RuntimeSummary // answer to Runtimes
 }
--- a/internal/cell/runtimes/lru.go
+++ b/internal/cell/runtimes/lru.go
@@ -6,6 +6,7 @@
 type lru[K comparable, V any] struct {
 	entries map[K]*entry[K, V]
 	root    entry[K, V] // of the ring of entries, the last used one first
+	frozen  bool        // uses do not change the order of the entries
 }
 
 type entry[K comparable, V any] struct {
@@ -57,7 +58,7 @@
 }
 
 func (l *lru[K, V]) moveToFront(e *entry[K, V]) {
-	if l.root.next == e {
+	if l.frozen || l.root.next == e {
 		return
 	}
 	e.unlink()
--- a/internal/cell/runtimes/runtimes.go
+++ b/internal/cell/runtimes/runtimes.go
@@ -270,6 +270,12 @@
 	return x
 }
 
+// Freeze determines whether expectations leave no trace in m: which groups and steps were used
+// last, and thus are forgotten last, then stays as it is.
+func (m *Model) Freeze(frozen bool) {
+	m.workers.frozen, m.groups.frozen, m.steps.frozen = frozen, frozen, frozen
+}
+
 // Slowness returns the run time on a worker as a multiple of that on one of ordinary
 // speed. It is 1 for a worker of which nothing is known.
 func (m *Model) Slowness(worker string) float64 {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 		serveCommand(), platformCommand(), standinCommand(), devCommand(),
 		checkCommand(), diffCommand(), applyCommand(), keysCommand(),
 		submitCommand(), statusCommand(), cancelCommand(),
+		explainCommand(), runtimesCommand(),
 		cellCommand(), drainCommand(), timelineCommand(), replayCommand(),
 		versionCommand(),
 	}
