--- a/internal/cli/args.go
+++ b/internal/cli/args.go
@@ -9,10 +9,10 @@
 
 // commandLine holds the parsed arguments after a command's name.
 type commandLine struct {
-	args             []string // positional arguments
-	help             bool
-	version          bool
-	argsBeforeDashes int // number of arguments before "--", or of all arguments
+	args    []string // positional arguments
+	help    bool
+	version bool
+	parsed  []string // the arguments before "--", without "-", which flaggy takes for a flag without a name
 }
 
 // findCommand returns the command that args name and the arguments after its name.
@@ -42,19 +42,21 @@
 // or the version. It checks that every flag is a flag of sub and has a value if it
 // needs one. sub is nil if no command is named.
 func scanArgs(sub *flaggy.Subcommand, args []string) (commandLine, error) {
-	line := commandLine{argsBeforeDashes: len(args)}
+	var line commandLine
 	for i := 0; i < len(args); i++ {
 		arg := args[i]
 		switch {
 		case arg == "--":
-			line.argsBeforeDashes = i
 			line.args = append(line.args, args[i+1:]...)
 			return line, nil
+		case arg == "-":
+			line.args = append(line.args, arg)
+			continue
 		case arg == "-h" || arg == "--help":
 			line.help = true
 		case sub == nil && arg == "--version":
 			line.version = true
-		case arg == "-" || !strings.HasPrefix(arg, "-"):
+		case !strings.HasPrefix(arg, "-"):
 			line.args = append(line.args, arg)
 		default:
 			takesNext, err := checkFlag(sub, arg, i+1 < len(args))
@@ -62,9 +64,11 @@
 				return line, err
 			}
 			if takesNext {
+				line.parsed = append(line.parsed, arg)
 				i++
 			}
 		}
+		line.parsed = append(line.parsed, args[i])
 	}
 	if sub == nil && len(line.args) > 0 {
 		return line, errors.Newf("unknown command %q", line.args[0])
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 
 	"github.com/integrii/flaggy"
 )
@@ -67,7 +68,7 @@
 		fmt.Fprintln(out, Version)
 		return ExitDone
 	}
-	if err := parser.ParseArgs(args[:len(args)-len(remaining)+line.argsBeforeDashes]); err != nil {
+	if err := parser.ParseArgs(slices.Concat(args[:len(args)-len(remaining)], line.parsed)); err != nil {
 		fmt.Fprintln(errOut, "pollenbend:", err)
 		return ExitUsage
 	}
--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,129 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/engine"
+)
+
+// operatorServer answers every request with a status and a body, and keeps the last request.
+type operatorServer struct {
+	status       int
+	body         string
+	target, sent string
+}
+
+func (s *operatorServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sent, _ := io.ReadAll(r.Body)
+	s.target, s.sent = r.Method+" "+r.URL.String(), string(sent)
+	w.WriteHeader(s.status)
+	_, _ = io.WriteString(w, s.body)
+}
+
+func newOperatorServer(t *testing.T, status int, body any) (*operatorServer, string) {
+	t.Helper()
+	text, err := json.Marshal(body)
+	require.NoError(t, err)
+	s := &operatorServer{status: status, body: string(text)}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+func sampleExplanation() *engine.Explanation {
+	return &engine.Explanation{Queue: "batch", Team: "a", Service: "s", Verdict: engine.VerdictAccepted, WaitMS: 120, WorkersOfService: 40, ObjectiveMS: 11_000,
+		Steps: []engine.StepExplanation{{Tasks: 3, Waiting: 3, Open: true, Place: 4, OpenSteps: 9, TasksBefore: 31, Timeliness: "in time", MedianMS: 1900, P90MS: 2800, Samples: 212,
+			LimitAllows: 3, Excluded: []engine.ExclusionCount{{Reason: "draining", Workers: 2}}, Left: 38, Placed: 2, ChosenCount: 1, WaitsBecause: "no free capacity for the other tasks",
+			Chosen: []engine.ChosenWorker{{Worker: "w07", Zone: "z1", Tasks: 2, Slowness: 1.6, FreeCPU: 14_500, FreeMemMB: 900}}}}}
+}
+
+func TestExplainPrintsText(t *testing.T) {
+	s, url := newOperatorServer(t, http.StatusOK, sampleExplanation())
+	file := writeFile(t, `{"steps": []}`)
+	code, out, errOut := run(t, "explain", "--server", url, "--queue", "batch", "--team", "a", file)
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Equal(t, "POST /explain?queue=batch&team=a", s.target)
+	assert.Equal(t, `{"steps": []}`, s.sent)
+	for _, line := range []string{
+		"the job, queue batch, team a: accepted", "admission expects a wait of 120 ms", "objective 11.0 s",
+		"step 0: 3 tasks, 3 waiting; run time median 1900 ms, 0.9 quantile 2800 ms, 212 samples",
+		"order: 4 of 9 open steps of service s, 31 tasks before it, in time",
+		"workers: 38 of 40 left, 2 draining", "w07, zone z1: 2 tasks, slowness 1.60, free 14.5 cores, 900 MB",
+		"1 tasks wait: no free capacity for the other tasks",
+	} {
+		assert.Contains(t, out, line)
+	}
+}
+
+func TestExplainPrintsJSON(t *testing.T) {
+	s, url := newOperatorServer(t, http.StatusOK, sampleExplanation())
+	for _, flags := range [][]string{{"--output", "json"}, {"--json"}} {
+		code, out, errOut := run(t, append([]string{"explain", "--server", url, "--id", "5c0e7a21d94b36f8"}, flags...)...)
+		require.Equal(t, ExitDone, code, errOut)
+		assert.Equal(t, "GET /explain?id=5c0e7a21d94b36f8", s.target)
+		var x engine.Explanation
+		require.NoError(t, json.Unmarshal([]byte(out), &x))
+		assert.Equal(t, sampleExplanation(), &x)
+	}
+}
+
+func TestExplainReadsStandardInput(t *testing.T) {
+	s, url := newOperatorServer(t, http.StatusOK, sampleExplanation())
+	o := &explainOptions{operatorFlags: operatorFlags{servers: []string{url}, output: "text"}}
+	var out, errOut bytes.Buffer
+	require.Equal(t, ExitDone, runExplain(context.Background(), o, []string{"-"}, strings.NewReader("{}"), &out, &errOut), errOut.String())
+	assert.Equal(t, "{}", s.sent)
+	code, _, message := run(t, "explain", "--server", url, "-") // of the test process, which is empty
+	assert.Equal(t, ExitDone, code, message)
+}
+
+func TestRuntimesPrintsWhatIsLearned(t *testing.T) {
+	s, url := newOperatorServer(t, http.StatusOK, &engine.RuntimeSummary{Calibration: 0.9, QueueCount: 1, Workers: 1,
+		Queues:  []engine.QueueRuntimes{{Queue: "batch", Samples: 40, Median: 1.1, P90: 2.25, Calibration: 0.88}},
+		Slowest: []engine.WorkerSpeed{{Worker: "w1", Slowness: 1.62, Samples: 9}}})
+	code, out, errOut := run(t, "runtimes", "--server", url)
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Equal(t, "GET /runtimes", s.target)
+	assert.Contains(t, out, "queue batch: 40 samples, run time by estimate: median 1.10, 0.9 quantile 2.25, within it 0.88")
+	assert.Contains(t, out, "w1: slowness 1.62, 9 samples")
+}
+
+// A script tells by the exit code whether its input is wrong or the cell is busy.
+func TestExplainErrors(t *testing.T) {
+	file := writeFile(t, "{")
+	_, bad := newOperatorServer(t, http.StatusBadRequest, map[string]any{"error": "cpus: unknown field", "line": 3, "column": 7})
+	_, busy := newOperatorServer(t, http.StatusTooManyRequests, map[string]any{"error": "busy with other explanations"})
+	_, gone := newOperatorServer(t, http.StatusNotFound, map[string]any{"error": "no such job"})
+	_, other := newOperatorServer(t, http.StatusNotFound, "404 page not found")
+	for _, test := range []struct {
+		args    []string
+		code    int
+		message string
+	}{
+		{[]string{"--server", bad, file}, ExitUsage, file + ":3:7: cpus: unknown field"},
+		{[]string{"--server", busy, file}, ExitNotRun, "busy with other explanations"},
+		{[]string{"--server", gone, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "no such job"},
+		{[]string{"--server", other, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "address that serves the metrics"},
+		{[]string{"--server", "http://127.0.0.1:1", file}, ExitNotRun, "refused"},
+		{[]string{"--server", busy}, ExitUsage, "give one file"},
+		{[]string{"--server", busy, file, file}, ExitUsage, "give one file"},
+		{[]string{"--server", busy, "--id", "x", file}, ExitUsage, "--id alone"},
+		{[]string{"--server", busy, "--output", "xml", file}, ExitUsage, "expected text or json"},
+		{[]string{"--server", busy, file + ".missing"}, ExitUsage, "no such file"},
+		{[]string{file}, ExitUsage, "no server given"},
+	} {
+		code, _, errOut := run(t, append([]string{"explain"}, test.args...)...)
+		assert.Equal(t, test.code, code, "%v: %s", test.args, errOut)
+		assert.Contains(t, errOut, test.message)
+	}
+}
