--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -146,7 +146,7 @@
 		if out.Open {
 			out.Timeliness = timelinessNames[ordering.TimelinessOf(s.urgency, e.now)]
 		}
-		out.WaitsBecause = e.waitReason(s, q, t.watched[s])
+		out.WaitsBecause = e.waitReason(s, q, t)
 	}
 }
 
@@ -231,16 +231,16 @@
 	}
 }
 
-// waitReason returns why not all waiting tasks of s are placed, or "".
-func (e *Engine) waitReason(s *stepState, q *policy.Queue, watched *watchedStep) string {
-	out := watched.out
+// waitReason returns why not all waiting tasks of s are placed by the trial, or "".
+func (e *Engine) waitReason(s *stepState, q *policy.Queue, t *trial) string {
+	out := t.watched[s].out
 	switch {
 	case out.Waiting == 0 || out.Placed == out.Waiting:
 		return ""
 	case !out.Open && s.job().spec.Scheduled() && !s.ready:
 		return "its job is scheduled for later"
 	case !out.Open:
-		return "waits for the end of " + dependencies(s)
+		return dependencies(s) + " has not ended"
 	case out.Placed > 0 && out.LimitAllows == out.Placed:
 		return "the limit of the team allows no more tasks"
 	case out.Placed > 0:
@@ -253,12 +253,12 @@
 		return "the adviser is asked first"
 	case s.advice != nil && s.advice.callsInFlight > 0:
 		return "the adviser has not answered yet"
-	case !watched.considered:
+	case !t.watched[s].considered, out.Left > 0 && t.saved[s] && e.mayBeRisky(s):
 		return "its starts are risky, and no more workers may be exposed to such starts now"
+	case out.Left > 0 && !t.saved[s]:
+		return "more urgent steps use up this placement round"
 	case out.Left > 0 && s.spec.Gang:
 		return "not all tasks of the gang fit at the same time"
-	case out.Left > 0:
-		return "more urgent steps use up this placement round"
 	case q.Advice != nil:
 		return "no worker with a valid ticket has free capacity"
 	}
--- a/internal/cell/engine/explain_test.go
+++ b/internal/cell/engine/explain_test.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -47,18 +49,10 @@
 			}
 		})
 	}
-	for _, name := range sortedKeys(e.pools) {
-		fmt.Fprintf(&b, "pool %s %+v\n", name, *e.pools[name])
-	}
-	for _, priority := range sortedInts(e.demands) {
-		fmt.Fprintf(&b, "demand %d %+v\n", priority, *e.demands[priority])
-	}
-	for _, queue := range sortedKeys(e.hazards) {
-		fmt.Fprintf(&b, "hazard %s %+v\n", queue, *e.hazards[queue])
-	}
-	for _, team := range sortedKeys(e.entitlements) {
-		fmt.Fprintf(&b, "tokens %s %+v\n", team, *e.entitlements[team])
-	}
+	describeValues(&b, e.pools)
+	describeValues(&b, e.demands)
+	describeValues(&b, e.hazards)
+	describeValues(&b, e.entitlements)
 	for _, d := range e.delegates {
 		fmt.Fprintf(&b, "delegate %+v\n", *d)
 	}
@@ -68,13 +62,11 @@
 	return b.String()
 }
 
-func sortedInts[V any](m map[int]V) []int {
-	var keys []int
-	for k := range m {
-		keys = append(keys, k)
+// describeValues writes what the values of m point to, in the order of the keys.
+func describeValues[K cmp.Ordered, V any](b *strings.Builder, m map[K]*V) {
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		fmt.Fprintf(b, "%v %+v\n", k, *m[k])
 	}
-	slices.Sort(keys)
-	return keys
 }
 
 // randomStep returns a step for the cells of these tests.
@@ -125,6 +117,10 @@
 		w.workers[w.ids[0]].draining = true
 		w.publishDirectory()
 	}
+	if r.IntN(4) == 0 {
+		w.cold = map[string]time.Duration{w.ids[len(w.ids)/2]: 3 * time.Second}
+		w.publishDirectory()
+	}
 	if r.IntN(4) == 0 {
 		p := *w.policy
 		p.Evacuations = policy.Evacuations{Revision: 5, Zones: []string{zoneOf(w.ids[1])}}
@@ -138,6 +134,9 @@
 	if r.IntN(8) == 0 {
 		*w.engine.hazardOf("batch") = hazard{crashes: 3, survived: 2, at: w.now.Add(-time.Second), crashAt: w.now}
 	}
+	if r.IntN(3) == 0 {
+		w.now = w.now.Add(time.Duration(r.IntN(1500)) * time.Millisecond) // tickets expire, and their steps ask again
+	}
 	for range r.IntN(4) { // the next round places them as well
 		w.submit([]string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], "a", randomSteps(r)...)
 	}
@@ -157,6 +156,14 @@
 		require.Equal(t, OK, answer.Outcome)
 		x := answer.Explanation
 		require.Equal(t, before, e.fingerprint(), "seed %d: the explanation leaves a trace", seed)
+		for _, id := range sortedKeys(e.jobs) {
+			known := w.explainNow(&Explain{ID: id}).Explanation
+			require.Equal(t, e.jobs[id].stateName(), known.Verdict)
+			for _, s := range known.Steps {
+				require.Equal(t, s.Open, s.Place > 0, "seed %d, job %s", seed, id)
+			}
+		}
+		require.Equal(t, before, e.fingerprint(), "seed %d: the explanation of a known job leaves a trace", seed)
 
 		e.actions = nil
 		w.sendSubmit(spec)
@@ -219,27 +226,50 @@
 	assert.Positive(t, min(refused, placed, asked, waited, deferred))
 }
 
-// A waiting job is explained with its present runs and place, also without a trace.
-func TestWaitingJobIsExplained(t *testing.T) {
-	waiting := 0
-	for seed := range uint64(200) {
-		w, _ := newRandomCell(t, seed)
-		e := w.engine
-		for _, id := range sortedKeys(e.jobs) {
-			before := e.fingerprint()
-			x := w.explainNow(&Explain{ID: id}).Explanation
-			require.NotNil(t, x)
-			require.Equal(t, before, e.fingerprint(), "seed %d", seed)
-			require.Equal(t, e.jobs[id].stateName(), x.Verdict)
-			for _, s := range x.Steps {
-				if s.Open {
-					require.Positive(t, s.Place)
-					waiting++
-				}
-			}
-		}
-	}
-	assert.Positive(t, waiting)
+// A worker counts for the first reason that holds, so that the counts add up.
+func TestExplanationCountsExcludedWorkers(t *testing.T) {
+	w := newWorld(t, 12, 1)
+	w.run(time.Second)
+	e := w.engine
+	at := func(i int) *worker { return e.workers[w.ids[i]] }
+	at(0).listed = false
+	at(1).entryIncarnation = 9
+	at(2).draining, at(2).missedRenewals = true, 1
+	at(3).evacuated = true
+	at(4).missedRenewals = 1
+	at(5).refusingSince = w.now
+	at(6).unknownRuns = 1
+	at(7).health.quarantine(w.now)
+	at(8).capacity.CPU = 1000
+	at(9).labels = nil
+	at(10).setUsed(job.Resources{CPU: 7000})
+	step := tasks(2, 2000, time.Second)
+	step.Label = "a"
+	x := w.explainNow(&Explain{Spec: &job.Spec{Queue: "batch", Team: "a", Steps: []job.Step{step}}}).Explanation.Steps[0]
+	want := []ExclusionCount{{"not listed", 1}, {"listed as an earlier incarnation", 1}, {"draining", 1}, {"evacuated zone", 1}, {"silent", 2},
+		{"reports unknown runs", 1}, {"quarantined", 1}, {"cannot hold the task", 1}, {"lacks the label", 1}, {"no free capacity", 1}}
+	assert.Equal(t, want, x.Excluded)
+	assert.Equal(t, []int{1, 2}, []int{x.Left, x.Placed})
+	assert.Equal(t, []ChosenWorker{{Worker: "w11", Zone: zoneOf("w11"), Tasks: 2, Slowness: 1, FreeCPU: 8000, FreeMemMB: 16_000}}, x.Chosen)
+
+	e.usage["capped"] = job.Resources{CPU: 7000}
+	x = w.explainNow(&Explain{Spec: &job.Spec{Queue: "batch", Team: "capped", Steps: []job.Step{step}}}).Explanation.Steps[0]
+	assert.Contains(t, x.Excluded, ExclusionCount{"limit of the team", 1})
+	assert.Equal(t, "the limit of the team allows no tasks now", x.WaitsBecause)
+}
+
+// What the adviser has said of a step that waits tells which workers are left to ask about.
+func TestExplanationCountsWorkersByAdvice(t *testing.T) {
+	w := newWorld(t, 5, 1)
+	w.run(time.Second)
+	s := w.addOpenJob("advised", tasks(9, 6000, time.Second))
+	good, expired, bad := w.engine.workers["w00"], w.engine.workers["w01"], w.engine.workers["w02"]
+	s.markGood(good, ticket{incarnation: good.incarnation, validUntil: w.now.Add(time.Second)})
+	s.markGood(expired, ticket{incarnation: expired.incarnation, validUntil: w.now})
+	s.advice.asked[bad] = bad.incarnation
+	x := w.explainNow(&Explain{ID: s.ref.Job}).Explanation.Steps[0]
+	assert.Equal(t, []ExclusionCount{{"not yet asked of the adviser", 2}, {"not recommended by the adviser", 1}, {"no valid ticket", 1}}, x.Excluded)
+	assert.Equal(t, []int{1, 1}, []int{x.Left, x.Placed})
 }
 
 // Explanations in quick succession would take the time of placement rounds from the leader.
@@ -261,9 +291,9 @@
 	assert.Equal(t, Refused, ask().Outcome)
 }
 
-// A job that is not valid, or that takes much memory, must not reach the trial.
-func TestExplanationRefusesInvalidJobs(t *testing.T) {
-	w := newWorld(t, 3, 1)
+// A job that is not valid or takes much memory must not reach the trial, and the answer stays small.
+func TestExplanationIsBounded(t *testing.T) {
+	w := newWorld(t, 30, 1)
 	w.run(time.Second)
 	none := &job.Spec{Queue: "batch", Team: "a"}
 	assert.Contains(t, w.explainNow(&Explain{Spec: none}).Why, "no steps")
@@ -271,18 +301,12 @@
 	assert.Contains(t, w.explainNow(&Explain{Spec: many}).Why, "30000 tasks")
 	steps := &job.Spec{Queue: "batch", Team: "a", Steps: slices.Repeat([]job.Step{tasks(1, 100, time.Second)}, 65)}
 	assert.Contains(t, w.explainNow(&Explain{Spec: steps}).Why, "65 steps")
+	wide := w.explainNow(&Explain{Spec: &job.Spec{Queue: "batch", Team: "a", Steps: []job.Step{tasks(30, 8000, time.Second)}}}).Explanation.Steps[0]
+	assert.Equal(t, []int{30, maxListedWorkers}, []int{wide.ChosenCount, len(wide.Chosen)})
 	x := w.explainNow(&Explain{Spec: &job.Spec{Queue: "none", Steps: []job.Step{tasks(1, 100, time.Second)}}}).Explanation
 	assert.Equal(t, []string{VerdictRefused, "no such queue"}, []string{x.Verdict, x.Reason})
 }
 
-// An explanation lists at most maxListedWorkers workers, however many tasks a step has.
-func TestExplanationListsFewWorkers(t *testing.T) {
-	w := newWorld(t, 60, 1)
-	w.run(time.Second)
-	x := w.explainNow(&Explain{Spec: &job.Spec{Queue: "batch", Team: "a", Steps: []job.Step{tasks(50, 8000, time.Second)}}}).Explanation
-	assert.Equal(t, []int{50, 50, maxListedWorkers}, []int{x.Steps[0].Placed, x.Steps[0].ChosenCount, len(x.Steps[0].Chosen)})
-}
-
 // BenchmarkExplanation measures an explanation beside a full queue.
 func BenchmarkExplanation(b *testing.B) {
 	for _, workers := range []int{300, 12_000} {
--- a/internal/cell/engine/explanation.go
+++ b/internal/cell/engine/explanation.go
@@ -14,7 +14,7 @@
 	CriticalPathMS   int64             `json:"criticalPathMs"`
 	ObjectiveMS      int64             `json:"objectiveMs"`
 	WorkersOfService int               `json:"workersOfService"`
-	Steps            []StepExplanation `json:"steps"`
+	Steps            []StepExplanation `json:"steps,omitempty"`
 }
 
 // The verdicts about a job that is not known yet.
@@ -41,11 +41,11 @@
 	Samples  int   `json:"samples"` // runs behind the expectation; zero if it is the caller's estimate alone
 
 	LimitAllows int              `json:"limitAllows"` // waiting tasks that the limit of the team allows to run now
-	Excluded    []ExclusionCount `json:"excluded"`
+	Excluded    []ExclusionCount `json:"excluded,omitempty"`
 	Left        int              `json:"left"` // workers that nothing excludes
 
 	Placed       int            `json:"placed"` // tasks that would be placed now
-	Chosen       []ChosenWorker `json:"chosen"`
+	Chosen       []ChosenWorker `json:"chosen,omitempty"`
 	ChosenCount  int            `json:"chosenCount"`
 	Calls        int            `json:"calls"` // calls to the adviser that would be made now
 	Asked        []string       `json:"asked,omitempty"`
@@ -105,12 +105,12 @@
 
 // RuntimeSummary is what has been learned of run times.
 type RuntimeSummary struct {
-	Calibration float64         `json:"calibration"` // part of the recent runs that ended within their 0.9 quantile
-	Queues      []QueueRuntimes `json:"queues"`      // those with most samples first
+	Calibration float64         `json:"calibration"`      // part of the recent runs that ended within their 0.9 quantile
+	Queues      []QueueRuntimes `json:"queues,omitempty"` // those with most samples first
 	QueueCount  int             `json:"queueCount"`
 	Workers     int             `json:"workers"` // workers of which something is known
-	Slowest     []WorkerSpeed   `json:"slowest"`
-	Fastest     []WorkerSpeed   `json:"fastest"`
+	Slowest     []WorkerSpeed   `json:"slowest,omitempty"`
+	Fastest     []WorkerSpeed   `json:"fastest,omitempty"`
 }
 
 // QueueRuntimes is what has been learned of a queue: quantiles of the ratio of run time to
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -20,7 +20,6 @@
 	saved   map[*stepState]bool
 	actions []any                       // of the engine, before the trial
 	watched map[*stepState]*watchedStep // steps that are explained
-	started []*worker                   // workers of the planned runs, in their order
 }
 
 // watchedStep is what a trial finds out about a step.
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -1,13 +1,10 @@
 package cli
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -65,26 +62,17 @@
 	}
 }
 
-func TestExplainPrintsJSON(t *testing.T) {
+func TestExplainPrintsJSONAndReadsStandardInput(t *testing.T) {
 	s, url := newOperatorServer(t, http.StatusOK, sampleExplanation())
-	for _, flags := range [][]string{{"--output", "json"}, {"--json"}} {
-		code, out, errOut := run(t, append([]string{"explain", "--server", url, "--id", "5c0e7a21d94b36f8"}, flags...)...)
-		require.Equal(t, ExitDone, code, errOut)
-		assert.Equal(t, "GET /explain?id=5c0e7a21d94b36f8", s.target)
-		var x engine.Explanation
-		require.NoError(t, json.Unmarshal([]byte(out), &x))
-		assert.Equal(t, sampleExplanation(), &x)
-	}
-}
-
-func TestExplainReadsStandardInput(t *testing.T) {
-	s, url := newOperatorServer(t, http.StatusOK, sampleExplanation())
-	o := &explainOptions{operatorFlags: operatorFlags{servers: []string{url}, output: "text"}}
-	var out, errOut bytes.Buffer
-	require.Equal(t, ExitDone, runExplain(context.Background(), o, []string{"-"}, strings.NewReader("{}"), &out, &errOut), errOut.String())
-	assert.Equal(t, "{}", s.sent)
-	code, _, message := run(t, "explain", "--server", url, "-") // of the test process, which is empty
-	assert.Equal(t, ExitDone, code, message)
+	code, out, errOut := run(t, "explain", "--server", url, "--id", "5c0e7a21d94b36f8", "--output", "json")
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Equal(t, "GET /explain?id=5c0e7a21d94b36f8", s.target)
+	var x engine.Explanation
+	require.NoError(t, json.Unmarshal([]byte(out), &x))
+	assert.Equal(t, sampleExplanation(), &x)
+	code, _, errOut = run(t, "explain", "--server", url, "--json", "-") // the input of the test process is empty
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Equal(t, "POST /explain?queue=&team=", s.target)
 }
 
 func TestRuntimesPrintsWhatIsLearned(t *testing.T) {
--- a/internal/cli/explain_text.go
+++ b/internal/cli/explain_text.go
@@ -70,7 +70,7 @@
 	}
 	printMore(out, s.ChosenCount-len(s.Chosen))
 	if s.Calls > 0 {
-		fmt.Fprintf(out, "  the adviser would be asked about %d workers in %d calls: %s\n", s.AskedCount, s.Calls, strings.Join(s.Asked, " "))
+		fmt.Fprintf(out, "  calls to the adviser now: %d, about %d workers: %s\n", s.Calls, s.AskedCount, strings.Join(s.Asked, " "))
 		printMore(out, s.AskedCount-len(s.Asked))
 	}
 	if s.WaitsBecause != "" {
