--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
@@ -37,26 +39,26 @@
 		ev.Reply(Answer{Outcome: OK, Explanation: e.explainKnown(j)})
 		return
 	}
-	if why := explainable(ev.Spec); why != "" {
-		ev.Reply(Answer{Outcome: Refused, Why: why})
+	if err := CheckExplained(ev.Spec); err != nil {
+		ev.Reply(Answer{Outcome: Refused, Why: err.Error()})
 		return
 	}
 	ev.Reply(Answer{Outcome: OK, Explanation: e.explainNew(ev.Spec)})
 }
 
-// explainable returns why a job is not explained, or "".
-func explainable(spec *job.Spec) string {
+// CheckExplained returns an error if a job is not valid or too large to be explained.
+func CheckExplained(spec *job.Spec) error {
 	if err := spec.Validate(); err != nil {
-		return err.Error()
+		return err
 	}
 	total := 0
 	for i := range spec.Steps {
 		total += spec.Steps[i].Count
 	}
 	if total > maxExplainedTasks {
-		return fmt.Sprintf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks)
+		return errors.Newf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks)
 	}
-	return ""
+	return nil
 }
 
 // explainNew explains a job as if it were submitted now.
