--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -210,7 +210,8 @@
 	}
 }
 
-func benchmarkRound(b *testing.B, w *world, steps, gangs int) {
+// fillForRounds fills the fleet and adds steps that wait. It returns the runs.
+func fillForRounds(w *world, steps int) []*run {
 	e := w.engine
 	var running []*run
 	for _, worker := range e.workerList {
@@ -228,6 +229,11 @@
 		}
 		w.addOpenJob(queue, tasks(4, 7800, time.Second))
 	}
+	return running
+}
+
+func benchmarkRound(b *testing.B, w *world, steps, gangs int) {
+	e, running := w.engine, fillForRounds(w, steps)
 	for n := range gangs {
 		s := w.addOpenJob("gangs", gang(48, 9000, 6*time.Second))
 		for i := range 100 {
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -170,11 +170,6 @@
 // shrunk, in any resource.
 func (w *worker) overcommitted() bool { return !w.used.Fits(w.capacity) }
 
-// canHold reports whether w could run a task of s if it were idle.
-func (w *worker) canHold(s *job.Step) bool {
-	return s.Charge().Fits(w.capacity) && (s.Label == "" || slices.Contains(w.labels, s.Label))
-}
-
 // rackOf returns the label that names a rack, or "". Such a label begins with "r" and
 // contains "-".
 func rackOf(labels []string) string {
@@ -186,11 +181,6 @@
 	return ""
 }
 
-// usable reports whether new tasks may be sent to w.
-func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.described() && !w.draining && !w.evacuated && w.reported && w.missedRenewals == 0 && w.refusingSince.IsZero() && w.unknownRuns == 0 && !w.health.quarantined(now)
-}
-
 // workersListed applies the directory of workers.
 func (e *Engine) workersListed(list []WorkerInfo) {
 	present := make(map[string]bool, len(list))
