Keep explanations without a trace after the merge

Cause: admission by who competes and the reservations note in a round that a step waits for its team's limit, passes holds, or whom it asks the adviser about; a trial of a round did not undo these. The test of 1,000 cells found each.

Change: the first is noted in real rounds only, the second only with backfill, the others are saved.

--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -167,13 +167,19 @@
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return false // members of the last run are still being stopped
 	}
-	tasks = e.withinHeadroom(s, q, round, e.withinLimit(s, tasks))
+	allowed := e.withinLimit(s, tasks)
+	if e.trial == nil && len(allowed) < len(tasks) {
+		s.waitedForLimit = true
+	}
+	tasks = e.withinHeadroom(s, q, round, allowed)
 	if len(tasks) == 0 {
 		return false
 	}
 	asksLeft := round.asksLeft
 	s.placementTried = true
-	s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
+	if e.cfg.Features.Backfill {
+		s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
+	}
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
 	if q.Advice != nil {
 		e.advise(s, q, round)
@@ -288,7 +294,6 @@
 		return tasks
 	}
 	n := s.spec.Need.CountWithin(team.Limit, e.usage[team.Name], len(tasks))
-	s.waitedForLimit = s.waitedForLimit || n < len(tasks)
 	if s.spec.Gang && n < len(tasks) {
 		return nil
 	}
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -162,14 +162,14 @@
 	}
 	t.saved[s] = true
 	a, tried, riskySince, gangRun := s.advice, s.placementTried, s.riskySince, s.lastGangRun
-	calls := 0
+	var before adviceState
 	if a != nil {
-		calls = a.callsInFlight
+		before = *a
 	}
 	t.onUndo(func() {
 		s.advice, s.placementTried, s.riskySince, s.lastGangRun = a, tried, riskySince, gangRun
 		if a != nil {
-			a.callsInFlight = calls
+			a.callsInFlight, a.asking, a.answerExpected = before.callsInFlight, before.asking, before.answerExpected
 		}
 	})
 }
