--- a/internal/cell/engine/contention_room.go
+++ b/internal/cell/engine/contention_room.go
@@ -51,7 +51,7 @@
 	if byCapacity == nil {
 		byCapacity = make(map[job.Resources]int64)
 		for _, w := range p.workers {
-			if !w.draining && w.missedRenewals == 0 && !w.health.quarantined(now) && (s.Label == "" || slices.Contains(w.labels, s.Label)) {
+			if !w.draining && !w.evacuated && w.missedRenewals == 0 && !w.health.quarantined(now) && (s.Label == "" || slices.Contains(w.labels, s.Label)) {
 				byCapacity[w.capacity]++
 			}
 		}
