Make placement rounds with all features cost less

Cause: with all five features on a round took four times as long as without, so three of them stayed off. Change: tickets are counted once, and a step for which no task fits is not placed; the delegates are looked at once for each class of calls; ranks are sorted by index; a reservation keeps its plan for 20 ms, as long as the expected ends that it rests on; run times come from one cached expectation of the step, built by taskOf, which also makes tasks that fill unused capacity be looked up as they were learned. With backfill, a step that was asked about all workers ranks none for 100 ms.

--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -19,6 +19,7 @@
 	asked         map[*worker]int64       // incarnation of each worker that the adviser was asked about
 	callsInFlight int                     // calls without an answer yet
 	retryAt       time.Time               // earliest next call after a failed one
+	exhaustedAt   time.Time               // when no worker was left to ask about; zero if that was never so
 
 	asking         []*worker // the workers of the calls in flight
 	answerExpected time.Time // when the last answer to the calls in flight is expected
@@ -72,6 +73,7 @@
 		a.good, a.goodByWorker[w] = append(a.good, g), g
 	}
 	g.ticket, a.asked[w] = t, t.incarnation
+	s.planFailedAt = time.Time{}
 }
 
 // ticket is the adviser's permission to start tasks of a step on a worker.
@@ -148,23 +150,24 @@
 }
 
 // advise calls the adviser about workers for s if that could help to place s.
-func (e *Engine) advise(s *stepState, q *policy.Queue, round *placementRound) {
+// capacity is what the step's tickets that are valid now are worth.
+func (e *Engine) advise(s *stepState, q *policy.Queue, round *placementRound, capacity ticketCapacity) {
 	a := s.ensureAdvice()
 	if a.callsInFlight > 0 || e.now.Before(a.retryAt) {
 		return
 	}
-	if e.chooseDelegate(q.Advice.Base) == nil {
-		return // no delegate can take even the shortest call
-	}
 	if round.asksLeft <= 0 {
 		return // a later round asks for s
 	}
-	ask := e.workersToAsk(s, q, round)
+	if !round.delegateMayTake(e, q.Advice.Base) {
+		return // no delegate can take even the shortest call
+	}
+	ask := e.workersToAsk(s, q, round, capacity)
 	if len(ask) > 0 {
 		round.asksLeft--
 	}
 	for _, workers := range split(ask, callCount(s, len(ask))) {
-		if !e.callAdviser(s, q, workers) {
+		if !e.callAdviser(s, q, round, workers) {
 			return // a later round asks about the remaining workers
 		}
 	}
@@ -200,6 +203,9 @@
 	return parts
 }
 
+// callClasses is the number of classes of calls, see callClass.
+const callClasses = 2
+
 // callClass returns the index in worker.pendingAsks of calls about a queue with the given
 // fixed duration of a call: steps with short and with long calls compete among themselves.
 func callClass(base time.Duration) int {
@@ -211,12 +217,13 @@
 
 // callAdviser has a delegate call the adviser about workers for s. It reports whether a
 // delegate could take the call. expectedDuration is the expected duration of the call.
-func (e *Engine) callAdviser(s *stepState, q *policy.Queue, ask []*worker) bool {
+func (e *Engine) callAdviser(s *stepState, q *policy.Queue, round *placementRound, ask []*worker) bool {
 	expectedDuration := q.Advice.CallDuration(len(ask))
 	chosen := e.chooseDelegate(expectedDuration)
 	if chosen == nil {
 		return false
 	}
+	round.delegates = [callClasses]delegateAvailability{}
 	chosen.CallSent(e.now, expectedDuration)
 	s.advice.callsInFlight++
 	s.advice.answerExpected = e.now.Add(expectedDuration)
@@ -232,23 +239,22 @@
 
 // workersToAsk returns the workers that the adviser should be asked about now: good ones
 // with free resources whose ticket has expired, or else ones it was not asked about yet.
-func (e *Engine) workersToAsk(s *stepState, q *policy.Queue, round *placementRound) []*worker {
+func (e *Engine) workersToAsk(s *stepState, q *policy.Queue, round *placementRound, capacity ticketCapacity) []*worker {
 	if s.spec.Gang && s.reservation != nil && e.now.Sub(s.reservation.plannedAt) <= promiseRetention {
 		return e.workersForReservation(s, q, round)
 	}
 	need := s.waiting
-	if validTasks, _, _ := e.ticketCapacity(s, e.now); validTasks >= need || !s.spec.Gang && validTasks > 0 {
+	if capacity.valid >= need || !s.spec.Gang && capacity.valid > 0 {
 		return nil // tasks can start with these tickets; the others ask in a later round
 	}
-	// A gang starts once it has all of its tickets, so only tickets count that are still
-	// valid when the call for the missing ones returns.
-	validUntil := e.now
-	if s.spec.Gang {
-		validUntil = validUntil.Add(q.Advice.CallDuration(min(need, maxWorkersPerCall)))
+	if s.spec.Gang && capacity.valid+capacity.expired >= need {
+		// A gang starts once it has all of its tickets, so only tickets count that are still
+		// valid when the call for the missing ones returns.
+		capacity = e.ticketCapacity(s, e.now.Add(q.Advice.CallDuration(min(need, maxWorkersPerCall))))
 	}
-	validTasks, expiredTasks, expiredWorkers := e.ticketCapacity(s, validUntil)
-	if validTasks+expiredTasks >= need || !s.spec.Gang && expiredTasks > 0 {
-		return e.largestFirst(s, expiredWorkers, need-validTasks, e.expiredOrder(s, q, round, expiredWorkers))
+	if capacity.valid+capacity.expired >= need || !s.spec.Gang && capacity.expired > 0 {
+		workers := e.workersWithExpiredTicket(s, capacity)
+		return e.largestFirst(s, workers, need-capacity.valid, e.expiredOrder(s, q, round, workers))
 	}
 	if e.cfg.Features.Backfill && s.spec.Gang {
 		if e.knowsEnoughToReserve(s) {
@@ -259,22 +265,46 @@
 	return e.rankForAdvice(s, q, round)
 }
 
-// ticketCapacity returns how many waiting tasks of s fit now on good workers whose
-// tickets are valid at the given time, and on the good workers with expired tickets. It
-// also returns those of the latter that a task fits on.
-func (e *Engine) ticketCapacity(s *stepState, at time.Time) (validTasks, expiredTasks int, expiredWorkers []*worker) {
+// ticketCapacity is how many waiting tasks of a step fit now on its good workers, by whether
+// their tickets are valid at a given time.
+type ticketCapacity struct {
+	at             time.Time
+	valid, expired int
+}
+
+// mayPlace reports whether any of count tasks of s may be placed with the tickets.
+func (c ticketCapacity) mayPlace(s *stepState, count int) bool {
+	if s.spec.Gang {
+		return c.valid >= count
+	}
+	return c.valid > 0
+}
+
+// ticketCapacity returns the capacity on the good workers of s.
+func (e *Engine) ticketCapacity(s *stepState, at time.Time) ticketCapacity {
+	c := ticketCapacity{at: at}
 	for g := range e.usableGoodWorkers(s) {
 		n := tasksThatFit(s, g.worker, e.freeFor(s, g.worker))
 		switch {
 		case n == 0:
 		case e.ticketValidAt(g.ticket, at):
-			validTasks += n
+			c.valid += n
 		default:
-			expiredTasks += n
-			expiredWorkers = append(expiredWorkers, g.worker)
+			c.expired += n
 		}
 	}
-	return validTasks, expiredTasks, expiredWorkers
+	return c
+}
+
+// workersWithExpiredTicket returns the workers that hold the expired part of a capacity.
+func (e *Engine) workersWithExpiredTicket(s *stepState, c ticketCapacity) []*worker {
+	var workers []*worker
+	for g := range e.usableGoodWorkers(s) {
+		if !e.ticketValidAt(g.ticket, c.at) && tasksThatFit(s, g.worker, e.freeFor(s, g.worker)) > 0 {
+			workers = append(workers, g.worker)
+		}
+	}
+	return workers
 }
 
 // tasksThatFit returns how many waiting tasks of s fit into the resources free of w.
@@ -353,8 +383,18 @@
 // rankedWorker is a worker that the adviser may be asked about.
 type rankedWorker struct {
 	*worker
+	tier  int     // those of a lower tier come first
 	score float64 // available capacity in tasks, less the more other calls about it are pending
-	room  float64 // the part of it that is free now
+	room  float64 // the part of it that is free now; for rankBySoonest the tasks that fit when it is idle
+}
+
+// exhaustedInterval is how long no workers are ranked for a step after there were none left to ask
+// about. Workers that join, and tasks that end, change that only slowly.
+const exhaustedInterval = 100 * time.Millisecond
+
+// allAsked reports whether lately no worker was left that the adviser could be asked about for s.
+func (e *Engine) allAsked(s *stepState) bool {
+	return e.cfg.Features.Backfill && !e.uncached && !s.advice.exhaustedAt.IsZero() && e.now.Sub(s.advice.exhaustedAt) < exhaustedInterval
 }
 
 // rankForAdvice returns workers that the adviser was not asked about yet for s: those with
@@ -364,17 +404,21 @@
 // the more other calls about the worker are pending, as their steps compete for it. Workers of
 // the preferred speed come first.
 func (e *Engine) rankForAdvice(s *stepState, q *policy.Queue, round *placementRound) []*worker {
+	if e.allAsked(s) {
+		return nil
+	}
+	asked := len(s.advice.asked)
 	ahead := (s.spec.Gang || q.Priority == 0 || q.Advice.Base >= advice.LongCallThreshold) && !e.knowsEnoughWorkers(s)
 	class := callClass(q.Advice.Base)
 	classes := round.classesFor(e.preferenceAfterCall(s, q))
-	ranked := make([]rankedWorker, 0, min(maxRankedWorkers, len(round.workers)))
+	ranked := e.rankBuffer[:0]
 	for n, speedClass := range classes {
 		limit := len(ranked) + round.rankQuota(classes, n, maxRankedWorkers-len(ranked))
 		for w := range round.mostFreeOf(speedClass) {
 			if len(ranked) == limit || !ahead && w.poolIndex < coresFree(s.charge.CPU) {
 				break
 			}
-			if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w] == w.incarnation {
+			if asked > 0 && w.incarnation != 0 && s.advice.asked[w] == w.incarnation || !w.usable(e.now) || !w.canHold(s.spec) {
 				continue
 			}
 			free := float64(tasksThatFit(s, w, e.freeFor(s, w)))
@@ -386,10 +430,17 @@
 				continue
 			}
 			competitors := float64(1 + w.pendingAsks[class])
-			ranked = append(ranked, rankedWorker{w, capacity / competitors, free / competitors})
+			ranked = append(ranked, rankedWorker{w, 0, capacity / competitors, free / competitors})
+		}
+	}
+	e.rankBuffer = ranked
+	if len(ranked) == 0 {
+		if ahead {
+			s.advice.exhaustedAt = e.now
 		}
+		return nil
 	}
-	e.sortByPreference(s, q, ranked, classes)
+	e.setTiers(s, q, ranked, classes)
 	share := e.goodShare(q.Name)
 	want := float64(s.waiting) * askMultiplier
 	if s.spec.Gang {
@@ -402,16 +453,40 @@
 	least := e.minAsked(q)
 	var ask []*worker
 	expected := 0.0
-	for _, r := range ranked {
+	for _, i := range e.rankOrder(ranked) {
 		if len(ask) == limit || expected >= want && len(ask) >= least {
 			break
 		}
-		expected += share * r.score
-		ask = append(ask, r.worker)
+		expected += share * ranked[i].score
+		ask = append(ask, ranked[i].worker)
 	}
 	return ask
 }
 
+// rankOrder returns the indexes of ranked workers in the order of their tiers, those of a tier with
+// the highest scores first. It sorts numbers, as the workers of the whole fleet are ranked for each
+// call to the adviser.
+func (e *Engine) rankOrder(ranked []rankedWorker) []int32 {
+	order := e.orderBuffer[:0]
+	for i := range ranked {
+		order = append(order, int32(i))
+	}
+	e.orderBuffer = order
+	slices.SortFunc(order, func(a, b int32) int {
+		x, y := &ranked[a], &ranked[b]
+		switch {
+		case x.tier != y.tier:
+			return x.tier - y.tier
+		case x.score > y.score:
+			return -1
+		case x.score < y.score:
+			return 1
+		}
+		return int(a - b)
+	})
+	return order
+}
+
 // initialGoodShare is the assumed share of good workers for a queue before the adviser's
 // first answer.
 const initialGoodShare = 0.4
@@ -435,6 +510,28 @@
 	return e.delegates[i]
 }
 
+// delegateAvailability tells whether a delegate can take a call.
+type delegateAvailability uint8
+
+const (
+	delegatesUnknown delegateAvailability = iota
+	delegateFree
+	noDelegateFree
+)
+
+// delegateMayTake reports whether a delegate can take a call of the given expected duration. It
+// stays the same for calls of a class until the next call is sent in the round.
+func (r *placementRound) delegateMayTake(e *Engine, expectedDuration time.Duration) bool {
+	known := &r.delegates[callClass(expectedDuration)]
+	if *known == delegatesUnknown || e.uncached {
+		*known = noDelegateFree
+		if e.chooseDelegate(expectedDuration) != nil {
+			*known = delegateFree
+		}
+	}
+	return *known == delegateFree
+}
+
 // adviceRetryDelay is the delay after a failed call to the adviser.
 const adviceRetryDelay = 30 * time.Millisecond
 
--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -7,7 +7,6 @@
 
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/reservation"
-	"pollenbend/internal/cell/runtimes"
 )
 
 // While a gang waits, a worker on which it has reserved resources takes other tasks that end
@@ -24,8 +23,8 @@
 	// The gang starts with the last of several ends, so the medians would be too early.
 	releaseProbability = 0.75
 	// backfillProbability is the probability with which a task that is started on reserved
-	// resources has to end before they are needed.
-	backfillProbability = 0.9
+	// resources has to end before they are needed. runtimeOf has this quantile.
+	backfillProbability = endQuantile
 	// endsRetention is how long the expected ends of the runs on a worker are kept. They
 	// hardly change while its runs stay the same.
 	endsRetention = 20 * time.Millisecond
@@ -54,7 +53,7 @@
 	if len(w.holds) == 0 {
 		return w.free()
 	}
-	return e.freeBeside(w, nil, e.backfillRuntime(queue, team, "", step, w.id))
+	return e.freeBeside(w, nil, e.backfillRuntime(queue, team, step, w.id))
 }
 
 // heldAgainst reports whether anything on w is held against s.
@@ -62,26 +61,21 @@
 	return slices.ContainsFunc(w.holds, func(h workerHold) bool { return h.by.binds(s) })
 }
 
-// backfillRuntime returns the time that a task of step does not exceed on a worker, with
+// backfillRuntime returns the time that a task of a new job does not exceed on a worker, with
 // backfillProbability.
-func (e *Engine) backfillRuntime(queue, team, name string, step *job.Step, worker string) time.Duration {
+func (e *Engine) backfillRuntime(queue, team string, step *job.Step, worker string) time.Duration {
 	if !e.cfg.Features.LearnedRuntimes {
 		return scale(e.estimator.expect(queue, step.Estimate), backfillMultiplier)
 	}
-	t := runtimes.Task{Queue: queue, Team: team, Image: step.Image, Step: name, CPU: step.Need.CPU, Estimate: step.Estimate}
-	return e.runtimes.Expect(t, worker).Quantile(backfillProbability)
+	return e.runtimes.Expect(taskOf(&job.Spec{Queue: queue, Team: team}, step, "", 1), worker).Quantile(backfillProbability)
 }
 
-// backfillRuntimeOf is backfillRuntime of the tasks of a step, which is computed anew only from
-// time to time.
+// backfillRuntimeOf is backfillRuntime of a task of s on w.
 func (e *Engine) backfillRuntimeOf(s *stepState, w *worker) time.Duration {
 	if !e.cfg.Features.LearnedRuntimes {
-		return e.backfillRuntime(s.job().queue, s.job().team, s.name, s.spec, w.id)
+		return scale(e.estimator.expect(s.job().queue, s.spec.Estimate), backfillMultiplier)
 	}
-	if s.backfillRuntimeAt.IsZero() || e.now.Sub(s.backfillRuntimeAt) >= stepRuntimeValidity {
-		s.backfillRuntime, s.backfillRuntimeAt = e.backfillRuntime(s.job().queue, s.job().team, s.name, s.spec, ""), e.now
-	}
-	return scale(s.backfillRuntime, e.modelSlowness(w))
+	return scale(e.runtimeOf(s).p90, e.modelSlowness(w))
 }
 
 // freeBeside returns the resources of w that are free beside what is held against s, or
@@ -103,6 +97,24 @@
 // noEnd is longer than any reservation is ahead.
 const noEnd = 24 * time.Hour
 
+// freeAt returns the resources of w that are expected to be free at the given time beside what is
+// held against s.
+func (e *Engine) freeAt(w *worker, s *stepState, at time.Time) job.Resources {
+	free := w.capacity.Sub(w.used).Sub(w.heldForGangs).Sub(w.withheld)
+	for _, r := range e.releases(w) {
+		if r.At.After(at) {
+			break
+		}
+		free = free.Add(r.Resources)
+	}
+	for _, h := range w.holds {
+		if h.by.binds(s) && !h.by.heldFrom(e.now).After(at) {
+			free = free.Sub(h.resources)
+		}
+	}
+	return free
+}
+
 // timeline returns the expected use of w, with what is held against s, or against any step if
 // s is nil.
 func (e *Engine) timeline(w *worker, s *stepState) reservation.Worker {
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -8,7 +8,6 @@
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
-	"pollenbend/internal/cell/runtimes"
 )
 
 // contention is what admission knows of the work that competes with a new job. It is measured
@@ -200,7 +199,7 @@
 // expectedRuntimeOf returns the mean run time of a task of a queue, whatever its team.
 func (e *Engine) expectedRuntimeOf(queue string, s *job.Step) time.Duration {
 	if e.cfg.Features.LearnedRuntimes {
-		return e.runtimes.Expect(runtimes.Task{Queue: queue, Image: s.Image, CPU: s.Need.CPU, Estimate: s.Estimate}, "").Mean()
+		return e.runtimes.Expect(taskOf(&job.Spec{Queue: queue}, s, "", 1), "").Mean()
 	}
 	return e.estimator.expect(queue, s.Estimate)
 }
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -109,8 +109,12 @@
 	goodShares      map[string]float64          // share of workers that the adviser finds good, by queue
 	contention      *contention                 // nil without the feature
 
-	trial       *trial       // the placement round that an explanation tries; nil otherwise
-	explainedAt [2]time.Time // when the last explanations were made
+	taskBuffer  []*task        // of placeStep
+	rankBuffer  []rankedWorker // of rankForAdvice and rankBySoonest
+	orderBuffer []int32        // of rankOrder
+	uncached    bool           // placement rounds look up and rank everything anew; true only in tests
+	trial       *trial         // the placement round that an explanation tries; nil otherwise
+	explainedAt [2]time.Time   // when the last explanations were made
 
 	needsPlacement    bool          // placement may have work to do
 	placedAt          time.Time     // when the last placement round started
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -160,8 +160,8 @@
 
 // explainRuntime notes the expected run time of a task of s on an ordinary worker.
 func (e *Engine) explainRuntime(s *stepState, out *StepExplanation) {
-	out.MedianMS = e.expectedRuntimeAt(s, 1, 0.5).Milliseconds()
-	out.P90MS = e.expectedRuntimeAt(s, 1, endQuantile).Milliseconds()
+	out.MedianMS = e.runtimeOf(s).median.Milliseconds()
+	out.P90MS = e.runtimeOf(s).p90.Milliseconds()
 	if e.cfg.Features.LearnedRuntimes {
 		out.Samples = e.runtimes.Expect(taskOf(s.job().spec, s.spec, s.name, 1), "").Samples()
 	}
--- a/internal/cell/engine/gangs_test.go
+++ b/internal/cell/engine/gangs_test.go
@@ -92,7 +92,7 @@
 		}
 		s.markGood(e.workers[name], ticket{value: "t", incarnation: e.workers[name].incarnation, validUntil: until})
 	}
-	assert.GreaterOrEqual(t, len(e.workersToAsk(s, q, e.newRound("s"))), 8)
+	assert.GreaterOrEqual(t, len(e.workersToAsk(s, q, e.newRound("s"), e.ticketCapacity(s, e.now))), 8)
 }
 
 // The adviser accepts at most a hundred workers in a call, so a batch step with more
@@ -109,7 +109,7 @@
 		s.markGood(e.workers[name], ticket{incarnation: e.workers[name].incarnation})
 	}
 	e.actions = nil
-	e.advise(s, w.policy.Queue("batch"), e.newRound("s"))
+	e.advise(s, w.policy.Queue("batch"), e.newRound("s"), e.ticketCapacity(s, e.now))
 	callsMade := 0
 	for _, action := range e.actions {
 		if a, ok := action.(*AdviceCall); ok {
--- a/internal/cell/engine/headroom.go
+++ b/internal/cell/engine/headroom.go
@@ -41,7 +41,7 @@
 // noteUrgentArrival adds an arriving job to the arrivals of its service if its priority is the
 // highest and its team is entitled to it.
 func (e *Engine) noteUrgentArrival(o *occurrence, q *policy.Queue) {
-	if !e.cfg.Features.Headroom || o.job.overEntitlement || q.Priority != e.highestPriority(q.Service) {
+	if !e.cfg.Features.Headroom || o.job.overEntitlement || !e.policy.IsHighestPriority(q) {
 		return
 	}
 	tasks, cpu := 0.0, 0.0
@@ -86,7 +86,7 @@
 	if !e.cfg.Features.Headroom || s.spec.Gang || s.charge.CPU <= 0 {
 		return tasks
 	}
-	if q.Priority == e.highestPriority(q.Service) && !s.job().overEntitlement {
+	if e.policy.IsHighestPriority(q) && !s.job().overEntitlement {
 		return tasks
 	}
 	return tasks[:min(int64(len(tasks)), round.cpuBesideHeadroom/s.charge.CPU)]
@@ -102,7 +102,8 @@
 	if !e.cfg.Features.Headroom {
 		return 0
 	}
-	arriving, highest := 0.0, e.highestPriority(service)
+	arriving := 0.0
+	highest, _ := e.policy.HighestPriority(service)
 	for _, load := range e.contention.classes {
 		if load.service == service && load.priority == highest && !load.overEntitlement {
 			arriving += load.arriving
--- a/internal/cell/engine/learned.go
+++ b/internal/cell/engine/learned.go
@@ -36,19 +36,19 @@
 
 // stepRuntime is what was expected of the tasks of a step on an ordinary worker.
 type stepRuntime struct {
-	mean, median time.Duration
-	at           time.Time // when it was computed
+	mean, median, p90 time.Duration
+	at                time.Time // when it was computed
 }
 
 // runtimeOf returns what is expected of the tasks of s on an ordinary worker.
 func (e *Engine) runtimeOf(s *stepState) stepRuntime {
 	if !e.cfg.Features.LearnedRuntimes {
 		expected := e.estimator.expect(s.job().queue, s.spec.Estimate)
-		return stepRuntime{mean: expected, median: expected}
+		return stepRuntime{mean: expected, median: expected, p90: expected}
 	}
 	if s.runtime.at.IsZero() || e.now.Sub(s.runtime.at) >= stepRuntimeValidity {
 		x := e.runtimes.Expect(taskOf(s.job().spec, s.spec, s.name, 1), "")
-		r := stepRuntime{mean: x.Mean(), median: x.Median(), at: e.now}
+		r := stepRuntime{mean: x.Mean(), median: x.Median(), p90: x.Quantile(endQuantile), at: e.now}
 		if e.trial != nil {
 			return r
 		}
--- a/internal/cell/engine/renewals.go
+++ b/internal/cell/engine/renewals.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -74,7 +73,7 @@
 		if missing == 0 {
 			return nil
 		}
-		if validTasks, _, _ := e.ticketCapacity(s, e.now); validTasks >= s.waiting {
+		if e.ticketCapacity(s, e.now).valid >= s.waiting {
 			return nil // it starts with the tickets that it has
 		}
 		r.committed = true
@@ -105,14 +104,12 @@
 // rankBySoonest returns workers that the adviser was not asked about yet for a gang: those on
 // which most of its tasks are expected to fit soon.
 func (e *Engine) rankBySoonest(s *stepState, q *policy.Queue, round *placementRound) []*worker {
-	type rankedWorker struct {
-		*worker
-		soon float64 // tasks that are expected to fit soon
-		idle int     // tasks that fit when it is idle
+	if e.allAsked(s) {
+		return nil
 	}
 	class := callClass(q.Advice.Base)
 	horizon := e.now.Add(rankHorizon)
-	var ranked []rankedWorker
+	ranked := e.rankBuffer[:0]
 	for w := range round.mostFree() {
 		if len(ranked) == maxRankedWorkers {
 			break
@@ -120,23 +117,26 @@
 		if !w.usable(e.now) || !w.canHold(s.spec) || w.incarnation != 0 && s.advice.asked[w] == w.incarnation {
 			continue
 		}
-		line := e.timeline(w, s)
-		soon := float64(tasksThatFit(s, w, line.FreeAt(horizon))) / float64(1+w.pendingAsks[class])
-		ranked = append(ranked, rankedWorker{w, soon, tasksThatFit(s, w, w.capacity)})
+		soon := float64(tasksThatFit(s, w, e.freeAt(w, s, horizon))) / float64(1+w.pendingAsks[class])
+		ranked = append(ranked, rankedWorker{w, 0, soon, float64(tasksThatFit(s, w, w.capacity))})
+	}
+	e.rankBuffer = ranked
+	if len(ranked) == 0 {
+		s.advice.exhaustedAt = e.now
+		return nil
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedWorker) int { return cmp.Compare(b.soon, a.soon) })
 	want, limit := float64(s.waiting)*soonestMultiplier, maxWorkersPerCall
 	if advice.IdleRatio(e.delegateLoads, e.now) >= minIdleDelegates {
 		want, limit = float64(s.waiting)*gangAskMultiplier, maxCalls*maxWorkersPerCall
 	}
 	var ask []*worker
 	expected, share := 0.0, e.goodShare(q.Name)
-	for _, r := range ranked {
+	for _, i := range e.rankOrder(ranked) {
 		if len(ask) == limit || expected >= want && len(ask) >= minWorkersAsked {
 			break
 		}
-		expected += share * float64(r.idle)
-		ask = append(ask, r.worker)
+		expected += share * ranked[i].room
+		ask = append(ask, ranked[i].worker)
 	}
 	return ask
 }
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -12,19 +12,21 @@
 // stepReservation is what a waiting step has reserved: a gang the resources of all its tasks,
 // a step of wide tasks those of one.
 type stepReservation struct {
-	step      *stepState
-	promised  time.Time     // start that was expected when the reservation was made
-	bound     time.Duration // by how much later the expected start may be until the hold is strict
-	start     time.Time     // expected start
-	plannedAt time.Time     // when start was last found
-	shares    []share
-	spare     []*worker // those that become free next
-	committed bool      // its tickets are being renewed, or valid; it keeps its workers
-	strict    bool      // nothing that is held may be used until the step has started
-	moves     int       // how often it has moved while firm to other workers
-	bindsAll  bool      // while firm, it binds steps of higher priorities too
-	rank      int       // position among the firm reservations of the round, the most urgent first
-	reached   bool      // the placement round has tried the step: what it holds binds all later ones
+	step        *stepState
+	promised    time.Time     // start that was expected when the reservation was made
+	bound       time.Duration // by how much later the expected start may be until the hold is strict
+	start       time.Time     // expected start
+	plannedAt   time.Time     // when the round last took up its step
+	foundAt     time.Time     // when start and the workers were last computed
+	shares      []share
+	spare       []*worker // those that become free next
+	committed   bool      // its tickets are being renewed, or valid; it keeps its workers
+	strict      bool      // nothing that is held may be used until the step has started
+	moves       int       // how often it has moved while firm to other workers
+	moveTriedAt time.Time // when workers that are free sooner were last looked for
+	bindsAll    bool      // while firm, it binds steps of higher priorities too
+	rank        int       // position among the firm reservations of the round, the most urgent first
+	reached     bool      // the placement round has tried the step: what it holds binds all later ones
 }
 
 // share is the number of tasks that are to start on a worker.
@@ -58,6 +60,11 @@
 	// narrowDelay is how long a gang that fits on one worker only holds what is free before it
 	// reserves. Most start sooner, and would take the reservations of wider ones.
 	narrowDelay = 300 * time.Millisecond
+	// replanInterval is how long a start that was found on some workers holds before it is computed
+	// anew: as long as the expected ends that it is computed from. Planned in each round, a
+	// reservation moves to other workers so often that hardly anything is backfilled. A gang that
+	// fits starts at once in any case.
+	replanInterval = endsRetention
 	// promiseRetention is how long a promised start is kept while the step cannot be placed
 	// for other reasons, such as its team's limit.
 	promiseRetention = time.Second
@@ -110,8 +117,12 @@
 // from trying its step.
 func (e *Engine) holdFirmReservations(rounds map[string]*placementRound) {
 	for _, s := range e.openSteps {
-		r, q := s.reservation, e.queueOf(s.job())
-		if r == nil || q == nil || !s.open() {
+		r := s.reservation
+		if r == nil {
+			continue
+		}
+		q := e.queueOf(s.job())
+		if q == nil || !s.open() {
 			continue
 		}
 		r.reached = false
@@ -165,7 +176,10 @@
 	if round.reserving >= maxReservingSteps || round.examined >= maxReservationWorkers || round.reservedCPU+s.charge.CPU*int64(count) > round.capacity {
 		return
 	}
-	plan, ok := e.planStart(s, q, round, count)
+	plan, ok := e.recentPlan(r, q)
+	if !ok && (s.planFailedAt.IsZero() || e.now.Sub(s.planFailedAt) >= replanInterval) {
+		plan, ok = e.planStart(s, q, round, count)
+	}
 	if !ok {
 		s.reservation = nil
 		return
@@ -203,9 +217,10 @@
 
 // stepPlan is the earliest start of a step.
 type stepPlan struct {
-	start  time.Time
-	shares []share
-	spare  []*worker
+	start   time.Time
+	shares  []share
+	spare   []*worker
+	foundAt time.Time
 }
 
 // isNarrow reports whether the tasks of s would fit on one idle worker.
@@ -220,7 +235,31 @@
 
 // use replaces the plan of r.
 func (r *stepReservation) use(p stepPlan, now time.Time) {
-	r.start, r.shares, r.spare, r.plannedAt = p.start, p.shares, p.spare, now
+	r.start, r.shares, r.spare, r.plannedAt, r.foundAt = p.start, p.shares, p.spare, now, p.foundAt
+}
+
+// recentPlan returns the plan of r if it was found within replanInterval and its workers may
+// still be used.
+func (e *Engine) recentPlan(r *stepReservation, q *policy.Queue) (stepPlan, bool) {
+	if r == nil || e.now.Sub(r.foundAt) >= replanInterval || !e.mayUseShares(r, q) {
+		return stepPlan{}, false
+	}
+	return stepPlan{start: latest(r.start, e.now), shares: r.shares, spare: r.spare, foundAt: r.foundAt}, true
+}
+
+// mayUseShares reports whether tasks of the step may be sent to all workers of r.
+func (e *Engine) mayUseShares(r *stepReservation, q *policy.Queue) bool {
+	for _, sh := range r.shares {
+		if !sh.worker.usable(e.now) || q.Advice != nil && !r.step.isGood(sh.worker) {
+			return false
+		}
+	}
+	return true
+}
+
+// isGood reports whether the adviser found the present incarnation of w good for s.
+func (s *stepState) isGood(w *worker) bool {
+	return s.advice != nil && s.advice.goodByWorker[w] != nil && s.ticket(w).incarnation == w.incarnation
 }
 
 // planStart finds the earliest start of count tasks of s and the workers for it.
@@ -248,9 +287,11 @@
 	}
 	s.neverFits = !ok && !fitsBesideLongRuns(s, lines, count)
 	if !ok {
+		s.planFailedAt = e.now
 		return stepPlan{}, false
 	}
-	plan := stepPlan{start: found.Start}
+	s.planFailedAt = time.Time{}
+	plan := stepPlan{start: found.Start, foundAt: e.now}
 	for _, sh := range found.Shares {
 		plan.shares = append(plan.shares, share{workers[sh.Worker], sh.Tasks})
 	}
@@ -319,7 +360,10 @@
 // keepsWorkers updates the start of a firm reservation on the workers that it has. If its step
 // cannot start there any more it finds others. It reports false if there are none.
 func (e *Engine) keepsWorkers(r *stepReservation, q *policy.Queue, round *placementRound) bool {
-	plan, ok := e.startOnShares(r, q)
+	plan, ok := e.recentPlan(r, q)
+	if !ok {
+		plan, ok = e.startOnShares(r, q)
+	}
 	if !ok {
 		plan, ok = e.planStart(r.step, q, round, e.reservedTasks(r.step, r.step.waiting))
 	}
@@ -334,13 +378,12 @@
 // startOnShares finds the start of a reservation on the workers that it has.
 func (e *Engine) startOnShares(r *stepReservation, q *policy.Queue) (stepPlan, bool) {
 	s := r.step
-	plan := stepPlan{start: e.now, shares: r.shares, spare: r.spare}
+	plan := stepPlan{start: e.now, shares: r.shares, spare: r.spare, foundAt: e.now}
+	if !e.mayUseShares(r, q) {
+		return stepPlan{}, false
+	}
 	for _, sh := range r.shares {
 		w := sh.worker
-		good := q.Advice == nil || s.advice != nil && s.advice.goodByWorker[w] != nil && s.ticket(w).incarnation == w.incarnation
-		if !good || !w.usable(e.now) {
-			return stepPlan{}, false
-		}
 		line := e.timeline(w, s)
 		line.MaxTasks = sh.tasks
 		found, ok := reservation.Find(reservation.Request{Need: s.charge, Count: sh.tasks, From: e.now}, []reservation.Worker{line})
@@ -357,9 +400,10 @@
 
 // moveFirm moves a firm reservation to workers that are free much sooner.
 func (e *Engine) moveFirm(r *stepReservation, q *policy.Queue, round *placementRound, count int) {
-	if r.moves >= maxMoves || r.start.Sub(e.now) < minMoveGain {
+	if r.moves >= maxMoves || r.start.Sub(e.now) < minMoveGain || e.now.Sub(r.moveTriedAt) < replanInterval {
 		return
 	}
+	r.moveTriedAt = e.now
 	plan, ok := e.planStart(r.step, q, round, count)
 	if !ok || r.start.Sub(plan.start) < minMoveGain {
 		return
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -11,15 +11,16 @@
 // placementRound holds the workers of a service and its budgets in one placement round.
 type placementRound struct {
 	*pool
-	cpuBudget         int64        // CPU of the steps that may still be tried in this round, in thousandths of a core
-	holdBudget        int64        // CPU that may still be held for gangs, in thousandths of a core
-	holds             bool         // something is held for a gang
-	speculativeBudget int64        // CPU that may still be used for speculative runs, in thousandths of a core
-	asksLeft          int          // steps for which the adviser may still be called
-	cpuBesideHeadroom int64        // CPU that work of lower priorities may still use, in thousandths of a core
-	failuresLeft      int          // steps that may still be tried without a run or a call coming of it
-	exposure          *exposure    // nil until a step with risky starts is tried
-	passedOver        []*stepState // steps that were not tried, in the order of urgency
+	cpuBudget         int64                             // CPU of the steps that may still be tried in this round, in thousandths of a core
+	holdBudget        int64                             // CPU that may still be held for gangs, in thousandths of a core
+	holds             bool                              // something is held for a gang
+	speculativeBudget int64                             // CPU that may still be used for speculative runs, in thousandths of a core
+	asksLeft          int                               // steps for which the adviser may still be called
+	cpuBesideHeadroom int64                             // CPU that work of lower priorities may still use, in thousandths of a core
+	delegates         [callClasses]delegateAvailability // by class of calls
+	failuresLeft      int                               // steps that may still be tried without a run or a call coming of it
+	exposure          *exposure                         // nil until a step with risky starts is tried
+	passedOver        []*stepState                      // steps that were not tried, in the order of urgency
 
 	// With Features.Backfill:
 	reservations []*stepReservation // that hold resources in this round
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -163,7 +163,8 @@
 // has planned one or called the adviser.
 func (e *Engine) placeStep(s *stepState, q *policy.Queue, round *placementRound) bool {
 	e.trial.save(s)
-	tasks := s.waitingTasks()
+	e.taskBuffer = s.appendWaitingTasks(e.taskBuffer[:0])
+	tasks := e.taskBuffer
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return false // members of the last run are still being stopped
 	}
@@ -181,10 +182,17 @@
 		s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
 	}
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
+	mayFit := true
 	if q.Advice != nil {
-		e.advise(s, q, round)
+		capacity := e.ticketCapacity(s, e.now)
+		e.advise(s, q, round, capacity)
+		mayFit = capacity.mayPlace(s, len(tasks)) || e.mayBeRisky(s)
+	}
+	var workers []*worker
+	var chosen []int
+	if mayFit {
+		workers, chosen = e.choose(s, q, round, tasks)
 	}
-	workers, chosen := e.choose(s, q, round, tasks)
 	round.cpuBesideHeadroom = max(0, round.cpuBesideHeadroom-s.charge.CPU*int64(len(chosen)))
 	if e.trial == nil && len(chosen) > 0 && !s.started && !s.spec.Gang && !s.job().overEntitlement && (e.contention == nil || !s.waitedForLimit) {
 		s.started = true
@@ -263,14 +271,16 @@
 
 // waitingTasks returns the tasks of s that are neither done nor have a run, and that no crash
 // is being investigated for.
-func (s *stepState) waitingTasks() []*task {
-	var waiting []*task
+func (s *stepState) waitingTasks() []*task { return s.appendWaitingTasks(nil) }
+
+// appendWaitingTasks appends the tasks that waitingTasks returns to a buffer.
+func (s *stepState) appendWaitingTasks(buffer []*task) []*task {
 	for _, t := range s.tasks {
 		if !t.done && !t.hasRuns() && t.investigations == 0 {
-			waiting = append(waiting, t)
+			buffer = append(buffer, t)
 		}
 	}
-	return waiting
+	return buffer
 }
 
 // nextNumber returns the number of the next run of t. All members of a gang use the
--- a/internal/cell/engine/speed.go
+++ b/internal/cell/engine/speed.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -9,7 +8,6 @@
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/placement"
 	"pollenbend/internal/cell/policy"
-	"pollenbend/internal/cell/runtimes"
 )
 
 // With Features.SpeedPlacement, steps of the highest declared priority take the fastest workers
@@ -73,27 +71,16 @@
 	}
 	timeliness := ordering.TimelinessOf(s.urgency, e.now)
 	p := speedPreference{placement.PreferSlow, e.maxSlowness(s, timeliness)}
-	if q.Priority == e.highestPriority(q.Service) && timeliness != ordering.TooLate {
+	if e.policy.IsHighestPriority(q) && timeliness != ordering.TooLate {
 		p.speed = placement.PreferFast
 	}
 	return p
 }
 
-// highestPriority returns the highest priority of the queues of a service.
-func (e *Engine) highestPriority(service string) int {
-	highest := math.MaxInt
-	for i := range e.policy.Queues {
-		if q := &e.policy.Queues[i]; q.Service == service {
-			highest = min(highest, q.Priority)
-		}
-	}
-	return highest
-}
-
 // preferenceAfterCall returns which workers s will prefer when a call to the adviser has returned.
 func (e *Engine) preferenceAfterCall(s *stepState, q *policy.Queue) speedPreference {
 	p := e.preferenceOf(s, q)
-	if first := e.expectedRuntimeAt(s, 1, endQuantile); first > 0 && !s.spec.LongRunning {
+	if first := e.runtimeOf(s).p90; first > 0 && !s.spec.LongRunning {
 		p.maxSlowness -= float64(q.Advice.CallDuration(min(gangCallSize, max(minWorkersAsked, s.waiting)))) / float64(first)
 	}
 	return p
@@ -114,25 +101,14 @@
 		return math.Inf(1)
 	}
 	left -= e.now.Sub(s.urgency.Arrived) + e.storeLatency + dispatchTime
-	first, after := e.expectedRuntimeAt(s, 1, endQuantile), e.criticalPathFrom(s)-e.expectedRuntimeAt(s, 1, 0.5)
+	expected := e.runtimeOf(s)
+	first, after := expected.p90, e.criticalPathFrom(s)-expected.median
 	if first <= 0 {
 		return math.Inf(1)
 	}
 	return float64(left-max(0, after)) / float64(first)
 }
 
-// expectedRuntimeAt returns the run time of a task of s that it does not exceed with
-// probability p on a worker of the given slowness.
-func (e *Engine) expectedRuntimeAt(s *stepState, slowness, p float64) time.Duration {
-	j := s.job()
-	expected := e.estimator.expect(j.queue, s.spec.Estimate)
-	if e.cfg.Features.LearnedRuntimes {
-		t := runtimes.Task{Queue: j.queue, Team: j.team, Image: s.spec.Image, Step: s.name, CPU: s.charge.CPU, Estimate: s.spec.Estimate}
-		expected = e.runtimes.Expect(t, "").Quantile(p)
-	}
-	return time.Duration(slowness * float64(expected))
-}
-
 // late reports whether tasks of a step with preference p do not end in time on workers of the
 // given slowness.
 func (p speedPreference) late(slowness float64) bool { return slowness > p.maxSlowness }
@@ -168,13 +144,11 @@
 	return max(left/(len(classes)-n), left-following)
 }
 
-// sortByPreference sorts workers that the adviser may be asked about: those with free capacity
-// by class, then the others by class, and within a class those with the most capacity first.
-// Without the free capacity of other classes an urgent step would wait for a fast worker.
-// A gang for which no class has enough prefers none, as its calls are long and others take what
-// is free meanwhile. classes are in the order of preference.
-func (e *Engine) sortByPreference(s *stepState, q *policy.Queue, ranked []rankedWorker, classes []int) {
-	byScore := func(a, b rankedWorker) int { return cmp.Compare(b.score, a.score) }
+// setTiers sets the tiers of workers that the adviser may be asked about: those with free capacity
+// by class, then the others by class. Without the free capacity of other classes an urgent step
+// would wait for a fast worker. A gang for which no class has enough prefers none, as its calls are
+// long and others take what is free meanwhile. classes are in the order of preference.
+func (e *Engine) setTiers(s *stepState, q *policy.Queue, ranked []rankedWorker, classes []int) {
 	if s.spec.Gang && len(classes) > 1 {
 		room := make([]float64, len(classes))
 		share := e.goodShare(q.Name)
@@ -184,17 +158,15 @@
 		classes = sufficientFirst(classes, room, askMultiplier*float64(s.waiting))
 	}
 	if len(classes) <= 1 {
-		slices.SortStableFunc(ranked, byScore)
 		return
 	}
 	order := positions(classes, len(classes))
-	tier := func(r rankedWorker) int {
-		if r.room < 1 { // the steps whose calls are pending will use what is free
-			return len(classes) + order[r.speedClass]
+	for i := range ranked {
+		r := &ranked[i]
+		if r.tier = order[r.speedClass]; r.room < 1 { // the steps whose calls are pending will use what is free
+			r.tier += len(classes)
 		}
-		return order[r.speedClass]
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedWorker) int { return cmp.Or(cmp.Compare(tier(a), tier(b)), byScore(a, b)) })
 }
 
 // sufficientFirst returns classes with the first one first whose room, by class, is enough for a
--- a/internal/cell/engine/speed_speculation.go
+++ b/internal/cell/engine/speed_speculation.go
@@ -12,7 +12,7 @@
 	if !e.cfg.Features.SpeedPlacement || r.worker.pool == nil {
 		return e.runtimeOf(r.task.step).median // on its own worker it would excuse a slow one
 	}
-	return e.expectedRuntimeAt(r.task.step, r.worker.pool.speeds.Slowness(0), 0.5)
+	return scale(e.runtimeOf(r.task.step).median, r.worker.pool.speeds.Slowness(0))
 }
 
 // fasterWorkers returns those of workers to which a speculative run for r may go, the fastest
@@ -25,7 +25,7 @@
 		return workers
 	}
 	faster := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool {
-		newRun := e.expectedRuntimeAt(r.task.step, w.classSlowness(), 0.5)
+		newRun := scale(e.runtimeOf(r.task.step).median, w.classSlowness())
 		return w.speedClass > 0 && w.speedClass >= r.worker.speedClass || float64(remaining) <= speculationMinRatio*float64(newRun)
 	})
 	slices.SortStableFunc(faster, func(a, b *worker) int { return cmp.Compare(a.speedClass, b.speedClass) })
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -62,6 +62,7 @@
 	started        bool      // this leader has planned runs for its tasks
 	lastGangRun    int       // highest run number of the gang
 	advice         *adviceState
+	planFailedAt   time.Time        // when no start could be found for it, see Engine.planStart; zero if one was
 	neverFits      bool             // its tasks don't fit on the workers that it may reserve, whatever ends there
 	passesHolds    bool             // it has waited for holdPatience in this placement round
 	reservation    *stepReservation // nil if it has none
@@ -70,10 +71,8 @@
 	urgency        ordering.Step    // when it was opened, or when the declarations last changed
 	key            ordering.Key     // set by sortByUrgency
 
-	runtime           stepRuntime   // see Engine.runtimeOf
-	backfillRuntime   time.Duration // see Engine.backfillRuntimeOf
-	backfillRuntimeAt time.Time     // when it was computed
-	pace              gangPace      // see Engine.paceOf
+	runtime stepRuntime // see Engine.runtimeOf
+	pace    gangPace    // see Engine.paceOf
 }
 
 // task is one task of a step.
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -161,15 +161,15 @@
 		return
 	}
 	t.saved[s] = true
-	a, tried, riskySince, gangRun := s.advice, s.placementTried, s.riskySince, s.lastGangRun
+	a, tried, riskySince, gangRun, planFailedAt := s.advice, s.placementTried, s.riskySince, s.lastGangRun, s.planFailedAt
 	var before adviceState
 	if a != nil {
 		before = *a
 	}
 	t.onUndo(func() {
-		s.advice, s.placementTried, s.riskySince, s.lastGangRun = a, tried, riskySince, gangRun
+		s.advice, s.placementTried, s.riskySince, s.lastGangRun, s.planFailedAt = a, tried, riskySince, gangRun, planFailedAt
 		if a != nil {
-			a.callsInFlight, a.asking, a.answerExpected = before.callsInFlight, before.asking, before.answerExpected
+			a.callsInFlight, a.asking, a.answerExpected, a.exhaustedAt = before.callsInFlight, before.asking, before.answerExpected, before.exhaustedAt
 		}
 	})
 }
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -40,12 +40,23 @@
 // CountIn returns how many times r fits into free, at most maxCount. It is zero if
 // free is negative in a resource that r needs.
 func (r Resources) CountIn(free Resources, maxCount int) int {
-	for _, kind := range [...][2]int64{{r.CPU, free.CPU}, {r.MemMB, free.MemMB}, {r.GPU, free.GPU}} {
-		if kind[0] > 0 {
-			maxCount = min(maxCount, int(max(0, kind[1])/kind[0]))
-		}
+	maxCount = countOf(r.CPU, free.CPU, maxCount)
+	maxCount = countOf(r.MemMB, free.MemMB, maxCount)
+	return countOf(r.GPU, free.GPU, maxCount)
+}
+
+// countOf returns how many times need fits in free, at most maxCount. It divides only if the
+// result can be between the two, as placement calls it for each worker that it looks at.
+func countOf(need, free int64, maxCount int) int {
+	switch {
+	case need <= 0 || maxCount <= 0:
+		return maxCount
+	case free < need:
+		return 0
+	case maxCount == 1:
+		return 1
 	}
-	return maxCount
+	return min(maxCount, int(free/need))
 }
 
 // CountWithin returns how many times r can be added to used, at most maxCount, without
--- a/internal/cell/policy/policy.go
+++ b/internal/cell/policy/policy.go
@@ -81,9 +81,10 @@
 	HTTP        HTTPLimits
 	Evacuations Evacuations
 
-	byQueue map[string]*Queue
-	byTeam  map[string]*Team
-	byKey   map[string]*Team
+	byQueue         map[string]*Queue
+	byTeam          map[string]*Team
+	byKey           map[string]*Team
+	highestPriority map[string]int // by service
 }
 
 // Index builds the lookup tables of p and returns p. It is called once, before p is
@@ -92,8 +93,13 @@
 	p.byQueue = make(map[string]*Queue, len(p.Queues))
 	p.byTeam = make(map[string]*Team, len(p.Teams))
 	p.byKey = make(map[string]*Team)
+	p.highestPriority = make(map[string]int)
 	for i := range p.Queues {
-		p.byQueue[p.Queues[i].Name] = &p.Queues[i]
+		q := &p.Queues[i]
+		p.byQueue[q.Name] = q
+		if highest, known := p.highestPriority[q.Service]; !known || q.Priority < highest {
+			p.highestPriority[q.Service] = q.Priority
+		}
 	}
 	for i := range p.Teams {
 		t := &p.Teams[i]
@@ -137,6 +143,19 @@
 // Team returns the team with the given name, or nil.
 func (p *Policy) Team(name string) *Team { return p.byTeam[name] }
 
+// IsHighestPriority reports whether no queue of the service of q has a higher priority.
+func (p *Policy) IsHighestPriority(q *Queue) bool {
+	highest, known := p.highestPriority[q.Service]
+	return known && q.Priority == highest
+}
+
+// HighestPriority returns the highest priority of the queues of a service. It reports false if
+// there are none.
+func (p *Policy) HighestPriority(service string) (priority int, ok bool) {
+	priority, ok = p.highestPriority[service]
+	return priority, ok
+}
+
 // TeamOfKey returns the team that key belongs to, or nil.
 func (p *Policy) TeamOfKey(key string) *Team { return p.byKey[key] }
 
