--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -256,7 +256,7 @@
 		workers := e.workersWithExpiredTicket(s, capacity)
 		return e.largestFirst(s, workers, need-capacity.valid, e.expiredOrder(s, q, round, workers))
 	}
-	if e.cfg.Features.Backfill && s.spec.Gang {
+	if e.backfills(q) && s.spec.Gang {
 		if e.knowsEnoughToReserve(s) {
 			return nil // it waits until it can reserve
 		}
--- a/internal/cell/engine/renewals.go
+++ b/internal/cell/engine/renewals.go
@@ -193,7 +193,7 @@
 // full because it is backfilled, a step of the highest priority starts where resources become
 // free next, so it asks about as many workers as make the call twice as long.
 func (e *Engine) minAsked(q *policy.Queue) int {
-	if !e.cfg.Features.Backfill || q.Priority > 0 || q.Advice.PerWorker <= 0 {
+	if !e.backfills(q) || q.Priority > 0 || q.Advice.PerWorker <= 0 {
 		return minWorkersAsked
 	}
 	return max(minWorkersAsked, int(q.Advice.Base/q.Advice.PerWorker))
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -77,10 +77,13 @@
 	// holdPatience is how long a step waits until it may use what reservations of lower
 	// priorities keep from it. Most steps find other resources in this time.
 	holdPatience = 150 * time.Millisecond
-	// maxMoves is how often a firm reservation may move to workers that are free sooner, and
-	// minMoveGain by how much sooner they have to be. With each move the wait begins anew.
-	maxMoves    = 3
-	minMoveGain = time.Second
+	// maxMoves is how often a firm reservation may move to workers that will be free sooner, and
+	// minMoveGain by how much sooner they have to be. With each move the wait begins anew. While most
+	// of the CPU is free it may always move, at intervals of moveInterval: a run that takes many
+	// times as long as expected otherwise keeps a gang waiting beside an idle fleet.
+	maxMoves     = 3
+	minMoveGain  = time.Second
+	moveInterval = time.Second
 )
 
 // binds reports whether what r holds is held against s. A firm reservation also binds the steps
@@ -125,6 +128,10 @@
 		if q == nil || !s.open() {
 			continue
 		}
+		if !e.backfills(q) {
+			s.reservation = nil
+			continue
+		}
 		r.reached = false
 		if !r.firm() && e.now.Sub(r.promised) <= r.bound {
 			continue
@@ -400,7 +407,14 @@
 
 // moveFirm moves a firm reservation to workers that are free much sooner.
 func (e *Engine) moveFirm(r *stepReservation, q *policy.Queue, round *placementRound, count int) {
-	if r.moves >= maxMoves || r.start.Sub(e.now) < minMoveGain || e.now.Sub(r.moveTriedAt) < replanInterval {
+	interval := replanInterval
+	if r.moves >= maxMoves {
+		if round.free < round.capacity/2 {
+			return
+		}
+		interval = moveInterval
+	}
+	if r.start.Sub(e.now) < minMoveGain || e.now.Sub(r.moveTriedAt) < interval {
 		return
 	}
 	r.moveTriedAt = e.now
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -178,7 +178,8 @@
 	}
 	asksLeft := round.asksLeft
 	s.placementTried = true
-	if e.cfg.Features.Backfill {
+	backfills := e.backfills(q)
+	if backfills {
 		s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
 	}
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
@@ -214,9 +215,10 @@
 	switch {
 	case len(chosen) > 0:
 		s.reservation = nil
-	case e.cfg.Features.Backfill:
+	case backfills:
 		e.reserveStart(s, q, round, len(tasks))
 	default:
+		s.reservation = nil
 		e.holdForGang(s, round, len(tasks))
 	}
 	return len(chosen) > 0 || round.asksLeft < asksLeft
