Count lost runs toward the team's limit in the check for idle jobs

The check for idle jobs of the random schedules fails if a job has nothing running while its team uses under half of its limit. It counted only the runs that go on. A worker that has crashed looks to the engine like one that is cut off, so the engine has to count the runs on it toward the limit until the next incarnation or the end of the leases proves their end. Until then no job of the team can start, and the check called that lost.

The check for a run of the same job already leaves this time out (awaitsProof). The runs of other jobs of the team now count in the same time, with their need, unless the task has succeeded or runs elsewhere.

--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -243,11 +243,28 @@
 			}
 		}
 	}
+	ofTeam += c.awaitedCPU(team)
 	limit := c.w.policy.Team(team).Limit.CPU
 	need := c.room(id)
 	return used+2*need < capacity/2 && (limit == 0 || ofTeam < limit/2 && ofTeam+2*need <= limit)
 }
 
+// awaitedCPU returns the CPU that tasks of a team had on workers that have crashed, or may get by a start
+// command that is under way, while nothing proves to the engine that they use it no more. It has to count
+// them toward the limit of the team.
+func (c *taskRules) awaitedCPU(team string) int64 {
+	total := int64(0)
+	for name, h := range c.tasks {
+		if !h.awaitsProof(c.w.now) || c.w.specs[strings.SplitN(name, ".", 2)[0]].Team != team || c.w.succeeded(name) {
+			continue
+		}
+		if t := c.w.tasks[name]; t == nil || len(t.runs) == 0 {
+			total += c.w.stepOf(name).Need.CPU
+		}
+	}
+	return total
+}
+
 // room returns the CPU that a job needs to have one of its steps at work, whichever it is.
 func (c *taskRules) room(id string) int64 {
 	most := int64(0)
