Wait for late commands of earlier leaders before runs count as ended

A start command or a renewal of an earlier leader may reach the next incarnation of a worker up to MaxCommandDelay late, and extend its leases or start its task there. A new leader that did not reach the worker took the longest lease after the takeover for the end of all leases, and MaxCommandDelay after the takeover for the end of a start that might still arrive. The lease that such a start brings was left out.

Runs of an earlier leader now end without a report only MaxCommandDelay and the longest lease after the takeover, if late commands may concern them: the start is not settled, and the run was planned less than 2 MaxCommandDelay, maxPlanAge and twice the error of two clocks before the takeover. Older runs wait for the longest lease, as before. A restart that becomes known meanwhile moves such a run to the new incarnation, whose report decides.

The record of a step tells the time of its newest run while a start is open, not that of the newest open run, since the next leader takes it for the time of each run. That adds nothing to what is stored.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -288,7 +288,7 @@
 // mayRunInAnotherIncarnation reports whether the start command for r may have been carried out, or
 // still be, by a later incarnation of its worker than r names.
 func (e *Engine) mayRunInAnotherIncarnation(r *run) bool {
-	return r.unattributed || e.startMayArrive(r)
+	return r.unattributed || e.mayRunUnreached(r)
 }
 
 // holdRun releases the resources of r on its worker, which refuses its start command from now on.
--- a/internal/cell/engine/late_leases.go
+++ b/internal/cell/engine/late_leases.go
@@ -48,6 +48,37 @@
 	w.unansweredLease = time.Time{}
 }
 
+// maxClockSkew is the maximum error of the time of day of an instance, which the platform guarantees,
+// also when the time of day jumps.
+const maxClockSkew = 6 * time.Second
+
+// newAtTakeover reports whether a run that an earlier leader planned may be in an incarnation that
+// began less than MaxCommandDelay before this leader's term. Commands of earlier leaders to an earlier
+// incarnation arrive there before the term otherwise. The start of the run may have been late in that
+// incarnation by MaxCommandDelay, too.
+//
+// The time at which the run was planned decides, not the number of the incarnation: the number tells
+// only of restarts that the directory or the record knows.
+func (e *Engine) newAtTakeover(plannedAt int64) bool {
+	age := time.Duration(e.wall()-plannedAt) * time.Millisecond
+	return plannedAt == 0 || age <= 2*e.cfg.MaxCommandDelay+maxPlanAge+2*maxClockSkew
+}
+
+// earlierLeaderMayExtend reports whether late commands of earlier leaders may have extended the lease of
+// r, or still may, without a sign of that for this leader. A report that shows r rules it out: from
+// then on, the worker's fence refuses these commands, and a restart ends r.
+func (e *Engine) earlierLeaderMayExtend(r *run) bool {
+	if !r.inherited() || r.startSettled || !r.newAtTakeover {
+		return false
+	}
+	return e.now.Sub(e.startedAt) <= e.cfg.MaxCommandDelay+e.longestLease()+e.cfg.LeaseExpiryMargin
+}
+
+// mayRunUnreached reports whether r may be at work, or begin, on a worker whose known leases are over.
+func (e *Engine) mayRunUnreached(r *run) bool {
+	return e.startMayArrive(r) || e.earlierLeaderMayExtend(r)
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -211,7 +211,7 @@
 		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
 			continue
 		}
-		sent := slices.DeleteFunc(w.sentRuns(), e.startMayArrive)
+		sent := slices.DeleteFunc(w.sentRuns(), e.mayRunUnreached)
 		if len(sent) == 0 {
 			continue
 		}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -159,7 +159,8 @@
 	if !t.hasRuns() && !t.done {
 		t.step.waiting--
 	}
-	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, plannedAt: plannedAt, restored: true, startSent: true}
+	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, plannedAt: plannedAt, restored: true, startSent: true,
+		newAtTakeover: e.newAtTakeover(plannedAt)}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 }
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -126,6 +126,7 @@
 	checkpoint       string    // from which it starts; empty for none
 	startSent        bool      // this leader or an earlier one has sent the start command
 	plannedAt        int64     // Unix milliseconds when it was planned, by this leader or an earlier one; zero if unknown
+	newAtTakeover    bool      // see Engine.newAtTakeover
 	held             bool      // it uses nothing on its worker, see Engine.holdRun
 	startsSent       int       // number of start commands that this leader has sent
 	unansweredStarts int       // number of these that got no answer
@@ -194,6 +195,24 @@
 	return s
 }
 
+// newestPlan returns when the newest run of s was planned, in Unix milliseconds, or zero if all
+// start commands are settled or that is not known.
+func (s *stepState) newestPlan() int64 {
+	newest, unsettled := int64(0), int64(0)
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			newest = max(newest, r.plannedAt)
+			if !r.startSettled {
+				unsettled = max(unsettled, r.plannedAt)
+			}
+		}
+	}
+	if unsettled == 0 {
+		return 0
+	}
+	return newest // the next leader takes it for the time of each run, see Engine.newAtTakeover
+}
+
 // encode returns the encoded record of s.
 func (s *stepState) encode() []byte {
 	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
@@ -203,12 +222,8 @@
 		}
 		r.SpeculativeRuns[index] = t
 	}
+	r.PlannedAt = s.newestPlan()
 	for i, t := range s.tasks {
-		for _, u := range t.runs {
-			if !u.startSettled {
-				r.PlannedAt = max(r.PlannedAt, u.plannedAt)
-			}
-		}
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
 			out.Checkpoint = ""
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -42,7 +42,7 @@
 	GoodWorkers     []GoodWorker
 	Asked           NameSet
 	Begun           bool  // a task of the job is known to have started
-	PlannedAt       int64 // Unix milliseconds when the newest of the runs without a settled start was planned; zero if unknown
+	PlannedAt       int64 // Unix milliseconds when the newest run was planned; zero if all starts are settled, or if unknown
 }
 
 // GoodWorker is a worker that the adviser recommended for a step, in one incarnation.
