Add random schedules in which a new leader does not reach a worker

The new form, TestRandomRefusalsWithUnreachedWorkers, sends commands late to a worker that restarts, with tasks that outlast a lease around the restart, and lets a leader take over whose calls to it are lost for 13 to 23 s.

--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -22,6 +22,7 @@
 	evacuations    bool     // availability zones are evacuated
 	speeds         bool     // tasks are placed by the speeds of the workers, which seem to change
 	features       Features // of the engine
+	takeovers      bool     // new leaders don't reach a worker, which gets late commands of the earlier one
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
@@ -44,7 +45,7 @@
 		n.endsPerReport = 1 + n.rand.IntN(4)
 	}
 	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
-	evacuations := rand.New(rand.NewPCG(seed, 7))
+	evacuations, takeovers := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	for range 60 {
@@ -62,6 +63,9 @@
 		if o.evacuations {
 			n.injectEvacuation(evacuations)
 		}
+		if o.takeovers {
+			n.injectTakeover(takeovers)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
@@ -244,7 +248,7 @@
 
 // clear ends the faults of a link.
 func (l *link) clear() {
-	*l = link{maxDelay: usualDelay, downUntil: l.downUntil, refusesUntil: l.refusesUntil}
+	*l = link{maxDelay: usualDelay, downUntil: l.downUntil, refusesUntil: l.refusesUntil, silentUntil: l.silentUntil}
 }
 
 // clearFaults ends all faults.
@@ -313,6 +317,11 @@
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true})
 }
 
+// New leaders do not reach a worker that gets late commands of the earlier one and restarts.
+func TestRandomRefusalsWithUnreachedWorkers(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, untold: true, takeovers: true})
+}
+
 // Availability zones are evacuated, at times all of them, and taken back.
 func TestRandomRefusalsWithEvacuations(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true, evacuations: true})
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -39,6 +39,7 @@
 	refusedRatio   float64       // share of calls that are refused
 	refusals       []CommandOutcome
 	downUntil      time.Time // end of a restart
+	silentUntil    time.Time // until when calls that are sent are lost
 	refusesUntil   time.Time // until when connections are refused, as the worker's process has ended or it is cut off
 }
 
@@ -85,7 +86,7 @@
 	n.w.after(c.timeout, func() { n.answer(c, c.unanswered) })
 	delay := l.delay(n.rand)
 	switch p := n.rand.Float64(); {
-	case p < l.lostRatio:
+	case p < l.lostRatio || n.w.now.Before(l.silentUntil):
 		return
 	case p < l.lostRatio+l.lateRatio:
 		delay = minLate + time.Duration(n.rand.Int64N(int64(maxLate-minLate)))
