Count only recommended workers as room in the check for idle jobs

The check for idle jobs of the random schedules calls a job lost that has nothing running while half of the workers' CPU is idle. A job of a queue with an adviser may use only the workers that the adviser finds good for its step, in small cells as few as two. In TestRandomRefusalsWithDrains, a gang of 3 tasks of 1.521 cores waits from 38.5 to 41.5 s: its two good workers have 1.964 and 0.206 cores free, while the four others are idle.

For such jobs the check now also wants that a task, or the whole gang, fits on the good workers at that moment. All other conditions stay.

--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -277,11 +277,16 @@
 		return good
 	}
 	for _, id := range a.Workers {
-		h := fnv.New32a()
-		_, _ = io.WriteString(h, a.Step+id)
-		if h.Sum32()%10 < 4 || id == "w00" || id == "w01" { // at least these are good for every step
+		if usuallyGood(a.Step, id) {
 			good[id] = "ticket"
 		}
 	}
 	return good
 }
+
+// usuallyGood reports whether the adviser finds a worker good for a step, unless world.isGood tells.
+func usuallyGood(step, worker string) bool {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, step+worker)
+	return h.Sum32()%10 < 4 || worker == "w00" || worker == "w01" // at least these are good for every step
+}
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -218,11 +218,37 @@
 	return false
 }
 
+// fitsOnGoodWorkers reports whether each step of a job fits now on the workers that the adviser finds good
+// for it, if its queue has one: one task, or the whole gang.
+func (c *taskRules) fitsOnGoodWorkers(id string) bool {
+	if c.w.policy.Queue(c.w.specs[id].Queue).Advice == nil {
+		return true
+	}
+	for i := range c.w.specs[id].Steps {
+		step := &c.w.specs[id].Steps[i]
+		ref, fit := job.StepRef{Job: id, Step: i}.String(), int64(0)
+		for _, worker := range c.w.ids {
+			s := c.w.workers[worker]
+			free := s.capacity.CPU
+			for _, r := range s.runs {
+				free -= r.need.CPU
+			}
+			if usuallyGood(ref, worker) {
+				fit += max(0, free/step.Need.CPU)
+			}
+		}
+		if fit == 0 || step.Gang && fit < int64(step.Count) {
+			return false
+		}
+	}
+	return true
+}
+
 // idleForNoReason reports whether a job has nothing running although its team uses under
 // half of its limit, under half of the workers' CPU is in use, and there is room for the job
 // twice over.
 func (c *taskRules) idleForNoReason(id string) bool {
-	if c.awaitsProof(id) {
+	if c.awaitsProof(id) || !c.fitsOnGoodWorkers(id) {
 		return false
 	}
 	used, ofTeam, capacity := int64(0), int64(0), int64(0)
