Wait for a worker that still refuses before a task is blamed

Two workers are cut off at once, and one of them restarts behind the cut while the other still refuses connections. The restart proves the end of its process, two workers are fewer than the three that have a common cause, and so the task that had just started there counted as the cause.

If another worker began to refuse within 150 ms of the crash and still does, the blame now waits for it until one second after the first refusal, as it does for workers of the same rack. The crash stays doubtful until then, so the task is not started again. Hazards of queues are noted at the same time as before.

--- a/internal/cell/engine/blame.go
+++ b/internal/cell/engine/blame.go
@@ -69,7 +69,7 @@
 		if c.worker.crash != c && len(c.tasks) == 0 {
 			continue // it refuses no longer, and nothing is blamed
 		}
-		if age := e.now.Sub(c.at); age < sharedCrashWindow || age < blameTimeout && !c.rackSurvived() && c.awaitsRackMate() {
+		if age := e.now.Sub(c.at); age < sharedCrashWindow || age < blameTimeout && (!c.rackSurvived() && c.awaitsRackMate() || e.blameDepends(c)) {
 			e.openCrashes = append(e.openCrashes, c)
 			continue
 		}
@@ -124,14 +124,31 @@
 // with others. oneJob says that no other job can have caused it.
 func (e *Engine) blame(c *crash, t *task, oneJob bool) {
 	c.oneJob = oneJob
-	if c.closed {
+	reopens := c.closed && e.now.Sub(c.at) < blameTimeout && e.awaitsOther(c)
+	if c.closed && !reopens {
 		e.countCaused(c, t)
 		return
 	}
+	if reopens {
+		c.closed = false
+		e.openCrashes = append(e.openCrashes, c)
+	}
 	c.tasks = append(c.tasks, t)
 	t.investigations++
 }
 
+// blameDepends reports whether tasks are to be blamed for c and it may yet turn out that its worker was
+// cut off.
+func (e *Engine) blameDepends(c *crash) bool { return len(c.tasks) > 0 && e.awaitsOther(c) }
+
+// awaitsOther reports whether another worker began to refuse connections at the same time as that of c and
+// still does. If it answers again without a restart, it was cut off, and the worker of c most likely, too.
+func (e *Engine) awaitsOther(c *crash) bool {
+	return slices.ContainsFunc(e.workerList, func(w *worker) bool {
+		return w != c.worker && w.listed && !w.refusingSince.IsZero() && w.refusingSince.Sub(c.at).Abs() <= sharedCrashWindow
+	})
+}
+
 // countCaused turns a doubtful crash of t into one that t has caused, unless c is shared or the
 // worker may have been cut off first.
 func (e *Engine) countCaused(c *crash, t *task) {
