--- a/internal/cell/engine/late_leases.go
+++ b/internal/cell/engine/late_leases.go
@@ -52,13 +52,14 @@
 // also when the time of day jumps.
 const maxClockSkew = 6 * time.Second
 
-// newAtTakeover reports whether a run that an earlier leader planned may be in an incarnation that
-// began less than MaxCommandDelay before this leader's term. Commands of earlier leaders to an earlier
-// incarnation arrive there before the term otherwise. The start of the run may have been late in that
-// incarnation by MaxCommandDelay, too.
+// newAtTakeover reports whether late commands of earlier leaders may concern a run that was planned at
+// the given time, in Unix milliseconds, or zero if that is not known. Commands to earlier incarnations
+// arrive during this leader's term only if the run's incarnation began less than MaxCommandDelay before
+// the term, or later. The start command that reached the run there was sent at most MaxCommandDelay
+// before that, and at most maxPlanAge after the run was planned.
 //
-// The time at which the run was planned decides, not the number of the incarnation: the number tells
-// only of restarts that the directory or the record knows.
+// The number of the incarnation cannot decide this: it tells only of restarts that the directory or the
+// record knows.
 func (e *Engine) newAtTakeover(plannedAt int64) bool {
 	age := time.Duration(e.wall()-plannedAt) * time.Millisecond
 	return plannedAt == 0 || age <= 2*e.cfg.MaxCommandDelay+maxPlanAge+2*maxClockSkew
