Bound the doubt about a moved shard by the shard's first ownership

Cause: the new owner of a shard whose records are lost cannot rule out that the earlier owner started a request up to the retention (10 min) ago. In a cell that is younger than that, every worker counts as restarted since, so each request that is not repeatable ends as may_have_run. Change: an instance records when it last requested a read of the log whose applied end shows a shard without any owner. Nothing of the shard was started before, so a locate asks for the smaller of the retention and the time since then. A handover passes the time on as an age; its receiver subtracts the longest delay of the records, and the owner uses no confirmation that is later than that. The ages of requests get the same allowance, and all ages 1.25 percent for differences of clock rates. The lease holder keeps the earliest start time of a worker's incarnation, so that one slow reply does not make it younger.

--- a/internal/service/handover/handover.go
+++ b/internal/service/handover/handover.go
@@ -82,7 +82,6 @@
 const (
 	maxShards        = 4    // in one transfer
 	maxRequests      = 4000 // in one transfer with more than one shard, so that they fit into one message
-	sendTimeout      = time.Second
 	appendTimeout    = 4 * time.Second
 	transferInterval = 50 * time.Millisecond
 	idleInterval     = 250 * time.Millisecond // between checks when there is nothing to hand over
@@ -175,7 +174,7 @@
 
 func (s *Service) send(to wire.InstanceRef, shards []wire.ShardTerm) {
 	s.lastTransferID++
-	s.current = &transfer{id: s.lastTransferID, to: to, shards: shards, deadline: s.env.Now() + sendTimeout}
+	s.current = &transfer{id: s.lastTransferID, to: to, shards: shards, deadline: s.env.Now() + service.MaxRecordsDelay}
 	memory, entries := s.records.ExportRecords(shards)
 	s.note("handover-send", fmt.Sprintf("%d shards, %d requests to %s", len(shards), len(entries), to.Instance))
 	s.env.Send(to.Instance, wire.Memory{ID: s.lastTransferID, Shards: memory, Entries: entries})
@@ -197,6 +196,9 @@
 	if t == nil || t.stage != stageSending || t.id != m.ID || t.to != from {
 		return
 	}
+	if s.env.Now() >= t.deadline {
+		return // the next owner relies on MaxRecordsDelay; OnTick ends the transfer
+	}
 	s.note("handover-append", "memory is kept by "+string(t.to.Instance))
 	t.stage = stageAppending
 	t.deadline = s.env.Now() + appendTimeout
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -118,9 +118,12 @@
 	w.retryDelay = 0
 	w.nextRenewAt = s.env.Now()
 	w.leasedUntil = d.SentAt + s.env.Timing.WorkerLease*usableLeasePercent/100
-	w.startedAt = s.env.Now() - d.Reply.Uptime
 	restarted := w.incarnation != d.Reply.Incarnation
 	w.incarnation = d.Reply.Incarnation
+	startedAt := s.env.Now() - d.Reply.Uptime // too late by the delay of the reply, so the earliest is kept
+	if restarted || startedAt < w.startedAt {
+		w.startedAt = startedAt
+	}
 	switch {
 	case d.Full:
 		s.rebuild(w, d.Reply)
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -39,10 +39,11 @@
 	members   Members
 	listeners []service.ShardHandler
 
-	table   [model.Shards]ShardOwner
-	applied uint64        // offset of the last log entry applied
-	logNext uint64        // next offset of the log, as of the last read
-	logAt   time.Duration // when the log last answered
+	table     [model.Shards]ShardOwner
+	unownedAt [model.Shards]time.Duration // latest time known at which a shard had never had an owner, 0 if none is
+	applied   uint64                      // offset of the last log entry applied
+	logNext   uint64                      // next offset of the log, as of the last read
+	logAt     time.Duration               // when the log last answered
 
 	claimID   uint64        // append id of the claim in flight, 0 when there is none
 	claimAt   time.Duration // when the claim in flight was appended
@@ -71,10 +72,32 @@
 	return err
 }
 
-// OnLog stores how far the log reaches.
+// OnLog stores how far the log reaches, and which shards had never had an owner when
+// this read was requested.
 func (s *Service) OnLog(l service.LogState) {
 	s.logNext = l.Next
 	s.logAt = s.env.Now()
+	if s.applied+1 >= l.Next {
+		s.recordUnowned(l.AskedAt)
+	}
+}
+
+// recordUnowned records that the shards without an owner had none at askedAt, the time
+// at which a read of the log was requested whose reply is applied to the end. The time
+// of the reply would be too late: it may have waited, and the shards may have been
+// claimed since.
+func (s *Service) recordUnowned(askedAt time.Duration) {
+	for i, entry := range s.table {
+		if entry.Term == 0 {
+			s.unownedAt[i] = max(s.unownedAt[i], askedAt)
+		}
+	}
+}
+
+// UnownedAt returns the latest time known to this instance at which a shard had never
+// had an owner. It returns false if this instance has only seen the shard with owners.
+func (s *Service) UnownedAt(shard model.Shard) (at time.Duration, ok bool) {
+	return s.unownedAt[shard], s.unownedAt[shard] > 0
 }
 
 // OnRecord applies claims and handovers.
--- a/internal/service/requests/entry.go
+++ b/internal/service/requests/entry.go
@@ -34,7 +34,7 @@
 	holder          wire.InstanceRef // instance that the task was dispatched to
 	attempt         uint32
 	run             int
-	firstReceivedAt time.Duration // latest time at which any owner can have received it first
+	firstReceivedAt time.Duration // not later than the first receipt at the owners whose records are kept
 	receivedAt      time.Duration
 	startedAt       time.Duration
 	finishedAt      time.Duration
--- a/internal/service/requests/locate.go
+++ b/internal/service/requests/locate.go
@@ -58,7 +58,7 @@
 	l.restarted = make(map[model.WorkerID]bool)
 	q := wire.LocateTask{
 		Task: e.runID(), Attempt: e.attempt,
-		Age: s.env.Now() - e.firstReceivedAt + s.priorAge(e),
+		Age: s.oldestStartAge(e),
 	}
 	m := wire.Locate{ID: l.id, Shard: e.shard, Term: term, Tasks: []wire.LocateTask{q}}
 	for _, ref := range s.members.Live() {
@@ -69,8 +69,23 @@
 	s.onLocated(s.env.SelfRef(), s.ledger.Locate(m))
 }
 
+// clockTolerance is the inverse of the maximum relative difference, 1.25 percent, of the
+// rates of this instance's clock and those of workers and of their lease holders.
+const clockTolerance = 80
+
+// oldestStartAge returns an upper bound for the time since a request may have been
+// started first, here or under an earlier owner.
+func (s *Service) oldestStartAge(e *entry) time.Duration {
+	now := s.env.Now()
+	age := now - e.firstReceivedAt + s.priorAge(e)
+	if at, known := s.shardUnownedAt(e.shard); known {
+		age = min(age, now-at)
+	}
+	return age + age/clockTolerance
+}
+
 // priorAge returns how long before its receipt here a request may have been started
-// under an earlier owner. The retention of the workers bounds it.
+// under an earlier owner whose records are lost. The retention of the workers bounds it.
 func (s *Service) priorAge(e *entry) time.Duration {
 	if s.history[e.shard].lostAt == 0 {
 		return 0
--- a/internal/service/requests/memory.go
+++ b/internal/service/requests/memory.go
@@ -33,6 +33,9 @@
 		if history.lostAt > 0 {
 			m.PastAge = max(s.env.Now()-history.lostAt, 1)
 		}
+		if at, known := s.shardUnownedAt(st.Shard); known {
+			m.UnownedAge = max(s.env.Now()-at, 1)
+		}
 		memory = append(memory, m)
 	}
 	var entries []wire.RequestMemory
@@ -111,6 +114,9 @@
 		if imported.shard.PastAge > 0 {
 			history.lostAt = max(imported.receivedAt-imported.shard.PastAge, 1)
 		}
+		if age := imported.shard.UnownedAge; age > 0 {
+			s.unownedAt[m.Shard] = imported.receivedAt - service.MaxRecordsDelay - age
+		}
 	}
 	s.history[m.Shard] = history
 	if !complete {
@@ -128,7 +134,7 @@
 	e := &entry{
 		id: r.ID, task: r.Task, base: r.Task.ID, shard: shard, fingerprint: r.Fingerprint,
 		phase: phaseLocating, holder: r.LeaseHolder, attempt: r.Attempt, run: r.Run, canceled: r.Canceled,
-		firstReceivedAt: importedAt - r.CreatedAge, receivedAt: importedAt - r.QueuedAge, deadline: importedAt + r.Remaining, worker: r.Worker,
+		firstReceivedAt: importedAt - service.MaxRecordsDelay - r.CreatedAge, receivedAt: importedAt - r.QueuedAge, deadline: importedAt + r.Remaining, worker: r.Worker,
 	}
 	s.entries[e.base] = e
 	if e.task.Kind == model.KindGang && phase(r.Phase) != phaseFinished {
@@ -155,6 +161,17 @@
 	}
 }
 
+// shardUnownedAt returns the latest time known at which a shard had never had an owner,
+// from the log or from a previous owner. Nothing of the shard was started before it. It
+// is negative for a time before this instance started.
+func (s *Service) shardUnownedAt(shard model.Shard) (at time.Duration, known bool) {
+	at, known = s.ownership.UnownedAt(shard)
+	if told, ok := s.unownedAt[shard]; ok && (!known || told > at) {
+		return told, true
+	}
+	return at, known
+}
+
 // loseShard removes all entries of a shard that this instance no longer owns.
 func (s *Service) loseShard(shard model.Shard) {
 	s.dropGangs(shard)
--- a/internal/service/requests/requests.go
+++ b/internal/service/requests/requests.go
@@ -32,6 +32,9 @@
 	OwnedTerm(model.Shard) (term uint64, ok bool)
 	// Owner returns a shard's owner and term, or false if it has never had an owner.
 	Owner(model.Shard) (ownership.ShardOwner, bool)
+	// UnownedAt returns a time at which a shard had never had an owner, or false if
+	// none is known.
+	UnownedAt(model.Shard) (time.Duration, bool)
 }
 
 // Members returns the live instances and their latest heartbeats.
@@ -95,6 +98,7 @@
 	queue         *queue.Queue
 	freeEstimates map[model.InstanceID]*freeEstimate
 	history       [model.Shards]shardHistory     // by shard
+	unownedAt     map[model.Shard]time.Duration  // as Ownership.UnownedAt, from previous owners; may be negative
 	imports       map[model.Shard]*pendingImport // records received for shards not owned here yet
 	locates       map[uint64]*locate
 	lastLocateID  uint64
@@ -136,6 +140,7 @@
 		queue:         queue.New(queue.Config{MaxWaiting: maxWaitingPerTeam}),
 		freeEstimates: make(map[model.InstanceID]*freeEstimate),
 		imports:       make(map[model.Shard]*pendingImport),
+		unownedAt:     make(map[model.Shard]time.Duration),
 		locates:       make(map[uint64]*locate),
 		refusedUntil:  make(map[refusalKey]time.Duration),
 		gangs:         make(map[gangKey]*gang),
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,6 +26,11 @@
 	Snapshots  = "snapshots"
 )
 
+// MaxRecordsDelay is the maximum time from the sending of an owner's records of requests
+// to their receipt by the next owner. Records that are not confirmed within this time are
+// not used.
+const MaxRecordsDelay = time.Second
+
 // TickHandler is called on every tick.
 type TickHandler interface{ OnTick() }
 
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -190,6 +190,9 @@
 	ShardTerm ShardTerm     `cbor:"1,keyasint" json:"shard_term"`
 	ExactFrom uint64        `cbor:"2,keyasint" json:"exact_from"`
 	PastAge   time.Duration `cbor:"3,keyasint,omitempty" json:"past_age,omitempty"`
+	// UnownedAge is the time since a moment at which the shard had never had an owner, 0
+	// when the sender knows of none.
+	UnownedAge time.Duration `cbor:"4,keyasint,omitempty" json:"unowned_age,omitempty"`
 }
 
 // RequestMemory is a request as its coordinator remembers it. Ages are measured back
