Read an empty log more often

Cause: an instance of the dev command reads the log with waits of one second and claims after one second. The last read that shows its shards without an owner is then the first one, requested a few milliseconds after the workers started; with the allowance for clock rates, all workers count as restarted since. Change: until the first entry is read, a read waits for at most 100 ms. Later reads wait as before.

--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -41,11 +41,15 @@
 // readLog polls the log from its first entry on and posts each result, including an
 // empty one, to the core.
 func (n *Node) readLog() {
-	next := uint64(1)
+	next := uint64(firstOffset)
 	for n.ctx.Err() == nil {
+		readWait := logReadWait
+		if next == firstOffset {
+			readWait = emptyLogReadWait
+		}
 		askedAt := n.now()
-		ctx, cancel := context.WithTimeout(n.ctx, logReadWait+callTimeout)
-		batch, err := n.cfg.Log.Read(ctx, n.cfg.Stream, next, maxReadEntries, logReadWait)
+		ctx, cancel := context.WithTimeout(n.ctx, readWait+callTimeout)
+		batch, err := n.cfg.Log.Read(ctx, n.cfg.Stream, next, maxReadEntries, readWait)
 		cancel()
 		if err != nil {
 			n.sleep(logRetryDelay)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,9 +49,15 @@
 	startupListInterval = 300 * time.Millisecond
 	startupListWindow   = 5 * time.Second
 	logReadWait         = time.Second // maximum time that a read waits in the log for an entry
-	maxReadEntries      = 512
-	logRetryDelay       = 200 * time.Millisecond
-	callTimeout         = 2 * time.Second // of a call to the platform or a worker, in addition to the wait that it requests
+	// emptyLogReadWait is that time until the first entry is read. The last read that shows
+	// the shards without an owner proves that nothing was started before. With reads of
+	// logReadWait, it may have been requested long before the first claim, and workers that
+	// started in between count as restarted.
+	emptyLogReadWait = 100 * time.Millisecond
+	firstOffset      = 1 // offset of the log's first entry
+	maxReadEntries   = 512
+	logRetryDelay    = 200 * time.Millisecond
+	callTimeout      = 2 * time.Second // of a call to the platform or a worker, in addition to the wait that it requests
 )
 
 // Node is a running decision core with its connections to peers, the log, the
