Take no shards of live instances after a pause or over a broken link

Cause: shards of a healthy but busy cell changed owners in two ways. An instance that resumes after a pause longer than the dead-after time handles its tick before the queued heartbeats, declares all others dead, and claims the shards of one as soon as another has answered. And an instance that has never heard an owner takes it for dead without asking what the others hear, so a slow or broken link at its start is enough. Change: members are declared dead only for a silence during which this instance was not paused; a gap between ticks of more than half the dead-after time is a pause. What counts as contact with a majority is unchanged. An owner that was never heard is dead only if a majority of the reachable members cannot reach it either. No timeout changes.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,8 +41,9 @@
 	oldest          uint64
 	answers         map[uint64]model.Answer
 	sent            map[string]int
-	dropped         func(m wire.Message) bool // reports whether a message is lost; nil loses none
-	snapshotOffsets []uint64                  // offsets of the entries that contain a snapshot
+	dropped         func(m wire.Message) bool            // reports whether a message is lost; nil loses none
+	cut             func(from, to model.InstanceID) bool // reports whether the messages between two are lost; nil loses none
+	snapshotOffsets []uint64                             // offsets of the entries that contain a snapshot
 	workers         []model.Worker
 	pendingRenewals map[model.InstanceID][]renewal
 }
@@ -76,6 +78,15 @@
 	}
 }
 
+// stop ends an instance and removes it from the list.
+func (c *cell) stop(name model.InstanceID) {
+	delete(c.cores, name)
+	c.instances = slices.DeleteFunc(c.instances, func(i platform.Instance) bool { return i.ID == name })
+	for _, i := range c.instances {
+		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.instances}})
+	}
+}
+
 func (c *cell) step(at model.InstanceID, e event.Event) {
 	core := c.cores[at]
 	for _, a := range core.Step(c.now, e) {
@@ -129,6 +140,9 @@
 	if c.dropped != nil && c.dropped(a.Message) || c.cores[a.To] == nil {
 		return
 	}
+	if c.cut != nil && c.cut(from.Instance, a.To) {
+		return
+	}
 	data, err := wire.EncodeMessage(a.Message)
 	require.NoError(c.t, err)
 	m, err := wire.DecodeMessage(data)
--- /dev/null
+++ b/internal/core/takeover_test.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/event"
+	"pollenbend/internal/model"
+	"pollenbend/internal/service/ownership"
+)
+
+// requireSameOwners checks that the shards that an instance owned before still have the
+// same owner and term, as seen by at.
+func (c *cell) requireSameOwners(at, owner model.InstanceID, before [model.Shards]ownership.ShardOwner) {
+	c.t.Helper()
+	owned := 0
+	for i, after := range c.table(at) {
+		if before[i].Owner.Instance == owner {
+			owned++
+			require.Equal(c.t, before[i], after, "shard %d", i)
+		}
+	}
+	require.Positive(c.t, owned)
+}
+
+// An instance that resumes after a pause has queued heartbeats. It must not take the others
+// for dead because of them, and claim the shards of one while the others answer already.
+func TestResumedInstanceClaimsNoShardsOfOthers(t *testing.T) {
+	c := newCell(t, "a", "b", "c")
+	c.run(10 * time.Second)
+	before := c.table("a")
+	entries := len(c.log)
+
+	c.now += 2 * testTiming.DeadAfter // all are paused, as when their machine is busy
+	c.step("a", event.Tick{})
+	c.read("a")
+	c.step("b", event.Tick{}) // sends a heartbeat
+	for range 3 {
+		c.now += stepTime
+		c.read("a")
+		c.step("a", event.Tick{})
+	}
+	require.Equal(t, entries, len(c.log), "an instance has claimed shards")
+	c.run(10 * time.Second)
+	for _, owner := range []model.InstanceID{"a", "b", "c"} {
+		c.requireSameOwners("a", owner, before)
+	}
+}
+
+// After a pause, an instance that is really dead is declared dead within another
+// Timing.DeadAfter.
+func TestResumedInstanceTakesOverFromADeadOne(t *testing.T) {
+	c := newCell(t, "a", "b", "c")
+	c.run(10 * time.Second)
+	c.stop("c")
+	c.now += 2 * testTiming.DeadAfter
+	c.run(testTiming.DeadAfter + time.Second)
+	for i, shard := range c.table("a") {
+		require.NotEqual(t, model.InstanceID("c"), shard.Owner.Instance, "shard %d", i)
+	}
+}
+
+// A new instance with a broken link to an owner must not take its shards while another
+// instance can reach it.
+func TestNewInstanceClaimsNoShardsOfAnOwnerThatOthersReach(t *testing.T) {
+	c := newCell(t, "a", "b")
+	c.run(10 * time.Second)
+	before := c.table("b")
+	c.cut = func(x, y model.InstanceID) bool { return x == "a" && y == "c" || x == "c" && y == "a" }
+	c.start("c")
+	c.run(4 * testTiming.DeadAfter)
+	c.requireSameOwners("b", "a", before)
+}
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -29,7 +29,7 @@
 // Service tracks the members of the cell. A member counts as dead when it has sent
 // no heartbeat to this instance for Timing.DeadAfter and a majority of the members
 // reachable from here cannot reach it either, so that a single broken link moves no
-// shard.
+// shard. A time in which this instance itself was paused does not count.
 type Service struct {
 	env          *event.Env
 	contributors []service.HeartbeatContributor
@@ -39,6 +39,8 @@
 	members          map[model.InstanceID]*Member
 	heartbeatSeq     uint64
 	heartbeatsSentAt time.Duration
+	tickedAt         time.Duration
+	listeningSince   time.Duration // end of the last pause of this instance
 	leaving          bool
 }
 
@@ -113,18 +115,36 @@
 
 // OnTick sends heartbeats and declares members dead.
 func (s *Service) OnTick() {
+	s.detectPause()
 	if s.heartbeatsSentAt == 0 || s.env.Now()-s.heartbeatsSentAt >= s.env.Timing.Heartbeat {
 		s.heartbeatsSentAt = s.env.Now()
 		s.sendHeartbeats()
 	}
 	for _, id := range s.sortedMembers() {
 		m := s.members[id]
-		if !m.dead && s.unreachable(m) && s.unreachableForMajority(m.Ref) {
+		if !m.dead && s.silent(m) && s.unreachableForMajority(m.Ref) {
 			s.declareDead(m)
 		}
 	}
 }
 
+// detectPause notes the end of a pause of this instance: a long gap between ticks.
+// Heartbeats that arrived meanwhile may still be queued behind this tick. Without this, an
+// instance that resumes declares all others dead and claims the shards of those whose
+// heartbeats it handles last.
+func (s *Service) detectPause() {
+	if now := s.env.Now(); now-s.tickedAt > s.env.Timing.DeadAfter/2 {
+		s.listeningSince = now
+	}
+	s.tickedAt = s.env.Now()
+}
+
+// silent reports whether a member has sent no heartbeat for Timing.DeadAfter during which
+// this instance was not paused.
+func (s *Service) silent(m *Member) bool {
+	return s.unreachable(m) && s.env.Now()-s.listeningSince >= s.env.Timing.DeadAfter
+}
+
 func (s *Service) sendHeartbeats() {
 	s.heartbeatSeq++
 	heartbeat := wire.Heartbeat{Seq: s.heartbeatSeq, Leaving: s.leaving, Reachable: s.reachable()}
@@ -246,6 +266,22 @@
 	return ok && m.Ref == ref && !m.dead
 }
 
+// IsDead reports whether ref certainly counts as dead. An instance from which no heartbeat
+// was ever received does only if a majority of the reachable members cannot reach it
+// either: a broken link between it and this instance is no reason to take its shards.
+func (s *Service) IsDead(ref wire.InstanceRef) bool {
+	m, ok := s.members[ref.Instance]
+	switch {
+	case ref.Instance == s.env.Self.ID:
+		return ref.Incarnation < s.env.Self.Incarnation
+	case ok && m.Ref == ref:
+		return m.dead
+	case ok && m.Ref.Incarnation > ref.Incarnation:
+		return true
+	}
+	return s.unreachableForMajority(ref)
+}
+
 // Majority reports whether this instance can reach more than half of the listed
 // instances, itself included. Without a majority it may be the one that is
 // partitioned from the others.
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -28,6 +28,7 @@
 // Members provides the members of the cell.
 type Members interface {
 	IsLive(ref wire.InstanceRef) bool
+	IsDead(ref wire.InstanceRef) bool
 	Eligible() []wire.InstanceRef
 	Majority() bool
 	Leaving() bool
@@ -185,12 +186,12 @@
 	return fresh && s.applied+1 >= s.logNext
 }
 
-// claimableShards returns the shards without a live owner whose target is this instance.
+// claimableShards returns the shards without an owner, or with a dead one, whose target is this instance.
 func (s *Service) claimableShards() []wire.ShardTerm {
 	eligible := s.members.Eligible()
 	var mine []wire.ShardTerm
 	for i, entry := range s.table {
-		if entry.Term != 0 && s.members.IsLive(entry.Owner) {
+		if entry.Term != 0 && !s.members.IsDead(entry.Owner) {
 			continue
 		}
 		shard := model.Shard(i)
