Ask the others again before shards of a dead owner are claimed

Cause: an instance that hears nobody declares all others dead on its own. When the first of them is back, it claims the shards of one that is not, although the first one reaches it. And an instance that reads the claim of an owner that it has not heard yet claims the same shards at once. Change: at a claim, the owner must be unreachable for a majority of the instances that are reachable then. An owner whose claim was just read gets the dead-after time to be heard. Measured: the two new tests in internal/core/takeover_test.go fail without the change and pass with it; go test ./internal/core ./internal/scenario ./internal/replay ./internal/capacity: ok.

--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -9,6 +9,7 @@
 	"pollenbend/internal/event"
 	"pollenbend/internal/model"
 	"pollenbend/internal/service/ownership"
+	"pollenbend/internal/wire"
 )
 
 // requireSameOwners checks that the shards that an instance owned before still have the
@@ -73,3 +74,34 @@
 	c.run(4 * testTiming.DeadAfter)
 	c.requireSameOwners("b", "a", before)
 }
+
+// An instance that has heard nobody for a time has declared all others dead. When the first
+// of them is back, it must not claim the shards of one that the first one reaches.
+func TestIsolatedInstanceClaimsNoShardsOfOthersWhenItIsBack(t *testing.T) {
+	c := newCell(t, "a", "b", "c")
+	c.run(10 * time.Second)
+	c.cut = func(x, y model.InstanceID) bool { return x == "a" || y == "a" }
+	c.run(2 * testTiming.DeadAfter)
+	before := c.table("b") // the shards of a have moved
+	c.cut = func(x, y model.InstanceID) bool { return x == "a" && y == "c" || x == "c" && y == "a" }
+	c.run(2 * time.Second)
+	c.requireSameOwners("b", "c", before)
+}
+
+// An instance whose claim was just read, and that nobody has heard yet, was alive when it
+// claimed.
+func TestOwnerThatHasJustClaimedKeepsItsShards(t *testing.T) {
+	c := newCell(t, "a", "b")
+	c.run(testTiming.DeadAfter - time.Second)
+	claim := wire.Claim{Owner: wire.InstanceRef{Instance: "c", Incarnation: 1}}
+	for i := range model.Shards {
+		claim.Shards = append(claim.Shards, wire.ShardTerm{Shard: model.Shard(i)})
+	}
+	c.append(claim)
+	c.run(testTiming.DeadAfter)
+	require.Equal(t, 1, len(c.log))
+	c.run(2 * time.Second)
+	for i, shard := range c.table("a") {
+		require.NotEqual(t, model.InstanceID("c"), shard.Owner.Instance, "shard %d", i)
+	}
+}
--- a/internal/service/membership/membership.go
+++ b/internal/service/membership/membership.go
@@ -266,18 +266,20 @@
 	return ok && m.Ref == ref && !m.dead
 }
 
-// IsDead reports whether ref certainly counts as dead. An instance from which no heartbeat
-// was ever received does only if a majority of the reachable members cannot reach it
-// either: a broken link between it and this instance is no reason to take its shards.
+// IsDead reports whether ref certainly counts as dead now. Unless a later incarnation was
+// heard, a majority of the reachable members must not reach it: a broken link to an
+// instance that was never heard is no reason to take its shards, nor is it one that this
+// instance was itself cut off from all others when it declared ref dead.
 func (s *Service) IsDead(ref wire.InstanceRef) bool {
+	if ref.Instance == s.env.Self.ID {
+		return ref.Incarnation < s.env.Self.Incarnation
+	}
 	m, ok := s.members[ref.Instance]
 	switch {
-	case ref.Instance == s.env.Self.ID:
-		return ref.Incarnation < s.env.Self.Incarnation
-	case ok && m.Ref == ref:
-		return m.dead
 	case ok && m.Ref.Incarnation > ref.Incarnation:
 		return true
+	case ok && m.Ref == ref && !m.dead:
+		return false
 	}
 	return s.unreachableForMajority(ref)
 }
--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -41,6 +41,7 @@
 	listeners []service.ShardHandler
 
 	table     [model.Shards]ShardOwner
+	changedAt [model.Shards]time.Duration // when the owner or term changed here
 	unownedAt [model.Shards]time.Duration // latest time known at which a shard had never had an owner, 0 if none is
 	applied   uint64                      // offset of the last log entry applied
 	logNext   uint64                      // next offset of the log, as of the last read
@@ -133,6 +134,7 @@
 func (s *Service) setOwner(shard model.Shard, after ShardOwner, move service.ShardMove) {
 	before := s.table[shard]
 	s.table[shard] = after
+	s.changedAt[shard] = s.env.Now()
 	move.Shard, move.Term = shard, after.Term
 	move.Before, move.After = before.Owner, after.Owner
 	if after.Owner == s.env.SelfRef() || before.Owner == s.env.SelfRef() {
@@ -186,12 +188,15 @@
 	return fresh && s.applied+1 >= s.logNext
 }
 
-// claimableShards returns the shards without an owner, or with a dead one, whose target is this instance.
+// claimableShards returns the shards without an owner, or with a dead one, whose target
+// is this instance. An owner whose claim was just read was alive then, and gets
+// Timing.DeadAfter to be heard.
 func (s *Service) claimableShards() []wire.ShardTerm {
 	eligible := s.members.Eligible()
 	var mine []wire.ShardTerm
 	for i, entry := range s.table {
-		if entry.Term != 0 && !s.members.IsDead(entry.Owner) {
+		recent := s.env.Now()-s.changedAt[i] < s.env.Timing.DeadAfter
+		if entry.Term != 0 && (recent || !s.members.IsDead(entry.Owner)) {
 			continue
 		}
 		shard := model.Shard(i)
