--- a/internal/service/ownership/ownership.go
+++ b/internal/service/ownership/ownership.go
@@ -28,6 +28,7 @@
 // Members provides the members of the cell.
 type Members interface {
 	IsLive(ref wire.InstanceRef) bool
+	IsDead(ref wire.InstanceRef) bool
 	Eligible() []wire.InstanceRef
 	Majority() bool
 	Leaving() bool
@@ -39,10 +40,12 @@
 	members   Members
 	listeners []service.ShardHandler
 
-	table   [model.Shards]ShardOwner
-	applied uint64        // offset of the last log entry applied
-	logNext uint64        // next offset of the log, as of the last read
-	logAt   time.Duration // when the log last answered
+	table     [model.Shards]ShardOwner
+	changedAt [model.Shards]time.Duration // when the owner or term changed here
+	unownedAt [model.Shards]time.Duration // latest time known at which a shard had never had an owner, 0 if none is
+	applied   uint64                      // offset of the last log entry applied
+	logNext   uint64                      // next offset of the log, as of the last read
+	logAt     time.Duration               // when the log last answered
 
 	claimID   uint64        // append id of the claim in flight, 0 when there is none
 	claimAt   time.Duration // when the claim in flight was appended
@@ -71,10 +74,32 @@
 	return err
 }
 
-// OnLog stores how far the log reaches.
+// OnLog stores how far the log reaches, and which shards had never had an owner when
+// this read was requested.
 func (s *Service) OnLog(l service.LogState) {
 	s.logNext = l.Next
 	s.logAt = s.env.Now()
+	if s.applied+1 >= l.Next {
+		s.recordUnowned(l.AskedAt)
+	}
+}
+
+// recordUnowned records that the shards without an owner had none at askedAt, the time
+// at which a read of the log was requested whose reply is applied to the end. The time
+// of the reply would be too late: it may have waited, and the shards may have been
+// claimed since.
+func (s *Service) recordUnowned(askedAt time.Duration) {
+	for i, entry := range s.table {
+		if entry.Term == 0 {
+			s.unownedAt[i] = max(s.unownedAt[i], askedAt)
+		}
+	}
+}
+
+// UnownedAt returns the latest time known to this instance at which a shard had never
+// had an owner. It returns false if this instance has only seen the shard with owners.
+func (s *Service) UnownedAt(shard model.Shard) (at time.Duration, ok bool) {
+	return s.unownedAt[shard], s.unownedAt[shard] > 0
 }
 
 // OnRecord applies claims and handovers.
@@ -109,6 +134,7 @@
 func (s *Service) setOwner(shard model.Shard, after ShardOwner, move service.ShardMove) {
 	before := s.table[shard]
 	s.table[shard] = after
+	s.changedAt[shard] = s.env.Now()
 	move.Shard, move.Term = shard, after.Term
 	move.Before, move.After = before.Owner, after.Owner
 	if after.Owner == s.env.SelfRef() || before.Owner == s.env.SelfRef() {
@@ -162,12 +188,15 @@
 	return fresh && s.applied+1 >= s.logNext
 }
 
-// claimableShards returns the shards without a live owner whose target is this instance.
+// claimableShards returns the shards without an owner, or with a dead one, whose target
+// is this instance. An owner whose claim was just read was alive then, and gets
+// Timing.DeadAfter to be heard.
 func (s *Service) claimableShards() []wire.ShardTerm {
 	eligible := s.members.Eligible()
 	var mine []wire.ShardTerm
 	for i, entry := range s.table {
-		if entry.Term != 0 && s.members.IsLive(entry.Owner) {
+		recent := s.env.Now()-s.changedAt[i] < s.env.Timing.DeadAfter
+		if entry.Term != 0 && (recent || !s.members.IsDead(entry.Owner)) {
 			continue
 		}
 		shard := model.Shard(i)
