Use separate connections for pings and requests

An instance pinged the leader on the connection on which its requests waited. A ping without an answer within 300 ms closed that connection if no reply had come since, so a leader whose processor was busy ended the submissions that waited there, and their outcome became unknown.

Pings now have a connection of their own.

--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -226,7 +226,7 @@
 		args.Others = o.Version
 	}
 	var reply PingReply
-	err := n.peers.Get(rec.Address).Call(ctx, serviceName+".Ping", &args, &reply)
+	err := n.peers.Get(rec.Address).Ping(ctx, serviceName+".Ping", &args, &reply)
 	switch {
 	case errors.Is(err, peer.ErrRefused):
 		return pingRefused, false
