Let refusals of repeated submissions settle the earlier attempts

A submission whose answer was lost was sent again. If the same leader refused the repeat, the caller was told that the job may have run, as the first attempt might still arrive and be accepted.

Each call of a caller now has an identifier, and each attempt a number. The engine records refused attempts with a number above 1 and refuses the earlier ones when they arrive later; the answer says so in Settles, and the entry passes the refusal on as "not run". Refusals after the decision, by a refused append or behind one without an answer, are recorded too: waiting submissions keep their attempts. Attempts name the term of the leader, and an instance that leads another one does not handle them, so the record may end with the term. As followers could not tell that an instance leads again in a later term, pings now report the term. An entry relies on Settles only within the retention of ended jobs, after which the leader may have forgotten an accepted job. The time that the caller waits is now computed for each attempt.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -130,6 +130,7 @@
 	appendRetryAt     time.Time               // when the next append may be sent
 	dirtySteps        map[*stepState]struct{} // steps whose records the next append writes
 	dirtyStepList     []*stepState            // the same in the order in which they were marked
+	settledCalls      map[string]int          // highest refused attempt, by call; see Attempt
 }
 
 // New returns an engine without jobs or workers. wall returns the wall clock time in
@@ -139,7 +140,7 @@
 		cfg: cfg, log: log, wall: wall, now: now, startedAt: now,
 		policy: (&policy.Policy{}).Index(),
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
-		unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
+		settledCalls: make(map[string]int), unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), entitlements: make(map[string]*tokenBucket),
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -17,6 +17,9 @@
 )
 
 func (e *Engine) submit(ev *Submit) {
+	if e.refuseSettled(ev) {
+		return
+	}
 	if j := e.jobs[ev.Spec.ID]; j != nil {
 		e.resubmit(j, ev)
 		return
@@ -27,7 +30,7 @@
 		retryAfter = e.retryAfter(ev.Spec.ID, retryAfter)
 	}
 	if why != "" {
-		e.refuse(ev.Spec, why, retryAfter, ev.Reply)
+		e.refuse(ev.Spec, why, retryAfter, ev)
 		return
 	}
 	j := newJob(ev.Spec, e.wall())
@@ -35,38 +38,38 @@
 	j.overEntitlement = !e.takeToken(ev.Spec.Team)
 	e.addJob(j)
 	e.put(record.JobKey(j.id), record.Encode(&record.Job{Spec: j.spec, Accepted: j.acceptedAt}))
-	j.pendingReplies = append(j.pendingReplies, ev.Reply)
+	j.pendingSubmits = append(j.pendingSubmits, ev)
 	e.batch.jobs = append(e.batch.jobs, j)
 	e.afterAppend(func() {
 		if e.jobs[j.id] != j {
 			return // refused in the meantime
 		}
 		j.stored = true
-		for _, reply := range j.pendingReplies {
-			reply(Answer{Outcome: OK})
+		for _, pending := range j.pendingSubmits {
+			pending.Reply(Answer{Outcome: OK})
 		}
-		j.pendingReplies = nil
+		j.pendingSubmits = nil
 		e.log.Info("job accepted", "job", j.id, "queue", j.queue, "team", j.team, "steps", len(ev.Spec.Steps), "after_ms", e.msSince(j.arrivedAt))
 	})
 }
 
 // refuse answers the submitters of a job that it is not accepted.
-func (e *Engine) refuse(spec *job.Spec, why string, retryAfter time.Duration, replies ...func(Answer)) {
+func (e *Engine) refuse(spec *job.Spec, why string, retryAfter time.Duration, submits ...*Submit) {
 	e.countRefused(why)
 	e.log.Info("job refused", "job", spec.ID, "queue", spec.Queue, "team", spec.Team, "reason", why, "retry_ms", retryAfter.Milliseconds(), "open_steps", len(e.openSteps))
-	for _, reply := range replies {
-		reply(Answer{Outcome: Refused, Why: why, RetryAfter: retryAfter})
+	for _, ev := range submits {
+		e.replyRefused(ev, why, retryAfter)
 	}
 }
 
 // resubmit answers a repeated submission of a known job.
 func (e *Engine) resubmit(j *jobState, ev *Submit) {
 	if j.team != ev.Spec.Team {
-		ev.Reply(Answer{Outcome: Refused, Why: "the id is taken"})
+		e.replyRefused(ev, "the id is taken", 0)
 		return
 	}
 	if !j.stored {
-		j.pendingReplies = append(j.pendingReplies, ev.Reply)
+		j.pendingSubmits = append(j.pendingSubmits, ev)
 		return
 	}
 	ev.Reply(Answer{Outcome: OK})
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -25,7 +25,7 @@
 	started         bool         // a task has started, or none ever will
 	compacted       bool         // the job has ended and its steps are removed from the store
 	overEntitlement bool         // exceeded its team's entitlement when it was submitted
-	pendingReplies  []func(Answer)
+	pendingSubmits  []*Submit    // that wait until the acceptance is stored
 	occurrences     []*occurrence
 	remaining       int             // occurrences that are not done
 	arrivedAt       time.Time       // when it was submitted; for a restored job, when it was accepted
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -179,8 +179,8 @@
 	refused := make(map[string]bool, len(e.batch.jobs))
 	for _, j := range e.batch.jobs {
 		refused[j.id] = true
-		e.refuse(j.spec, why, e.retryAfter(j.id, retryAfter), j.pendingReplies...)
-		j.pendingReplies = nil
+		e.refuse(j.spec, why, e.retryAfter(j.id, retryAfter), j.pendingSubmits...)
+		j.pendingSubmits = nil
 		e.dropUnstoredJob(j)
 	}
 	e.batch.jobs = nil
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -114,9 +114,10 @@
 	// Submit asks the engine to accept a job. Reply is called once. Wait is how long the
 	// caller waits for the answer, zero if that is not known.
 	Submit struct {
-		Spec  *job.Spec
-		Wait  time.Duration
-		Reply func(Answer)
+		Spec    *job.Spec
+		Wait    time.Duration
+		Attempt Attempt
+		Reply   func(Answer)
 	}
 	// Cancel asks the engine to cancel a job.
 	Cancel struct {
@@ -268,6 +269,10 @@
 	Why        string        // reason for a refusal, or why a job failed if not for its attempts
 	RetryAfter time.Duration // delay before a refused request is worth repeating; zero if none is known
 
+	// Settles reports that the refusal of a submission holds for the earlier attempts of the
+	// call too, those that arrive later included, as long as the leader's term lasts.
+	Settles bool
+
 	Explanation *Explanation    // answer to Explain
 	Runtimes    *RuntimeSummary // answer to Runtimes
 }
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -70,6 +70,7 @@
 	// storeAnsweredAt is when the store last answered, in nanoseconds since startedAt.
 	storeAnsweredAt atomic.Int64
 	startedAt       time.Time
+	submitCalls     atomic.Uint64 // calls of Submit so far
 	usableCPU       atomic.Uint64 // see cpuShare; bits of a float64
 	// refreshedAt is when the copy of the state was last brought up to date, in nanoseconds
 	// since startedAt.
@@ -295,6 +296,7 @@
 		switch result {
 		case pingLeads:
 			refused, lastAnswer = 0, time.Now()
+			rec = n.latestTermOf(rec)
 			watch.reset()
 			if n.waitForNextPing(ctx, rec) {
 				n.claimWithoutDelay(ctx, rec, "asked to take over")
@@ -336,6 +338,14 @@
 	}
 }
 
+// latestTermOf returns the record of the followed leader's latest term that is known here.
+func (n *Node) latestTermOf(rec *Leadership) *Leadership {
+	if known := n.knownLeader.Load(); known != nil && known.Session == rec.Session && known.Term > rec.Term {
+		return known
+	}
+	return rec
+}
+
 // waitForNextPing waits until the next ping is due, which is soon if a request has found
 // that the followed instance does not lead. It reports whether this instance has been
 // asked to take over from the leader.
--- a/internal/cell/node/peers.go
+++ b/internal/cell/node/peers.go
@@ -97,6 +97,6 @@
 		}
 		n.setLeader(rec)
 	}
-	n.follow(ctx, rec)
+	n.follow(ctx, n.latestTermOf(rec))
 	return true
 }
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,19 @@
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) (engine.Answer, error) {
 	spec.Entry = n.settings.Address
 	added := n.ownPayloads.addFirst(spec.ID, spec.Payload)
-	answer, err := n.request(ctx, "Submit", &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx)}, func(answer func(engine.Answer)) any {
-		return &engine.Submit{Spec: spec, Wait: untilDeadline(ctx), Reply: answer}
+	call := n.incarnation + "-" + strconv.FormatUint(n.submitCalls.Add(1), 36)
+	answer, err := n.requestInAttempts(ctx, func(number int) request {
+		args := &SubmitArgs{Spec: spec, Wait: untilDeadline(ctx), Attempt: engine.Attempt{Call: call, Number: number}}
+		return request{
+			method: "Submit",
+			args: func(term int64) any {
+				args.Term = term
+				return args
+			},
+			event: func(answer func(engine.Answer)) any {
+				return &engine.Submit{Spec: spec, Wait: args.Wait, Attempt: args.Attempt, Reply: answer}
+			},
+		}
 	})
 	var e *verdict.Error
 	notRun := errors.As(err, &e) && e.Verdict == verdict.NotRun || err == nil && answer.Outcome == engine.Refused
@@ -75,16 +87,33 @@
 	})
 }
 
-// request gets the leader's answer to a request. All requests are idempotent by the
-// job's id, so one whose answer was lost is sent again, also to the next leader.
+// request is a request as it is sent once.
+type request struct {
+	method string
+	args   func(term int64) any          // for another instance, which leads the term
+	event  func(func(engine.Answer)) any // for the engine of this instance
+}
+
+// request gets the leader's answer to a request that is the same in each attempt.
 func (n *Node) request(ctx context.Context, method string, args any, newEvent func(func(engine.Answer)) any) (engine.Answer, error) {
+	r := request{method: method, args: func(int64) any { return args }, event: newEvent}
+	return n.requestInAttempts(ctx, func(int) request { return r })
+}
+
+// requestInAttempts gets the leader's answer to a request. All requests are idempotent by the
+// job's id, so one whose answer was lost is sent again, also to the next leader. newRequest
+// returns the request for an attempt. Attempts that certainly had no effect do not count.
+func (n *Node) requestInAttempts(ctx context.Context, newRequest func(number int) request) (engine.Answer, error) {
 	start := time.Now()
 	var inDoubt doubts
 	for {
 		leaderChange := n.leaderChanged()
-		a := n.attempt(ctx, leaderChange, method, args, newEvent)
+		a := n.attempt(ctx, leaderChange, newRequest(len(inDoubt)+1))
+		// The leader forgets ended jobs after the retention, so later its refusal does not
+		// tell that no earlier attempt was accepted.
+		settles := a.answer.Settles && time.Since(start) < n.settings.Engine.EndedJobRetention
 		switch {
-		case a.answered && a.answer.Outcome == engine.Refused && !inDoubt.settledBy(a.leader):
+		case a.answered && a.answer.Outcome == engine.Refused && !inDoubt.settledBy(a.leader, settles):
 			return engine.Answer{}, noAnswerError(true, verdict.CodeInDoubt, "refused ("+a.answer.Why+"), but an earlier attempt got no answer")
 		case a.answered:
 			return a.answer, nil
@@ -107,9 +136,13 @@
 // settledBy reports whether a refusal by the given leader holds for all attempts. It has
 // fenced off the earlier leaders, so what they may still handle has no effect, and it knows
 // what they had stored before. The same leader may handle an earlier attempt after a later
-// one.
-func (d doubts) settledBy(leader *Leadership) bool {
+// one, unless settles reports that it refuses the earlier attempts of its term.
+func (d doubts) settledBy(leader *Leadership, settles bool) bool {
 	for _, earlier := range d {
+		sameTerm := earlier.Session == leader.Session && earlier.Term == leader.Term
+		if sameTerm && settles {
+			continue
+		}
 		if earlier.Session == leader.Session || earlier.Term >= leader.Term {
 			return false
 		}
@@ -136,9 +169,9 @@
 
 // attempt sends the request to the leader once, unless no leader is known or it has not
 // answered pings lately. A change of the leader aborts the call to it.
-func (n *Node) attempt(ctx context.Context, leaderChange <-chan struct{}, method string, args any, newEvent func(func(engine.Answer)) any) attempt {
+func (n *Node) attempt(ctx context.Context, leaderChange <-chan struct{}, r request) attempt {
 	if l := n.leading.Load(); l != nil {
-		answer, ok := l.ask(ctx, newEvent)
+		answer, ok := l.ask(ctx, r.event)
 		return attempt{leader: &l.rec, sent: true, answered: ok, answer: answer}
 	}
 	rec := n.knownLeader.Load()
@@ -155,7 +188,7 @@
 		}
 	}()
 	var reply Reply
-	err := n.peers.Get(rec.Address).Call(ctx, serviceName+"."+method, args, &reply)
+	err := n.peers.Get(rec.Address).Call(ctx, serviceName+"."+r.method, r.args(rec.Term), &reply)
 	switch {
 	case err == nil && reply.NotLeading:
 		wait.Wake(n.leaderDoubted)
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -29,6 +29,11 @@
 type SubmitArgs struct {
 	Spec *job.Spec
 	Wait time.Duration // how long the caller waits for the answer
+
+	Attempt engine.Attempt
+	// Term is that of the leader that the attempt is sent to. An instance that leads another
+	// term does not handle it. Zero, as instances of earlier versions send it, means any term.
+	Term int64
 }
 
 // JobArgs are the arguments of Cancel and Status: a job and the team that it belongs to.
@@ -55,6 +60,7 @@
 type PingReply struct {
 	Session     string        // incarnation of the instance
 	Leading     bool          // it leads, or has claimed the leadership and prepares to lead
+	Term        int64         // that it leads or prepares to lead; zero if that is not known yet
 	Policy      int64         // version of the declarations in force there
 	Evacuations int64         // revision of the evacuations in force there
 	Others      *instanceList // nil if the pinging instance has the leader's version, or the pinged one does not lead
@@ -79,8 +85,8 @@
 
 // Submit submits a job to the engine of this instance, if it leads.
 func (s *Service) Submit(args *SubmitArgs, reply *Reply) error {
-	return s.answerLocally(reply, func(answer func(engine.Answer)) any {
-		return &engine.Submit{Spec: args.Spec, Wait: args.Wait, Reply: answer}
+	return s.answerInTerm(args.Term, reply, func(answer func(engine.Answer)) any {
+		return &engine.Submit{Spec: args.Spec, Wait: args.Wait, Attempt: args.Attempt, Reply: answer}
 	})
 }
 
@@ -112,8 +118,14 @@
 // answerLocally sets reply to the answer of this instance's engine to the event that
 // newEvent returns, or to NotLeading if the instance does not lead.
 func (s *Service) answerLocally(reply *Reply, newEvent func(func(engine.Answer)) any) error {
+	return s.answerInTerm(0, reply, newEvent)
+}
+
+// answerInTerm is answerLocally for an instance that leads the given term, unless that is zero.
+// One that leads another term counts as not leading.
+func (s *Service) answerInTerm(term int64, reply *Reply, newEvent func(func(engine.Answer)) any) error {
 	l := s.n.leading.Load()
-	if l == nil {
+	if l == nil || term != 0 && term != l.rec.Term {
 		reply.NotLeading = true
 		return nil
 	}
@@ -137,6 +149,7 @@
 	reply.Leading = l != nil || n.leadsOrPrepares() || n.claiming.Load()
 	if own := n.ownTerm.Load(); own != nil {
 		own.recordPing(args)
+		reply.Term = own.rec.Term
 	}
 	if l != nil {
 		if known := n.cellInstances.Load(); known != nil && known.Version != args.Others {
@@ -236,6 +249,11 @@
 		return pingNotLeading, false
 	}
 	n.setNow(&n.leaderAnsweredAt)
+	if reply.Term > rec.Term { // the instance has stepped down and leads again
+		later := *rec
+		later.Term = reply.Term
+		n.setLeader(&later)
+	}
 	if reply.Others != nil {
 		n.cellInstances.Store(reply.Others)
 	}
