Explain jobs with backfill, contention-admission and headroom on

Explanations were refused while one of these features was on, because a trial did not save the state that they change. The trial now saves and restores the reservations of steps and what they hold on workers, the counts of reservations, the expected ends of the runs on a worker, and the arrivals of urgent tasks. Admission works on a copy of the contention during a trial; the lists of workers with free capacity are shared, and a measurement makes new ones. Expected ends and the slowest member of a gang are not cached, and nothing is counted or logged. A trial and a real round call the same function after the open steps are sorted, so reservations are held in both.

The delay of a refusal for the store is now spread in an explanation as in a refusal, and the arrival of an explained urgent job counts for the headroom.

The test over 1,000 random cells draws all five features and also checks that an explanation logs and counts nothing.

--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -78,7 +78,7 @@
 	if !e.cfg.Features.LearnedRuntimes {
 		return e.backfillRuntime(s.job().queue, s.job().team, s.name, s.spec, w.id)
 	}
-	if s.backfillRuntimeAt.IsZero() || e.now.Sub(s.backfillRuntimeAt) >= stepRuntimeValidity {
+	if e.trial.save(s); s.backfillRuntimeAt.IsZero() || e.now.Sub(s.backfillRuntimeAt) >= stepRuntimeValidity {
 		s.backfillRuntime, s.backfillRuntimeAt = e.backfillRuntime(s.job().queue, s.job().team, s.name, s.spec, ""), e.now
 	}
 	return scale(s.backfillRuntime, e.modelSlowness(w))
@@ -125,6 +125,7 @@
 	if w.releasesValid && e.now.Sub(w.releasesAt) < endsRetention {
 		return w.releases
 	}
+	e.trial.saveReleases(w)
 	w.releasesValid, w.releasesAt = true, e.now
 	w.releases = w.releases[:0]
 	for _, r := range w.runs {
--- a/internal/cell/engine/contention.go
+++ b/internal/cell/engine/contention.go
@@ -131,6 +131,9 @@
 	c.measuredAt, c.measuredWall, c.interval = e.now, e.wall(), minContentionInterval*time.Duration(1+len(e.workerList)/contentionWorkers)
 	c.classes = nil
 	clear(c.teams)
+	if e.trial != nil {
+		c.rooms = make(map[string]*room) // the lists of workers are shared with the real ones
+	}
 	maps.DeleteFunc(c.rooms, func(service string, _ *room) bool { return e.pools[service] == nil })
 	for service, p := range e.pools {
 		e.roomOf(service).measure(p, e.now)
--- a/internal/cell/engine/expected_end.go
+++ b/internal/cell/engine/expected_end.go
@@ -34,7 +34,11 @@
 func (e *Engine) expectedEnd(r *run, p float64) time.Time {
 	slot := r.knownEnd(p)
 	if slot.p != p || slot.phase != r.phase || !slot.progressAt.Equal(r.progressAt) || e.now.Sub(slot.computedAt) >= expectedEndValidity {
-		*slot = knownEnd{p: p, end: e.now.Add(e.timeLeft(r, p)), computedAt: e.now, progressAt: r.progressAt, phase: r.phase}
+		computed := knownEnd{p: p, end: e.now.Add(e.timeLeft(r, p)), computedAt: e.now, progressAt: r.progressAt, phase: r.phase}
+		if e.trial != nil {
+			slot = &knownEnd{} // it must not use the entry of the run
+		}
+		*slot = computed
 	}
 	if slot.end.Before(e.now) {
 		return e.now
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -30,10 +30,6 @@
 		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
 		return
 	}
-	if f := e.cfg.Features; f.Backfill || f.ContentionAdmission || f.Headroom {
-		ev.Reply(Answer{Outcome: Refused, Why: "explanations do not cover the features backfill, contention-admission and headroom"})
-		return
-	}
 	if ev.Spec == nil {
 		j := e.jobs[ev.ID]
 		if j == nil {
@@ -74,6 +70,7 @@
 	why, retryAfter := decision.Reason, decision.RetryAfter
 	if why == "" {
 		why, retryAfter = e.storeUnavailable(0)
+		retryAfter = e.retryAfter(spec.ID, retryAfter)
 	}
 	if why != "" {
 		x.Verdict, x.Reason, x.RetryAfterMS = VerdictRefused, why, retryAfter.Milliseconds()
@@ -85,6 +82,9 @@
 		j.overEntitlement = true
 	}
 	o := j.occurrenceAt(0)
+	if q := e.queueOf(j); q != nil && !spec.Scheduled() {
+		e.noteUrgentArrival(o, q)
+	}
 	var opened []*stepState
 	for _, s := range o.steps {
 		if spec.Scheduled() || !o.dependenciesDone(s) {
@@ -259,9 +259,9 @@
 		return "the adviser is asked first"
 	case s.advice != nil && s.advice.callsInFlight > 0:
 		return "the adviser has not answered yet"
-	case !t.watched[s].considered, out.Left > 0 && t.saved[s] && e.mayBeRisky(s):
+	case !t.watched[s].considered, out.Left > 0 && t.tried[s] && e.mayBeRisky(s):
 		return "its starts are risky, and no more workers may be exposed to such starts now"
-	case out.Left > 0 && !t.saved[s]:
+	case out.Left > 0 && !t.tried[s]:
 		return "more urgent steps use up this placement round"
 	case out.Left > 0 && s.spec.Gang:
 		return "not all tasks of the gang fit at the same time"
--- a/internal/cell/engine/explain_test.go
+++ b/internal/cell/engine/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -47,6 +48,9 @@
 			if s.advice != nil {
 				fmt.Fprintf(&b, "advice %+v\n", *s.advice)
 			}
+			if s.reservation != nil {
+				fmt.Fprintf(&b, "reservation %+v\n", *s.reservation)
+			}
 		})
 	}
 	describeValues(&b, e.pools)
@@ -56,12 +60,33 @@
 	for _, d := range e.delegates {
 		fmt.Fprintf(&b, "delegate %+v\n", *d)
 	}
+	e.contention.describe(&b)
+	fmt.Fprintf(&b, "%d %d %d %v\n", e.backfilled, e.slipped, e.reserving, e.modelUpkeep)
 	fmt.Fprintf(&b, "%v %v %v %v %v %v %v %v %v %v %v %d %d %d\n", e.openSteps, e.usage, e.queued, e.coldWorkers, e.heldWorkers, e.goodShares,
 		e.estimator, e.needsPlacement, e.placedAt, e.demandMeasuredAt, e.dirtyStepList, len(e.actions), len(e.batch.Records), len(e.batch.onStored))
 	fmt.Fprintf(&b, "%x %v", e.runtimes.Encode(), e.runtimes.Queues())
 	return b.String()
 }
 
+// describe writes what decisions depend on.
+func (c *contention) describe(b *strings.Builder) {
+	if c == nil {
+		return
+	}
+	fmt.Fprintf(b, "contention %+v\n", *c)
+	for _, l := range c.classes {
+		fmt.Fprintf(b, "class %+v\n", *l)
+	}
+	for _, r := range c.arrivals {
+		fmt.Fprintf(b, "arrivals %+v\n", *r)
+	}
+	for _, r := range c.starts {
+		fmt.Fprintf(b, "starts %+v\n", *r)
+	}
+	describeValues(b, c.teams)
+	describeValues(b, c.rooms)
+}
+
 // describeValues writes what the values of m point to, in the order of the keys.
 func describeValues[K cmp.Ordered, V any](b *strings.Builder, m map[K]*V) {
 	for _, k := range slices.Sorted(maps.Keys(m)) {
@@ -99,7 +124,7 @@
 func newRandomCell(t *testing.T, seed uint64) (*world, *rand.Rand) {
 	r := rand.New(rand.NewPCG(seed, 77))
 	w := newWorld(t, 2+r.IntN(7), seed)
-	w.features = Features{LearnedRuntimes: r.IntN(2) == 0, SpeedPlacement: r.IntN(2) == 0}
+	w.features = Features{LearnedRuntimes: r.IntN(2) == 0, SpeedPlacement: r.IntN(2) == 0, Backfill: r.IntN(2) == 0, ContentionAdmission: r.IntN(2) == 0, Headroom: r.IntN(2) == 0}
 	for i := range w.policy.Teams {
 		w.policy.Teams[i].Weight = []float64{0.5, 3, 50}[r.IntN(3)]
 	}
@@ -134,15 +159,36 @@
 	if r.IntN(8) == 0 {
 		*w.engine.hazardOf("batch") = hazard{crashes: 3, survived: 2, at: w.now.Add(-time.Second), crashAt: w.now}
 	}
+	if c := w.engine.contention; c != nil && len(c.arrivals) > 0 && r.IntN(4) == 0 {
+		c.arrivals[0].cores = minArrivingCores / 2 // the next measurement forgets it
+	}
 	if r.IntN(3) == 0 {
 		w.now = w.now.Add(time.Duration(r.IntN(1500)) * time.Millisecond) // tickets expire, and their steps ask again
 	}
 	for range r.IntN(4) { // the next round places them as well
-		w.submit([]string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], "a", randomSteps(r)...)
+		w.submit([]string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], []string{"a", "a", "capped"}[r.IntN(3)], randomSteps(r)...)
 	}
 	return w, r
 }
 
+// explainQuietly is explainNow in a cell that must log and count nothing meanwhile.
+func (w *world) explainQuietly(ev *Explain) Answer {
+	e := w.engine
+	log, count := e.log, e.cfg.CountReservations
+	defer func() { e.log, e.cfg.CountReservations = log, count }()
+	e.log = slog.New(slog.NewTextHandler(writerFunc(func(line []byte) { w.t.Errorf("the explanation logs %s", line) }), nil))
+	e.cfg.CountReservations = func(event ReservationEvent, n int) { w.t.Errorf("the explanation counts %d, %d", event, n) }
+	return w.explainNow(ev)
+}
+
+// writerFunc passes what is written to a function.
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(p []byte) (int, error) {
+	f(p)
+	return len(p), nil
+}
+
 // An explanation that differs from the decision, or changes it, misleads the operator.
 func TestExplanationIsWhatASubmissionThenFinds(t *testing.T) {
 	var refused, placed, asked, waited, deferred int
@@ -152,12 +198,12 @@
 		queue, team := []string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], []string{"a", "capped"}[r.IntN(2)]
 		spec := &job.Spec{ID: "00000000000000ff", Queue: queue, Team: team, Steps: randomSteps(r)}
 		before := e.fingerprint()
-		answer := w.explainNow(&Explain{Spec: spec})
+		answer := w.explainQuietly(&Explain{Spec: spec})
 		require.Equal(t, OK, answer.Outcome)
 		x := answer.Explanation
 		require.Equal(t, before, e.fingerprint(), "seed %d: the explanation leaves a trace", seed)
 		for _, id := range sortedKeys(e.jobs) {
-			known := w.explainNow(&Explain{ID: id}).Explanation
+			known := w.explainQuietly(&Explain{ID: id}).Explanation
 			require.Equal(t, e.jobs[id].stateName(), known.Verdict)
 			for _, s := range known.Steps {
 				require.Equal(t, s.Open, s.Place > 0, "seed %d, job %s", seed, id)
--- a/internal/cell/engine/learned.go
+++ b/internal/cell/engine/learned.go
@@ -95,7 +95,9 @@
 			}
 		}
 	}
-	s.pace = gangPace{r.number, pace}
+	if e.trial == nil {
+		s.pace = gangPace{r.number, pace}
+	}
 	return pace
 }
 
--- a/internal/cell/engine/reservation_counts.go
+++ b/internal/cell/engine/reservation_counts.go
@@ -33,7 +33,7 @@
 
 // countReservations passes a count to Config.CountReservations.
 func (e *Engine) countReservations(event ReservationEvent, n int) {
-	if e.cfg.CountReservations != nil {
+	if e.cfg.CountReservations != nil && e.trial == nil {
 		e.cfg.CountReservations(event, n)
 	}
 }
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -312,6 +312,9 @@
 	r.strict = true
 	e.slipped++
 	e.countReservations(ReservationSlipped, 1)
+	if e.trial != nil {
+		return
+	}
 	e.log.Info("reservation slipped", "step", r.step.name, "job", r.step.ref.Job, "late_ms", late.Milliseconds(), "bound_ms", r.bound.Milliseconds(),
 		"start_ms", r.start.Sub(e.now).Milliseconds(), "workers", len(r.shares))
 }
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -16,6 +16,14 @@
 func (e *Engine) place() {
 	e.dropPlacedSteps()
 	e.sortByUrgency(e.openSteps)
+	rounds := e.tryOpenSteps()
+	e.placeSpeculativeRuns(rounds)
+	e.noteReservations(rounds)
+}
+
+// tryOpenSteps tries to place the open steps, which are sorted by urgency. It returns the rounds
+// by service.
+func (e *Engine) tryOpenSteps() map[string]*placementRound {
 	e.clearHeld()
 	e.updateWithheld()
 	rounds := make(map[string]*placementRound)
@@ -23,8 +31,7 @@
 		e.holdFirmReservations(rounds)
 	}
 	e.tryInOrder(e.openSteps, rounds)
-	e.placeSpeculativeRuns(rounds)
-	e.noteReservations(rounds)
+	return rounds
 }
 
 // tryInOrder tries to place the given steps, which are sorted by urgency.
@@ -162,7 +169,7 @@
 // placeStep plans runs for as many waiting tasks of s as possible. It reports whether it
 // has planned one or called the adviser.
 func (e *Engine) placeStep(s *stepState, q *policy.Queue, round *placementRound) bool {
-	e.trial.save(s)
+	e.trial.try(s)
 	tasks := s.waitingTasks()
 	if s.spec.Gang && len(tasks) < len(s.tasks) {
 		return false // members of the last run are still being stopped
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -18,8 +18,12 @@
 	e       *Engine
 	undo    []func()
 	saved   map[*stepState]bool
+	tried   map[*stepState]bool
 	actions []any                       // of the engine, before the trial
 	watched map[*stepState]*watchedStep // steps that are explained
+
+	releases      []savedReleases
+	releasesSaved map[*worker]bool
 }
 
 // watchedStep is what a trial finds out about a step.
@@ -32,7 +36,10 @@
 // newTrial saves what a placement round and a decision about admission change beside the steps
 // and workers that they place tasks of and on.
 func (e *Engine) newTrial() *trial {
-	t := &trial{e: e, saved: make(map[*stepState]bool), watched: make(map[*stepState]*watchedStep), actions: e.actions}
+	t := &trial{
+		e: e, saved: make(map[*stepState]bool), tried: make(map[*stepState]bool), watched: make(map[*stepState]*watchedStep),
+		actions: e.actions, releasesSaved: make(map[*worker]bool),
+	}
 	e.actions = nil
 	e.trial = t
 	e.runtimes.Freeze(true)
@@ -40,6 +47,8 @@
 	t.savePools()
 	t.saveCold()
 	t.saveHeld()
+	t.saveReservations()
+	t.saveContention()
 	delegates := make([]advice.Delegate, len(e.delegates))
 	for i, d := range e.delegates {
 		delegates[i] = d.Delegate
@@ -116,10 +125,10 @@
 	e := t.e
 	known := maps.Clone(e.pools)
 	for _, p := range known {
-		measuredAt, speedsAt, free, capacity, next := p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver
+		measuredAt, speedsAt, free, capacity, next, urgent := p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver, p.urgent
 		p.speedsAt = e.now
 		t.onUndo(func() {
-			p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver = measuredAt, speedsAt, free, capacity, next
+			p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver, p.urgent = measuredAt, speedsAt, free, capacity, next, urgent
 		})
 	}
 	t.onUndo(func() {
@@ -138,23 +147,31 @@
 	t.onUndo(func() { e.coldWorkers = cold })
 }
 
-// saveHeld saves what is held for gangs.
+// saveHeld saves what is held for gangs and reserved.
 func (t *trial) saveHeld() {
 	e := t.e
 	workers := slices.Clone(e.heldWorkers)
-	held := make([]job.Resources, len(workers))
+	held, holds := make([]job.Resources, len(workers)), make([][]workerHold, len(workers))
 	for i, w := range workers {
-		held[i] = w.heldForGangs
+		held[i], holds[i] = w.heldForGangs, slices.Clone(w.holds)
 	}
 	t.onUndo(func() {
 		e.clearHeld()
 		for i, w := range workers {
-			w.heldForGangs = held[i]
+			w.heldForGangs, w.holds = held[i], holds[i]
 		}
 		e.heldWorkers = workers
 	})
 }
 
+// try notes that the round tries to place s.
+func (t *trial) try(s *stepState) {
+	if t != nil {
+		t.tried[s] = true
+		t.save(s)
+	}
+}
+
 // save saves the state of s that the attempt to place it changes.
 func (t *trial) save(s *stepState) {
 	if t == nil || t.saved[s] {
@@ -162,12 +179,16 @@
 	}
 	t.saved[s] = true
 	a, tried, riskySince, gangRun := s.advice, s.placementTried, s.riskySince, s.lastGangRun
+	reservation, neverFits, passesHolds := s.reservation, s.neverFits, s.passesHolds
+	runtime, runtimeAt := s.backfillRuntime, s.backfillRuntimeAt
 	var before adviceState
 	if a != nil {
 		before = *a
 	}
 	t.onUndo(func() {
 		s.advice, s.placementTried, s.riskySince, s.lastGangRun = a, tried, riskySince, gangRun
+		s.reservation, s.neverFits, s.passesHolds = reservation, neverFits, passesHolds
+		s.backfillRuntime, s.backfillRuntimeAt = runtime, runtimeAt
 		if a != nil {
 			a.callsInFlight, a.asking, a.answerExpected = before.callsInFlight, before.asking, before.answerExpected
 		}
@@ -180,6 +201,7 @@
 		return
 	}
 	t.noteChosen(x.step, w)
+	t.saveReleases(w)
 	e, s := t.e, x.step
 	team := s.job().team
 	usage, counted := e.usage[team]
@@ -260,12 +282,12 @@
 			steps = append(steps, s)
 		}
 	}
-	steps = append(steps, more...)
-	e.sortByUrgency(steps)
-	t.noteOrder(steps)
-	e.clearHeld()
-	e.updateWithheld()
-	e.tryInOrder(steps, make(map[string]*placementRound))
+	open := e.openSteps
+	e.openSteps = append(steps, more...)
+	e.sortByUrgency(e.openSteps)
+	t.noteOrder(e.openSteps)
+	e.tryOpenSteps()
+	e.openSteps = open
 }
 
 // noteOrder notes the places of the watched steps among those of their service, and the tasks
