Explain reservations, headroom and the parts of admission's wait

An explanation gave the wait that admission expects as one number, and of a gang with a reservation only that no worker with a valid ticket has free capacity. It now gives for a waiting step the reservation as the next round leaves it: the expected and the promised start, the bound, whether it is strict or keeps its workers, and the workers. Workers whose free capacity is reserved for other steps are counted under a reason of their own, and a step that headroom keeps from starting says so.

admission.Decision carries the parts of the wait: work ahead, recent waits, the limit of the team, the adviser, and what is bearable.

If the submission is refused, it runs a round and compares it with the explanations of the known jobs.

--- a/internal/cell/admission/admission.go
+++ b/internal/cell/admission/admission.go
@@ -33,6 +33,7 @@
 	Reason     string        // reason for a refusal; empty if the job is accepted
 	Wait       time.Duration // expected time in the queue
 	RetryAfter time.Duration // delay after which the caller may retry a refused job
+	Parts      WaitParts     // what Wait consists of
 }
 
 const (
@@ -57,15 +58,18 @@
 	}
 	rate := max(l.Capacity*packingRatio-l.HigherPriorityCores, l.Capacity*minCapacityRatio)
 	// A job that fits into free cores beside the waiting tasks does not wait.
-	wait := time.Duration(0)
+	parts := WaitParts{Bearable: j.Objective - j.CriticalPath, AheadCores: l.WaitingCores, AheadWork: l.WaitingCoreSeconds}
 	if l.WaitingCores > l.Free && j.Cores >= l.BackfillCores {
-		wait = time.Duration(l.WaitingCoreSeconds / rate * float64(time.Second))
+		parts.Cores = time.Duration(l.WaitingCoreSeconds / rate * float64(time.Second))
 	}
 	if l.WaitingCores > 0 {
-		wait = max(wait, l.RecentWait)
+		parts.Recent = l.RecentWait
 	}
-	slack := j.Objective - j.CriticalPath
-	d := Decision{Wait: wait}
+	wait, slack := parts.Total(), parts.Bearable
+	if j.OverEntitlement {
+		parts.Bearable = min(slack, overEntitlementMaxWait)
+	}
+	d := Decision{Wait: wait, Parts: parts}
 	switch {
 	case j.OverEntitlement && wait > overEntitlementMaxWait:
 		d.Reason = "the team is beyond its allowance and the fleet is full"
--- a/internal/cell/admission/contention.go
+++ b/internal/cell/admission/contention.go
@@ -87,9 +87,14 @@
 	if l.Capacity <= 0 {
 		return Decision{Reason: ReasonNoWorker, RetryAfter: RetryDelay(j.ID, 0)}
 	}
-	fleet, fleetBound := fleetWait(j, l)
-	d := Decision{Wait: max(fleet, l.TeamWait) + l.AdviceWait}
-	bearable := bearableWait(j)
+	parts := WaitParts{Limit: l.TeamWait, Adviser: l.AdviceWait, Bearable: bearableWait(j), AheadCores: l.AheadCores, AheadWork: l.AheadWork}
+	parts.Cores, parts.Recent, parts.Surplus = fleetWait(j, l)
+	d := Decision{Wait: parts.Total(), Parts: parts}
+	fleet, bearable := max(parts.Cores, parts.Recent), parts.Bearable
+	fleetBound := fleet
+	if j.OverEntitlement {
+		fleetBound = parts.Surplus
+	}
 	switch {
 	case j.OverEntitlement && (owesRoom(j, l) || l.HeadroomCores > 0 && j.Cores+l.HeadroomCores > l.left()):
 		d.Reason = ReasonEntitlement
@@ -132,13 +137,13 @@
 	return time.Duration(waitRatio * ratio * float64(slack))
 }
 
-// fleetWait returns how long j is expected to wait for cores, and how long it may wait to be
-// accepted. For a job beyond its team's entitlement these differ: what the work before it
-// leaves depends on the sizes of its tasks, so the job is accepted by what lately started.
-func fleetWait(j Contender, l Contention) (expected, bound time.Duration) {
+// fleetWait returns how long j is expected to wait for cores, by the work ahead and by what
+// tasks had waited that started lately. For a job beyond its team's entitlement, surplus decides
+// whether it is accepted: what the work before it leaves depends on the sizes of its tasks.
+func fleetWait(j Contender, l Contention) (byWork, recent, surplus time.Duration) {
 	left := l.left()
 	if j.Cores <= left {
-		return 0, 0
+		return 0, 0, 0
 	}
 	work := j.Work * (1 - left/j.Cores) / max(0.01, l.GoodRatio)
 	rate := max(l.Capacity*packingRatio-l.ArrivingCores-l.BlockedCores, l.Capacity*minCapacityRatio)
@@ -150,14 +155,14 @@
 	case l.AheadCores > 0:
 		work += l.AheadWork * (1 - min(l.Room, l.ClaimedCores)/l.AheadCores)
 	}
-	expected = seconds(work / rate)
+	byWork = seconds(work / rate)
 	if l.AheadCores > 0 {
-		expected = max(expected, l.RecentWait)
+		recent = l.RecentWait
 	}
-	if !j.OverEntitlement {
-		return expected, expected
+	if j.OverEntitlement {
+		surplus = surplusWait(j, l)
 	}
-	return expected, surplusWait(j, l)
+	return byWork, recent, surplus
 }
 
 // surplusWait returns how long j waits behind other work beyond the entitlements, by what has
--- a/internal/cell/engine/exclusion.go
+++ b/internal/cell/engine/exclusion.go
@@ -26,6 +26,7 @@
 	excludedNoTicket
 	excludedRisky
 	excludedFull
+	excludedReserved
 	excludedLimit
 	exclusions
 )
@@ -33,7 +34,7 @@
 var exclusionNames = [exclusions]string{
 	"", "not listed", "listed as an earlier incarnation", "draining", "evacuated zone", "silent", "reports unknown runs", "quarantined",
 	"cannot hold the task", "lacks the label", "not yet asked of the adviser", "not recommended by the adviser", "no valid ticket",
-	"kept apart after a risky start", "no free capacity", "limit of the team",
+	"kept apart after a risky start", "no free capacity", "reserved for other steps", "limit of the team",
 }
 
 // String returns the name of x in explanations.
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
@@ -76,6 +77,9 @@
 		x.Verdict, x.Reason, x.RetryAfterMS = VerdictRefused, why, retryAfter.Milliseconds()
 	}
 	x.WaitMS = decision.Wait.Milliseconds()
+	if decision.Parts != (admission.WaitParts{}) {
+		x.Wait = explainWait(&decision.Parts)
+	}
 	j := newJob(spec, e.wall())
 	j.arrivedAt = e.now
 	if tokens, metered := e.tokensOf(spec.Team); metered && tokens < 1 {
@@ -152,6 +156,9 @@
 		if out.Open {
 			out.Timeliness = timelinessNames[ordering.TimelinessOf(s.urgency, e.now)]
 		}
+		if out.Placed < out.Waiting {
+			out.Reservation = s.reservation.explain(e.now)
+		}
 		out.WaitsBecause = e.waitReason(s, q, t)
 	}
 }
@@ -208,6 +215,8 @@
 		return excludedRisky
 	case tasksThatFit(s, w, w.free()) == 0:
 		return excludedFull
+	case tasksThatFit(s, w, e.freeFor(s, w)) == 0:
+		return excludedReserved
 	case limited:
 		return excludedLimit
 	}
@@ -249,12 +258,16 @@
 		return dependencies(s) + " has not ended"
 	case out.Placed > 0 && out.LimitAllows == out.Placed:
 		return "the limit of the team allows no more tasks"
+	case out.Placed > 0 && out.Placed+t.watched[s].kept == out.LimitAllows:
+		return "the other free capacity is kept for urgent tasks that arrive next"
 	case out.Placed > 0:
 		return "no free capacity for the other tasks"
 	case s.spec.Gang && len(s.waitingTasks()) < len(s.tasks):
 		return "members of the last run of the gang are still being stopped"
 	case out.LimitAllows == 0:
 		return "the limit of the team allows no tasks now"
+	case t.watched[s].kept == out.LimitAllows:
+		return "the free capacity is kept for urgent tasks that arrive next"
 	case out.Calls > 0:
 		return "the adviser is asked first"
 	case s.advice != nil && s.advice.callsInFlight > 0:
@@ -263,6 +276,8 @@
 		return "its starts are risky, and no more workers may be exposed to such starts now"
 	case out.Left > 0 && !t.tried[s]:
 		return "more urgent steps use up this placement round"
+	case s.reservation != nil:
+		return "it has reserved resources and starts when they are free"
 	case out.Left > 0 && s.spec.Gang:
 		return "not all tasks of the gang fit at the same time"
 	case q.Advice != nil:
--- a/internal/cell/engine/explain_test.go
+++ b/internal/cell/engine/explain_test.go
@@ -191,7 +191,7 @@
 
 // An explanation that differs from the decision, or changes it, misleads the operator.
 func TestExplanationIsWhatASubmissionThenFinds(t *testing.T) {
-	var refused, placed, asked, waited, deferred int
+	var refused, placed, asked, waited, deferred, reserved int
 	for seed := range uint64(1000) {
 		w, r := newRandomCell(t, seed)
 		e := w.engine
@@ -202,9 +202,11 @@
 		require.Equal(t, OK, answer.Outcome)
 		x := answer.Explanation
 		require.Equal(t, before, e.fingerprint(), "seed %d: the explanation leaves a trace", seed)
+		knownJobs := make(map[string]*Explanation)
 		for _, id := range sortedKeys(e.jobs) {
 			known := w.explainQuietly(&Explain{ID: id}).Explanation
 			require.Equal(t, e.jobs[id].stateName(), known.Verdict)
+			knownJobs[id] = known
 			for _, s := range known.Steps {
 				require.Equal(t, s.Open, s.Place > 0, "seed %d, job %s", seed, id)
 			}
@@ -219,6 +221,7 @@
 			require.Nil(t, j, "seed %d", seed)
 			got := w.answers[spec.ID]
 			require.Equal(t, []any{x.Reason, x.RetryAfterMS}, []any{got.Why, got.RetryAfter.Milliseconds()}, "seed %d", seed)
+			reserved += w.checkKnown(knownJobs, seed)
 			continue
 		}
 		require.NotNil(t, j, "seed %d: refused: %s", seed, w.answers[spec.ID].Why)
@@ -248,6 +251,10 @@
 			}
 			require.Equal(t, got, want, "seed %d, step %d", seed, i)
 			require.Equal(t, out.Placed, total)
+			require.Equal(t, s.reservation.explain(w.now), out.Reservation, "seed %d, step %d", seed, i)
+			if out.Reservation != nil {
+				reserved++
+			}
 			require.Equal(t, out.Placed < out.Waiting, out.WaitsBecause != "")
 			placed += total
 			if out.WaitsBecause != "" {
@@ -268,8 +275,29 @@
 			require.Equal(t, x.WorkersOfService, excluded+out.Left)
 		}
 	}
-	t.Logf("refused %d, placed tasks %d, asked about workers %d, steps that wait %d, steps that depend %d", refused, placed, asked, waited, deferred)
-	assert.Positive(t, min(refused, placed, asked, waited, deferred))
+	t.Logf("refused %d, placed tasks %d, asked about workers %d, steps that wait %d, steps that depend %d, reservations %d", refused, placed, asked, waited, deferred, reserved)
+	assert.Positive(t, min(refused, placed, asked, waited, deferred, reserved))
+}
+
+// checkKnown checks that a round now places the steps of known jobs as their explanations say. It
+// returns the number of steps with a reservation.
+func (w *world) checkKnown(jobs map[string]*Explanation, seed uint64) int {
+	e, reserved := w.engine, 0
+	for _, p := range e.pools {
+		p.speedsAt = w.now // a trial leaves the speed classes as they are
+	}
+	e.place()
+	for _, id := range sortedKeys(jobs) {
+		for _, out := range jobs[id].Steps {
+			s := e.jobs[id].occurrences[out.Occurrence].steps[out.Step]
+			require.Equal(w.t, s.waiting, out.Waiting-out.Placed, "seed %d, step %s", seed, s.name)
+			require.Equal(w.t, s.reservation.explain(w.now), out.Reservation, "seed %d, step %s", seed, s.name)
+			if out.Reservation != nil {
+				reserved++
+			}
+		}
+	}
+	return reserved
 }
 
 // A worker counts for the first reason that holds, so that the counts add up.
--- a/internal/cell/engine/explanation.go
+++ b/internal/cell/engine/explanation.go
@@ -8,7 +8,8 @@
 	Service          string            `json:"service"`
 	Verdict          string            `json:"verdict"` // accepted or refused, or the state of a known job
 	Reason           string            `json:"reason,omitempty"`
-	WaitMS           int64             `json:"waitMs"` // expected time in the queue, as admission sees it
+	WaitMS           int64             `json:"waitMs"`         // expected time in the queue, as admission sees it
+	Wait             *WaitExplanation  `json:"wait,omitempty"` // what WaitMS consists of; nil for a known job
 	RetryAfterMS     int64             `json:"retryAfterMs,omitempty"`
 	BeyondAllowance  bool              `json:"beyondAllowance"` // exceeds the entitlement of its team
 	CriticalPathMS   int64             `json:"criticalPathMs"`
@@ -23,6 +24,20 @@
 	VerdictRefused  = "refused"
 )
 
+// WaitExplanation tells how admission expects a new job to wait. The waits for cores and for the
+// limit of the team overlap; that for the adviser follows.
+type WaitExplanation struct {
+	DecidedBy  string  `json:"decidedBy,omitempty"` // one of the causes in package admission; empty without a wait
+	WorkMS     int64   `json:"workMs"`              // until the work ahead leaves enough cores
+	RecentMS   int64   `json:"recentMs"`            // what tasks had waited that started lately; counts if it is longer
+	LimitMS    int64   `json:"limitMs"`             // until the team's work leaves enough of its limit
+	AdviserMS  int64   `json:"adviserMs"`           // until the adviser has answered, if all delegates are busy
+	SurplusMS  int64   `json:"surplusMs,omitempty"` // behind other work beyond the entitlements; decides about such a job
+	BearableMS int64   `json:"bearableMs"`          // up to which the job is accepted
+	AheadCores float64 `json:"aheadCores"`          // of the waiting tasks that are placed before the job
+	AheadWork  float64 `json:"aheadCoreSeconds"`    // of these
+}
+
 // StepExplanation tells where the tasks of a step would go.
 type StepExplanation struct {
 	Step        int    `json:"step"`
@@ -51,6 +66,27 @@
 	Asked        []string       `json:"asked,omitempty"`
 	AskedCount   int            `json:"askedCount"`
 	WaitsBecause string         `json:"waitsBecause,omitempty"` // why not all tasks are placed
+
+	Reservation *ReservationExplanation `json:"reservation,omitempty"` // as the next placement round leaves it; nil if there is none
+}
+
+// ReservationExplanation is what a waiting step has reserved. Times are relative to now.
+type ReservationExplanation struct {
+	StartMS     int64            `json:"startMs"`    // expected start
+	PromisedMS  int64            `json:"promisedMs"` // start that was expected when the reservation was made
+	BoundMS     int64            `json:"boundMs"`    // by how much later than promised the start may be until the reservation is strict
+	Strict      bool             `json:"strict"`     // nothing that it holds may be used by others until the step has started
+	Committed   bool             `json:"committed"`  // it keeps its workers, as its start is near
+	Tasks       int              `json:"tasks"`      // with some to spare
+	CPU         int64            `json:"cpu"`        // thousandths of a core
+	Workers     []ReservedWorker `json:"workers"`
+	WorkerCount int              `json:"workerCount"`
+}
+
+// ReservedWorker is the number of tasks that a step has reserved for on a worker.
+type ReservedWorker struct {
+	Worker string `json:"worker"`
+	Tasks  int    `json:"tasks"`
 }
 
 // ExclusionCount is the number of workers that are excluded for a reason. Each worker counts for
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -94,6 +94,10 @@
 	return r.bindsAll && !s.passesHolds
 }
 
+// isPastPatience reports whether s has waited long enough to use what is reserved for steps of
+// lower priorities.
+func (e *Engine) isPastPatience(s *stepState) bool { return e.now.Sub(s.readyAt) >= holdPatience }
+
 // firm reports whether r keeps its workers from round to round.
 func (r *stepReservation) firm() bool { return r != nil && (r.strict || r.committed) }
 
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -179,13 +179,14 @@
 		s.waitedForLimit = true
 	}
 	tasks = e.withinHeadroom(s, q, round, allowed)
+	e.trial.noteKept(s, len(allowed)-len(tasks))
 	if len(tasks) == 0 {
 		return false
 	}
 	asksLeft := round.asksLeft
 	s.placementTried = true
 	if e.cfg.Features.Backfill {
-		s.passesHolds = e.now.Sub(s.readyAt) >= holdPatience
+		s.passesHolds = e.isPastPatience(s)
 	}
 	round.cpuBudget -= max(1, s.charge.CPU*int64(len(tasks)))
 	if q.Advice != nil {
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -29,6 +29,7 @@
 // watchedStep is what a trial finds out about a step.
 type watchedStep struct {
 	considered bool
+	kept       int // tasks that may not start as resources are kept for urgent ones
 	out        *StepExplanation
 	chosen     map[*worker]int // index in out.Chosen, or -1 beyond the maximum
 }
@@ -261,6 +262,16 @@
 	}
 }
 
+// noteKept notes that n tasks of s may not start as resources are kept for urgent ones.
+func (t *trial) noteKept(s *stepState, n int) {
+	if t == nil {
+		return
+	}
+	if watched := t.watched[s]; watched != nil {
+		watched.kept = n
+	}
+}
+
 // consider notes which workers are excluded when the round first comes to s.
 func (t *trial) consider(s *stepState, q *policy.Queue) {
 	if t == nil {
@@ -268,6 +279,8 @@
 	}
 	if watched := t.watched[s]; watched != nil && !watched.considered {
 		watched.considered = true
+		t.save(s)
+		s.passesHolds = t.e.isPastPatience(s)
 		t.e.explainWorkers(s, q, watched.out)
 	}
 }
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -39,9 +39,11 @@
 
 func sampleExplanation() *engine.Explanation {
 	return &engine.Explanation{Queue: "batch", Team: "a", Service: "s", Verdict: engine.VerdictAccepted, WaitMS: 120, WorkersOfService: 40, ObjectiveMS: 11_000,
+		Wait: &engine.WaitExplanation{DecidedBy: "work ahead", WorkMS: 120, RecentMS: 40, BearableMS: 8200, AheadCores: 31.5, AheadWork: 80.25},
 		Steps: []engine.StepExplanation{{Tasks: 3, Waiting: 3, Open: true, Place: 4, OpenSteps: 9, TasksBefore: 31, Timeliness: "in time", MedianMS: 1900, P90MS: 2800, Samples: 212,
 			LimitAllows: 3, Excluded: []engine.ExclusionCount{{Reason: "draining", Workers: 2}}, Left: 38, Placed: 2, ChosenCount: 1, WaitsBecause: "no free capacity for the other tasks",
-			Chosen: []engine.ChosenWorker{{Worker: "w07", Zone: "z1", Tasks: 2, Slowness: 1.6, FreeCPU: 14_500, FreeMemMB: 900}}}}}
+			Chosen: []engine.ChosenWorker{{Worker: "w07", Zone: "z1", Tasks: 2, Slowness: 1.6, FreeCPU: 14_500, FreeMemMB: 900}},
+			Reservation: &engine.ReservationExplanation{StartMS: 2100, PromisedMS: -300, BoundMS: 1000, Tasks: 3, CPU: 24_000, WorkerCount: 25, Workers: []engine.ReservedWorker{{Worker: "w09", Tasks: 2}}}}}}
 }
 
 func TestExplainPrintsText(t *testing.T) {
@@ -52,10 +54,12 @@
 	assert.Equal(t, "POST /explain?queue=batch&team=a", s.target)
 	assert.Equal(t, `{"steps": []}`, s.sent)
 	for _, line := range []string{
-		"the job, queue batch, team a: accepted", "admission expects a wait of 120 ms", "objective 11.0 s",
+		"the job, queue batch, team a: accepted", "admission expects a wait of 120 ms and accepts up to 8200 ms", "objective 11.0 s",
 		"step 0: 3 tasks, 3 waiting; run time median 1900 ms, 0.9 quantile 2800 ms, 212 samples",
 		"order: 4 of 9 open steps of service s, 31 tasks before it, in time",
 		"workers: 38 of 40 left, 2 draining", "w07, zone z1: 2 tasks, slowness 1.60, free 14.5 cores, 900 MB",
+		"decided by: work ahead; work ahead 120 ms (31.5 cores, 80.2 core-seconds), recent waits 40 ms, limit of the team 0 ms, adviser 0 ms",
+		"reservation: start in 2100 ms, promised 300 ms ago, strict if later by 1000 ms; 3 tasks, 24.0 cores on 25 workers: w09 (2)", "and 24 more",
 		"1 tasks wait: no free capacity for the other tasks",
 	} {
 		assert.Contains(t, out, line)
--- a/internal/cli/explain_text.go
+++ b/internal/cli/explain_text.go
@@ -26,7 +26,8 @@
 		return
 	}
 	if x.Job == "" {
-		fmt.Fprintf(out, "  admission expects a wait of %s\n", milliseconds(x.WaitMS))
+		fmt.Fprintf(out, "  admission expects a wait of %s", milliseconds(x.WaitMS))
+		printWait(out, x)
 	}
 	fmt.Fprintf(out, "  critical path %s, objective %s", milliseconds(x.CriticalPathMS), milliseconds(x.ObjectiveMS))
 	if x.BeyondAllowance {
@@ -38,6 +39,23 @@
 	}
 }
 
+// printWait prints what the wait of a new job consists of, up to the end of the line.
+func printWait(out io.Writer, x *engine.Explanation) {
+	p := x.Wait
+	if p == nil {
+		fmt.Fprintln(out)
+		return
+	}
+	fmt.Fprintf(out, " and accepts up to %s\n", milliseconds(p.BearableMS))
+	if p.DecidedBy != "" {
+		fmt.Fprintf(out, "    decided by: %s; work ahead %s (%.1f cores, %.1f core-seconds), recent waits %s, limit of the team %s, adviser %s\n",
+			p.DecidedBy, milliseconds(p.WorkMS), p.AheadCores, p.AheadWork, milliseconds(p.RecentMS), milliseconds(p.LimitMS), milliseconds(p.AdviserMS))
+	}
+	if x.BeyondAllowance {
+		fmt.Fprintf(out, "    behind other work beyond the allowances: %s\n", milliseconds(p.SurplusMS))
+	}
+}
+
 func printStep(out io.Writer, x *engine.Explanation, s *engine.StepExplanation) {
 	kind := "tasks"
 	if s.Gang {
@@ -73,11 +91,42 @@
 		fmt.Fprintf(out, "  calls to the adviser now: %d, about %d workers: %s\n", s.Calls, s.AskedCount, strings.Join(s.Asked, " "))
 		printMore(out, s.AskedCount-len(s.Asked))
 	}
+	printReservation(out, s.Reservation)
 	if s.WaitsBecause != "" {
 		fmt.Fprintf(out, "  %d tasks wait: %s\n", s.Waiting-s.Placed, s.WaitsBecause)
 	}
 }
 
+// printReservation prints what a step has reserved, if anything.
+func printReservation(out io.Writer, r *engine.ReservationExplanation) {
+	if r == nil {
+		return
+	}
+	fmt.Fprintf(out, "  reservation: start %s, promised %s", relative(r.StartMS), relative(r.PromisedMS))
+	switch {
+	case r.Strict:
+		fmt.Fprint(out, ", strict: others may not use it")
+	case r.Committed:
+		fmt.Fprintf(out, ", keeps its workers, strict if later by %s", milliseconds(r.BoundMS))
+	default:
+		fmt.Fprintf(out, ", strict if later by %s", milliseconds(r.BoundMS))
+	}
+	fmt.Fprintf(out, "; %d tasks, %s cores on %d workers:", r.Tasks, cores(r.CPU), r.WorkerCount)
+	for _, w := range r.Workers {
+		fmt.Fprintf(out, " %s (%d)", w.Worker, w.Tasks)
+	}
+	fmt.Fprintln(out)
+	printMore(out, r.WorkerCount-len(r.Workers))
+}
+
+// relative formats a time that is given relative to now.
+func relative(ms int64) string {
+	if ms < 0 {
+		return milliseconds(-ms) + " ago"
+	}
+	return "in " + milliseconds(ms)
+}
+
 // printMore prints that n workers are not listed, if there are any.
 func printMore(out io.Writer, n int) {
 	if n > 0 {
