Show reservations and worker speeds with the run times

What waiting steps have reserved was only in the line about the load, whose counts begin anew every two seconds, and the speed classes that placement uses were shown nowhere. The answer of /runtimes and the command now hold the steps with a reservation, their CPU, how many are strict, how many slipped since the leader began, the range of the workers' slowness, and the speed classes of each service. The leader adds up the reserved CPU once per round and counts a slip once.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -89,7 +89,9 @@
 	holdBuffer      []reservation.Hold // reused by freeBeside
 	backfilled      int                // runs planned on reserved resources since the last line about the load
 	slipped         int                // reservations that became strict since then
+	slippedInTerm   int                // the same since the start of the term
 	reserving       int                // steps with a reservation in the last placement round
+	reservedCPU     int64              // that they had reserved then, in thousandths of a core
 	stragglers      []*run             // runs for whose tasks a speculative run is worth starting
 	hazards         map[string]*hazard // by queue
 	openCrashes     []*crash
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -296,29 +295,3 @@
 	}
 	return "step " + strings.Join(names, ", ")
 }
-
-// describeRuntimes answers what has been learned of run times.
-func (e *Engine) describeRuntimes(ev *Runtimes) {
-	if !e.mayExplain() {
-		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
-		return
-	}
-	x := &RuntimeSummary{Calibration: rounded(e.runtimes.Calibration())}
-	for _, q := range e.runtimes.Queues() {
-		x.QueueCount++
-		if x.QueueCount <= maxSummarizedQueues {
-			x.Queues = append(x.Queues, QueueRuntimes{q.Queue, q.Samples, rounded(q.Median), rounded(q.P90), rounded(q.Calibration)})
-		}
-	}
-	var workers []WorkerSpeed
-	for _, w := range e.runtimes.Workers() {
-		workers = append(workers, WorkerSpeed{w.Worker, rounded(w.Slowness), w.Samples})
-	}
-	x.Workers = len(workers)
-	slices.SortStableFunc(workers, func(a, b WorkerSpeed) int { return cmp.Compare(b.Slowness, a.Slowness) })
-	n := min(len(workers), maxListedWorkers)
-	x.Slowest = slices.Clone(workers[:n])
-	x.Fastest = slices.Clone(workers[len(workers)-n:])
-	slices.Reverse(x.Fastest)
-	ev.Reply(Answer{Outcome: OK, Runtimes: x})
-}
--- a/internal/cell/engine/explain_features_test.go
+++ b/internal/cell/engine/explain_features_test.go
@@ -44,6 +44,37 @@
 	assert.Equal(t, 2, w.explainNow(&Explain{Spec: short}).Explanation.Steps[0].Left, "it ends before the start")
 }
 
+// The counts of the log line begin anew every few seconds, so an operator has to see those of the
+// whole term, and the speeds that placement uses.
+func TestRuntimesTellReservationsAndSpeeds(t *testing.T) {
+	ask := func(w *world) *RuntimeSummary {
+		var answer Answer
+		w.engine.explainedAt = [2]time.Time{}
+		w.engine.Handle(w.now, &Runtimes{Reply: func(a Answer) { answer = a }})
+		return answer.Runtimes
+	}
+	w := newWorld(t, 6, 1)
+	w.slownessOf = func(id string) float64 { return map[bool]float64{true: 0.6, false: 1.5}[id < "w02"] }
+	w.features = Features{Backfill: true, SpeedPlacement: true}
+	w.startLeader()
+	w.run(time.Second)
+	w.submit("batch", "a", tasks(6, 6000, 2*time.Second))
+	w.run(100 * time.Millisecond)
+	w.submit("gangs", "a", gang(6, 8000, 2*time.Second))
+	w.run(500 * time.Millisecond)
+	x := ask(w)
+	assert.Equal(t, &ReservationSummary{Steps: 1, CPU: 48_000}, x.Reservations)
+	assert.Equal(t, []SpeedClass{{"s", 0.595, 2}, {"s", 1.492, 4}}, x.Classes)
+	r := w.engine.openSteps[0].reservation
+	r.promised = w.now.Add(-10 * time.Second)
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, []int{1, 1}, []int{ask(w).Reservations.Strict, ask(w).Reservations.Slipped})
+
+	off := newFeaturesWorld(t, 2, Features{})
+	assert.Nil(t, ask(off).Reservations)
+	assert.Nil(t, ask(off).Classes)
+}
+
 // Batch work that waits beside free workers looks like a fault unless the headroom is named.
 func TestExplanationTellsHeadroom(t *testing.T) {
 	w := newFeaturesWorld(t, 4, Features{Headroom: true})
--- a/internal/cell/engine/explain_test.go
+++ b/internal/cell/engine/explain_test.go
@@ -61,7 +61,7 @@
 		fmt.Fprintf(&b, "delegate %+v\n", *d)
 	}
 	e.contention.describe(&b)
-	fmt.Fprintf(&b, "%d %d %d %v\n", e.backfilled, e.slipped, e.reserving, e.modelUpkeep)
+	fmt.Fprintf(&b, "%d %d %d %d %d %v\n", e.backfilled, e.slipped, e.slippedInTerm, e.reserving, e.reservedCPU, e.modelUpkeep)
 	fmt.Fprintf(&b, "%v %v %v %v %v %v %v %v %v %v %v %d %d %d\n", e.openSteps, e.usage, e.queued, e.coldWorkers, e.heldWorkers, e.goodShares,
 		e.estimator, e.needsPlacement, e.placedAt, e.demandMeasuredAt, e.dirtyStepList, len(e.actions), len(e.batch.Records), len(e.batch.onStored))
 	fmt.Fprintf(&b, "%x %v", e.runtimes.Encode(), e.runtimes.Queues())
--- a/internal/cell/engine/explanation.go
+++ b/internal/cell/engine/explanation.go
@@ -113,8 +113,12 @@
 	Queues      []QueueRuntimes `json:"queues,omitempty"` // those with most samples first
 	QueueCount  int             `json:"queueCount"`
 	Workers     int             `json:"workers"` // workers of which something is known
+	Slowness    SlownessRange   `json:"slowness"`
 	Slowest     []WorkerSpeed   `json:"slowest,omitempty"`
 	Fastest     []WorkerSpeed   `json:"fastest,omitempty"`
+	Classes     []SpeedClass    `json:"classes,omitempty"` // with the feature speed-placement
+
+	Reservations *ReservationSummary `json:"reservations,omitempty"` // nil without the feature backfill
 }
 
 // QueueRuntimes is what has been learned of a queue: quantiles of the ratio of run time to
@@ -133,3 +137,25 @@
 	Slowness float64 `json:"slowness"`
 	Samples  int     `json:"samples"`
 }
+
+// SlownessRange is the run time on the workers relative to the typical one.
+type SlownessRange struct {
+	Minimum float64 `json:"minimum"`
+	Median  float64 `json:"median"`
+	Maximum float64 `json:"maximum"`
+}
+
+// SpeedClass is a number of workers of a service of about the same speed.
+type SpeedClass struct {
+	Service  string  `json:"service"`
+	Slowness float64 `json:"slowness"`
+	Workers  int     `json:"workers"`
+}
+
+// ReservationSummary is what waiting steps have reserved.
+type ReservationSummary struct {
+	Steps   int   `json:"steps"`   // that had a reservation in the last placement round
+	CPU     int64 `json:"cpu"`     // that they had reserved then, in thousandths of a core
+	Strict  int   `json:"strict"`  // steps whose reserved resources others may not use any more
+	Slipped int   `json:"slipped"` // reservations that became strict since the leader began
+}
--- a/internal/cell/engine/reservation_counts.go
+++ b/internal/cell/engine/reservation_counts.go
@@ -13,9 +13,10 @@
 	if !e.cfg.Features.Backfill {
 		return
 	}
-	e.reserving = 0
+	e.reserving, e.reservedCPU = 0, 0
 	for _, round := range rounds {
 		e.reserving += round.reserving
+		e.reservedCPU += round.reservedCPU
 	}
 	e.countReservations(StepsReserving, e.reserving)
 }
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -319,6 +319,7 @@
 	if e.trial != nil {
 		return
 	}
+	e.slippedInTerm++
 	e.log.Info("reservation slipped", "step", r.step.name, "job", r.step.ref.Job, "late_ms", late.Milliseconds(), "bound_ms", r.bound.Milliseconds(),
 		"start_ms", r.start.Sub(e.now).Milliseconds(), "workers", len(r.shares))
 }
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -42,7 +42,7 @@
 		Wait: &engine.WaitExplanation{DecidedBy: "work ahead", WorkMS: 120, RecentMS: 40, BearableMS: 8200, AheadCores: 31.5, AheadWork: 80.25},
 		Steps: []engine.StepExplanation{{Tasks: 3, Waiting: 3, Open: true, Place: 4, OpenSteps: 9, TasksBefore: 31, Timeliness: "in time", MedianMS: 1900, P90MS: 2800, Samples: 212,
 			LimitAllows: 3, Excluded: []engine.ExclusionCount{{Reason: "draining", Workers: 2}}, Left: 38, Placed: 2, ChosenCount: 1, WaitsBecause: "no free capacity for the other tasks",
-			Chosen: []engine.ChosenWorker{{Worker: "w07", Zone: "z1", Tasks: 2, Slowness: 1.6, FreeCPU: 14_500, FreeMemMB: 900}},
+			Chosen:      []engine.ChosenWorker{{Worker: "w07", Zone: "z1", Tasks: 2, Slowness: 1.6, FreeCPU: 14_500, FreeMemMB: 900}},
 			Reservation: &engine.ReservationExplanation{StartMS: 2100, PromisedMS: -300, BoundMS: 1000, Tasks: 3, CPU: 24_000, WorkerCount: 25, Workers: []engine.ReservedWorker{{Worker: "w09", Tasks: 2}}}}}}
 }
 
@@ -81,13 +81,18 @@
 
 func TestRuntimesPrintsWhatIsLearned(t *testing.T) {
 	s, url := newOperatorServer(t, http.StatusOK, &engine.RuntimeSummary{Calibration: 0.9, QueueCount: 1, Workers: 1,
-		Queues:  []engine.QueueRuntimes{{Queue: "batch", Samples: 40, Median: 1.1, P90: 2.25, Calibration: 0.88}},
-		Slowest: []engine.WorkerSpeed{{Worker: "w1", Slowness: 1.62, Samples: 9}}})
+		Queues:   []engine.QueueRuntimes{{Queue: "batch", Samples: 40, Median: 1.1, P90: 2.25, Calibration: 0.88}},
+		Slowness: engine.SlownessRange{Minimum: 0.6, Median: 1, Maximum: 1.62}, Classes: []engine.SpeedClass{{Service: "s", Slowness: 1.6, Workers: 12}},
+		Reservations: &engine.ReservationSummary{Steps: 3, CPU: 288_000, Strict: 1, Slipped: 4},
+		Slowest:      []engine.WorkerSpeed{{Worker: "w1", Slowness: 1.62, Samples: 9}}})
 	code, out, errOut := run(t, "runtimes", "--server", url)
 	require.Equal(t, ExitDone, code, errOut)
 	assert.Equal(t, "GET /runtimes", s.target)
 	assert.Contains(t, out, "queue batch: 40 samples, run time by estimate: median 1.10, 0.9 quantile 2.25, within it 0.88")
 	assert.Contains(t, out, "w1: slowness 1.62, 9 samples")
+	assert.Contains(t, out, "slowness of the workers: minimum 0.60, median 1.00, maximum 1.62")
+	assert.Contains(t, out, "speed class of service s: slowness 1.60, 12 workers")
+	assert.Contains(t, out, "reservations: 3 steps, 288.0 cores, 1 strict; 4 slipped since the leader began")
 }
 
 // A script tells by the exit code whether its input is wrong or the cell is busy.
--- a/internal/cli/explain_text.go
+++ b/internal/cli/explain_text.go
@@ -140,6 +140,15 @@
 	for _, q := range x.Queues {
 		fmt.Fprintf(out, "queue %s: %d samples, run time by estimate: median %.2f, 0.9 quantile %.2f, within it %.2f\n", q.Queue, q.Samples, q.Median, q.P90, q.Calibration)
 	}
+	if x.Workers > 0 {
+		fmt.Fprintf(out, "slowness of the workers: minimum %.2f, median %.2f, maximum %.2f\n", x.Slowness.Minimum, x.Slowness.Median, x.Slowness.Maximum)
+	}
+	for _, c := range x.Classes {
+		fmt.Fprintf(out, "speed class of service %s: slowness %.2f, %d workers\n", c.Service, c.Slowness, c.Workers)
+	}
+	if r := x.Reservations; r != nil {
+		fmt.Fprintf(out, "reservations: %d steps, %s cores, %d strict; %d slipped since the leader began\n", r.Steps, cores(r.CPU), r.Strict, r.Slipped)
+	}
 	printSpeeds(out, "slowest", x.Slowest)
 	printSpeeds(out, "fastest", x.Fastest)
 }
