--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -56,7 +56,7 @@
 		total += spec.Steps[i].Count
 	}
 	if total > maxExplainedTasks {
-		return errors.Newf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks)
+		return job.NewFieldError("steps", errors.Newf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks))
 	}
 	return nil
 }
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -131,45 +131,73 @@
 	MaxPayload = 4_000  // bytes
 )
 
-// Validate returns an error that describes the first invalid field of s, or nil.
+// FieldError is an error about a field of a Spec.
+type FieldError struct {
+	error
+	Step  int    // index of the step that the field belongs to, or -1
+	Field string // in lower camel case
+}
+
+// NewFieldError returns err as an error about a field of the job itself.
+func NewFieldError(field string, err error) error { return &FieldError{err, -1, field} }
+
+// Unwrap returns the error without the field.
+func (e *FieldError) Unwrap() error { return e.error }
+
+// Validate returns an error that describes the first invalid field of s, or nil. It contains a
+// FieldError.
 func (s *Spec) Validate() error {
+	if field, err := s.invalidField(); err != nil {
+		return NewFieldError(field, err)
+	}
+	for i := range s.Steps {
+		if field, err := s.Steps[i].invalidField(i); err != nil {
+			return &FieldError{errors.Wrapf(err, "step %d", i), i, field}
+		}
+	}
+	return nil
+}
+
+// invalidField returns the first invalid field of s besides the steps and what is wrong with it.
+func (s *Spec) invalidField() (string, error) {
 	switch {
 	case len(s.Payload) > MaxPayload:
-		return errors.Newf("payload of %d bytes, at most %d", len(s.Payload), MaxPayload)
+		return "payload", errors.Newf("payload of %d bytes, at most %d", len(s.Payload), MaxPayload)
 	case len(s.Steps) == 0:
-		return errors.New("no steps")
+		return "steps", errors.New("no steps")
 	case len(s.Steps) > MaxSteps:
-		return errors.Newf("%d steps, at most %d", len(s.Steps), MaxSteps)
+		return "steps", errors.Newf("%d steps, at most %d", len(s.Steps), MaxSteps)
 	case s.Times < 0 || s.Times > MaxTasks:
-		return errors.Newf("%d occurrences", s.Times)
+		return "times", errors.Newf("%d occurrences", s.Times)
 	case s.Times > 1 && s.Interval <= 0:
-		return errors.New("several occurrences without an interval")
-	}
-	for i := range s.Steps {
-		if err := s.Steps[i].validate(i); err != nil {
-			return errors.Wrapf(err, "step %d", i)
-		}
+		return "interval", errors.New("several occurrences without an interval")
 	}
-	return nil
+	return "", nil
 }
 
-func (s *Step) validate(index int) error {
+// invalidField returns the first invalid field of s, the step with the given index, and what is
+// wrong with it.
+func (s *Step) invalidField(index int) (string, error) {
 	switch {
 	case s.Count < 1 || s.Count > MaxTasks:
-		return errors.Newf("%d tasks, expected 1 to %d", s.Count, MaxTasks)
-	case s.Need.CPU < 0 || s.Need.MemMB < 0 || s.Need.GPU < 0:
-		return errors.New("negative resources")
+		return "count", errors.Newf("%d tasks, expected 1 to %d", s.Count, MaxTasks)
+	case s.Need.CPU < 0:
+		return "cpu", errors.New("negative resources")
+	case s.Need.MemMB < 0:
+		return "memory", errors.New("negative resources")
+	case s.Need.GPU < 0:
+		return "gpu", errors.New("negative resources")
 	case s.Estimate < 0:
-		return errors.New("negative estimate")
+		return "estimate", errors.New("negative estimate")
 	case s.MaxPerWorker < 0:
-		return errors.New("negative bound of tasks on one worker")
+		return "maxPerWorker", errors.New("negative bound of tasks on one worker")
 	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= index {
-			return errors.Newf("depends on step %d, expected an earlier one", d)
+			return "dependsOn", errors.Newf("depends on step %d, expected an earlier one", d)
 		}
 	}
-	return nil
+	return "", nil
 }
 
 // ValidID reports whether id has the form of a job id: 16 hexadecimal digits.
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -182,7 +182,7 @@
 		Line, Column int
 	}
 	if json.Unmarshal(data, &refusal) != nil || refusal.Error == "" {
-		return fmt.Sprintf("unexpected answer with status %d; is this the address that serves the metrics of an instance on the users' platform?", status)
+		return fmt.Sprintf("unexpected answer with status %d; is this the address that serves the metrics of an instance on the users' platform? The instances of dev and serve answer \"status --why ID\" instead", status)
 	}
 	if refusal.Line > 0 {
 		input = fmt.Sprintf("%s:%d:%d", input, refusal.Line, refusal.Column)
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -111,6 +111,7 @@
 		{[]string{"--server", busy, file}, ExitNotRun, "busy with other explanations"},
 		{[]string{"--server", gone, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "no such job"},
 		{[]string{"--server", other, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "address that serves the metrics"},
+		{[]string{"--server", other, file}, ExitNotRun, "status --why"},
 		{[]string{"--server", "http://127.0.0.1:1", file}, ExitNotRun, "refused"},
 		{[]string{"--server", busy}, ExitUsage, "give one file"},
 		{[]string{"--server", busy, file, file}, ExitUsage, "give one file"},
