Explain what a request waits for on the cell of dev

The command explain only knew the instances on the users' platform and took the answer of an instance of dev or serve for an unexpected one. With --id it now asks such an instance for the state of the request, or else of the job, and prints the phase, the team's tasks and share, and by filter how many of the coordinator's workers refuse it, all of which these instances already tell. For a file, and for runtimes, it says that there is no such answer.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -51,6 +51,7 @@
 type explainOptions struct {
 	operatorFlags
 	id, queue, team string
+	key, keyFile    string // for an instance of dev or serve
 }
 
 func explainCommand() command {
@@ -58,9 +59,11 @@
 	var files []string
 	sub := subcommand("explain", "Tell where the tasks of a job would go now and why, without submitting it: explain FILE, explain - or explain --id ID")
 	o.register(sub)
-	sub.String(&o.id, "", "id", "id of a job that was accepted")
+	sub.String(&o.id, "", "id", "id of a job that was accepted; of a request or job on an instance of dev or serve")
 	sub.String(&o.queue, "q", "queue", "queue, in place of that in FILE")
 	sub.String(&o.team, "", "team", "team that submits the job, in place of that in FILE")
+	sub.String(&o.key, "k", "key", "for an instance of dev or serve: secret of the caller's key; $"+envKey+" by default")
+	sub.String(&o.keyFile, "", "key-file", "file that holds the secret; $"+envKeyFile+" by default")
 	return command{sub: sub, args: &files, run: func(ctx context.Context, out, errOut io.Writer) int {
 		return runExplain(ctx, &o, files, os.Stdin, out, errOut)
 	}}
@@ -86,7 +89,12 @@
 		method, path = http.MethodPost, "/explain?"+url.Values{"queue": {o.queue}, "team": {o.team}}.Encode()
 	}
 	data, code := ask(ctx, "explain", servers, method, path, name, body, errOut)
-	if code != ExitDone {
+	switch {
+	case code == exitNoExplanations && o.id != "":
+		return explainOnCell(ctx, o, servers, out, errOut)
+	case code == exitNoExplanations:
+		return refuseOnCell("explain", "they explain what they have accepted: use explain --id ID", errOut)
+	case code != ExitDone:
 		return code
 	}
 	var x engine.Explanation
@@ -103,7 +111,10 @@
 			return usageError(errOut, "runtimes", err)
 		}
 		data, code := ask(ctx, "runtimes", servers, http.MethodGet, "/runtimes", "", nil, errOut)
-		if code != ExitDone {
+		switch {
+		case code == exitNoExplanations:
+			return refuseOnCell("runtimes", "they learn no run times", errOut)
+		case code != ExitDone:
 			return code
 		}
 		var x engine.RuntimeSummary
@@ -134,6 +145,16 @@
 // askTimeout bounds a request to an instance, which answers within 3 s.
 const askTimeout = 5 * time.Second
 
+// exitNoExplanations stands for the exit code of ask if the server is one of dev or serve.
+const exitNoExplanations = -1
+
+// refuseOnCell prints that a server of dev or serve has no such answer, and what it has instead.
+// It returns the exit code.
+func refuseOnCell(name, instead string, errOut io.Writer) int {
+	fmt.Fprintf(errOut, "%s: the instances of dev and serve have no such answer; %s\n", name, instead)
+	return ExitNotRun
+}
+
 // ask sends a request to the servers in turn until one answers, and returns the answer and the exit code. The requests
 // have no effect, so each may be repeated. It prints errors; input is the name of the file that the body was read from.
 func ask(ctx context.Context, name string, servers []string, method, path, input string, body []byte, errOut io.Writer) ([]byte, int) {
@@ -142,6 +163,9 @@
 		if err == nil && status == http.StatusOK {
 			return data, ExitDone
 		}
+		if err == nil && noExplanations(status, data) {
+			return nil, exitNoExplanations
+		}
 		message, code := "", ExitNotRun
 		switch {
 		case err != nil:
@@ -182,7 +206,7 @@
 		Line, Column int
 	}
 	if json.Unmarshal(data, &refusal) != nil || refusal.Error == "" {
-		return fmt.Sprintf("unexpected answer with status %d; is this the address that serves the metrics of an instance on the users' platform? The instances of dev and serve answer \"status --why ID\" instead", status)
+		return fmt.Sprintf("unexpected answer with status %d; is this the address that serves the metrics of an instance on the users' platform?", status)
 	}
 	if refusal.Line > 0 {
 		input = fmt.Sprintf("%s:%d:%d", input, refusal.Line, refusal.Column)
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -101,6 +101,7 @@
 	_, bad := newOperatorServer(t, http.StatusBadRequest, map[string]any{"error": "cpus: unknown field", "line": 3, "column": 7})
 	_, busy := newOperatorServer(t, http.StatusTooManyRequests, map[string]any{"error": "busy with other explanations"})
 	_, gone := newOperatorServer(t, http.StatusNotFound, map[string]any{"error": "no such job"})
+	_, cell := newOperatorServer(t, http.StatusNotFound, map[string]any{"verdict": "not_run", "code": "not_found", "message": "no such path"})
 	_, other := newOperatorServer(t, http.StatusNotFound, "404 page not found")
 	for _, test := range []struct {
 		args    []string
@@ -111,7 +112,8 @@
 		{[]string{"--server", busy, file}, ExitNotRun, "busy with other explanations"},
 		{[]string{"--server", gone, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "no such job"},
 		{[]string{"--server", other, "--id", "5c0e7a21d94b36f8"}, ExitNotRun, "address that serves the metrics"},
-		{[]string{"--server", other, file}, ExitNotRun, "status --why"},
+		{[]string{"--server", cell, file}, ExitNotRun, "they explain what they have accepted"},
+		{[]string{"--server", cell, "--id", "x"}, ExitNotRun, "no such path"},
 		{[]string{"--server", "http://127.0.0.1:1", file}, ExitNotRun, "refused"},
 		{[]string{"--server", busy}, ExitUsage, "give one file"},
 		{[]string{"--server", busy, file, file}, ExitUsage, "give one file"},
@@ -125,3 +127,32 @@
 		assert.Contains(t, errOut, test.message)
 	}
 }
+
+// The same command has to tell what a request waits for on a cell of another kind.
+func TestExplainOnAnInstanceOfDev(t *testing.T) {
+	here := `{"workers": 24, "fitting": 2, "refusals": [{"plugin": "fit", "reason": "not enough CPU", "workers": 22}]}`
+	why := `{"phase": "waiting", "team_waiting": 3, "team_level": 1.2, "at_limit": true, "here": ` + here + `, "gang_held": 2, "gang_size": 4}`
+	mux := http.NewServeMux()
+	answer := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	notFound := `{"verdict": "not_run", "code": "not_found", "message": "unknown"}`
+	mux.HandleFunc("/", answer(http.StatusNotFound, notFound))
+	mux.HandleFunc("GET /v1/requests/r1", answer(http.StatusAccepted, `{"id": "r1", "verdict": "pending", "answer": `+why+`}`))
+	mux.HandleFunc("GET /v1/jobs/j1", answer(http.StatusAccepted, `{"id": "j1", "verdict": "pending", "answer": {"count": 9, "running": 2, "waiting": 7, "why": `+why+`}}`))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	code, out, errOut := run(t, "explain", "--server", server.URL, "--id", "r1")
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Equal(t, "r1: pending\n  phase waiting; 3 tasks of the team wait there, it uses 1.20 of its share\n  the team is at its limit\n"+
+		"  2 of 4 tasks of the gang have a place\n  workers: 2 of 24 could take it now, 22 fit: not enough CPU\n", out)
+	code, out, errOut = run(t, "explain", "--server", server.URL, "--id", "j1")
+	require.Equal(t, ExitDone, code, errOut)
+	assert.Contains(t, out, "j1: pending\n  of 9 tasks, 2 run and 7 wait; of the first that waits:\n  phase waiting")
+	code, _, errOut = run(t, "explain", "--server", server.URL, "--id", "none")
+	assert.Equal(t, ExitNotRun, code)
+	assert.Contains(t, errOut, "unknown")
+}
