--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -137,6 +137,7 @@
 	if w.releasesValid && e.now.Sub(w.releasesAt) < endsRetention {
 		return w.releases
 	}
+	e.trial.saveReleases(w)
 	w.releasesValid, w.releasesAt = true, e.now
 	w.releases = w.releases[:0]
 	for _, r := range w.runs {
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -1,13 +1,13 @@
 package engine
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
+	"pollenbend/internal/cell/admission"
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/ordering"
 	"pollenbend/internal/cell/policy"
@@ -30,10 +30,6 @@
 		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
 		return
 	}
-	if f := e.cfg.Features; f.Backfill || f.ContentionAdmission || f.Headroom {
-		ev.Reply(Answer{Outcome: Refused, Why: "explanations do not cover the features backfill, contention-admission and headroom"})
-		return
-	}
 	if ev.Spec == nil {
 		j := e.jobs[ev.ID]
 		if j == nil {
@@ -60,7 +56,7 @@
 		total += spec.Steps[i].Count
 	}
 	if total > maxExplainedTasks {
-		return errors.Newf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks)
+		return job.NewFieldError("steps", errors.Newf("steps: %d tasks in all, an explanation covers at most %d", total, maxExplainedTasks))
 	}
 	return nil
 }
@@ -74,17 +70,24 @@
 	why, retryAfter := decision.Reason, decision.RetryAfter
 	if why == "" {
 		why, retryAfter = e.storeUnavailable(0)
+		retryAfter = e.retryAfter(spec.ID, retryAfter)
 	}
 	if why != "" {
 		x.Verdict, x.Reason, x.RetryAfterMS = VerdictRefused, why, retryAfter.Milliseconds()
 	}
 	x.WaitMS = decision.Wait.Milliseconds()
+	if decision.Parts != (admission.WaitParts{}) {
+		x.Wait = explainWait(&decision.Parts)
+	}
 	j := newJob(spec, e.wall())
 	j.arrivedAt = e.now
 	if tokens, metered := e.tokensOf(spec.Team); metered && tokens < 1 {
 		j.overEntitlement = true
 	}
 	o := j.occurrenceAt(0)
+	if q := e.queueOf(j); q != nil && !spec.Scheduled() {
+		e.noteUrgentArrival(o, q)
+	}
 	var opened []*stepState
 	for _, s := range o.steps {
 		if spec.Scheduled() || !o.dependenciesDone(s) {
@@ -152,6 +155,9 @@
 		if out.Open {
 			out.Timeliness = timelinessNames[ordering.TimelinessOf(s.urgency, e.now)]
 		}
+		if out.Placed < out.Waiting {
+			out.Reservation = s.reservation.explain(e.now)
+		}
 		out.WaitsBecause = e.waitReason(s, q, t)
 	}
 }
@@ -208,6 +214,8 @@
 		return excludedRisky
 	case tasksThatFit(s, w, w.free()) == 0:
 		return excludedFull
+	case tasksThatFit(s, w, e.freeFor(s, w)) == 0:
+		return excludedReserved
 	case limited:
 		return excludedLimit
 	}
@@ -249,20 +257,26 @@
 		return dependencies(s) + " has not ended"
 	case out.Placed > 0 && out.LimitAllows == out.Placed:
 		return "the limit of the team allows no more tasks"
+	case out.Placed > 0 && out.Placed+t.watched[s].kept == out.LimitAllows:
+		return "the other free capacity is kept for urgent tasks that arrive next"
 	case out.Placed > 0:
 		return "no free capacity for the other tasks"
 	case s.spec.Gang && len(s.waitingTasks()) < len(s.tasks):
 		return "members of the last run of the gang are still being stopped"
 	case out.LimitAllows == 0:
 		return "the limit of the team allows no tasks now"
+	case t.watched[s].kept == out.LimitAllows:
+		return "the free capacity is kept for urgent tasks that arrive next"
 	case out.Calls > 0:
 		return "the adviser is asked first"
 	case s.advice != nil && s.advice.callsInFlight > 0:
 		return "the adviser has not answered yet"
-	case !t.watched[s].considered, out.Left > 0 && t.saved[s] && e.mayBeRisky(s):
+	case !t.watched[s].considered, out.Left > 0 && t.tried[s] && e.mayBeRisky(s):
 		return "its starts are risky, and no more workers may be exposed to such starts now"
-	case out.Left > 0 && !t.saved[s]:
+	case out.Left > 0 && !t.tried[s]:
 		return "more urgent steps use up this placement round"
+	case s.reservation != nil:
+		return "it has reserved resources and starts when they are free"
 	case out.Left > 0 && s.spec.Gang:
 		return "not all tasks of the gang fit at the same time"
 	case q.Advice != nil:
@@ -281,29 +295,3 @@
 	}
 	return "step " + strings.Join(names, ", ")
 }
-
-// describeRuntimes answers what has been learned of run times.
-func (e *Engine) describeRuntimes(ev *Runtimes) {
-	if !e.mayExplain() {
-		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
-		return
-	}
-	x := &RuntimeSummary{Calibration: rounded(e.runtimes.Calibration())}
-	for _, q := range e.runtimes.Queues() {
-		x.QueueCount++
-		if x.QueueCount <= maxSummarizedQueues {
-			x.Queues = append(x.Queues, QueueRuntimes{q.Queue, q.Samples, rounded(q.Median), rounded(q.P90), rounded(q.Calibration)})
-		}
-	}
-	var workers []WorkerSpeed
-	for _, w := range e.runtimes.Workers() {
-		workers = append(workers, WorkerSpeed{w.Worker, rounded(w.Slowness), w.Samples})
-	}
-	x.Workers = len(workers)
-	slices.SortStableFunc(workers, func(a, b WorkerSpeed) int { return cmp.Compare(b.Slowness, a.Slowness) })
-	n := min(len(workers), maxListedWorkers)
-	x.Slowest = slices.Clone(workers[:n])
-	x.Fastest = slices.Clone(workers[len(workers)-n:])
-	slices.Reverse(x.Fastest)
-	ev.Reply(Answer{Outcome: OK, Runtimes: x})
-}
--- a/internal/cell/engine/reservations.go
+++ b/internal/cell/engine/reservations.go
@@ -104,6 +104,10 @@
 	return r.bindsAll && !s.passesHolds
 }
 
+// isPastPatience reports whether s has waited long enough to use what is reserved for steps of
+// lower priorities.
+func (e *Engine) isPastPatience(s *stepState) bool { return e.now.Sub(s.readyAt) >= holdPatience }
+
 // firm reports whether r keeps its workers from round to round.
 func (r *stepReservation) firm() bool { return r != nil && (r.strict || r.committed) }
 
@@ -360,6 +364,10 @@
 	r.strict = true
 	e.slipped++
 	e.countReservations(ReservationSlipped, 1)
+	if e.trial != nil {
+		return
+	}
+	e.slippedInTerm++
 	e.log.Info("reservation slipped", "step", r.step.name, "job", r.step.ref.Job, "late_ms", late.Milliseconds(), "bound_ms", r.bound.Milliseconds(),
 		"start_ms", r.start.Sub(e.now).Milliseconds(), "workers", len(r.shares))
 }
--- a/internal/cell/engine/round_cost_bench_test.go
+++ b/internal/cell/engine/round_cost_bench_test.go
@@ -9,9 +9,6 @@
 	"pollenbend/internal/cell/policy"
 )
 
-// allFeatures turns on every feature that changes placement or admission.
-var allFeatures = Features{LearnedRuntimes: true, Backfill: true, ContentionAdmission: true, Headroom: true, SpeedPlacement: true}
-
 // newContendedFleet returns a world of workers of 32 cores and one delegate for every seven of
 // them, with 20 teams that are entitled to the usual load together.
 func newContendedFleet(tb testing.TB, workers int, f Features) *world {
--- a/internal/cell/engine/trial.go
+++ b/internal/cell/engine/trial.go
@@ -18,13 +18,18 @@
 	e       *Engine
 	undo    []func()
 	saved   map[*stepState]bool
+	tried   map[*stepState]bool
 	actions []any                       // of the engine, before the trial
 	watched map[*stepState]*watchedStep // steps that are explained
+
+	releases      []savedReleases
+	releasesSaved map[*worker]bool
 }
 
 // watchedStep is what a trial finds out about a step.
 type watchedStep struct {
 	considered bool
+	kept       int // tasks that may not start as resources are kept for urgent ones
 	out        *StepExplanation
 	chosen     map[*worker]int // index in out.Chosen, or -1 beyond the maximum
 }
@@ -32,7 +37,10 @@
 // newTrial saves what a placement round and a decision about admission change beside the steps
 // and workers that they place tasks of and on.
 func (e *Engine) newTrial() *trial {
-	t := &trial{e: e, saved: make(map[*stepState]bool), watched: make(map[*stepState]*watchedStep), actions: e.actions}
+	t := &trial{
+		e: e, saved: make(map[*stepState]bool), tried: make(map[*stepState]bool), watched: make(map[*stepState]*watchedStep),
+		actions: e.actions, releasesSaved: make(map[*worker]bool),
+	}
 	e.actions = nil
 	e.trial = t
 	e.runtimes.Freeze(true)
@@ -40,6 +48,8 @@
 	t.savePools()
 	t.saveCold()
 	t.saveHeld()
+	t.saveReservations()
+	t.saveContention()
 	delegates := make([]advice.Delegate, len(e.delegates))
 	for i, d := range e.delegates {
 		delegates[i] = d.Delegate
@@ -116,10 +126,10 @@
 	e := t.e
 	known := maps.Clone(e.pools)
 	for _, p := range known {
-		measuredAt, speedsAt, free, capacity, next := p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver
+		measuredAt, speedsAt, free, capacity, next, urgent := p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver, p.urgent
 		p.speedsAt = e.now
 		t.onUndo(func() {
-			p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver = measuredAt, speedsAt, free, capacity, next
+			p.measuredAt, p.speedsAt, p.free, p.capacity, p.nextPassedOver, p.urgent = measuredAt, speedsAt, free, capacity, next, urgent
 		})
 	}
 	t.onUndo(func() {
@@ -138,36 +148,46 @@
 	t.onUndo(func() { e.coldWorkers = cold })
 }
 
-// saveHeld saves what is held for gangs.
+// saveHeld saves what is held for gangs and reserved.
 func (t *trial) saveHeld() {
 	e := t.e
 	workers := slices.Clone(e.heldWorkers)
-	held := make([]job.Resources, len(workers))
+	held, holds := make([]job.Resources, len(workers)), make([][]workerHold, len(workers))
 	for i, w := range workers {
-		held[i] = w.heldForGangs
+		held[i], holds[i] = w.heldForGangs, slices.Clone(w.holds)
 	}
 	t.onUndo(func() {
 		e.clearHeld()
 		for i, w := range workers {
-			w.heldForGangs = held[i]
+			w.heldForGangs, w.holds = held[i], holds[i]
 		}
 		e.heldWorkers = workers
 	})
 }
 
+// try notes that the round tries to place s.
+func (t *trial) try(s *stepState) {
+	if t != nil {
+		t.tried[s] = true
+		t.save(s)
+	}
+}
+
 // save saves the state of s that the attempt to place it changes.
 func (t *trial) save(s *stepState) {
 	if t == nil || t.saved[s] {
 		return
 	}
 	t.saved[s] = true
-	a, tried, riskySince, gangRun, planFailedAt := s.advice, s.placementTried, s.riskySince, s.lastGangRun, s.planFailedAt
+	a, tried, riskySince, gangRun := s.advice, s.placementTried, s.riskySince, s.lastGangRun
+	reservation, neverFits, passesHolds, planFailedAt := s.reservation, s.neverFits, s.passesHolds, s.planFailedAt
 	var before adviceState
 	if a != nil {
 		before = *a
 	}
 	t.onUndo(func() {
-		s.advice, s.placementTried, s.riskySince, s.lastGangRun, s.planFailedAt = a, tried, riskySince, gangRun, planFailedAt
+		s.advice, s.placementTried, s.riskySince, s.lastGangRun = a, tried, riskySince, gangRun
+		s.reservation, s.neverFits, s.passesHolds, s.planFailedAt = reservation, neverFits, passesHolds, planFailedAt
 		if a != nil {
 			a.callsInFlight, a.asking, a.answerExpected, a.exhaustedAt = before.callsInFlight, before.asking, before.answerExpected, before.exhaustedAt
 		}
@@ -180,6 +200,7 @@
 		return
 	}
 	t.noteChosen(x.step, w)
+	t.saveReleases(w)
 	e, s := t.e, x.step
 	team := s.job().team
 	usage, counted := e.usage[team]
@@ -239,6 +260,16 @@
 	}
 }
 
+// noteKept notes that n tasks of s may not start as resources are kept for urgent ones.
+func (t *trial) noteKept(s *stepState, n int) {
+	if t == nil {
+		return
+	}
+	if watched := t.watched[s]; watched != nil {
+		watched.kept = n
+	}
+}
+
 // consider notes which workers are excluded when the round first comes to s.
 func (t *trial) consider(s *stepState, q *policy.Queue) {
 	if t == nil {
@@ -246,6 +277,8 @@
 	}
 	if watched := t.watched[s]; watched != nil && !watched.considered {
 		watched.considered = true
+		t.save(s)
+		s.passesHolds = t.e.isPastPatience(s)
 		t.e.explainWorkers(s, q, watched.out)
 	}
 }
@@ -260,12 +293,12 @@
 			steps = append(steps, s)
 		}
 	}
-	steps = append(steps, more...)
-	e.sortByUrgency(steps)
-	t.noteOrder(steps)
-	e.clearHeld()
-	e.updateWithheld()
-	e.tryInOrder(steps, make(map[string]*placementRound))
+	open := e.openSteps
+	e.openSteps = append(steps, more...)
+	e.sortByUrgency(e.openSteps)
+	t.noteOrder(e.openSteps)
+	e.tryOpenSteps()
+	e.openSteps = open
 }
 
 // noteOrder notes the places of the watched steps among those of their service, and the tasks
