Stop runs of lower priorities for urgent tasks

Cause: an urgent task that no end lets start in time waits, while an urgent job is worth more than what a stop of runs with checkpoints loses. The runs that preemption.Choose names get the existing stop command, and what they free is held for the step. Nothing is stored. The metric cell_preempted_runs_total and a log line tell of each run. Explanations are refused with the feature. The feature is off.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -43,6 +43,7 @@
 	ReportRuntimes          func(RuntimeReport)                 // takes what is known of run times every few seconds; nil for no reports
 	CountRefused            func(reason string)                 // counts a refused job, see refusalLabels; nil for no counts
 	CountReservations       func(event ReservationEvent, n int) // counts what happens to reservations; nil for no counts
+	CountPreempted          func()                              // counts a run that is stopped for another step; nil for no counts
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -90,6 +91,7 @@
 	backfilled      int                // runs planned on reserved resources since the last line about the load
 	slipped         int                // reservations that became strict since then
 	reserving       int                // steps with a reservation in the last placement round
+	preemption      preemptionState
 	stragglers      []*run             // runs for whose tasks a speculative run is worth starting
 	hazards         map[string]*hazard // by queue
 	openCrashes     []*crash
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -30,8 +30,8 @@
 		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
 		return
 	}
-	if f := e.cfg.Features; f.Backfill || f.ContentionAdmission || f.Headroom {
-		ev.Reply(Answer{Outcome: Refused, Why: "explanations do not cover the features backfill, contention-admission and headroom"})
+	if f := e.cfg.Features; f.Backfill || f.ContentionAdmission || f.Headroom || f.Preemption {
+		ev.Reply(Answer{Outcome: Refused, Why: "explanations do not cover the features backfill, contention-admission, headroom and preemption"})
 		return
 	}
 	if ev.Spec == nil {
--- a/internal/cell/engine/features.go
+++ b/internal/cell/engine/features.go
@@ -14,6 +14,7 @@
 	ContentionAdmission bool // admission counts the work of the job's own team and its limit
 	Headroom            bool // work of lower priorities leaves room for the urgent tasks that arrive next
 	SpeedPlacement      bool // urgent tasks get fast workers and tasks with time to spare slow ones
+	Preemption          bool // runs of lower priorities are stopped for urgent tasks that would start too late
 }
 
 // featureNames are the names of the features in the settings.
@@ -23,6 +24,7 @@
 	"contention-admission": func(f *Features) *bool { return &f.ContentionAdmission },
 	"headroom":             func(f *Features) *bool { return &f.Headroom },
 	"speed-placement":      func(f *Features) *bool { return &f.SpeedPlacement },
+	"preemption":           func(f *Features) *bool { return &f.Preemption },
 }
 
 // ParseFeatures parses a list of names of features that are separated by commas. An empty
--- a/internal/cell/engine/round.go
+++ b/internal/cell/engine/round.go
@@ -21,6 +21,10 @@
 	exposure          *exposure    // nil until a step with risky starts is tried
 	passedOver        []*stepState // steps that were not tried, in the order of urgency
 
+	// With Features.Preemption:
+	unplaced    []unplacedStep // steps for which runs may be stopped, in the order of urgency
+	unplacedCPU int64          // CPU of the waiting tasks of the highest priority that could not be placed
+
 	// With Features.Backfill:
 	reservations []*stepReservation // that hold resources in this round
 	reserving    int                // their number
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -18,11 +18,13 @@
 	e.sortByUrgency(e.openSteps)
 	e.clearHeld()
 	e.updateWithheld()
+	e.holdFreed()
 	rounds := make(map[string]*placementRound)
 	if e.cfg.Features.Backfill {
 		e.holdFirmReservations(rounds)
 	}
 	e.tryInOrder(e.openSteps, rounds)
+	e.preempt(rounds)
 	e.placeSpeculativeRuns(rounds)
 	e.noteReservations(rounds)
 }
@@ -211,6 +213,7 @@
 	default:
 		e.holdForGang(s, round, len(tasks))
 	}
+	e.noteUnplaced(s, q, round, len(tasks)-len(chosen))
 	return len(chosen) > 0 || round.asksLeft < asksLeft
 }
 
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -74,6 +74,7 @@
 	backfillRuntime   time.Duration // see Engine.backfillRuntimeOf
 	backfillRuntimeAt time.Time     // when it was computed
 	pace              gangPace      // see Engine.paceOf
+	preemptionTriedAt time.Time     // when preemptFor last examined it
 }
 
 // task is one task of a step.
@@ -92,6 +93,7 @@
 	investigations int            // crashes that it may have caused and whose cause is not known yet
 	onlyCause      bool           // no other job can have caused the last of them
 	harmless       bool           // a worker has worked on after it had started a run of it
+	preempted      bool           // this leader has stopped a run of it for another step
 }
 
 // lastEnd tells how the last run of a task that ended became known to have ended. It decides
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -77,7 +77,7 @@
 		c.w.t.Errorf("%s run %d got the checkpoint %s", a.Task, a.Run, a.Checkpoint)
 	}
 	r.resumedFrom, r.saved = a.Checkpoint, time.Duration(saved)*time.Millisecond
-	r.runtime = max(simTick, r.runtime-r.saved)
+	r.runtime = max(simTick, r.runtime-r.saved) + c.w.restoreTime
 }
 
 // checkpointOwner returns the name of those that may resume from a checkpoint of a task:
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -72,6 +72,7 @@
 	slownessOf       func(id string) float64  // what the engine takes for a worker's slowness; if nil, what it has learned
 	firstStart       map[string]time.Time     // of a run of the job
 	feedShort        bool                     // feedSmall submits tasks of 100 ms too
+	restoreTime      time.Duration            // that a run takes to resume from a checkpoint
 }
 
 // simTask is the actual state of a task, as the workers see it.
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -30,6 +30,7 @@
 	Reservations       gometrics.Gauge   // steps with a reservation in the last placement round
 	BackfilledRuns     gometrics.Counter // runs planned on reserved resources
 	ReservationSlips   gometrics.Counter // reservations whose start was expected too late
+	PreemptedRuns      gometrics.Counter // runs stopped for steps of higher priorities
 }
 
 // NewStats returns stats in a new registry.
@@ -57,6 +58,7 @@
 		Reservations:       gometrics.NewRegisteredGauge(metrics.Name("cell_reservations"), r),
 		BackfilledRuns:     gometrics.NewRegisteredCounter(metrics.Name("cell_backfilled_runs_total"), r),
 		ReservationSlips:   gometrics.NewRegisteredCounter(metrics.Name("cell_reservation_slips_total"), r),
+		PreemptedRuns:      gometrics.NewRegisteredCounter(metrics.Name("cell_preempted_runs_total"), r),
 	}
 	for _, reason := range engine.RefusalLabels() {
 		s.refused(reason) // shown before the first refusal
@@ -126,3 +128,6 @@
 		s.ReservationSlips.Inc(int64(n))
 	}
 }
+
+// countPreempted counts a run that is stopped for a step of a higher priority.
+func (s *Stats) countPreempted() { s.PreemptedRuns.Inc(1) }
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -38,6 +38,7 @@
 	config.ReportRuntimes = l.n.stats.reportRuntimes
 	config.CountRefused = l.n.stats.countRefused
 	config.CountReservations = l.n.stats.countReservations
+	config.CountPreempted = l.n.stats.countPreempted
 	e := engine.New(config, l.n.log, wallClock, time.Now())
 	if list := <-workers; list != nil {
 		e.Handle(time.Now(), &engine.WorkersListed{Workers: list})
