Play random schedules with preemption

Cause: preemption was played in worlds without faults only, and the usual schedules hardly fill their workers. Change: TestRandomRefusalsWithPreemption plays refusals, crashes, cuts and drains with batch tasks that fill the workers and urgent jobs, with all features and with preemption alone. Half of the CPU may be in preemption there, as 0.02 of 48 cores is less than a task.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -146,6 +146,7 @@
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
+	e.preemption.maxRatio = maxPreemptedRatio
 	if cfg.Features.ContentionAdmission {
 		e.contention = newContention()
 	}
--- a/internal/cell/engine/preemption.go
+++ b/internal/cell/engine/preemption.go
@@ -61,6 +61,7 @@
 	freed      []*freedResources   // held for the steps for which runs were stopped
 	stopped    []*run              // for other steps; those that have not ended
 	candidates []preemption.Worker // reused by preemptFor
+	maxRatio   float64             // maxPreemptedRatio; larger in tests of small fleets
 }
 
 // noteUnplaced notes that the round could not place count tasks of s, if runs may be stopped for
@@ -112,7 +113,7 @@
 	}
 	req := preemption.Request{
 		Need: s.charge, Count: s.waiting, Priority: q.Priority, Runtime: e.runtimeOf(s).median, LatestStart: e.latestStartIn(s),
-		StopTime: e.cfg.MaxStopDuration, MaxCPU: int64(maxPreemptedRatio*float64(round.capacity)) - e.cpuInPreemption(q.Service),
+		StopTime: e.cfg.MaxStopDuration, MaxCPU: int64(e.preemption.maxRatio*float64(round.capacity)) - e.cpuInPreemption(q.Service),
 	}
 	if req.MaxCPU <= 0 {
 		return
--- a/internal/cell/engine/preemption_test.go
+++ b/internal/cell/engine/preemption_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -14,20 +15,18 @@
 
 // newPreemptionWorld returns a world of 20 workers of 32 cores that nine batch tasks of 3.5 cores
 // fill on each, which save checkpoints and run for 10 s. Half a core of each worker is free.
-func newPreemptionWorld(t *testing.T, on bool) (w *world, batch string, preempted *int) {
+func newPreemptionWorld(t *testing.T, on bool) (w *world, batch string) {
 	w = newContendedWorld(t, 20, false, contendedPolicy(false, policy.Team{Name: "a", Weight: 1000}))
 	w.features.Preemption = on
 	w.restoreTime = restoreTime
 	w.useNetwork(5)
-	preempted = new(int)
-	w.engine.cfg.CountPreempted = func() { *preempted++ }
 	w.run(time.Second)
 	step := tasks(180, 3500, 10*time.Second)
 	step.Checkpoints = true
 	batch = w.submit("batch", "a", step)
 	w.run(1500 * time.Millisecond)
 	require.Equal(t, 180, w.runningTasks(batch, 0))
-	return w, batch, preempted
+	return w, batch
 }
 
 // addUrgent submits a job of one urgent task of 5 cores and 1 s, which is in time if it starts within
@@ -63,10 +62,10 @@
 // Guards against an urgent task that waits for 10 s behind batch tasks whose stop loses little. The
 // stopped tasks go on from their checkpoints, and their job ends in time.
 func TestPreemptionStartsAnUrgentTask(t *testing.T) {
-	w, batch, preempted := newPreemptionWorld(t, true)
+	w, batch := newPreemptionWorld(t, true)
 	id := w.addUrgent()
 	w.run(20 * time.Second)
-	assert.Equal(t, 2, *preempted)
+	assert.Equal(t, 2, w.preempted)
 	assert.LessOrEqual(t, w.turnaround[id], 1500*time.Millisecond)
 	assert.Equal(t, StateCompleted, w.state(batch))
 	assert.LessOrEqual(t, w.turnaround[batch], 12500*time.Millisecond, "13 s if the stopped tasks began anew")
@@ -74,10 +73,10 @@
 
 // Guards against stops while the feature is off.
 func TestNothingIsPreemptedWithoutTheFeature(t *testing.T) {
-	w, _, preempted := newPreemptionWorld(t, false)
+	w, _ := newPreemptionWorld(t, false)
 	id := w.addUrgent()
 	w.run(5 * time.Second)
-	assert.Zero(t, *preempted)
+	assert.Zero(t, w.preempted)
 	assert.NotContains(t, w.firstStart, id)
 	assert.Empty(t, w.engine.preemption.freed)
 }
@@ -85,15 +84,15 @@
 // Guards against freed resources that another task takes: a task that arrives while the runs are
 // being stopped, and that is more urgent as its objective is shorter, does not get them.
 func TestFreedResourcesAreHeldForTheirStep(t *testing.T) {
-	w, _, preempted := newPreemptionWorld(t, true)
+	w, _ := newPreemptionWorld(t, true)
 	id := w.addUrgent()
-	w.runUntil(time.Second, func() bool { return *preempted > 0 })
-	require.Equal(t, 2, *preempted)
+	w.runUntil(time.Second, func() bool { return w.preempted > 0 })
+	require.Equal(t, 2, w.preempted)
 	other := w.addOpenJob("urgent", tasks(1, 4000, 100*time.Millisecond))
 	w.run(600 * time.Millisecond)
 	assert.Contains(t, w.firstStart, id)
 	assert.NotContains(t, w.firstStart, other.job().id, "its stops would lose more than half of its work")
-	assert.Equal(t, 2, *preempted)
+	assert.Equal(t, 2, w.preempted)
 	assert.Empty(t, w.engine.preemption.freed, "the step has started")
 }
 
@@ -102,10 +101,10 @@
 func TestLeaderIsKilledDuringAPreemption(t *testing.T) {
 	for _, after := range []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond} {
 		t.Run(after.String(), func(t *testing.T) {
-			w, batch, preempted := newPreemptionWorld(t, true)
+			w, batch := newPreemptionWorld(t, true)
 			id := w.addUrgent()
-			w.runUntil(time.Second, func() bool { return *preempted > 0 })
-			require.Positive(t, *preempted)
+			w.runUntil(time.Second, func() bool { return w.preempted > 0 })
+			require.Positive(t, w.preempted)
 			w.run(after)
 			w.startLeader()
 			assert.Empty(t, w.engine.preemption.freed)
@@ -123,13 +122,13 @@
 // Guards against resources that are used twice when a stop gets no answer: they count as used until
 // the end is known, the hold ends meanwhile, and the stop is repeated until it is carried out.
 func TestStopOfAPreemptedRunGetsNoAnswer(t *testing.T) {
-	w, batch, preempted := newPreemptionWorld(t, true)
+	w, batch := newPreemptionWorld(t, true)
 	for _, l := range w.net.links {
 		l.lostRatio = 1 // also for the stops, whichever worker they go to
 	}
 	id := w.addUrgent()
-	w.runUntil(time.Second, func() bool { return *preempted > 0 })
-	require.Equal(t, 2, *preempted)
+	w.runUntil(time.Second, func() bool { return w.preempted > 0 })
+	require.Equal(t, 2, w.preempted)
 	cut := w.stoppingWorkers()
 	require.Len(t, cut, 1)
 	w.run(simTick)
@@ -146,7 +145,7 @@
 	assert.NotContains(t, w.firstStart, id)
 	w.net.links[cut[0].id].lostRatio = 0
 	w.run(40 * time.Second)
-	assert.Equal(t, 2, *preempted)
+	assert.Equal(t, 2, w.preempted)
 	assert.Equal(t, StateCompleted, w.state(id))
 	assert.Equal(t, StateCompleted, w.state(batch))
 	for name := range w.tasks {
@@ -155,3 +154,34 @@
 		}
 	}
 }
+
+// submitLoad submits batch tasks that fill the workers, and an urgent job.
+func (n *network) submitLoad() {
+	load := tasks(20, 1000, 2*time.Second+n.upTo(2*time.Second))
+	load.Checkpoints = true
+	n.w.submit("batch", "a", load)
+	n.w.submit("urgent", "a", tasks(1+n.rand.IntN(2), 1500, time.Second))
+}
+
+// The random schedules keep all rules while runs are preempted, with the other features and without.
+func TestRandomRefusalsWithPreemption(t *testing.T) {
+	for name, o := range map[string]refusalOptions{
+		"refusals": {restartsKeepID: true, untold: true},
+		"crashes":  {crashes: true},
+		"cuts":     {cuts: true, crashes: true, restartsKeepID: true, untold: true},
+		"drains":   {drains: true, restartsKeepID: true},
+	} {
+		first, count := backfillSeeds()
+		for seed := first; seed < first+count; seed++ {
+			o.features = allFeatures(true)
+			if seed%2 == 0 {
+				o.features = Features{Preemption: true}
+			}
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				w := runRandomRefusals(t, seed, o)
+				t.Logf("%d runs preempted", w.preempted)
+			})
+		}
+	}
+}
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -30,6 +30,9 @@
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
 	w.features = o.features
+	if o.features.Preemption {
+		w.maxPreempted = 0.5 // 0.02 of 48 cores is less than a task
+	}
 	if o.speeds {
 		w.features.SpeedPlacement = true
 		w.slownessOf = func(id string) float64 { return 0.3 + 3*seeded(fmt.Sprint(seed, id, w.now.Unix())).Float64() }
@@ -49,6 +52,9 @@
 	w.run(time.Second)
 	for range 60 {
 		n.submitRandom()
+		if o.features.Preemption {
+			n.submitLoad()
+		}
 		n.injectFault()
 		if o.drains && drains.IntN(6) == 0 {
 			n.drain(drains)
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -73,6 +73,8 @@
 	firstStart       map[string]time.Time     // of a run of the job
 	feedShort        bool                     // feedSmall submits tasks of 100 ms too
 	restoreTime      time.Duration            // that a run takes to resume from a checkpoint
+	maxPreempted     float64                  // part of the CPU that may be in preemption; zero for the usual one
+	preempted        int                      // runs that were preempted, under all leaders
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -232,6 +234,10 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	w.engine = New(cfg, log, func() int64 { return w.now.UnixMilli() }, w.now)
 	w.engine.slownessOf = w.slownessOf
+	w.engine.cfg.CountPreempted = func() { w.preempted++ }
+	if w.maxPreempted > 0 {
+		w.engine.preemption.maxRatio = w.maxPreempted
+	}
 	debugLog(w.t, w)
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
 	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
