--- a/internal/cell/engine/preemption_test.go
+++ b/internal/cell/engine/preemption_test.go
@@ -163,8 +163,9 @@
 	n.w.submit("urgent", "a", tasks(1+n.rand.IntN(2), 1500, time.Second))
 }
 
-// The random schedules keep all rules while runs are preempted, with the other features and without.
-func TestRandomRefusalsWithPreemption(t *testing.T) {
+// runFullWorkers plays random schedules on workers that batch tasks fill, with the features that are
+// given for each seed.
+func runFullWorkers(t *testing.T, features func(seed uint64) Features) {
 	for name, o := range map[string]refusalOptions{
 		"refusals": {restartsKeepID: true, untold: true},
 		"crashes":  {crashes: true},
@@ -173,10 +174,7 @@
 	} {
 		first, count := backfillSeeds()
 		for seed := first; seed < first+count; seed++ {
-			o.features = allFeatures(true)
-			if seed%2 == 0 {
-				o.features = Features{Preemption: true}
-			}
+			o.fills, o.features = true, features(seed)
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				w := runRandomRefusals(t, seed, o)
@@ -185,3 +183,18 @@
 		}
 	}
 }
+
+// The random schedules keep all rules while runs are preempted, with the other features and without.
+func TestRandomRefusalsWithPreemption(t *testing.T) {
+	runFullWorkers(t, func(seed uint64) Features {
+		if seed%2 == 0 {
+			return Features{Preemption: true}
+		}
+		return allFeatures(true)
+	})
+}
+
+// The same schedules without preemption tell its faults from others.
+func TestRandomRefusalsOnFullWorkers(t *testing.T) {
+	runFullWorkers(t, func(uint64) Features { return Features{} })
+}
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -22,6 +22,7 @@
 	evacuations    bool     // availability zones are evacuated
 	speeds         bool     // tasks are placed by the speeds of the workers, which seem to change
 	features       Features // of the engine
+	fills          bool     // batch tasks fill the workers, beside urgent jobs
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
@@ -52,7 +53,7 @@
 	w.run(time.Second)
 	for range 60 {
 		n.submitRandom()
-		if o.features.Preemption {
+		if o.fills {
 			n.submitLoad()
 		}
 		n.injectFault()
