--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -43,6 +43,7 @@
 	ReportRuntimes          func(RuntimeReport)                 // takes what is known of run times every few seconds; nil for no reports
 	CountRefused            func(reason string)                 // counts a refused job, see refusalLabels; nil for no counts
 	CountReservations       func(event ReservationEvent, n int) // counts what happens to reservations; nil for no counts
+	CountPreempted          func()                              // counts a run that is stopped for another step; nil for no counts
 }
 
 // CrashEvent is what the engine finds out about crashes of workers.
@@ -92,6 +93,7 @@
 	slippedInTerm   int                // the same since the start of the term
 	reserving       int                // steps with a reservation in the last placement round
 	reservedCPU     int64              // that they had reserved then, in thousandths of a core
+	preemption      preemptionState
 	stragglers      []*run             // runs for whose tasks a speculative run is worth starting
 	hazards         map[string]*hazard // by queue
 	openCrashes     []*crash
@@ -151,6 +153,7 @@
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
 	}
+	e.preemption.maxRatio = maxPreemptedRatio
 	if cfg.Features.ContentionAdmission {
 		e.contention = newContention()
 	}
--- a/internal/cell/engine/explain.go
+++ b/internal/cell/engine/explain.go
@@ -30,6 +30,10 @@
 		ev.Reply(Answer{Outcome: Refused, Why: "busy with other explanations", RetryAfter: explanationWindow})
 		return
 	}
+	if e.cfg.Features.Preemption {
+		ev.Reply(Answer{Outcome: Refused, Why: "explanations do not cover the feature preemption"})
+		return
+	}
 	if ev.Spec == nil {
 		j := e.jobs[ev.ID]
 		if j == nil {
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -23,6 +23,7 @@
 	speeds         bool     // tasks are placed by the speeds of the workers, which seem to change
 	features       Features // of the engine
 	takeovers      bool     // new leaders don't reach a worker, which gets late commands of the earlier one
+	fills          bool     // batch tasks fill the workers, beside urgent jobs
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
@@ -31,6 +32,9 @@
 func runRandomRefusals(t testing.TB, seed uint64, o refusalOptions) *world {
 	w := newWorld(t, 6, seed)
 	w.features = o.features
+	if o.features.Preemption {
+		w.maxPreempted = 0.5 // 0.02 of 48 cores is less than a task
+	}
 	if o.speeds {
 		w.features.SpeedPlacement = true
 		w.slownessOf = func(id string) float64 { return 0.3 + 3*seeded(fmt.Sprint(seed, id, w.now.Unix())).Float64() }
@@ -50,6 +54,9 @@
 	w.run(time.Second)
 	for range 60 {
 		n.submitRandom()
+		if o.fills {
+			n.submitLoad()
+		}
 		n.injectFault()
 		if o.drains && drains.IntN(6) == 0 {
 			n.drain(drains)
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -17,6 +17,7 @@
 	e.dropPlacedSteps()
 	e.sortByUrgency(e.openSteps)
 	rounds := e.tryOpenSteps()
+	e.preempt(rounds)
 	e.placeSpeculativeRuns(rounds)
 	e.noteReservations(rounds)
 }
@@ -26,6 +27,7 @@
 func (e *Engine) tryOpenSteps() map[string]*placementRound {
 	e.clearHeld()
 	e.updateWithheld()
+	e.holdFreed()
 	rounds := make(map[string]*placementRound)
 	if e.cfg.Features.Backfill {
 		e.holdFirmReservations(rounds)
@@ -229,6 +231,7 @@
 		s.reservation = nil
 		e.holdForGang(s, round, len(tasks))
 	}
+	e.noteUnplaced(s, q, round, len(tasks)-len(chosen))
 	return len(chosen) > 0 || round.asksLeft < asksLeft
 }
 
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -71,8 +71,9 @@
 	urgency        ordering.Step    // when it was opened, or when the declarations last changed
 	key            ordering.Key     // set by sortByUrgency
 
-	runtime stepRuntime // see Engine.runtimeOf
-	pace    gangPace    // see Engine.paceOf
+	runtime           stepRuntime // see Engine.runtimeOf
+	pace              gangPace    // see Engine.paceOf
+	preemptionTriedAt time.Time   // when preemptFor last examined it
 }
 
 // task is one task of a step.
@@ -91,6 +92,7 @@
 	investigations int            // crashes that it may have caused and whose cause is not known yet
 	onlyCause      bool           // no other job can have caused the last of them
 	harmless       bool           // a worker has worked on after it had started a run of it
+	preempted      bool           // this leader has stopped a run of it for another step
 }
 
 // lastEnd tells how the last run of a task that ended became known to have ended. It decides
