Reserve only on workers of about one speed

Reservations go to the workers that are free first, whatever their speed, so gangs run at the pace of the slowest. Change: the check for tails is gone; no reservations are made where the slowest class of workers takes 1.5 times as long as the fastest.

--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -6,12 +6,32 @@
 	"time"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
 	"pollenbend/internal/cell/reservation"
 )
 
 // While a gang waits, a worker on which it has reserved resources takes other tasks that end
 // before the gang starts, or that fit beside it.
 
+// maxReservationSpeedRatio is the ratio of the speeds of the fastest and the slowest class of workers
+// from which no reservations are made. They go to the workers that are free first, whatever their
+// speed, and a gang runs at the pace of its slowest member: on a fleet with speeds of 0.6, 1 and
+// 1.6 it occupies its workers for much longer than on workers of one speed.
+const maxReservationSpeedRatio = 1.5
+
+// backfills reports whether steps of q reserve resources for their expected start, and others run there
+// until then. If not, gangs hold what is free, as without the feature.
+func (e *Engine) backfills(q *policy.Queue) bool {
+	if !e.cfg.Features.Backfill {
+		return false
+	}
+	p := e.pools[q.Service]
+	if p == nil || p.speeds.Count() <= 1 {
+		return true
+	}
+	return p.speeds.Slowness(p.speeds.Count()-1) < maxReservationSpeedRatio*p.speeds.Slowness(0)
+}
+
 // workerHold is what a waiting step has reserved on a worker in this placement round.
 type workerHold struct {
 	by        *stepReservation
--- a/internal/cell/engine/learned.go
+++ b/internal/cell/engine/learned.go
@@ -194,9 +194,6 @@
 	if elapsed := e.now.Sub(u.agedAt); elapsed >= modelAgeInterval {
 		u.agedAt = e.now
 		e.runtimes.Advance(elapsed)
-		if e.cfg.Features.Backfill {
-			e.measurePredictability()
-		}
 	}
 	if e.now.Sub(u.loggedAt) < modelLogInterval {
 		return
--- a/internal/cell/engine/pool.go
+++ b/internal/cell/engine/pool.go
@@ -17,8 +17,6 @@
 	speeds    placement.Classes // of the workers
 	speedsAt  time.Time         // when they were last divided into classes
 
-	unpredictable bool // see Engine.measurePredictability
-
 	nextPassedOver int // index in placementRound.passedOver at which the next round goes on
 
 	urgent taskArrivals // of the highest priority
@@ -46,7 +44,7 @@
 		}
 		p := e.poolOf(w.service)
 		if old := before[w.service]; old != nil && len(p.workers) == 0 {
-			p.speeds, p.speedsAt, p.urgent, p.unpredictable = old.speeds, old.speedsAt, old.urgent, old.unpredictable
+			p.speeds, p.speedsAt, p.urgent = old.speeds, old.speedsAt, old.urgent
 		}
 		w.pool, w.speedClass = p, 0
 		if e.cfg.Features.SpeedPlacement {
--- a/internal/cell/runtimes/summary.go
+++ b/internal/cell/runtimes/summary.go
@@ -80,25 +80,3 @@
 	slices.Sort(m.speeds)
 	return math.Exp(m.speeds[0]), math.Exp(m.speeds[len(m.speeds)/2]), math.Exp(m.speeds[len(m.speeds)-1])
 }
-
-const (
-	// tailQuantile is the quantile that tells of the tail of a distribution of run times.
-	tailQuantile = 0.99
-	// minTailSamples is the number of runs from which the tail is known: four of them are beyond
-	// tailQuantile.
-	minTailSamples = 400
-)
-
-// TailRatio returns the tailQuantile of the run times of a queue relative to their median, among the
-// tasks of a step. It reports false if too few runs of the queue are known.
-func (m *Model) TailRatio(queue string) (float64, bool) {
-	g := m.groups.get(groupKey{queue: queue})
-	if g == nil {
-		return 0, false
-	}
-	errors := &g.errors[mateClass(manyMates)]
-	if errors.samples() < minTailSamples {
-		return 0, false
-	}
-	return math.Exp(errors.quantile(tailQuantile) - errors.median()), true
-}
