--- a/internal/cli/explain_text.go
+++ b/internal/cli/explain_text.go
@@ -51,7 +51,7 @@
 		fmt.Fprintf(out, "    decided by: %s; work ahead %s (%.1f cores, %.1f core-seconds), recent waits %s, limit of the team %s, adviser %s\n",
 			p.DecidedBy, milliseconds(p.WorkMS), p.AheadCores, p.AheadWork, milliseconds(p.RecentMS), milliseconds(p.LimitMS), milliseconds(p.AdviserMS))
 	}
-	if x.BeyondAllowance {
+	if p.SurplusMS > 0 {
 		fmt.Fprintf(out, "    behind other work beyond the allowances: %s\n", milliseconds(p.SurplusMS))
 	}
 }
