--- a/internal/cell/engine/backfill.go
+++ b/internal/cell/engine/backfill.go
@@ -15,9 +15,9 @@
 
 // maxReservationSpeedRatio is the ratio of the speeds of the fastest and the slowest class of workers
 // from which no reservations are made. They go to the workers that are free first, whatever their
-// speed, and a gang runs at the pace of its slowest member: on a fleet with speeds of 0.6, 1 and
-// 1.6 it occupies its workers for much longer than on workers of one speed.
-const maxReservationSpeedRatio = 1.5
+// speed, and a gang runs at the pace of its slowest member, so on an uneven fleet it occupies its
+// workers for much longer than on workers of one speed. Equally fast workers differ by less as learned.
+const maxReservationSpeedRatio = 1.25
 
 // backfills reports whether steps of q reserve resources for their expected start, and others run there
 // until then. If not, gangs hold what is free, as without the feature.
