--- a/review/sim/cases.go
+++ b/review/sim/cases.go
@@ -36,7 +36,7 @@
 // submissions, and the clients' DELETEs for them arrive at the frozen instance, to which each
 // client has a connection open.
 func staleCancel(s *sim) {
-	const submissions = 6
+	const submissions = 12
 	s.configure(1, mainRoute())
 	s.addWorkers(4, 32000, racks)
 	s.addInstances(3)
@@ -66,7 +66,7 @@
 	}
 	ids := make([]string, submissions)
 	for i := range ids {
-		ids[i] = fmt.Sprintf("00000000000000b%d", i+1)
+		ids[i] = fmt.Sprintf("00000000000000b%x", i+1)
 		s.need(s.submit(others, "/main/"+ids[i], submission("work=1500", steps...)), "the submission was not accepted")
 	}
 	s.need(!s.trouble || time.Since(begun) < freeze-300*time.Millisecond, "the submissions were accepted after %v only", time.Since(begun))
