--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -150,20 +150,41 @@
 
 func (e *Engine) cancel(ev *Cancel) {
 	j := e.jobs[ev.ID]
+	known, askedAt := e.knowledgeOf(j, ev.Team), e.now
+	reply := func(outcome Outcome) {
+		e.log.Info("cancellation answered", "job", ev.ID, "team", ev.Team, "outcome", outcome.String(), "term", e.cfg.Term, "known", known,
+			"declarations", e.policy.Version, "after_ms", e.msSince(askedAt))
+		ev.Reply(Answer{Outcome: outcome})
+	}
 	if j == nil || j.team != ev.Team {
-		ev.Reply(Answer{Outcome: NotFound})
+		reply(NotFound)
 		return
 	}
 	if j.state == record.Open {
 		e.log.Info("job canceled", "job", j.id, "begun", j.started)
 		e.finishJob(j, record.Canceled)
 	}
-	e.afterAppend(func() { ev.Reply(Answer{Outcome: OK}) })
+	e.afterAppend(func() { reply(OK) })
+}
+
+// knowledgeOf returns what this leader knows of a job that a team asks for, for the log: that it
+// is unknown, of another team, not stored yet, or its state.
+func (e *Engine) knowledgeOf(j *jobState, team string) string {
+	switch {
+	case j == nil:
+		return "unknown"
+	case j.team != team:
+		return "of another team"
+	case !j.stored:
+		return "not stored"
+	}
+	return j.stateName()
 }
 
 func (e *Engine) status(ev *Status) {
 	j := e.jobs[ev.ID]
 	if j == nil || j.team != ev.Team || !j.stored {
+		e.log.Info("job not found", "job", ev.ID, "team", ev.Team, "term", e.cfg.Term, "known", e.knowledgeOf(j, ev.Team), "declarations", e.policy.Version)
 		ev.Reply(Answer{Outcome: NotFound})
 		return
 	}
--- a/internal/cell/engine/log_test.go
+++ b/internal/cell/engine/log_test.go
@@ -40,11 +40,32 @@
 	refused := w.submit("batch", "a", tasks(1, 1000, time.Second))
 	w.run(100 * time.Millisecond)
 	assert.Equal(t, []string{"job accepted", "task started", "run ended", "job ended"}, messagesOf(t, &log, done))
-	assert.Equal(t, []string{"job accepted", "task started", "job canceled", "job ended", "run ended"}, messagesOf(t, &log, canceled))
+	assert.Equal(t, []string{"job accepted", "task started", "job canceled", "job ended", "cancellation answered", "run ended"}, messagesOf(t, &log, canceled))
 	assert.Contains(t, messagesOf(t, &log, waits), "step waits")
 	assert.Equal(t, []string{"job refused", "run dropped"}, messagesOf(t, &log, refused))
 }
 
+// A verdict on a job that is not there leaves a line as well, as another instance may have known it.
+func TestAnswersAboutUnknownJobsAreLogged(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	var log bytes.Buffer
+	w.engine.log = slog.New(slog.NewJSONHandler(&log, nil))
+	id := w.submit("batch", "a", tasks(1, 1000, time.Second))
+	w.run(time.Second)
+	for _, known := range []string{"unknown", "of another team"} {
+		log.Reset()
+		team, asked := "capped", id
+		if known == "unknown" {
+			team, asked = "a", "00000000000000ff"
+		}
+		w.engine.Handle(w.now, &Cancel{ID: asked, Team: team, Reply: func(Answer) {}})
+		w.engine.Handle(w.now, &Status{ID: asked, Team: team, Reply: func(Answer) {}})
+		w.run(time.Second)
+		assert.Subset(t, messagesOf(t, &log, asked), []string{"cancellation answered", "job not found"})
+		assert.Contains(t, log.String(), `"outcome":"not found","term":1,"known":"`+known+`","declarations":1`)
+	}
+}
+
 // The line of a refused start tells whether an earlier command for the run got no answer.
 func TestRefusedStartIsLoggedWithItsUnansweredCommands(t *testing.T) {
 	w := newWorld(t, 3, 3)
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -267,6 +267,9 @@
 	NotFound
 )
 
+// String returns the name of o that logs use.
+func (o Outcome) String() string { return [...]string{"ok", "refused", "not found"}[o] }
+
 // Answer is the final answer to a caller's request.
 type Answer struct {
 	Outcome    Outcome
@@ -279,6 +282,12 @@
 	// call too, those that arrive later included, as long as the leader's term lasts.
 	Settles bool
 
+	// Leader, Term and Attempts tell whose verdict it is and in which attempt of the instance that
+	// took the request it came. That instance sets them.
+	Leader   string
+	Term     int64
+	Attempts int
+
 	Explanation *Explanation    // answer to Explain
 	Runtimes    *RuntimeSummary // answer to Runtimes
 }
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -106,7 +106,7 @@
 func (n *Node) requestInAttempts(ctx context.Context, newRequest func(number int) request) (engine.Answer, error) {
 	start := time.Now()
 	var inDoubt doubts
-	for {
+	for attempts := 1; ; attempts++ {
 		leaderChange := n.leaderChanged()
 		a := n.attempt(ctx, leaderChange, newRequest(len(inDoubt)+1))
 		// The leader forgets ended jobs after the retention, so later its refusal does not
@@ -116,6 +116,7 @@
 		case a.answered && a.answer.Outcome == engine.Refused && !inDoubt.settledBy(a.leader, settles):
 			return engine.Answer{}, noAnswerError(true, verdict.CodeInDoubt, "refused ("+a.answer.Why+"), but an earlier attempt got no answer")
 		case a.answered:
+			a.answer.Leader, a.answer.Term, a.answer.Attempts = a.leader.Instance, a.leader.Term, attempts
 			return a.answer, nil
 		case a.sent:
 			inDoubt = append(inDoubt, a.leader)
