--- /dev/null
+++ b/internal/cell/engine/withdrawals_test.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/job"
+)
+
+// specOf returns a job of one task with the given id.
+func specOf(id string) *job.Spec {
+	return &job.Spec{ID: id, Queue: "batch", Team: "a", Payload: "p", Steps: []job.Step{tasks(1, 1000, time.Second)}}
+}
+
+// sendCancel sends a cancellation to e. It returns where the outcome is put; nil stands for no answer.
+func sendCancel(w *world, e *Engine, id, team string) **Outcome {
+	outcome := new(*Outcome)
+	e.Handle(w.now, &Cancel{ID: id, Team: team, Reply: func(a Answer) { *outcome = &a.Outcome }})
+	return outcome
+}
+
+// requireNeverStarts submits a job of the given id, which must not be accepted or start.
+func requireNeverStarts(t *testing.T, w *world, id string) {
+	t.Helper()
+	w.specs[id] = specOf(id)
+	w.sendSubmit(w.specs[id])
+	w.run(5 * time.Second)
+	require.Equal(t, Refused, w.answers[id].Outcome, "its cancellation was acknowledged")
+	assert.Zero(t, w.starts)
+}
+
+// Guards against issue 47: a cancellation was acknowledged before the submission arrived, and the job ran.
+func TestJobThatWasCanceledBeforeItsSubmissionNeverStarts(t *testing.T) {
+	for name, takeovers := range map[string]int{"same leader": 0, "next leader": 1, "leader after that": 2} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 1)
+			w.run(time.Second)
+			outcome := sendCancel(w, w.engine, "00000000000000a1", "a")
+			w.run(time.Second)
+			require.NotNil(t, *outcome)
+			require.Equal(t, NotFound, **outcome)
+			for range takeovers {
+				w.startLeader()
+				w.run(time.Second)
+			}
+			requireNeverStarts(t, w, "00000000000000a1")
+		})
+	}
+}
+
+// Guards against issue 47: the store refused the record of a canceled job, and the cancellation was lost with it.
+func TestJobThatWasCanceledBeforeItWasStoredNeverStarts(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	w.storeRefuses = true
+	w.specs["00000000000000a1"] = specOf("00000000000000a1")
+	w.sendSubmit(w.specs["00000000000000a1"])
+	outcome := sendCancel(w, w.engine, "00000000000000a1", "a")
+	w.run(500 * time.Millisecond)
+	w.storeRefuses = false
+	w.engine.Handle(w.now, &StoreRecovered{})
+	w.run(time.Second)
+	require.NotNil(t, *outcome)
+	requireNeverStarts(t, w, "00000000000000a1")
+}
+
+// Guards against issue 47 and review case 2: a leader that was replaced acknowledged cancellations from memory.
+func TestReplacedLeaderAcknowledgesNoCancellation(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	replaced := w.engine
+	w.startLeader()
+	outcome := sendCancel(w, replaced, "00000000000000a1", "a")
+	for range 20 {
+		w.run(20 * time.Millisecond)
+		for _, action := range replaced.Settle(w.now) {
+			if batch, ok := action.(*Append); ok {
+				replaced.Handle(w.now, &Appended{Append: batch, Outcome: Superseded})
+			}
+		}
+	}
+	assert.Nil(t, *outcome, "the next leader may know the job")
+}
