--- a/internal/cell/engine/crashes_test.go
+++ b/internal/cell/engine/crashes_test.go
@@ -29,7 +29,7 @@
 	}
 	assert.Equal(t, StateFailed, w.state(id))
 	assert.LessOrEqual(t, n.crashesUnder(id), maxCrashes)
-	w.engine.Handle(w.now, &Status{ID: id, Team: "a", Reply: func(a Answer) { assert.Contains(t, a.Why, "crashes the workers") }})
+	w.engine.Handle(w.now, &Status{ID: id, Caller: Caller{Team: "a"}, Reply: func(a Answer) { assert.Contains(t, a.Why, "crashes the workers") }})
 }
 
 // The next incarnation of a crashed worker, or else the end of its leases, is the proof that its runs have ended.
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -141,6 +141,7 @@
 	dirtySteps        map[*stepState]struct{} // steps whose records the next append writes
 	dirtyStepList     []*stepState            // the same in the order in which they were marked
 	settledCalls      map[string]int          // highest refused attempt, by call; see Attempt
+	withdrawals       withdrawals
 }
 
 // New returns an engine without jobs or workers. wall returns the wall clock time in
@@ -150,7 +151,7 @@
 		cfg: cfg, log: log, wall: wall, now: now, startedAt: now,
 		policy: (&policy.Policy{}).Index(),
 		jobs:   make(map[string]*jobState), workers: make(map[string]*worker),
-		settledCalls: make(map[string]int), unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
+		settledCalls: make(map[string]int), withdrawals: newWithdrawals(), unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), entitlements: make(map[string]*tokenBucket),
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
 		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -24,6 +24,10 @@
 		e.resubmit(j, ev)
 		return
 	}
+	if e.withdrawn(ev) {
+		e.refuse(ev.Spec, canceledReason, 0, ev)
+		return
+	}
 	why, retryAfter := e.admit(ev.Spec)
 	if why == "" {
 		why, retryAfter = e.storeUnavailable(ev.Wait)
@@ -64,7 +68,8 @@
 
 // resubmit answers a repeated submission of a known job.
 func (e *Engine) resubmit(j *jobState, ev *Submit) {
-	if j.team != ev.Spec.Team {
+	caller := Caller{Team: ev.Spec.Team, Queue: ev.Spec.Queue, Public: ev.Spec.Public}
+	if !caller.mayAccess(j.team) {
 		e.replyRefused(ev, "the id is taken", 0)
 		return
 	}
@@ -148,32 +153,43 @@
 	}
 }
 
+// cancel cancels a job. Once that is acknowledged no task of the job starts, also if its submission arrives later.
 func (e *Engine) cancel(ev *Cancel) {
 	j := e.jobs[ev.ID]
-	known, askedAt := e.knowledgeOf(j, ev.Team), e.now
-	reply := func(outcome Outcome) {
-		e.log.Info("cancellation answered", "job", ev.ID, "team", ev.Team, "outcome", outcome.String(), "term", e.cfg.Term, "known", known,
-			"declarations", e.policy.Version, "after_ms", e.msSince(askedAt))
-		ev.Reply(Answer{Outcome: outcome})
-	}
-	if j == nil || j.team != ev.Team {
-		reply(NotFound)
-		return
+	known, askedAt := e.knowledgeOf(j, ev.Caller), e.now
+	reply := func(a Answer) {
+		e.log.Info("cancellation answered", "job", ev.ID, "team", ev.Caller.Team, "outcome", a.Outcome.String(), "term", e.cfg.Term, "known", known,
+			"declarations", e.policy.Version, "after_ms", e.msSince(askedAt), "reason", a.Why)
+		ev.Reply(a)
+	}
+	outcome := OK
+	if j == nil || !ev.Caller.mayAccess(j.team) {
+		outcome = NotFound
+		if why, retryAfter := e.storeUnavailable(0); why != "" {
+			reply(Answer{Outcome: Refused, Why: why, RetryAfter: retryAfter})
+			return
+		}
+	}
+	if outcome == NotFound || !j.stored { // the store may still refuse the job
+		if retryAfter := e.withdraw(ev.ID, ev.Caller); retryAfter > 0 {
+			reply(Answer{Outcome: Refused, Why: "too many cancellations of unknown jobs", RetryAfter: retryAfter})
+			return
+		}
 	}
-	if j.state == record.Open {
+	if outcome == OK && j.state == record.Open {
 		e.log.Info("job canceled", "job", j.id, "begun", j.started)
 		e.finishJob(j, record.Canceled)
 	}
-	e.afterAppend(func() { reply(OK) })
+	e.afterAppend(func() { reply(Answer{Outcome: outcome}) })
 }
 
-// knowledgeOf returns what this leader knows of a job that a team asks for, for the log: that it
+// knowledgeOf returns what this leader knows of a job that a caller asks for, for the log: that it
 // is unknown, of another team, not stored yet, or its state.
-func (e *Engine) knowledgeOf(j *jobState, team string) string {
+func (e *Engine) knowledgeOf(j *jobState, c Caller) string {
 	switch {
 	case j == nil:
 		return "unknown"
-	case j.team != team:
+	case !c.mayAccess(j.team):
 		return "of another team"
 	case !j.stored:
 		return "not stored"
@@ -183,8 +199,8 @@
 
 func (e *Engine) status(ev *Status) {
 	j := e.jobs[ev.ID]
-	if j == nil || j.team != ev.Team || !j.stored {
-		e.log.Info("job not found", "job", ev.ID, "team", ev.Team, "term", e.cfg.Term, "known", e.knowledgeOf(j, ev.Team), "declarations", e.policy.Version)
+	if j == nil || !ev.Caller.mayAccess(j.team) || !j.stored {
+		e.log.Info("job not found", "job", ev.ID, "team", ev.Caller.Team, "term", e.cfg.Term, "known", e.knowledgeOf(j, ev.Caller), "declarations", e.policy.Version)
 		ev.Reply(Answer{Outcome: NotFound})
 		return
 	}
@@ -308,8 +324,8 @@
 	return false
 }
 
-// dropExpiredJobs drops jobs that ended more than EndedJobRetention ago, from the
-// store as well, and the times of stop commands for unknown runs after a minute.
+// dropExpiredJobs drops jobs that ended more than EndedJobRetention ago and withdrawals that
+// are as old, from the store as well, and the times of stop commands for unknown runs after a minute.
 func (e *Engine) dropExpiredJobs() {
 	n := 0
 	wall := e.wall()
@@ -322,6 +338,7 @@
 		n++
 	}
 	e.endedJobs = e.endedJobs[n:]
+	e.dropExpiredWithdrawals(wall)
 	for k, at := range e.unknownRunStops {
 		if e.now.Sub(at) > time.Minute {
 			delete(e.unknownRunStops, k)
--- a/internal/cell/engine/log_test.go
+++ b/internal/cell/engine/log_test.go
@@ -58,8 +58,8 @@
 		if known == "unknown" {
 			team, asked = "a", "00000000000000ff"
 		}
-		w.engine.Handle(w.now, &Cancel{ID: asked, Team: team, Reply: func(Answer) {}})
-		w.engine.Handle(w.now, &Status{ID: asked, Team: team, Reply: func(Answer) {}})
+		w.engine.Handle(w.now, &Cancel{ID: asked, Caller: Caller{Team: team}, Reply: func(Answer) {}})
+		w.engine.Handle(w.now, &Status{ID: asked, Caller: Caller{Team: team}, Reply: func(Answer) {}})
 		w.run(time.Second)
 		assert.Subset(t, messagesOf(t, &log, asked), []string{"cancellation answered", "job not found"})
 		assert.Contains(t, log.String(), `"outcome":"not found","term":1,"known":"`+known+`","declarations":1`)
--- a/internal/cell/engine/refusals.go
+++ b/internal/cell/engine/refusals.go
@@ -15,6 +15,7 @@
 	admission.ReasonTooLate:                                       "too_late",
 	admission.ReasonTeamLimit:                                     "team_limit",
 	"no such queue":                                               "no_queue",
+	canceledReason:                                                "canceled",
 	"the gang is larger than its team's limit":                    "never_fits",
 	"a task is larger than its team's limit":                      "never_fits",
 	"a task is larger than any worker":                            "never_fits",
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -10,15 +10,17 @@
 
 // Restored holds the records of a cell from the store.
 type Restored struct {
-	Jobs  map[string]*record.Job
-	Steps map[job.StepRef]*record.Step
-	Model []byte // what is learned of run times, see record.ModelKey
+	Jobs        map[string]*record.Job
+	Steps       map[job.StepRef]*record.Step
+	Withdrawals map[string]*record.Withdrawal // by key
+	Model       []byte                        // what is learned of run times, see record.ModelKey
 }
 
 // Restore applies the records that earlier leaders stored. It is called once, before
 // any event except WorkersListed.
 func (e *Engine) Restore(from Restored) {
 	e.restoreModel(from.Model)
+	e.restoreWithdrawals(from.Withdrawals)
 	ids := make([]string, 0, len(from.Jobs))
 	for id := range from.Jobs {
 		ids = append(ids, id)
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -121,13 +121,15 @@
 	}
 	// Cancel asks the engine to cancel a job.
 	Cancel struct {
-		ID, Team string
-		Reply    func(Answer)
+		ID     string
+		Caller Caller
+		Reply  func(Answer)
 	}
 	// Status asks for the state of a job.
 	Status struct {
-		ID, Team string
-		Reply    func(Answer)
+		ID     string
+		Caller Caller
+		Reply  func(Answer)
 	}
 	// Pending asks how many jobs of a queue have not started.
 	Pending struct {
--- a/internal/cell/engine/withdrawals_test.go
+++ b/internal/cell/engine/withdrawals_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
 )
 
 // specOf returns a job of one task with the given id.
@@ -18,7 +20,7 @@
 // sendCancel sends a cancellation to e. It returns where the outcome is put; nil stands for no answer.
 func sendCancel(w *world, e *Engine, id, team string) **Outcome {
 	outcome := new(*Outcome)
-	e.Handle(w.now, &Cancel{ID: id, Team: team, Reply: func(a Answer) { *outcome = &a.Outcome }})
+	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: team}, Reply: func(a Answer) { *outcome = &a.Outcome }})
 	return outcome
 }
 
@@ -84,3 +86,74 @@
 	}
 	assert.Nil(t, *outcome, "the next leader may know the job")
 }
+
+// A cancellation that can't be stored is not acknowledged, but refused at once.
+func TestCancellationOfAnUnknownJobIsRefusedWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	w.storeRefuses = true
+	w.submit("batch", "a", tasks(1, 1000, time.Second)) // its append shows that the store is away
+	w.run(200 * time.Millisecond)
+	outcome := sendCancel(w, w.engine, "00000000000000a1", "a")
+	require.NotNil(t, *outcome)
+	assert.Equal(t, Refused, **outcome)
+}
+
+func TestWithdrawalDoesNotConcernOtherTeams(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, 2*time.Second))
+	for _, asked := range []string{id, "00000000000000a1"} {
+		outcome := sendCancel(w, w.engine, asked, "capped")
+		w.run(100 * time.Millisecond)
+		require.NotNil(t, *outcome)
+		assert.Equal(t, NotFound, **outcome)
+	}
+	w.specs["00000000000000a1"] = specOf("00000000000000a1")
+	w.sendSubmit(w.specs["00000000000000a1"])
+	w.run(10 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, StateCompleted, w.state("00000000000000a1"))
+}
+
+// After the retention the id is as good as new, and the store holds nothing of it.
+func TestWithdrawalsExpireWithEndedJobs(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	sendCancel(w, w.engine, "00000000000000a1", "a")
+	w.run(100 * time.Second)
+	sendCancel(w, w.engine, "00000000000000a1", "a") // counts from here on
+	w.run(100 * time.Second)
+	requireNeverStarts(t, w, "00000000000000a1")
+	w.startLeader()
+	w.run(60 * time.Second)
+	assert.Empty(t, w.engine.withdrawals.byAge)
+	assert.Empty(t, w.engine.withdrawals.byJob)
+	assert.Empty(t, w.engine.withdrawals.byTeam)
+	for key := range w.stored {
+		assert.False(t, record.IsWithdrawal(key), key)
+	}
+	w.sendSubmit(w.specs["00000000000000a1"])
+	w.run(5 * time.Second)
+	assert.Equal(t, StateCompleted, w.state("00000000000000a1"))
+}
+
+// A team that cancels many ids takes neither the memory nor the cancellations of others.
+func TestWithdrawalsOfATeamAreBounded(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	for i := range maxTeamWithdrawals {
+		sendCancel(w, w.engine, fmt.Sprintf("%016x", 0xa000+i), "a")
+	}
+	w.run(time.Second)
+	var answer Answer
+	w.engine.Handle(w.now, &Cancel{ID: "00000000000000a1", Caller: Caller{Team: "a"}, Reply: func(a Answer) { answer = a }})
+	assert.Equal(t, Refused, answer.Outcome)
+	assert.Positive(t, answer.RetryAfter)
+	for _, allowed := range [][2]string{{"00000000000000a1", "capped"}, {fmt.Sprintf("%016x", 0xa000), "a"}} {
+		outcome := sendCancel(w, w.engine, allowed[0], allowed[1])
+		w.run(100 * time.Millisecond)
+		require.NotNil(t, *outcome)
+		assert.Equal(t, NotFound, **outcome)
+	}
+}
--- a/internal/cell/engine/world_jobs_test.go
+++ b/internal/cell/engine/world_jobs_test.go
@@ -44,7 +44,7 @@
 // state returns the state that the engine reports for a job, or "unknown".
 func (w *world) state(id string) string {
 	state := ""
-	w.engine.Handle(w.now, &Status{ID: id, Team: w.specs[id].Team, Reply: func(a Answer) {
+	w.engine.Handle(w.now, &Status{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(a Answer) {
 		state = a.State
 		if a.Outcome == NotFound {
 			state = "unknown"
@@ -57,7 +57,7 @@
 func (w *world) cancel(id string) {
 	e := w.engine
 	w.cancelRequested[id] = true
-	e.Handle(w.now, &Cancel{ID: id, Team: w.specs[id].Team, Reply: func(Answer) {
+	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(Answer) {
 		if w.engine == e {
 			w.canceledAt[id] = w.now
 		}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -241,12 +241,18 @@
 	}
 	debugLog(w.t, w)
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
-	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
+	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step), Withdrawals: make(map[string]*record.Withdrawal)}
 	for key, value := range w.stored {
 		if key == record.ModelKey {
 			state.Model = value
 			continue
 		}
+		if record.IsWithdrawal(key) {
+			rec := new(record.Withdrawal)
+			w.must(record.Decode(value, rec))
+			state.Withdrawals[key] = rec
+			continue
+		}
 		id, step, err := record.ParseKey(key)
 		if err != nil {
 			w.t.Fatal(err)
--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -124,6 +124,8 @@
 	// Entry is the address, for other instances, of the instance that took the job from its
 	// caller. It keeps the payload of its newest jobs for relays.
 	Entry string `cbor:"9,keyasint,omitempty"`
+	// Public reports that the job was submitted to a queue that takes requests without a key.
+	Public bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/internal/cell/node/explain_test.go
+++ b/internal/cell/node/explain_test.go
@@ -25,7 +25,7 @@
 			require.NotNil(t, answer.Explanation)
 			assert.Equal(t, engine.VerdictAccepted, answer.Explanation.Verdict)
 			assert.Len(t, answer.Explanation.Steps, 1)
-			found, err := m.Status(ctx, "new", "a")
+			found, err := m.Status(ctx, "new", engine.Caller{Team: "a"})
 			require.NoError(t, err)
 			assert.Equal(t, engine.NotFound, found.Outcome)
 			known, err := m.Explain(ctx, nil, "known")
--- a/internal/cell/node/node_test.go
+++ b/internal/cell/node/node_test.go
@@ -52,7 +52,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	answer, err := m.Status(ctx, id, "a")
+	answer, err := m.Status(ctx, id, engine.Caller{Team: "a"})
 	require.NoError(t, err)
 	return answer.State
 }
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -65,17 +65,17 @@
 	return max(1, time.Until(deadline))
 }
 
-// Cancel cancels a job of team. An error is a *verdict.Error.
-func (n *Node) Cancel(ctx context.Context, id, team string) (engine.Answer, error) {
-	return n.request(ctx, "Cancel", &JobArgs{ID: id, Team: team}, func(answer func(engine.Answer)) any {
-		return &engine.Cancel{ID: id, Team: team, Reply: answer}
+// Cancel cancels a job for a caller. An error is a *verdict.Error.
+func (n *Node) Cancel(ctx context.Context, id string, caller engine.Caller) (engine.Answer, error) {
+	return n.request(ctx, "Cancel", newJobArgs(id, caller), func(answer func(engine.Answer)) any {
+		return &engine.Cancel{ID: id, Caller: caller, Reply: answer}
 	})
 }
 
-// Status returns the status of a job of team. An error is a *verdict.Error.
-func (n *Node) Status(ctx context.Context, id, team string) (engine.Answer, error) {
-	return n.request(ctx, "Status", &JobArgs{ID: id, Team: team}, func(answer func(engine.Answer)) any {
-		return &engine.Status{ID: id, Team: team, Reply: answer}
+// Status returns the status of a job for a caller. An error is a *verdict.Error.
+func (n *Node) Status(ctx context.Context, id string, caller engine.Caller) (engine.Answer, error) {
+	return n.request(ctx, "Status", newJobArgs(id, caller), func(answer func(engine.Answer)) any {
+		return &engine.Status{ID: id, Caller: caller, Reply: answer}
 	})
 }
 
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -36,8 +36,19 @@
 	Term int64
 }
 
-// JobArgs are the arguments of Cancel and Status: a job and the team that it belongs to.
-type JobArgs struct{ ID, Team string }
+// JobArgs are the arguments of Cancel and Status: a job, and the caller as in engine.Caller.
+type JobArgs struct {
+	ID, Team, Queue string
+	Public          bool
+}
+
+func newJobArgs(id string, c engine.Caller) *JobArgs {
+	return &JobArgs{ID: id, Team: c.Team, Queue: c.Queue, Public: c.Public}
+}
+
+func (a *JobArgs) caller() engine.Caller {
+	return engine.Caller{Team: a.Team, Queue: a.Queue, Public: a.Public}
+}
 
 // QueueArgs are the arguments of Pending.
 type QueueArgs struct{ Queue string }
@@ -93,14 +104,14 @@
 // Cancel cancels a job, if this instance leads.
 func (s *Service) Cancel(args *JobArgs, reply *Reply) error {
 	return s.answerLocally(reply, func(answer func(engine.Answer)) any {
-		return &engine.Cancel{ID: args.ID, Team: args.Team, Reply: answer}
+		return &engine.Cancel{ID: args.ID, Caller: args.caller(), Reply: answer}
 	})
 }
 
 // Status returns the status of a job, if this instance leads.
 func (s *Service) Status(args *JobArgs, reply *Reply) error {
 	return s.answerLocally(reply, func(answer func(engine.Answer)) any {
-		return &engine.Status{ID: args.ID, Team: args.Team, Reply: answer}
+		return &engine.Status{ID: args.ID, Caller: args.caller(), Reply: answer}
 	})
 }
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -75,7 +75,7 @@
 // false if the term ended first.
 func (l *leader) load() (engine.Restored, bool) {
 	for l.ctx.Err() == nil {
-		state := engine.Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step)}
+		state := engine.Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step), Withdrawals: make(map[string]*record.Withdrawal)}
 		ctx, cancel := context.WithTimeout(l.ctx, loadTimeout)
 		err := l.n.ports.Store.Load(ctx, func(r record.Record) { l.restoreRecord(&state, r) })
 		cancel()
@@ -95,6 +95,12 @@
 		state.Model = r.Value
 		return
 	}
+	if record.IsWithdrawal(r.Key) {
+		if err := setDecoded(state.Withdrawals, r.Key, r.Value); err != nil {
+			l.n.log.Error("cannot decode the value of a record", "key", r.Key, "reason", err.Error())
+		}
+		return
+	}
 	id, step, err := record.ParseKey(r.Key)
 	if err != nil {
 		l.n.log.Error("cannot parse the key of a record", "key", r.Key, "reason", err.Error())
