--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -69,7 +69,7 @@
 // resubmit answers a repeated submission of a known job.
 func (e *Engine) resubmit(j *jobState, ev *Submit) {
 	caller := Caller{Team: ev.Spec.Team, Queue: ev.Spec.Queue, Public: ev.Spec.Public}
-	if !caller.mayAccess(j.team) {
+	if !caller.mayAccess(j.team, j.queue) {
 		e.replyRefused(ev, "the id is taken", 0)
 		return
 	}
@@ -163,7 +163,7 @@
 		ev.Reply(a)
 	}
 	outcome := OK
-	if j == nil || !ev.Caller.mayAccess(j.team) {
+	if j == nil || !ev.Caller.mayAccess(j.team, j.queue) {
 		outcome = NotFound
 		if why, retryAfter := e.storeUnavailable(0); why != "" {
 			reply(Answer{Outcome: Refused, Why: why, RetryAfter: retryAfter})
@@ -189,7 +189,7 @@
 	switch {
 	case j == nil:
 		return "unknown"
-	case !c.mayAccess(j.team):
+	case !c.mayAccess(j.team, j.queue):
 		return "of another team"
 	case !j.stored:
 		return "not stored"
@@ -199,7 +199,7 @@
 
 func (e *Engine) status(ev *Status) {
 	j := e.jobs[ev.ID]
-	if j == nil || !ev.Caller.mayAccess(j.team) || !j.stored {
+	if j == nil || !ev.Caller.mayAccess(j.team, j.queue) || !j.stored {
 		e.log.Info("job not found", "job", ev.ID, "team", ev.Caller.Team, "term", e.cfg.Term, "known", e.knowledgeOf(j, ev.Caller), "declarations", e.policy.Version)
 		ev.Reply(Answer{Outcome: NotFound})
 		return
--- a/internal/cell/engine/withdrawals.go
+++ b/internal/cell/engine/withdrawals.go
@@ -31,8 +31,11 @@
 	Public bool   // the queue takes requests without a key
 }
 
-// mayAccess reports whether c may see and cancel a job of the given team.
-func (c Caller) mayAccess(team string) bool { return c.Team == team }
+// mayAccess reports whether c may see and cancel a job of the given team and queue. Requests to a public queue
+// need no key, so they reach each of its jobs. No key tells a job that was submitted without one.
+func (c Caller) mayAccess(team, queue string) bool {
+	return c.Team == team || c.Queue == queue && (c.Public || team == "")
+}
 
 // withdrawals are the withdrawals of a cell.
 type withdrawals struct {
@@ -108,7 +111,7 @@
 // withdrawn reports whether the cancellation of a job that is submitted was acknowledged.
 func (e *Engine) withdrawn(ev *Submit) bool {
 	return slices.ContainsFunc(e.withdrawals.byJob[ev.Spec.ID], func(w *record.Withdrawal) bool {
-		return callerOf(w).mayAccess(ev.Spec.Team)
+		return callerOf(w).mayAccess(ev.Spec.Team, ev.Spec.Queue)
 	})
 }
 
--- a/internal/cell/engine/withdrawals_test.go
+++ b/internal/cell/engine/withdrawals_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
 	"pollenbend/internal/cell/record"
 )
 
@@ -157,3 +158,57 @@
 		assert.Equal(t, NotFound, **outcome)
 	}
 }
+
+// Guards against issue 47: a caller without a known key on a public queue was told that a job of it, which had been
+// submitted with one, does not exist.
+func TestCallersOfAPublicQueueReachEachOfItsJobs(t *testing.T) {
+	anyone := Caller{Queue: "batch", Public: true}
+	for name, test := range map[string]struct {
+		submitted string // team of the submission
+		caller    Caller
+		want      Outcome
+	}{
+		"without a key":                       {"a", anyone, OK},
+		"with a key":                          {"", Caller{Team: "a", Queue: "batch", Public: true}, OK},
+		"of another public queue":             {"a", Caller{Queue: "gangs", Public: true}, NotFound},
+		"of a queue that is public no more":   {"", Caller{Team: "a", Queue: "batch"}, OK},
+		"with another key and not public":     {"a", Caller{Team: "capped", Queue: "batch"}, NotFound},
+		"without a key, of a job without one": {"", anyone, OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 1)
+			w.policy.Teams = append(w.policy.Teams, policy.Team{}) // callers without a key
+			w.policy.Index()
+			w.startLeader()
+			w.run(time.Second)
+			id := w.submit("batch", test.submitted, tasks(1, 1000, 3*time.Second))
+			w.run(time.Second)
+			var shown, canceled Answer
+			w.engine.Handle(w.now, &Status{ID: id, Caller: test.caller, Reply: func(a Answer) { shown = a }})
+			w.engine.Handle(w.now, &Cancel{ID: id, Caller: test.caller, Reply: func(a Answer) { canceled = a }})
+			w.run(time.Second)
+			assert.Equal(t, test.want, shown.Outcome)
+			assert.Equal(t, test.want, canceled.Outcome)
+			assert.Equal(t, test.want == OK, w.state(id) == StateCanceled)
+		})
+	}
+}
+
+// The key may be taken away between a submission to a public queue and its repeat, or its cancellation and
+// the submission.
+func TestSubmissionToAPublicQueueIsTheSameWithoutItsKey(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, time.Second))
+	w.run(time.Second)
+	repeat := specOf(id)
+	repeat.Team, repeat.Public = "", true
+	w.sendSubmit(repeat)
+	w.run(time.Second)
+	assert.Equal(t, OK, w.answers[id].Outcome)
+
+	w.engine.Handle(w.now, &Cancel{ID: "00000000000000a1", Caller: Caller{Queue: "batch", Public: true}, Reply: func(Answer) {}})
+	w.run(time.Second)
+	w.starts = 0
+	requireNeverStarts(t, w, "00000000000000a1")
+}
