--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -194,7 +194,7 @@
 		}
 	}
 	e.markStarted(t.step.job())
-	e.log.Info("task started", "job", t.step.job().id, "task", t.name, "run", r.number, "worker", r.worker.id,
+	e.log.Info("task started", "term", e.cfg.Term, "job", t.step.job().id, "task", t.name, "run", r.number, "worker", r.worker.id,
 		"life", ev.Start.Incarnation, "answer_life", ev.Incarnation, "worker_life", r.worker.incarnation, "orders", r.startsSent, "unanswered", r.unansweredStarts,
 		"order_ms", e.msSince(r.startSentAt), "ready_ms", e.msSince(t.step.readyAt), "checkpoint", r.checkpoint != "")
 	if r.phase == stopping {
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -53,7 +53,7 @@
 			pending.Reply(Answer{Outcome: OK})
 		}
 		j.pendingSubmits = nil
-		e.log.Info("job accepted", "job", j.id, "queue", j.queue, "team", j.team, "steps", len(ev.Spec.Steps), "after_ms", e.msSince(j.arrivedAt))
+		e.log.Info("job accepted", "job", j.id, "term", e.cfg.Term, "queue", j.queue, "team", j.team, "steps", len(ev.Spec.Steps), "after_ms", e.msSince(j.arrivedAt))
 	})
 }
 
@@ -165,16 +165,17 @@
 	outcome := OK
 	if j == nil || !ev.Caller.mayAccess(j.team, j.queue) {
 		outcome = NotFound
-		if why, retryAfter := e.storeUnavailable(0); why != "" {
+		why, retryAfter := e.storeUnavailable(0)
+		if why == "" && e.withdrawals.find(ev.ID, ev.Caller) == nil && !e.withdrawals.hasRoom(ev.Caller) {
+			why, retryAfter = "too many cancellations of unknown jobs", withdrawalRetryAfter
+		}
+		if why != "" {
 			reply(Answer{Outcome: Refused, Why: why, RetryAfter: retryAfter})
 			return
 		}
 	}
-	if outcome == NotFound || !j.stored { // the store may still refuse the job
-		if retryAfter := e.withdraw(ev.ID, ev.Caller); retryAfter > 0 {
-			reply(Answer{Outcome: Refused, Why: "too many cancellations of unknown jobs", RetryAfter: retryAfter})
-			return
-		}
+	if outcome == NotFound || e.mayForget(j) {
+		e.withdraw(ev.ID, ev.Caller)
 	}
 	if outcome == OK && j.state == record.Open {
 		e.log.Info("job canceled", "job", j.id, "begun", j.started)
@@ -183,6 +184,12 @@
 	e.afterAppend(func() { reply(Answer{Outcome: outcome}) })
 }
 
+// mayForget reports whether a copy of the submission of j may arrive after j is forgotten: the store may refuse j, or
+// its retention is over soon.
+func (e *Engine) mayForget(j *jobState) bool {
+	return !j.stored || j.state.Final() && e.wall()-j.endedAt >= e.cfg.EndedJobRetention.Milliseconds()/2
+}
+
 // knowledgeOf returns what this leader knows of a job that a caller asks for, for the log: that it
 // is unknown, of another team, not stored yet, or its state.
 func (e *Engine) knowledgeOf(j *jobState, c Caller) string {
@@ -324,8 +331,8 @@
 	return false
 }
 
-// dropExpiredJobs drops jobs that ended more than EndedJobRetention ago and withdrawals that
-// are as old, from the store as well, and the times of stop commands for unknown runs after a minute.
+// dropExpiredJobs drops jobs that ended more than EndedJobRetention ago, from the
+// store as well, old withdrawals, and the times of stop commands for unknown runs after a minute.
 func (e *Engine) dropExpiredJobs() {
 	n := 0
 	wall := e.wall()
@@ -338,7 +345,7 @@
 		n++
 	}
 	e.endedJobs = e.endedJobs[n:]
-	e.dropExpiredWithdrawals(wall)
+	e.dropExpiredWithdrawals()
 	for k, at := range e.unknownRunStops {
 		if e.now.Sub(at) > time.Minute {
 			delete(e.unknownRunStops, k)
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -37,7 +37,7 @@
 		e.restoreJob(id, from.Jobs[id], wall, from.Steps)
 	}
 	sort.SliceStable(e.endedJobs, func(a, b int) bool { return e.endedJobs[a].endedAt < e.endedJobs[b].endedAt })
-	e.log.Info("state restored", "jobs", len(from.Jobs), "steps", len(from.Steps), "open_steps", len(e.openSteps), "workers", len(e.workerList))
+	e.log.Info("state restored", "jobs", len(from.Jobs), "steps", len(from.Steps), "withdrawals", len(from.Withdrawals), "open_steps", len(e.openSteps), "workers", len(e.workerList))
 }
 
 // restoreJob restores a job and its steps.
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -270,7 +270,12 @@
 )
 
 // String returns the name of o that logs use.
-func (o Outcome) String() string { return [...]string{"ok", "refused", "not found"}[o] }
+func (o Outcome) String() string {
+	if names := [...]string{"ok", "refused", "not found"}; int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
 
 // Answer is the final answer to a caller's request.
 type Answer struct {
--- a/internal/cell/engine/withdrawals.go
+++ b/internal/cell/engine/withdrawals.go
@@ -1,24 +1,24 @@
 package engine
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"pollenbend/internal/cell/record"
 )
 
-// A cancellation of a job that is not known, or not stored, is stored as a withdrawal before it is
-// acknowledged. A submission of the job that is still under way is then refused when it arrives, also by
-// the next leaders, and a leader that was replaced can't acknowledge a cancellation: the store refuses the record.
+// A withdrawal is the cancellation of a job that the leader doesn't know, or that may be forgotten before a late
+// copy of its submission arrives. It is stored before the cancellation is acknowledged: a submission of the job
+// is refused from then on, by the next leaders too, and the store refuses the record of a leader that was replaced.
 
 const (
-	// maxTeamWithdrawals bounds the withdrawals of a team, and maxWithdrawals those of all teams. At 300 bytes
-	// each they take 20 MB.
-	maxTeamWithdrawals = 4096
-	maxWithdrawals     = 65_536
-	// maxWithdrawalRetryAfter bounds the retry delay of a caller whose team has used up its bound.
-	maxWithdrawalRetryAfter = 10 * time.Second
+	// maxTeamWithdrawals bounds the withdrawals of a team, and maxWithdrawals those of all teams. A new leader
+	// reads them 500 at a time.
+	maxTeamWithdrawals = 2048
+	maxWithdrawals     = 16_384
+	// withdrawalRetryAfter is the retry delay of a caller whose team has used up its bound.
+	withdrawalRetryAfter = 10 * time.Second
 )
 
 // canceledReason is the reason for refusing a job whose cancellation was acknowledged.
@@ -27,117 +27,127 @@
 // Caller tells whom a request about a job comes from.
 type Caller struct {
 	Team   string // of the caller's key; empty without one
-	Queue  string // that the request was sent to
+	Queue  string // that the request was sent to; empty from instances of earlier versions
 	Public bool   // the queue takes requests without a key
 }
 
-// mayAccess reports whether c may see and cancel a job of the given team and queue. Requests to a public queue
-// need no key, so they reach each of its jobs. No key tells a job that was submitted without one.
+// mayAccess reports whether c may see and cancel a job of the given team and queue. On a public queue no key is
+// needed, so a caller without one reaches each job of the queue; a job that was submitted without a key is open to all
+// callers of its queue.
 func (c Caller) mayAccess(team, queue string) bool {
-	return c.Team == team || c.Queue == queue && (c.Public || team == "")
+	if c.Team != "" && c.Team == team || c.Queue == "" && c.Team == team {
+		return true
+	}
+	return c.Queue == queue && (team == "" || c.Public && c.Team == "")
+}
+
+// bounded returns the name under which the withdrawals of c are counted: its team or, without one, its queue.
+func (c Caller) bounded() string {
+	if c.Team != "" {
+		return "team " + c.Team
+	}
+	return "queue " + c.Queue
+}
+
+// withdrawal is a withdrawal in force. Its age is counted by the clock of this engine, since it was acknowledged
+// or the term began, so that no jump of the time of day ends it.
+type withdrawal struct {
+	*record.Withdrawal
+	caller Caller
+	since  time.Time
 }
 
 // withdrawals are the withdrawals of a cell.
 type withdrawals struct {
-	byJob  map[string][]*record.Withdrawal
-	byAge  []*record.Withdrawal // the oldest first
-	byTeam map[string]int       // number of them
+	byJob map[string][]*withdrawal
+	byAge []*withdrawal  // the oldest first
+	count map[string]int // see Caller.bounded
 }
 
 func newWithdrawals() withdrawals {
-	return withdrawals{byJob: make(map[string][]*record.Withdrawal), byTeam: make(map[string]int)}
+	return withdrawals{byJob: make(map[string][]*withdrawal), count: make(map[string]int)}
 }
 
-// add adds w as the newest.
-func (all *withdrawals) add(w *record.Withdrawal) {
-	all.byJob[w.Job] = append(all.byJob[w.Job], w)
+// add adds a withdrawal as the newest.
+func (all *withdrawals) add(rec *record.Withdrawal, now time.Time) {
+	w := &withdrawal{Withdrawal: rec, caller: Caller{Team: rec.Team, Queue: rec.Queue, Public: rec.Public}, since: now}
+	all.byJob[rec.Job] = append(all.byJob[rec.Job], w)
 	all.byAge = append(all.byAge, w)
-	all.byTeam[w.Team]++
+	all.count[w.caller.bounded()]++
 }
 
-// remove removes the withdrawals byAge[from:to].
-func (all *withdrawals) remove(from, to int) {
-	for _, w := range all.byAge[from:to] {
-		all.forget(w)
-	}
-	all.byAge = slices.Delete(all.byAge, from, to)
+// renew makes w the newest.
+func (all *withdrawals) renew(w *withdrawal, now time.Time) {
+	w.since = now
+	i := slices.Index(all.byAge, w)
+	all.byAge = append(slices.Delete(all.byAge, i, i+1), w)
 }
 
-// forget removes w from the maps.
-func (all *withdrawals) forget(w *record.Withdrawal) {
-	same := func(other *record.Withdrawal) bool { return other == w }
-	if all.byJob[w.Job] = slices.DeleteFunc(all.byJob[w.Job], same); len(all.byJob[w.Job]) == 0 {
-		delete(all.byJob, w.Job)
-	}
-	if all.byTeam[w.Team]--; all.byTeam[w.Team] == 0 {
-		delete(all.byTeam, w.Team)
+// removeOldest removes the n oldest withdrawals.
+func (all *withdrawals) removeOldest(n int) {
+	for _, w := range all.byAge[:n] {
+		same := func(other *withdrawal) bool { return other == w }
+		if all.byJob[w.Job] = slices.DeleteFunc(all.byJob[w.Job], same); len(all.byJob[w.Job]) == 0 {
+			delete(all.byJob, w.Job)
+		}
+		if all.count[w.caller.bounded()]--; all.count[w.caller.bounded()] == 0 {
+			delete(all.count, w.caller.bounded())
+		}
 	}
+	all.byAge = slices.Delete(all.byAge, 0, n)
 }
 
 // find returns the withdrawal of a job by c, or nil.
-func (all *withdrawals) find(id string, c Caller) *record.Withdrawal {
+func (all *withdrawals) find(id string, c Caller) *withdrawal {
 	for _, w := range all.byJob[id] {
-		if callerOf(w) == c {
+		if w.caller == c {
 			return w
 		}
 	}
 	return nil
 }
 
-func callerOf(w *record.Withdrawal) Caller {
-	return Caller{Team: w.Team, Queue: w.Queue, Public: w.Public}
+// hasRoom reports whether one more withdrawal by c is within the bounds.
+func (all *withdrawals) hasRoom(c Caller) bool {
+	return len(all.byAge) < maxWithdrawals && all.count[c.bounded()] < maxTeamWithdrawals
 }
 
-// withdraw puts a withdrawal of a job by c into the next append. It returns the delay after which there is
-// room for it, or zero.
-func (e *Engine) withdraw(id string, c Caller) time.Duration {
-	wall := e.wall()
+// withdraw has a withdrawal of a job by c stored with the next append, unless there is one.
+func (e *Engine) withdraw(id string, c Caller) {
 	if w := e.withdrawals.find(id, c); w != nil {
-		if wall-w.At < e.cfg.EndedJobRetention.Milliseconds()/2 {
-			return 0 // its record is stored, or in an append before the answer
+		if e.now.Sub(w.since) >= e.cfg.EndedJobRetention/2 {
+			e.withdrawals.renew(w, e.now)
 		}
-		i := slices.Index(e.withdrawals.byAge, w)
-		e.withdrawals.remove(i, i+1)
+		return
 	}
-	if len(e.withdrawals.byAge) >= maxWithdrawals || e.withdrawals.byTeam[c.Team] >= maxTeamWithdrawals {
-		return maxWithdrawalRetryAfter
-	}
-	w := &record.Withdrawal{Job: id, Team: c.Team, Queue: c.Queue, Public: c.Public, At: wall}
-	e.withdrawals.add(w)
-	e.put(w.Key(), record.Encode(w))
-	return 0
+	rec := &record.Withdrawal{Job: id, Team: c.Team, Queue: c.Queue, Public: c.Public}
+	e.withdrawals.add(rec, e.now)
+	e.put(rec.Key(), record.Encode(rec))
 }
 
 // withdrawn reports whether the cancellation of a job that is submitted was acknowledged.
 func (e *Engine) withdrawn(ev *Submit) bool {
-	return slices.ContainsFunc(e.withdrawals.byJob[ev.Spec.ID], func(w *record.Withdrawal) bool {
-		return callerOf(w).mayAccess(ev.Spec.Team, ev.Spec.Queue)
+	return slices.ContainsFunc(e.withdrawals.byJob[ev.Spec.ID], func(w *withdrawal) bool {
+		return w.caller.mayAccess(ev.Spec.Team, ev.Spec.Queue)
 	})
 }
 
-// dropExpiredWithdrawals drops withdrawals after EndedJobRetention, as jobs that were canceled.
-func (e *Engine) dropExpiredWithdrawals(wall int64) {
+// dropExpiredWithdrawals drops withdrawals that are older than EndedJobRetention, from the store as well.
+func (e *Engine) dropExpiredWithdrawals() {
 	n := 0
 	for _, w := range e.withdrawals.byAge {
-		if wall-w.At < e.cfg.EndedJobRetention.Milliseconds() {
+		if e.now.Sub(w.since) < e.cfg.EndedJobRetention {
 			break
 		}
 		e.put(w.Key(), nil)
 		n++
 	}
-	e.withdrawals.remove(0, n)
+	e.withdrawals.removeOldest(n)
 }
 
-// restoreWithdrawals restores the withdrawals that earlier leaders stored.
+// restoreWithdrawals restores the withdrawals that earlier leaders stored, by key.
 func (e *Engine) restoreWithdrawals(stored map[string]*record.Withdrawal) {
-	all := make([]*record.Withdrawal, 0, len(stored))
-	for _, w := range stored {
-		all = append(all, w)
-	}
-	slices.SortFunc(all, func(a, b *record.Withdrawal) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Key(), b.Key()))
-	})
-	for _, w := range all {
-		e.withdrawals.add(w)
+	for _, key := range slices.Sorted(maps.Keys(stored)) {
+		e.withdrawals.add(stored[key], e.now)
 	}
 }
--- a/internal/cell/record/withdrawal.go
+++ b/internal/cell/record/withdrawal.go
@@ -8,14 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Withdrawal is the record of a cancellation of a job that was not known when it came: a submission of the
-// job by the same caller that arrives later is refused.
+// Withdrawal is the record of a cancellation by whose acknowledgement a submission of the job that arrives later is
+// refused.
 type Withdrawal struct {
 	Job    string `cbor:"1,keyasint"`
 	Team   string `cbor:"2,keyasint,omitempty"` // of the caller's key
 	Queue  string `cbor:"3,keyasint,omitempty"` // that the cancellation was sent to
 	Public bool   `cbor:"4,keyasint,omitempty"` // the queue takes requests without a key
-	At     int64  `cbor:"5,keyasint"`           // Unix milliseconds
 }
 
 const withdrawalPrefix = "w/"
