Random schedules: cancellations at any time and at replaced leaders

Change: an option cancels of the schedules. Callers submit copies, ask for and cancel jobs before, while and after their submission, while the store refuses, hangs or is slow, at the leader and at leaders that were replaced and go on answering for up to 2.5 s; callers of another team do the same. From the answer to a cancellation on no start command may leave, and runs must end in 3 s where the leader reaches the worker.

--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -25,6 +25,7 @@
 	takeovers      bool     // new leaders don't reach a worker, which gets late commands of the earlier one
 	fills          bool     // batch tasks fill the workers, beside urgent jobs
 	confined       bool     // some jobs may use few workers, or few of their tasks may run at a time
+	cancels        bool     // callers cancel jobs at any time, also at leaders that were replaced
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
@@ -55,6 +56,9 @@
 	}
 	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	evacuations, takeovers, confined := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
+	if o.cancels {
+		w.callers = newCallers(w, rand.New(rand.NewPCG(seed, 10)))
+	}
 	w.failureRatio = 0.05
 	w.run(time.Second)
 	for range 60 {
@@ -66,6 +70,9 @@
 			n.submitConfined(confined)
 		}
 		n.injectFault()
+		if o.cancels {
+			w.callers.act()
+		}
 		if o.drains && drains.IntN(6) == 0 {
 			n.drain(drains)
 		}
@@ -299,6 +306,11 @@
 // runRefusalSeeds runs the schedules of refusalSeeds.
 func runRefusalSeeds(t *testing.T, o refusalOptions) {
 	first, count := refusalSeeds()
+	runRefusals(t, first, count, o)
+}
+
+// runRefusals runs count schedules from the first seed on.
+func runRefusals(t *testing.T, first, count uint64, o refusalOptions) {
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -363,3 +375,15 @@
 func TestRandomRefusalsWithContentionAdmission(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{features: Features{ContentionAdmission: true}, restartsKeepID: true, untold: true, drains: true})
 }
+
+// cancelSeeds is the number of schedules with cancellations in CI.
+const cancelSeeds = 12
+
+// Callers cancel jobs before, while and after they are submitted, at the leader and at leaders that were replaced.
+func TestRandomRefusalsWithCancellations(t *testing.T) {
+	first, count := refusalSeeds()
+	if os.Getenv("WORLD_SEEDS") == "" {
+		count = cancelSeeds
+	}
+	runRefusals(t, first, count, refusalOptions{cancels: true})
+}
--- a/internal/cell/engine/world_actions_test.go
+++ b/internal/cell/engine/world_actions_test.go
@@ -5,6 +5,7 @@
 // execute carries out an action of the engine.
 func (w *world) execute(action any) {
 	e := w.engine
+	w.callers.checkCommand(action)
 	if w.net != nil && w.net.execute(e, action) {
 		return
 	}
@@ -66,7 +67,8 @@
 	}
 	w.after(2*simTick+w.storeDelay, func() {
 		if w.engine != e {
-			return // a later leader has fenced this one off
+			w.callers.refuseAppend(e, a) // a later leader has fenced this one off
+			return
 		}
 		for _, r := range a.Records {
 			if len(r.Value) == 0 {
--- /dev/null
+++ b/internal/cell/engine/world_callers_test.go
@@ -0,0 +1,318 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"pollenbend/internal/cell/job"
+)
+
+// callers submit, ask for and cancel jobs in any order, at the engine that leads and at engines
+// that were replaced and go on answering. They check what the answers promise.
+type callers struct {
+	w     *world
+	rand  *rand.Rand
+	stale []*staleEngine
+
+	canceledAt map[string]time.Time // when a caller of the job's team was first told that it is canceled or not known
+	canceling  map[string]bool      // jobs that a caller of their team tried to cancel, at any engine
+	submits    map[string]int       // submissions sent, by job
+	refusals   map[string]int       // submissions refused, by job
+
+	leaderSince    time.Time
+	reachableSince map[string]time.Time // since when nothing keeps the leader from stopping runs, by worker
+}
+
+// staleEngine is an engine that was replaced and does not know it. The store and the workers do
+// nothing for it.
+type staleEngine struct {
+	engine *Engine
+	until  time.Time // the end of its process
+	told   bool      // the store answers its appends, else it never does
+}
+
+const (
+	// maxStaleTime is the longest time for which a leader that reaches nobody goes on.
+	maxStaleTime = 2500 * time.Millisecond
+	// maxCancelDelay is the longest time from the answer to a cancellation to the end of the last run
+	// on a worker that the leader reaches.
+	maxCancelDelay = 3 * time.Second
+	// stopSlack allows for the time that the stop command and its answer travel.
+	stopSlack = 300 * time.Millisecond
+)
+
+func newCallers(w *world, r *rand.Rand) *callers {
+	return &callers{w: w, rand: r, canceledAt: make(map[string]time.Time), canceling: make(map[string]bool), submits: make(map[string]int), refusals: make(map[string]int),
+		leaderSince: w.now, reachableSince: make(map[string]time.Time)}
+}
+
+// listens reports whether e leads, or was replaced and goes on.
+func (w *world) listens(e *Engine) bool { return e == w.engine || w.callers.staleOf(e) != nil }
+
+// staleOf returns the stale engine that e is, or nil.
+func (c *callers) staleOf(e *Engine) *staleEngine {
+	if c == nil {
+		return nil
+	}
+	for _, s := range c.stale {
+		if s.engine == e {
+			return s
+		}
+	}
+	return nil
+}
+
+// takeOver starts a new leader while the replaced one goes on answering.
+func (c *callers) takeOver() {
+	c.stale = append(c.stale, &staleEngine{engine: c.w.engine, until: c.w.now.Add(c.upTo(maxStaleTime)), told: c.rand.IntN(2) == 0})
+	c.w.startLeader()
+}
+
+// leaderStarted records that a new leader has started.
+func (c *callers) leaderStarted() {
+	if c != nil {
+		c.leaderSince = c.w.now
+	}
+}
+
+// settle carries out what the stale engines ask for: no worker and no adviser answers them.
+func (c *callers) settle() {
+	if c == nil {
+		return
+	}
+	going := c.stale[:0]
+	for _, s := range c.stale {
+		if c.w.now.Before(s.until) && !s.engine.steppedDown {
+			going = append(going, s)
+		}
+	}
+	c.stale = going
+	for _, s := range c.stale {
+		for _, action := range s.engine.Settle(c.w.now) {
+			switch a := action.(type) {
+			case *Append:
+				c.refuseAppend(s.engine, a)
+			case *Start:
+				c.w.deliver(s.engine, a.Timeout, &StartAnswered{Start: a, Outcome: NoAnswer})
+			case *Stop:
+				c.w.deliver(s.engine, a.Timeout, &StopAnswered{Stop: a, Outcome: NoAnswer})
+			case *Renew:
+				c.w.deliver(s.engine, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: c.w.now})
+			case *AdviceCall:
+				c.w.deliver(s.engine, a.ExpectedDuration, &AdviceAnswered{Call: a})
+			}
+		}
+	}
+	c.checkStops()
+}
+
+// refuseAppend answers an append of a replaced engine if the store answers it at all.
+func (c *callers) refuseAppend(e *Engine, a *Append) {
+	if s := c.staleOf(e); s != nil && s.told {
+		c.w.deliver(e, 2*simTick+c.w.storeDelay, &Appended{Append: a, Outcome: Superseded})
+	}
+}
+
+func (c *callers) upTo(d time.Duration) time.Duration { return time.Duration(c.rand.Int64N(int64(d))) }
+
+// instance returns the engine that takes a request: mostly the leading one.
+func (c *callers) instance() *Engine {
+	if len(c.stale) > 0 && c.rand.IntN(3) == 0 {
+		return c.stale[c.rand.IntN(len(c.stale))].engine
+	}
+	return c.w.engine
+}
+
+// act draws the requests about one job, and takeovers.
+func (c *callers) act() {
+	w, r := c.w, c.rand
+	if r.IntN(12) == 0 {
+		c.takeOver()
+	}
+	if r.IntN(2) == 0 {
+		return
+	}
+	spec := c.drawJob()
+	id, team, otherTeam := spec.ID, spec.Team, "capped"
+	if team == otherTeam {
+		otherTeam = "a"
+	}
+	submitted := c.upTo(1500 * time.Millisecond)
+	w.after(submitted, func() { c.submit(c.instance(), spec) })
+	for range r.IntN(3) {
+		w.after(submitted+c.upTo(5*time.Second), func() { c.submit(c.instance(), spec) })
+	}
+	if r.IntN(5) > 0 {
+		at := c.upTo(3 * time.Second)
+		for range 1 + r.IntN(3) {
+			w.after(at, func() { c.cancel(c.instance(), id, team) })
+			at += c.upTo(2 * time.Second)
+		}
+	}
+	if r.IntN(3) == 0 {
+		w.after(c.upTo(4*time.Second), func() { c.cancel(c.instance(), id, otherTeam) })
+		w.after(c.upTo(4*time.Second), func() { c.status(c.instance(), id, otherTeam) })
+	}
+	for range r.IntN(3) {
+		w.after(c.upTo(6*time.Second), func() { c.status(c.instance(), id, team) })
+	}
+	if r.IntN(4) == 0 {
+		w.after(max(0, submitted-50*time.Millisecond), c.disturbStore)
+	}
+	if r.IntN(6) == 0 {
+		w.after(c.upTo(4*time.Second), c.takeOver)
+	}
+}
+
+// drawJob draws a job that nobody has submitted yet.
+func (c *callers) drawJob() *job.Spec {
+	w, r := c.w, c.rand
+	step := tasks(1+r.IntN(3), int64(200+r.IntN(600)), 100*time.Millisecond+c.upTo(6*time.Second))
+	spec := &job.Spec{Queue: []string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], Team: []string{"a", "capped"}[r.IntN(2)], Payload: "p"}
+	step.Gang = spec.Queue == "gangs"
+	step.Speculative = !step.Gang && r.IntN(4) == 0
+	spec.Steps = []job.Step{step}
+	if r.IntN(3) == 0 {
+		next := step
+		next.DependsOn = []int{0}
+		spec.Steps = append(spec.Steps, next)
+	}
+	return w.addSpec(spec)
+}
+
+// disturbStore has the store refuse, hang or be slow for up to a second.
+func (c *callers) disturbStore() {
+	w, lasts := c.w, c.upTo(time.Second)
+	switch c.rand.IntN(3) {
+	case 0:
+		w.storeRefuses = true
+		w.after(lasts, func() { w.storeRefuses = false; w.engine.Handle(w.now, &StoreRecovered{}) })
+	case 1:
+		w.storeHangs = true
+		w.after(lasts, func() { w.storeHangs = false })
+	case 2:
+		w.storeDelay = c.upTo(300 * time.Millisecond)
+		w.after(lasts, func() { w.storeDelay = 0 })
+	}
+}
+
+// submit sends a copy of the submission of a job to e.
+func (c *callers) submit(e *Engine, spec *job.Spec) {
+	w, id := c.w, spec.ID
+	if _, sent := w.submittedAt[id]; !sent {
+		w.submittedAt[id] = w.now
+	}
+	c.submits[id]++
+	e.Handle(w.now, &Submit{Spec: spec, Reply: func(a Answer) {
+		if !w.listens(e) {
+			return
+		}
+		w.answers[id] = a
+		switch a.Outcome {
+		case OK:
+			w.accepted[id] = true
+		case Refused:
+			c.refusals[id]++
+			if strings.Contains(a.Why, "canceled") && !w.cancelRequested[id] && (e == w.engine || !c.canceling[id]) {
+				w.t.Errorf("%v: %s was refused as canceled, but no caller of its team canceled it", c.elapsed(), id)
+			}
+		}
+		w.refused[id] = c.refusals[id] == c.submits[id]
+	}})
+	w.refused[id] = c.refusals[id] == c.submits[id]
+}
+
+// cancel sends a cancellation of a job by a team to e.
+func (c *callers) cancel(e *Engine, id, team string) {
+	w, own := c.w, team == c.w.specs[id].Team
+	c.canceling[id] = c.canceling[id] || own
+	w.cancelRequested[id] = w.cancelRequested[id] || own && e == w.engine
+	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: team, Queue: w.specs[id].Queue}, Reply: func(a Answer) {
+		switch {
+		case !w.listens(e) || a.Outcome == Refused:
+			return
+		case !own && a.Outcome == OK:
+			w.t.Errorf("%v: a cancellation of %s by another team was answered %v", c.elapsed(), id, a.Outcome)
+		case own && a.Outcome == NotFound && e == w.engine && w.accepted[id]:
+			w.t.Errorf("%v: a cancellation of %s, which was accepted, was answered %v", c.elapsed(), id, a.Outcome)
+		}
+		if _, known := c.canceledAt[id]; own && !known {
+			c.canceledAt[id] = w.now
+		}
+	}})
+}
+
+// status asks e for the state of a job on behalf of a team.
+func (c *callers) status(e *Engine, id, team string) {
+	w, own := c.w, team == c.w.specs[id].Team
+	e.Handle(w.now, &Status{ID: id, Caller: Caller{Team: team, Queue: w.specs[id].Queue}, Reply: func(a Answer) {
+		switch {
+		case !own && a.Outcome == OK:
+			w.t.Errorf("%v: another team was told that %s is %s", c.elapsed(), id, a.State)
+		case own && a.Outcome == NotFound && e == w.engine && w.accepted[id]:
+			w.t.Errorf("%v: %s, which was accepted, was answered %v", c.elapsed(), id, a.Outcome)
+		case own && a.State == StateCanceled && !w.cancelRequested[id]:
+			w.t.Errorf("%v: %s is shown as canceled, but no caller of its team canceled it", c.elapsed(), id)
+		}
+	}})
+}
+
+func (c *callers) elapsed() time.Duration { return c.w.now.Sub(c.w.startTime) }
+
+// checkCommand checks that no start command of a job is sent after its cancellation was answered.
+func (c *callers) checkCommand(action any) {
+	a, ok := action.(*Start)
+	if c == nil || !ok {
+		return
+	}
+	id, _, _ := strings.Cut(a.Task, ".")
+	if at, canceled := c.canceledAt[id]; canceled && c.w.now.After(at) {
+		c.w.t.Errorf("%v: a start command for %s was sent %v after the answer to its cancellation", c.elapsed(), a.Task, c.w.now.Sub(at))
+	}
+}
+
+// checkStart checks that a run that starts was sent before the cancellation of its job was answered.
+func (c *callers) checkStart(task, id string, sent time.Time) {
+	if c == nil {
+		return
+	}
+	if at, canceled := c.canceledAt[id]; canceled && sent.After(at) {
+		c.w.t.Errorf("%v: %s started %v after the answer to the cancellation of its job", c.elapsed(), task, c.w.now.Sub(at))
+	}
+}
+
+// checkStops checks that the runs of canceled jobs are stopped in time where the leader reaches the worker.
+func (c *callers) checkStops() {
+	w := c.w
+	for _, id := range w.ids {
+		s := w.workers[id]
+		if !c.reaches(s) {
+			delete(c.reachableSince, id)
+			continue
+		}
+		since, known := c.reachableSince[id]
+		if !known {
+			c.reachableSince[id] = w.now
+			continue
+		}
+		for _, name := range sortedKeys(s.runs) {
+			of, _, _ := strings.Cut(name, ".")
+			at, canceled := c.canceledAt[of]
+			if !canceled {
+				continue
+			}
+			from := latest(latest(at, since), latest(s.runs[name].startedAt, c.leaderSince))
+			if d := w.now.Sub(from); d > maxCancelDelay+simConfig().MaxStopDuration+stopSlack {
+				w.t.Errorf("%v: %s runs on %s %v after the answer to the cancellation of its job", c.elapsed(), name, id, w.now.Sub(at))
+			}
+		}
+	}
+}
+
+// reaches reports whether no fault is on the way between the leader and a worker.
+func (c *callers) reaches(s *simWorker) bool {
+	l, now := c.w.net.links[s.id], c.w.now
+	return !s.unreachable && l.maxDelay == usualDelay && l.lostRatio == 0 && l.lateRatio == 0 && l.lostReplyRatio == 0 && l.refusedRatio == 0 &&
+		!now.Before(l.downUntil) && !now.Before(l.silentUntil) && !now.Before(l.refusesUntil)
+}
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -97,6 +97,7 @@
 			}
 		}
 	}
+	w.callers.checkStart(a.Task, ref.Job, sent)
 	if at, canceled := w.canceledAt[ref.Job]; canceled && sent.Sub(at) > 3*time.Second {
 		w.t.Errorf("%s started %v after its cancellation", a.Task, w.now.Sub(at))
 	}
--- a/internal/cell/engine/world_jobs_test.go
+++ b/internal/cell/engine/world_jobs_test.go
@@ -20,14 +20,20 @@
 
 // submitSpec submits a job under a new id, which it returns.
 func (w *world) submitSpec(spec *job.Spec) string {
-	spec.ID = fmt.Sprintf("%016x", len(w.specs)+1)
-	w.must(spec.Validate())
-	w.specs[spec.ID] = spec
+	w.addSpec(spec)
 	w.submittedAt[spec.ID] = w.now
 	w.sendSubmit(spec)
 	return spec.ID
 }
 
+// addSpec gives a job a new id without submitting it.
+func (w *world) addSpec(spec *job.Spec) *job.Spec {
+	spec.ID = fmt.Sprintf("%016x", len(w.specs)+1)
+	w.must(spec.Validate())
+	w.specs[spec.ID] = spec
+	return spec
+}
+
 // sendSubmit submits a job of the given spec and records the answer.
 func (w *world) sendSubmit(spec *job.Spec) {
 	e := w.engine
@@ -57,8 +63,8 @@
 func (w *world) cancel(id string) {
 	e := w.engine
 	w.cancelRequested[id] = true
-	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(Answer) {
-		if w.engine == e {
+	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(a Answer) {
+		if w.engine == e && a.Outcome != Refused {
 			w.canceledAt[id] = w.now
 		}
 	}})
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -76,6 +76,7 @@
 	restoreTime      time.Duration            // that a run takes to resume from a checkpoint
 	maxPreempted     float64                  // part of the CPU that may be in preemption; zero for the usual one
 	preempted        int                      // runs that were preempted, under all leaders
+	callers          *callers                 // that cancel jobs at any time; nil for none
 }
 
 // simTask is the actual state of a task, as the workers see it.
@@ -228,6 +229,7 @@
 // startLeader replaces the engine by that of a new leader with the stored records.
 func (w *world) startLeader() {
 	w.term++
+	w.callers.leaderStarted()
 	w.uncertain = make(map[*Append]bool)
 	cfg := simConfig()
 	cfg.Term, cfg.Features = w.term, w.features
@@ -308,10 +310,10 @@
 	heap.Push(&w.events, event{w.now.Add(d), w.nextSeq, fn})
 }
 
-// deliver delivers an event to e after a delay unless e has been replaced.
+// deliver delivers an event to e after a delay unless e has been replaced and does not go on.
 func (w *world) deliver(e *Engine, d time.Duration, ev any) {
 	w.after(d, func() {
-		if w.engine == e {
+		if w.listens(e) {
 			e.Handle(w.now, ev)
 		}
 	})
@@ -331,6 +333,7 @@
 		for _, a := range w.engine.Settle(w.now) {
 			w.execute(a)
 		}
+		w.callers.settle()
 	}
 }
 
