Random schedules: public queues, and planted faults of withdrawals

Change: half of the requests about jobs of a public queue come without a key. Planted: withdrawals that are not stored or lost at a takeover, and records of canceled jobs that are not stored.

--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"pollenbend/internal/cell/record"
@@ -16,6 +17,8 @@
 	restartsKeepID      bool                             // the fault shows in schedules with kept ids
 	crashes             bool                             // the fault shows in schedules with crashes and workers that shrink
 	cuts                bool                             // the fault shows in schedules with cuts that refuse connections
+	cancels             bool                             // the fault shows in schedules with cancellations at any time
+	losesWithdrawals    bool                             // a new leader gets none of the withdrawals
 	newLeaders          bool                             // the fault shows in schedules whose leaders last for seconds only
 	hidesShrinkage      bool                             // the directory shows a shrunk worker's capacity as before
 	ignoresEvacuations  bool                             // the engine is not told of evacuations
@@ -155,6 +158,11 @@
 		}
 		return action
 	}},
+	{name: "withdrawals are not stored", cancels: true, action: dropRecords(func(n *network, r *record.Record) bool { return record.IsWithdrawal(r.Key) })},
+	{name: "withdrawals are lost at a takeover", cancels: true, losesWithdrawals: true},
+	{name: "the records of canceled jobs are not stored", cancels: true, action: dropRecords(func(n *network, r *record.Record) bool {
+		return n.ofCanceledJob(r)
+	})},
 	{name: "the end of a worker is not told", crashes: true, event: func(n *network, event any) any {
 		switch ev := event.(type) {
 		case *RenewalAnswered:
@@ -225,6 +233,27 @@
 	r.Value = record.Encode(in)
 }
 
+// dropRecords returns a fault that removes records from appends, which are answered as stored.
+func dropRecords(drops func(n *network, r *record.Record) bool) func(*network, any) any {
+	return func(n *network, action any) any {
+		if a, ok := action.(*Append); ok {
+			a.Records = slices.DeleteFunc(a.Records, func(r record.Record) bool { return drops(n, &r) })
+		}
+		return action
+	}
+}
+
+// ofCanceledJob reports whether r is the record of a job that was canceled.
+func (n *network) ofCanceledJob(r *record.Record) bool {
+	id, step, err := record.ParseKey(r.Key)
+	if err != nil || id == "" || step != nil || len(r.Value) == 0 {
+		return false
+	}
+	in := new(record.Job)
+	n.w.must(record.Decode(r.Value, in))
+	return in.State == record.Canceled
+}
+
 // recorder takes note of failed checks instead of failing the test.
 type recorder struct {
 	testing.TB
@@ -254,7 +283,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, newLeaders: f.newLeaders, evacuations: f.ignoresEvacuations})
+		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, cancels: f.cancels, newLeaders: f.newLeaders, evacuations: f.ignoresEvacuations})
 	}()
 	<-ended
 	return r.first
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -97,6 +97,9 @@
 			return w // what follows a broken rule tells nothing new
 		}
 	}
+	if o.cancels {
+		w.run(maxRequestDelay)
+	}
 	n.clearFaults()
 	w.takeBackAll()
 	if o.newLeaders {
--- a/internal/cell/engine/world_callers_test.go
+++ b/internal/cell/engine/world_callers_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
 )
 
 // callers submit, ask for and cancel jobs in any order, at the engine that leads and at engines
@@ -15,8 +16,8 @@
 	rand  *rand.Rand
 	stale []*staleEngine
 
-	canceledAt map[string]time.Time // when a caller of the job's team was first told that it is canceled or not known
-	canceling  map[string]bool      // jobs that a caller of their team tried to cancel, at any engine
+	canceledAt map[string]time.Time // when a caller who may cancel the job was first told that it is canceled or not known
+	canceling  map[string]bool      // jobs that a caller who may cancel them tried to, at any engine
 	submits    map[string]int       // submissions sent, by job
 	refusals   map[string]int       // submissions refused, by job
 
@@ -38,11 +39,16 @@
 	// maxCancelDelay is the longest time from the answer to a cancellation to the end of the last run
 	// on a worker that the leader reaches.
 	maxCancelDelay = 3 * time.Second
+	// maxRequestDelay is the longest time from a call of act to its last request.
+	maxRequestDelay = 7 * time.Second
 	// stopSlack allows for the time that the stop command and its answer travel.
 	stopSlack = 300 * time.Millisecond
 )
 
 func newCallers(w *world, r *rand.Rand) *callers {
+	w.policy.Teams = append(w.policy.Teams, policy.Team{Weight: 50}) // callers without a key
+	w.policy.Index()
+	w.startLeader()
 	return &callers{w: w, rand: r, canceledAt: make(map[string]time.Time), canceling: make(map[string]bool), submits: make(map[string]int), refusals: make(map[string]int),
 		leaderSince: w.now, reachableSince: make(map[string]time.Time)}
 }
@@ -134,28 +140,25 @@
 		return
 	}
 	spec := c.drawJob()
-	id, team, otherTeam := spec.ID, spec.Team, "capped"
-	if team == otherTeam {
-		otherTeam = "a"
-	}
+	id, other := spec.ID, c.otherCaller(spec)
 	submitted := c.upTo(1500 * time.Millisecond)
-	w.after(submitted, func() { c.submit(c.instance(), spec) })
+	w.after(submitted, func() { c.submit(c.instance(), c.copyOf(spec)) })
 	for range r.IntN(3) {
-		w.after(submitted+c.upTo(5*time.Second), func() { c.submit(c.instance(), spec) })
+		w.after(submitted+c.upTo(5*time.Second), func() { c.submit(c.instance(), c.copyOf(spec)) })
 	}
 	if r.IntN(5) > 0 {
 		at := c.upTo(3 * time.Second)
 		for range 1 + r.IntN(3) {
-			w.after(at, func() { c.cancel(c.instance(), id, team) })
+			w.after(at, func() { c.cancel(c.instance(), id, callerWith(c.copyOf(spec)), true) })
 			at += c.upTo(2 * time.Second)
 		}
 	}
 	if r.IntN(3) == 0 {
-		w.after(c.upTo(4*time.Second), func() { c.cancel(c.instance(), id, otherTeam) })
-		w.after(c.upTo(4*time.Second), func() { c.status(c.instance(), id, otherTeam) })
+		w.after(c.upTo(4*time.Second), func() { c.cancel(c.instance(), id, other, false) })
+		w.after(c.upTo(4*time.Second), func() { c.status(c.instance(), id, other, false) })
 	}
 	for range r.IntN(3) {
-		w.after(c.upTo(6*time.Second), func() { c.status(c.instance(), id, team) })
+		w.after(c.upTo(6*time.Second), func() { c.status(c.instance(), id, callerWith(c.copyOf(spec)), true) })
 	}
 	if r.IntN(4) == 0 {
 		w.after(max(0, submitted-50*time.Millisecond), c.disturbStore)
@@ -171,6 +174,9 @@
 	step := tasks(1+r.IntN(3), int64(200+r.IntN(600)), 100*time.Millisecond+c.upTo(6*time.Second))
 	spec := &job.Spec{Queue: []string{"urgent", "gangs", "batch", "advised"}[r.IntN(4)], Team: []string{"a", "capped"}[r.IntN(2)], Payload: "p"}
 	step.Gang = spec.Queue == "gangs"
+	if spec.Queue == "batch" {
+		spec.Team, spec.Public = "a", true
+	}
 	step.Speculative = !step.Gang && r.IntN(4) == 0
 	spec.Steps = []job.Step{step}
 	if r.IntN(3) == 0 {
@@ -181,6 +187,28 @@
 	return w.addSpec(spec)
 }
 
+// copyOf returns a copy of a job that is submitted to a public queue with or without its key, or spec.
+func (c *callers) copyOf(spec *job.Spec) *job.Spec {
+	if !spec.Public || c.rand.IntN(2) == 0 {
+		return spec
+	}
+	keyless := *spec
+	keyless.Team = ""
+	return &keyless
+}
+
+// otherCaller returns a caller who may neither see nor cancel a job: one with the key of another team, or one
+// of another public queue.
+func (c *callers) otherCaller(spec *job.Spec) Caller {
+	switch {
+	case spec.Public:
+		return Caller{Team: "capped", Queue: "urgent", Public: true}
+	case spec.Team == "a":
+		return Caller{Team: "capped", Queue: spec.Queue}
+	}
+	return Caller{Team: "a", Queue: spec.Queue}
+}
+
 // disturbStore has the store refuse, hang or be slow for up to a second.
 func (c *callers) disturbStore() {
 	w, lasts := c.w, c.upTo(time.Second)
@@ -215,7 +243,7 @@
 		case Refused:
 			c.refusals[id]++
 			if strings.Contains(a.Why, "canceled") && !w.cancelRequested[id] && (e == w.engine || !c.canceling[id]) {
-				w.t.Errorf("%v: %s was refused as canceled, but no caller of its team canceled it", c.elapsed(), id)
+				w.t.Errorf("%v: %s was refused as canceled, but nobody who may canceled it", c.elapsed(), id)
 			}
 		}
 		w.refused[id] = c.refusals[id] == c.submits[id]
@@ -223,17 +251,17 @@
 	w.refused[id] = c.refusals[id] == c.submits[id]
 }
 
-// cancel sends a cancellation of a job by a team to e.
-func (c *callers) cancel(e *Engine, id, team string) {
-	w, own := c.w, team == c.w.specs[id].Team
+// cancel sends a cancellation of a job to e. own says that the caller may cancel it.
+func (c *callers) cancel(e *Engine, id string, caller Caller, own bool) {
+	w := c.w
 	c.canceling[id] = c.canceling[id] || own
 	w.cancelRequested[id] = w.cancelRequested[id] || own && e == w.engine
-	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: team, Queue: w.specs[id].Queue}, Reply: func(a Answer) {
+	e.Handle(w.now, &Cancel{ID: id, Caller: caller, Reply: func(a Answer) {
 		switch {
 		case !w.listens(e) || a.Outcome == Refused:
 			return
 		case !own && a.Outcome == OK:
-			w.t.Errorf("%v: a cancellation of %s by another team was answered %v", c.elapsed(), id, a.Outcome)
+			w.t.Errorf("%v: a cancellation of %s by another caller was answered %v", c.elapsed(), id, a.Outcome)
 		case own && a.Outcome == NotFound && e == w.engine && w.accepted[id]:
 			w.t.Errorf("%v: a cancellation of %s, which was accepted, was answered %v", c.elapsed(), id, a.Outcome)
 		}
@@ -243,17 +271,17 @@
 	}})
 }
 
-// status asks e for the state of a job on behalf of a team.
-func (c *callers) status(e *Engine, id, team string) {
-	w, own := c.w, team == c.w.specs[id].Team
-	e.Handle(w.now, &Status{ID: id, Caller: Caller{Team: team, Queue: w.specs[id].Queue}, Reply: func(a Answer) {
+// status asks e for the state of a job. own says that the caller may see it.
+func (c *callers) status(e *Engine, id string, caller Caller, own bool) {
+	w := c.w
+	e.Handle(w.now, &Status{ID: id, Caller: caller, Reply: func(a Answer) {
 		switch {
 		case !own && a.Outcome == OK:
-			w.t.Errorf("%v: another team was told that %s is %s", c.elapsed(), id, a.State)
+			w.t.Errorf("%v: another caller was told that %s is %s", c.elapsed(), id, a.State)
 		case own && a.Outcome == NotFound && e == w.engine && w.accepted[id]:
 			w.t.Errorf("%v: %s, which was accepted, was answered %v", c.elapsed(), id, a.Outcome)
 		case own && a.State == StateCanceled && !w.cancelRequested[id]:
-			w.t.Errorf("%v: %s is shown as canceled, but no caller of its team canceled it", c.elapsed(), id)
+			w.t.Errorf("%v: %s is shown as canceled, but nobody who may canceled it", c.elapsed(), id)
 		}
 	}})
 }
--- a/internal/cell/engine/world_jobs_test.go
+++ b/internal/cell/engine/world_jobs_test.go
@@ -47,10 +47,15 @@
 	}})
 }
 
+// callerWith returns the caller that submits a job of the given spec.
+func callerWith(spec *job.Spec) Caller {
+	return Caller{Team: spec.Team, Queue: spec.Queue, Public: spec.Public}
+}
+
 // state returns the state that the engine reports for a job, or "unknown".
 func (w *world) state(id string) string {
 	state := ""
-	w.engine.Handle(w.now, &Status{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(a Answer) {
+	w.engine.Handle(w.now, &Status{ID: id, Caller: callerWith(w.specs[id]), Reply: func(a Answer) {
 		state = a.State
 		if a.Outcome == NotFound {
 			state = "unknown"
@@ -63,7 +68,7 @@
 func (w *world) cancel(id string) {
 	e := w.engine
 	w.cancelRequested[id] = true
-	e.Handle(w.now, &Cancel{ID: id, Caller: Caller{Team: w.specs[id].Team}, Reply: func(a Answer) {
+	e.Handle(w.now, &Cancel{ID: id, Caller: callerWith(w.specs[id]), Reply: func(a Answer) {
 		if w.engine == e && a.Outcome != Refused {
 			w.canceledAt[id] = w.now
 		}
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -244,6 +244,9 @@
 	debugLog(w.t, w)
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
 	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step), Withdrawals: make(map[string]*record.Withdrawal)}
+	if w.net != nil && w.net.planted.losesWithdrawals {
+		maps.DeleteFunc(w.stored, func(key string, _ []byte) bool { return record.IsWithdrawal(key) })
+	}
 	for key, value := range w.stored {
 		if key == record.ModelKey {
 			state.Model = value
