Soak: clients that cancel, frozen leaders and silent connections to the store

Change: a fifth of the jobs is cancelled: before, while and after the submission is sent, also after half of its body; once and repeated, at any instance, more often at a frozen leader; submissions are repeated seconds later. Half of these jobs have tasks of 8 s. From the first 200 or 410 on, starts and runs are checked; a job shown as cancelled must have been cancelled, and an accepted one that nobody cancelled must be known. Whoever leads is frozen for 0.5 to 2.5 s, up to three times in a row, and open connections to the store go silent for good. All draws are from streams of their own.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -109,6 +109,7 @@
 	if j.refused() {
 		f.recordViolation(req.Task, "task %s started, but every submission of its job was refused", req.Task)
 	}
+	f.checkCanceled(j, req)
 	var step, index int
 	_, _ = fmt.Sscanf(req.Task[16:], ".0.%d.%d", &step, &index)
 	if step > 0 {
@@ -164,4 +165,8 @@
 		j.misreported = true
 		f.recordViolation("", "job %s is reported as failed, but none of its tasks has failed %d times", id, maxAttempts)
 	}
+	if state == "cancelled" && !j.cancelSent() && !j.misreported {
+		j.misreported = true
+		f.recordViolation(j.task(0, 0), "job %s is reported as cancelled, but nobody cancelled it", id)
+	}
 }
--- a/internal/soak/crashes_test.go
+++ b/internal/soak/crashes_test.go
@@ -117,7 +117,7 @@
 			err := f.listen(w, w.address)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			w.cut = false
+			w.cut, w.troubledAt = false, time.Now()
 			if err != nil && !f.closed {
 				f.recordViolation("", "worker %s cannot listen again after a cut: %v", w.id, err)
 			}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -61,7 +61,11 @@
 
 func (c *cell) setHanging(worker string, hanging bool) {
 	c.fleet.mu.Lock()
-	c.fleet.workers[worker].hanging = hanging
+	w := c.fleet.workers[worker]
+	if hanging || w.hanging {
+		w.troubledAt = time.Now()
+	}
+	w.hanging = hanging
 	c.fleet.mu.Unlock()
 }
 
@@ -80,6 +84,7 @@
 	// submissions there, and the states of jobs are read from there.
 	go func() {
 		c.awaitCompletion()
+		c.clients.Wait()
 		c.fleet.pending.Wait() // calls that are held back still count
 		c.checkMemory()
 		for _, in := range c.instances {
@@ -122,7 +127,10 @@
 	c.fleet.mu.Unlock()
 	var open []string
 	for _, id := range ids {
-		if state := c.state(id); state != "completed" && state != "failed" {
+		switch state := c.state(id); {
+		case state == "completed" || state == "failed":
+		case c.fleet.isCanceled(id, state):
+		default:
 			open = append(open, id)
 		}
 	}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -12,6 +12,8 @@
 	mu     sync.Mutex
 	mode   string // "" (no fault), "delay", "drop" or "drop-answers"
 	conns  map[net.Conn]struct{}
+	// silences counts how often the connections open at the time went silent for good.
+	silences int
 }
 
 // newProxy returns a proxy that accepts connections from l until l is closed.
@@ -37,15 +39,16 @@
 	}
 	p.mu.Lock()
 	p.conns[c], p.conns[upstream] = struct{}{}, struct{}{}
+	opened := p.silences
 	p.mu.Unlock()
-	go p.copy(upstream, c, false)
-	p.copy(c, upstream, true)
+	go p.copy(upstream, c, false, opened)
+	p.copy(c, upstream, true, opened)
 }
 
 // copy forwards what it reads from one side. Once a connection has read data in a
 // mode that drops, it stays open and drops all data in this direction, also after
-// the mode has changed back.
-func (p *proxy) copy(to, from net.Conn, answers bool) {
+// the mode has changed back. opened is the number of silences at the time at which it was opened.
+func (p *proxy) copy(to, from net.Conn, answers bool, opened int) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, 32<<10)
 	dropping := false
@@ -56,6 +59,7 @@
 		}
 		p.mu.Lock()
 		mode := p.mode
+		dropping = dropping || p.silences > opened
 		p.mu.Unlock()
 		dropping = dropping || mode == "drop" || mode == "drop-answers" && answers
 		if dropping {
@@ -76,6 +80,25 @@
 	p.mu.Unlock()
 }
 
+// silence makes all open connections carry nothing any more, without an end. New ones work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	p.silences++
+	p.mu.Unlock()
+}
+
+// dialed reports whether a connection to the target comes from an address.
+func (p *proxy) dialed(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if c.LocalAddr().String() == address {
+			return true
+		}
+	}
+	return false
+}
+
 // reset closes all open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,9 +32,12 @@
 	instances     []*instance
 	evacuationRng *rand.Rand
 	entryRng      *rand.Rand
-	oddAddresses  []string      // entries of another writer whose addresses answer, but not as workers do
-	stop          chan struct{} // closed when the clients must stop
+	freezeRng     *rand.Rand
+	frozen        atomic.Pointer[instance] // leader that is frozen, or nil
+	oddAddresses  []string                 // entries of another writer whose addresses answer, but not as workers do
+	stop          chan struct{}            // closed when the clients must stop
 	group         sync.WaitGroup
+	clients       sync.WaitGroup
 }
 
 // instance is one process of the program, with the proxy between it and the store.
@@ -40,6 +45,7 @@
 	name       string
 	ip         string
 	bootPath   string // file with the boot settings
+	front      string // address for clients
 	mu         sync.Mutex
 	process    *os.Process
 	stopped    bool // whether the supervisor stops restarting it
@@ -57,11 +63,13 @@
 }
 
 // TestSoak runs a cell of real processes under random faults, once for each seed. It
-// fails if a task runs twice, too often, too early or after a refusal, a worker is
+// fails if a task runs twice, too often, too early, after a refusal or after the
+// acknowledgement of its job's cancellation, a worker is
 // overcommitted, the state of a job is wrong, or an accepted job does not end after the
 // faults, or if a process ends by itself or uses more memory than a machine has. Environment variables, with their defaults: SOAK_FIRST (1), the first seed;
 // SOAK_SEEDS (1), the number of seeds; SOAK_INSTANCES (5); SOAK_SECONDS (6), the duration
-// of the faults; SOAK_LOGS, a directory for the logs of seeds that fail.
+// of the faults; SOAK_LOGS, a directory for the logs and all
+// violations of seeds that fail.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "pollenbend")
 	out, err := exec.Command("go", "build", "-o", binary, "pollenbend/cmd/pollenbend").CombinedOutput()
@@ -94,15 +102,16 @@
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	instances := envInt("SOAK_INSTANCES", 5)
-	c := &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), evacuationRng: rand.New(rand.NewPCG(seed, 7)), entryRng: rand.New(rand.NewPCG(seed, 8)), binary: binary, dir: t.TempDir(), store: newStore(seed),
+	c := &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), evacuationRng: rand.New(rand.NewPCG(seed, 7)), entryRng: rand.New(rand.NewPCG(seed, 8)), freezeRng: rand.New(rand.NewPCG(seed, 9)), binary: binary, dir: t.TempDir(), store: newStore(seed),
 		fleet: newFleet(6+instances/10, seed), stop: make(chan struct{})}
 	c.start(instances)
 	defer c.killAll()
 	clients := 4 + instances/10
 	for i := range clients {
-		c.group.Add(1)
+		c.clients.Add(1)
 		go c.client(i)
 	}
+	go c.fleet.watchCanceled(c.stop)
 	end := time.Now().Add(time.Duration(envInt("SOAK_SECONDS", 6)) * time.Second)
 	for time.Now().Before(end) {
 		c.injectFault()
@@ -110,6 +119,8 @@
 		c.fleet.cutRandom()
 		c.evacuateRandom()
 		c.writeOddEntry()
+		c.freezeLeaders()
+		c.silenceRandom()
 		time.Sleep(time.Duration(100+c.rng.IntN(900)) * time.Millisecond)
 	}
 	close(c.stop)
@@ -162,13 +173,14 @@
 
 func (c *cell) newInstance(i, port int, storeAddress string) *instance {
 	in := &instance{name: fmt.Sprintf("i%d", i), ip: fmt.Sprintf("127.0.%d.%d", 1+c.seed%200, i+1)}
+	in.front = fmt.Sprintf("%s:%d", in.ip, port)
 	l, err := net.Listen("tcp", in.ip+":0")
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { _ = l.Close() })
 	in.storeProxy = newProxy(l, storeAddress)
 	boot := map[string]any{
 		"node": in.name, "zone": "z", "ip": in.ip,
-		"listen":            map[string]string{"front": fmt.Sprintf("%s:%d", in.ip, port), "ready": fmt.Sprintf("%s:%d", in.ip, port+1)},
+		"listen":            map[string]string{"front": in.front, "ready": fmt.Sprintf("%s:%d", in.ip, port+1)},
 		"internalPortRange": []int{port + 2, port + 5}, "limits": map[string]any{"cpuShare": 0.4},
 		"bounds":   map[string]any{"graceS": 2.0, "holdMaxMs": 4000, "stopMs": 200, "gangMs": 3000, "status_s": 120.0, "farX": 2.0},
 		"platform": map[string]any{"address": l.Addr().String()}, "advice": "127.0.0.1:9",
@@ -239,6 +251,7 @@
 	}
 	c.t.Logf("seed %d: %d jobs, %d accepted, %d starts, %d violations, %d workers crashed, %d cut off, restarts %v, calls under faults %v", c.seed, len(c.fleet.jobs),
 		accepted, c.fleet.starts, len(c.fleet.violations), c.fleet.crashed, c.fleet.cuts, c.fleet.restarts, c.fleet.faulty)
+	c.t.Logf("seed %d: cancellations %v", c.seed, c.fleet.cancels)
 	for i, v := range c.fleet.violations {
 		if i < 10 {
 			c.t.Error(v)
@@ -255,6 +268,9 @@
 	if to == "" {
 		return
 	}
+	if err := os.WriteFile(filepath.Join(to, fmt.Sprintf("seed-%d-violations.txt", c.seed)), []byte(strings.Join(c.fleet.violations, "\n")), 0o600); err != nil {
+		c.t.Log(err)
+	}
 	for _, in := range c.instances {
 		data, err := os.ReadFile(in.log.Name())
 		if err == nil {
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -21,6 +21,8 @@
 	// mode is the injected fault: "" (none), "refuse" (every request), "hang" (no
 	// request is answered), "slow", or "lose" (answers to some appends are lost).
 	mode string
+	// leaderAddress is the sender of the last append with an epoch: who leads, or has led until now.
+	leaderAddress string
 }
 
 type topic struct {
@@ -95,6 +97,9 @@
 	}
 	s.mu.Lock()
 	status, answer := s.appendLocked(q.Get("topic"), q.Get("at"), q.Get("epoch"), q.Get("seq"), body)
+	if status == http.StatusOK && q.Get("epoch") != "" {
+		s.leaderAddress = r.RemoteAddr
+	}
 	s.mu.Unlock()
 	if lose {
 		<-r.Context().Done()
--- a/internal/soak/worker_faults_test.go
+++ b/internal/soak/worker_faults_test.go
@@ -200,6 +200,9 @@
 	defer f.mu.Unlock()
 	for _, w := range f.workers {
 		if id == "" || w.id == id {
+			if faults != (callFaults{}) || w.faults != (callFaults{}) {
+				w.troubledAt = time.Now()
+			}
 			w.faults = faults
 		}
 	}
@@ -236,7 +239,7 @@
 			}
 		}
 		f.mu.Lock()
-		w.down, w.life = false, f.newLife()
+		w.down, w.life, w.troubledAt = false, f.newLife(), time.Now()
 		f.mu.Unlock()
 		time.AfterFunc(unlisted, func() { f.register(w) })
 	})
--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +30,7 @@
 	crashed    int                  // workers that tasks crashed
 	evacuated  map[string]time.Time // evacuated zones, and since when
 	cuts       int                  // cuts that refused connections
+	cancels    map[string]int       // answers to cancellations, and what was seen after them
 	closed     bool                 // whether the cell has ended
 	listen     func(w *worker, address string) error
 	register   func(w *worker) // writes the directory's entry of a worker
@@ -47,8 +49,10 @@
 	cut       bool    // whether a cut refuses connections to it
 	cpu       int64   // capacity
 	past      []pastCapacity
-	server    *http.Server
-	faults    callFaults
+	// troubledAt is when the last fault on the calls to it, its last cut or its last life ended.
+	troubledAt time.Time
+	server     *http.Server
+	faults     callFaults
 }
 
 // life is what a worker loses when it restarts. Its times are milliseconds on its clock.
@@ -79,6 +83,7 @@
 	endsAt    int64
 	how       string // how it ends then
 	stopAt    int64  // when it ends by a stop command; zero if it got none
+	late      bool   // whether the start was carried out late
 }
 
 // taskEnd is the end of a run.
@@ -100,7 +105,7 @@
 
 func newFleet(count int, seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 4)), startedAt: time.Now(), workers: make(map[string]*worker),
-		tasks: make(map[string]*taskState), jobs: make(map[string]*submittedJob), faulty: make(map[string]int), evacuated: make(map[string]time.Time)}
+		tasks: make(map[string]*taskState), jobs: make(map[string]*submittedJob), faulty: make(map[string]int), evacuated: make(map[string]time.Time), cancels: make(map[string]int)}
 	f.failRatio = []float64{0, 0.02, 0.1}[f.rng.IntN(3)]
 	f.restarts = f.rng.IntN(2) == 0
 	f.crashRng = rand.New(rand.NewPCG(seed, 5))
@@ -136,6 +141,7 @@
 	DeadlineMS int64  `json:"deadlineMs"`
 	AckCursor  int64  `json:"ackCursor"`
 	WaitMS     int64  `json:"waitMs"`
+	receivedAt time.Time
 }
 
 // workerAnswer is an answer of a worker. Without a body, it has only a status.
@@ -158,6 +164,7 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		req.receivedAt = time.Now()
 		if r.Header.Get("Target-Instance") != id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -251,7 +258,7 @@
 		f.endRun(w, r, "stopped", w.clock()) // checkStart has recorded the violation
 	}
 	now := w.clock()
-	r := &taskRun{task: req.Task, run: req.Run, cpu: f.cpuOf(req.Task), startedAt: now, endsAt: now + taskTime.Milliseconds(), how: "done"}
+	r := &taskRun{task: req.Task, run: req.Run, cpu: f.cpuOf(req.Task), startedAt: now, endsAt: now + f.lengthOf(req.Task).Milliseconds(), how: "done", late: strings.HasPrefix(f.fault, ", late")}
 	if f.rng.Float64() < f.failRatio || f.hopeless(req.Task) {
 		r.how = "failed"
 	}
@@ -274,14 +281,7 @@
 func (f *fleet) endDueRuns(w *worker) {
 	now := w.clock()
 	for _, r := range w.runs {
-		at, how := r.endsAt, r.how
-		if r.stopAt > 0 && r.stopAt < at {
-			at, how = r.stopAt, "stopped"
-		}
-		if w.leaseEnd < at {
-			at, how = w.leaseEnd, "lapsed"
-		}
-		if at <= now {
+		if at, how := w.endOf(r); at <= now {
 			f.endRun(w, r, how, at)
 		}
 	}
@@ -290,6 +290,18 @@
 	}
 }
 
+// endOf returns when a run ends on the worker's clock, as far as is known, and how.
+func (l *life) endOf(r *taskRun) (at int64, how string) {
+	at, how = r.endsAt, r.how
+	if r.stopAt > 0 && r.stopAt < at {
+		at, how = r.stopAt, "stopped"
+	}
+	if l.leaseEnd < at {
+		at, how = l.leaseEnd, "lapsed"
+	}
+	return at, how
+}
+
 // endRun ends a run at a time on the worker's clock.
 func (f *fleet) endRun(w *worker, r *taskRun, how string, at int64) {
 	delete(w.runs, r.task)
@@ -336,7 +348,7 @@
 func (w *worker) report() workerAnswer {
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range w.runs {
-		percent := 100 * (w.clock() - r.startedAt) / taskTime.Milliseconds()
+		percent := 100 * (w.clock() - r.startedAt) / (r.endsAt - r.startedAt)
 		running = append(running, []any{r.task, r.run, "", min(99, percent), 0})
 	}
 	for _, e := range w.ended {
