--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -121,13 +121,15 @@
 	}
 	// Cancel asks the engine to cancel a job.
 	Cancel struct {
-		ID, Team string
-		Reply    func(Answer)
+		ID     string
+		Caller Caller
+		Reply  func(Answer)
 	}
 	// Status asks for the state of a job.
 	Status struct {
-		ID, Team string
-		Reply    func(Answer)
+		ID     string
+		Caller Caller
+		Reply  func(Answer)
 	}
 	// Pending asks how many jobs of a queue have not started.
 	Pending struct {
@@ -268,7 +270,12 @@
 )
 
 // String returns the name of o that logs use.
-func (o Outcome) String() string { return [...]string{"ok", "refused", "not found"}[o] }
+func (o Outcome) String() string {
+	if names := [...]string{"ok", "refused", "not found"}; int(o) < len(names) {
+		return names[o]
+	}
+	return "unknown"
+}
 
 // Answer is the final answer to a caller's request.
 type Answer struct {
