Soak: answers after a cancellation

Change: a cancellation sent after the acceptance of its job may not be answered 410, and a job may not be shown as queued or running if it was asked for after the acknowledgement of its cancellation.

--- a/internal/soak/cancel_checks_test.go
+++ b/internal/soak/cancel_checks_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -44,10 +46,37 @@
 	}
 }
 
-func (f *fleet) countCancel(what string) {
+// checkCancelAnswer checks that the answer to a cancellation is not that there is no such job if it was
+// sent after the acceptance of the job.
+func (f *fleet) checkCancelAnswer(in *instance, j *submittedJob, status int, sentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancels[what]++
+	f.cancels[fmt.Sprint(status)]++
+	j.mu.Lock()
+	accepted := j.acceptedAt
+	j.mu.Unlock()
+	if status == http.StatusGone && !accepted.IsZero() && accepted.Before(sentAt) {
+		f.cancels["410 for an accepted job"]++
+		f.recordViolation(j.task(0, 0), "%s answers a cancellation with 410, sent %v after the acceptance of job %s", in.name, sentAt.Sub(accepted).Round(time.Millisecond), j.id)
+	}
+}
+
+// checkStateAfterCancel checks that a job is not shown as open if it was asked for after the
+// acknowledgement of its cancellation.
+func (f *fleet) checkStateAfterCancel(in *instance, id, state string, sentAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	j := f.jobs[id]
+	j.mu.Lock()
+	acked := j.ackedAt
+	j.mu.Unlock()
+	if acked.IsZero() || sentAt.Before(acked) {
+		return
+	}
+	f.cancels["shown as "+state]++
+	if state == "queued" || state == "running" {
+		f.recordViolation(j.task(0, 0), "%s shows job %s as %s, asked %v after the acknowledgement of its cancellation", in.name, id, state, sentAt.Sub(acked).Round(time.Millisecond))
+	}
 }
 
 // isCanceled reports whether a state is the end of a job by a cancellation. A job whose cancellation
@@ -72,6 +101,7 @@
 		return
 	}
 	after := req.receivedAt.Sub(acked).Round(time.Millisecond)
+	f.cancels["started after the acknowledgement"]++
 	switch {
 	case posted.After(acked):
 		f.cancels["started, submitted only after the acknowledgement"]++
--- a/internal/soak/cancellations_test.go
+++ b/internal/soak/cancellations_test.go
@@ -102,7 +102,7 @@
 	}
 	j.mu.Unlock()
 	c.fleet.noteJob(j, "DELETE at %s, sent %v ago: %d", in.name, time.Since(sentAt).Round(time.Millisecond), status)
-	c.fleet.countCancel(fmt.Sprint(status))
+	c.fleet.checkCancelAnswer(in, j, status, sentAt)
 	return acked
 }
 
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -62,6 +62,7 @@
 // stateAt returns the state of a job as an instance reports it, or "". It checks that
 // the tasks of the job have ended accordingly.
 func (c *cell) stateAt(client *http.Client, in *instance, id string) string {
+	sentAt := time.Now()
 	status, body := c.call(client, in, http.MethodGet, "/q/"+id, nil)
 	if status == http.StatusGone {
 		c.fleet.checkGone(in, id)
@@ -74,6 +75,7 @@
 		return ""
 	}
 	c.fleet.checkState(id, answer.State)
+	c.fleet.checkStateAfterCancel(in, id, answer.State, sentAt)
 	return answer.State
 }
 
