Leader: answers callers only if the store has confirmed lately that it leads

Change: the leader notes when the last call was sent that shows that it leads: a renewal, a read of its record, a fence or an append. A job that the engine doesn't know is reported as unknown only after a read that was sent after the request. Replaced: the request had no effect and goes to the next leader.

The engine's refusal by a leader that steps down or is in doubt is an outcome of its own, NotLeading, as the request had no effect: the entry asks the next leader in place of passing on a 429 or 503. A request that was never handed to the engine no longer counts as in doubt.

TestLeaderIsNotEndedByAWorkersWordAlone and TestCallsHaveIdentifiersOfTheirOwn are adapted to ask's signature and need of a confirmation.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -270,8 +270,7 @@
 	e.emit(&CheckLeadership{Reason: "worker " + w.id + " has seen a newer leader"})
 }
 
-// refuseRequest refuses a caller's request if another leader has or may have taken over. The
-// caller repeats it. It reports whether the event is a request.
+// refuseRequest refuses a caller's request if another leader has or may have taken over. It reports whether the event is a request.
 func (e *Engine) refuseRequest(event any) bool {
 	var reply func(Answer)
 	switch ev := event.(type) {
@@ -290,7 +289,7 @@
 	default:
 		return false
 	}
-	reply(Answer{Outcome: Refused, Why: "another leader has taken over"})
+	reply(Answer{Outcome: NotLeading})
 	return true
 }
 
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -265,10 +265,11 @@
 	OK Outcome = iota
 	Refused
 	NotFound
+	NotLeading // another leader has or may have taken over; the request had no effect
 )
 
 // String returns the name of o that logs use.
-func (o Outcome) String() string { return [...]string{"ok", "refused", "not found"}[o] }
+func (o Outcome) String() string { return [...]string{"ok", "refused", "not found", "not leading"}[o] }
 
 // Answer is the final answer to a caller's request.
 type Answer struct {
--- a/internal/cell/node/actions.go
+++ b/internal/cell/node/actions.go
@@ -108,12 +108,14 @@
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
 		probe := time.AfterFunc(appendProbeDelay, func() { l.abortOnceStoreAnswers(ctx, cancel) })
+		sent := time.Now()
 		err := l.n.ports.Store.Append(ctx, l.rec.Term, l.sequence, records)
 		probe.Stop()
 		cancel()
 		switch {
 		case err == nil:
 			l.sequence++
+			l.noteConfirmed(sent)
 			l.noteStoreAnswer()
 			return engine.Stored, true
 		case errors.Is(err, ErrFenced):
--- a/internal/cell/node/attempts_test.go
+++ b/internal/cell/node/attempts_test.go
@@ -95,6 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := New(Settings{Instance: "leader", Address: "leader:1"}, Ports{}, NewStats(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		l := &leader{n: n, events: make(chan any, 1), done: make(chan struct{})}
+		l.noteConfirmed(time.Now())
 		n.leading.Store(l)
 		seen := make(map[string]bool)
 		for range 3 {
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -257,7 +257,9 @@
 	mode     storeMode
 	slowdown time.Duration // multiplier of storeLatency; zero means one
 
-	refreshed bool // there is a copy of the records
+	refreshed bool          // there is a copy of the records
+	resumed   chan struct{} // closed when the instance is no longer paused; nil if it isn't
+	reads     int           // of the leadership record
 }
 
 // recordsPerPage is how many records a call to the store returns.
@@ -318,8 +320,11 @@
 // call runs f as a call to the store with the latency and the mode in force.
 func (a *storeAccess) call(ctx context.Context, f func() error) error {
 	a.mu.Lock()
-	mode, slowdown := a.mode, max(1, a.slowdown)
+	mode, slowdown, resumed := a.mode, max(1, a.slowdown), a.resumed
 	a.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
 	time.Sleep(slowdown * storeLatency)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -338,6 +343,9 @@
 
 // ReadLeadership implements Store.
 func (a *storeAccess) ReadLeadership(ctx context.Context) (rec Leadership, offset, next int64, found bool, err error) {
+	a.mu.Lock()
+	a.reads++
+	a.mu.Unlock()
 	err = a.call(ctx, func() error {
 		next = int64(len(a.leaderships))
 		if next > 0 {
--- a/internal/cell/node/fenced_test.go
+++ b/internal/cell/node/fenced_test.go
@@ -33,11 +33,11 @@
 		time.Sleep(20 * time.Second)
 		require.NotNil(t, c.leader())
 		assert.Equal(t, term, c.leader().ownTerm.Load().rec.Term)
-		answer, ok := c.leader().ownTerm.Load().ask(t.Context(), func(reply func(engine.Answer)) any {
+		answer, err := c.leader().ownTerm.Load().ask(t.Context(), func(reply func(engine.Answer)) any {
 			return &engine.Submit{Reply: reply, Spec: &job.Spec{ID: "0000000000000001", Queue: "q", Team: "a", Payload: "p",
 				Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1000}, Estimate: time.Second}}}}
 		})
-		require.True(t, ok)
+		require.NoError(t, err)
 		assert.NotEqual(t, "another leader has taken over", answer.Why, "it answers again")
 	})
 }
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -40,6 +40,8 @@
 
 	relays  *relays
 	workers atomic.Int64 // number of workers in the directory
+
+	confirmations confirmations
 }
 
 // follower is the last ping of an instance that follows this leader.
@@ -117,6 +119,16 @@
 	})
 }
 
+// ended reports whether the term has ended on this instance.
+func (l *leader) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // run passes the events to the engine and executes its actions until the term ends. Only
 // its goroutine uses the engine. A panic of the engine ends the term, not the process: the next
 // leader starts from the stored state, without the event that caused it.
@@ -190,23 +202,43 @@
 	}
 }
 
-// ask posts the event that newEvent returns and waits for the engine's answer to it. ok is
-// false if ctx or the term ended first.
-func (l *leader) ask(ctx context.Context, newEvent func(func(engine.Answer)) any) (answer engine.Answer, ok bool) {
+// ask posts the event that newEvent returns and waits for the engine's answer to it. The error
+// is errNotHandled if the request had no effect, and errTermEnded if ctx or the term ended
+// before the answer.
+func (l *leader) ask(ctx context.Context, newEvent func(func(engine.Answer)) any) (engine.Answer, error) {
+	if l.confirmRecent(ctx) == replaced || ctx.Err() != nil {
+		return engine.Answer{}, errNotHandled
+	}
 	answers := make(chan engine.Answer, 1)
-	l.post(newEvent(func(a engine.Answer) {
+	event := newEvent(func(a engine.Answer) {
 		select {
 		case answers <- a:
 		default: // answered already
 		}
-	}))
+	})
+	if !l.postUnlessEnded(event) {
+		return engine.Answer{}, errNotHandled
+	}
 	select {
 	case a := <-answers:
-		return a, true
+		return l.confirmAnswer(ctx, event, a)
 	case <-ctx.Done():
 	case <-l.done:
 	}
-	return engine.Answer{}, false
+	return engine.Answer{}, errTermEnded
+}
+
+// postUnlessEnded is post. It reports whether the event was queued, which it isn't once the term has ended.
+func (l *leader) postUnlessEnded(event any) bool {
+	if l.ended() {
+		return false
+	}
+	select {
+	case l.events <- event:
+		return true
+	case <-l.done:
+		return false
+	}
 }
 
 // recordPing records the ping of an instance that follows this leader.
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -172,8 +172,8 @@
 // answered pings lately. A change of the leader aborts the call to it.
 func (n *Node) attempt(ctx context.Context, leaderChange <-chan struct{}, r request) attempt {
 	if l := n.leading.Load(); l != nil {
-		answer, ok := l.ask(ctx, r.event)
-		return attempt{leader: &l.rec, sent: true, answered: ok, answer: answer}
+		answer, err := l.ask(ctx, r.event)
+		return attempt{leader: &l.rec, sent: !errors.Is(err, errNotHandled), answered: err == nil, answer: answer}
 	}
 	rec := n.knownLeader.Load()
 	if rec == nil || rec.Session == n.incarnation || n.since(&n.leaderAnsweredAt) > maxLeaderAnswerAge {
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -111,10 +111,6 @@
 	})
 }
 
-// errTermEnded is returned for a request that the leader has received but not answered
-// when its term ends.
-var errTermEnded = errors.New("the leader stepped down before it answered")
-
 // answerLocally sets reply to the answer of this instance's engine to the event that
 // newEvent returns, or to NotLeading if the instance does not lead.
 func (s *Service) answerLocally(reply *Reply, newEvent func(func(engine.Answer)) any) error {
@@ -129,12 +125,13 @@
 		reply.NotLeading = true
 		return nil
 	}
-	answer, ok := l.ask(context.Background(), newEvent)
-	if !ok {
-		return errTermEnded
+	answer, err := l.ask(context.Background(), newEvent)
+	if errors.Is(err, errNotHandled) {
+		reply.NotLeading = true
+		return nil
 	}
 	reply.Answer = answer
-	return nil
+	return err
 }
 
 // Ping reports the state of this instance and, if it leads, records the caller as a
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -57,9 +57,11 @@
 func (l *leader) fence() bool {
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		sent := time.Now()
 		err := l.n.ports.Store.Fence(ctx, l.rec.Term)
 		cancel()
 		if err == nil {
+			l.noteConfirmed(sent)
 			return true
 		}
 		l.n.log.Warn("cannot fence earlier leaders", "term", l.rec.Term, "reason", err.Error())
@@ -137,10 +139,12 @@
 		}
 		rec.Beat++
 		ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+		sent := time.Now()
 		err := l.n.ports.Store.WriteLeadership(ctx, rec, next)
 		cancel()
 		if err == nil {
 			next++
+			l.noteConfirmed(sent)
 			l.noteStoreAnswer()
 			continue
 		}
@@ -148,6 +152,7 @@
 			return
 		}
 		l.noteStoreFailure(err)
+		sent = time.Now()
 		current, _, currentNext, found, readErr := l.n.readLeadership(l.ctx)
 		if readErr != nil {
 			continue
@@ -156,6 +161,9 @@
 			l.stop("instance " + current.Instance + " has claimed the leadership")
 			return
 		}
+		if found && l.names(&current) {
+			l.noteConfirmed(sent)
+		}
 		next = currentNext
 	}
 }
