--- a/internal/cell/node/confirm_test.go
+++ b/internal/cell/node/confirm_test.go
@@ -241,3 +241,44 @@
 		assert.LessOrEqual(t, reads()-before, int(300*time.Millisecond/confirmInterval)+2)
 	})
 }
+
+// A submission that waits for the confirmation at the leader that is its entry was never handed to the engine, so it is
+// not in doubt: the refusal of the leader that the instance follows next is final.
+func TestSubmissionThatWasNotHandledIsNotInDoubt(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		resume := c.pause(old)
+		setUnreachable(c, old, true)
+		time.Sleep(700 * time.Millisecond)
+		c.replace()
+		setUnreachable(c, old, false)
+		resume()
+		r := old.attempt(t.Context(), nil, request{method: "Submit", event: submitEvent("late", "q")})
+		assert.False(t, r.sent)
+		assert.False(t, r.answered)
+	})
+}
+
+// A leader that steps down answers no request, which asks the next leader in place of passing a refusal on.
+func TestRequestToALeaderThatStepsDownAsksTheNextOne(t *testing.T) {
+	runCluster(t, 3, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		l := old.leading.Load()
+		entries := map[string]*member{"the leader": old, "a follower": c.follower()}
+		// The store refuses an append as superseded. The engine steps down in the round that handles
+		// that, before the term ends on this instance.
+		l.post(&engine.Pending{Queue: "q", Reply: func(engine.Answer) { time.Sleep(20 * time.Millisecond) }})
+		l.post(&engine.Appended{Append: &engine.Append{}, Outcome: engine.Superseded})
+		var wg sync.WaitGroup
+		for name, m := range entries {
+			wg.Go(func() {
+				answer, err := m.Submit(t.Context(), spec("job-"+m.settings.Instance))
+				if assert.NoError(t, err, name) {
+					assert.Equal(t, engine.OK, answer.Outcome, "%s: %s", name, answer.Why)
+					assert.Greater(t, answer.Term, l.rec.Term, name)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
