--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -267,11 +267,12 @@
 	OK Outcome = iota
 	Refused
 	NotFound
+	NotLeading // another leader has or may have taken over; the request had no effect
 )
 
 // String returns the name of o that logs use.
 func (o Outcome) String() string {
-	if names := [...]string{"ok", "refused", "not found"}; int(o) < len(names) {
+	if names := [...]string{"ok", "refused", "not found", "not leading"}; int(o) < len(names) {
 		return names[o]
 	}
 	return "unknown"
