Leader's confirmation: a local name that hid a constant

Behaviour as before. Measured on this code: go test -race -count=3 ./internal/cell/node passes; platform's tests pass.

--- a/internal/cell/node/confirm.go
+++ b/internal/cell/node/confirm.go
@@ -158,8 +158,8 @@
 // does not name it.
 func (l *leader) readConfirmation(sent time.Time) {
 	rec, _, _, found, err := l.n.readLeadership(l.ctx)
-	confirmed := err == nil && found && l.names(&rec)
-	if err == nil && found && !confirmed {
+	leads := err == nil && found && l.names(&rec)
+	if err == nil && found && !leads {
 		l.stop("instance " + rec.Instance + " has claimed the leadership")
 	}
 	c := &l.confirmations
@@ -167,12 +167,12 @@
 	if c.readAt.Equal(sent) {
 		c.reading = false
 	}
-	if !confirmed && sent.After(c.failedAt) {
+	if !leads && sent.After(c.failedAt) {
 		c.failedAt = sent
 	}
 	c.notify()
 	c.mu.Unlock()
-	if confirmed {
+	if leads {
 		l.noteConfirmed(sent)
 		l.noteStoreAnswer()
 	}
