--- a/internal/cell/engine/world_callers_test.go
+++ b/internal/cell/engine/world_callers_test.go
@@ -203,7 +203,7 @@
 func (c *callers) otherCaller(spec *job.Spec) Caller {
 	switch {
 	case spec.Public:
-		return Caller{Team: "capped", Queue: "urgent", Public: true}
+		return Caller{Team: []string{"capped", ""}[c.rand.IntN(2)], Queue: "urgent", Public: true}
 	case spec.Team == "a":
 		return Caller{Team: "capped", Queue: spec.Queue}
 	}
