Jobs: the end of a forgotten job leaves the records of the next one of its id alone

A run that outlasts the retention of its job, such as on a worker that confirms no stop, ended after the job was forgotten; compactJob then put the record of the forgotten job and dropped its steps. If the id had been used again, the next leader showed the new job as canceled, although nobody canceled it.

Change: the records of a job are written only while it is the one that its id stands for. A forgotten one that has no successor only drops its steps.

--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -310,12 +310,18 @@
 		return
 	}
 	j.compacted = true
+	known := e.jobs[j.id]
+	if known != nil && known != j {
+		return // j was forgotten, and the records are those of a later job of its id
+	}
 	j.eachStep(func(s *stepState) {
 		if s.mayBeStored() {
 			e.put(record.StepKey(s.ref), nil)
 		}
 	})
-	e.put(record.JobKey(j.id), record.Encode(j.record()))
+	if known == j {
+		e.put(record.JobKey(j.id), record.Encode(j.record()))
+	}
 }
 
 // mayBeStored reports whether the store may hold a record of s.
