Soak: a worker without a fault is calm since its start

Cause: a violation by a run told a time of 292 years since the last fault of a worker that had had none.

Change: that time counts from the start of the fleet. The check is as strict as before.

--- a/internal/soak/workers_test.go
+++ b/internal/soak/workers_test.go
@@ -112,7 +112,7 @@
 	f.crashes = f.crashRng.IntN(2) == 0
 	for i := range count {
 		id := fmt.Sprintf("w%02d", i)
-		f.workers[id] = &worker{id: id, cpu: workerCPU, clockRate: 1 - 0.02*f.rng.Float64(), guards: f.rng.IntN(3) == 0, life: f.newLife()}
+		f.workers[id] = &worker{id: id, cpu: workerCPU, clockRate: 1 - 0.02*f.rng.Float64(), guards: f.rng.IntN(3) == 0, life: f.newLife(), troubledAt: f.startedAt}
 	}
 	return f
 }
