Test of an id used again: by another team, as its own team's submissions stay refused

Now the later submission of the team must be refused, and the later job of the id is another team's, which the expiry of the first must not drop, as before.

--- a/internal/cell/engine/jobs_test.go
+++ b/internal/cell/engine/jobs_test.go
@@ -10,8 +10,8 @@
 	"pollenbend/internal/cell/policy"
 )
 
-// A job is canceled and then refused, as the store refuses its record. Its id is accepted
-// later.
+// A job is canceled and then refused, as the store refuses its record. Its id is used by another team
+// later; its own team's submissions stay refused, as the cancellation was acknowledged.
 func TestExpiryOfARefusedJobDropsALaterOneOfItsID(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.run(time.Second)
@@ -23,9 +23,17 @@
 	w.storeRefuses = false
 	w.engine.Handle(w.now, &StoreRecovered{})
 	w.run(2 * time.Second)
-	delete(w.canceledAt, id)
+	require.Contains(t, w.canceledAt, id)
 	w.sendSubmit(w.specs[id])
 	w.run(time.Second)
+	require.Equal(t, Refused, w.answers[id].Outcome)
+
+	other := *w.specs[id]
+	other.Team = "capped"
+	w.specs[id] = &other
+	delete(w.canceledAt, id) // it is of the job of the first team
+	w.sendSubmit(&other)
+	w.run(time.Second)
 	require.Equal(t, OK, w.answers[id].Outcome)
 	w.run(simConfig().EndedJobRetention)
 	assert.Equal(t, StateRunning, w.state(id))
