--- a/internal/cell/engine/withdrawals.go
+++ b/internal/cell/engine/withdrawals.go
@@ -41,8 +41,8 @@
 	return c.Queue == queue && (team == "" || c.Public && c.Team == "")
 }
 
-// bounded returns the name under which the withdrawals of c are counted: its team or, without one, its queue.
-func (c Caller) bounded() string {
+// countKey returns the name under which the withdrawals of c are counted: its team or, without one, its queue.
+func (c Caller) countKey() string {
 	if c.Team != "" {
 		return "team " + c.Team
 	}
@@ -61,7 +61,7 @@
 type withdrawals struct {
 	byJob map[string][]*withdrawal
 	byAge []*withdrawal  // the oldest first
-	count map[string]int // see Caller.bounded
+	count map[string]int // see Caller.countKey
 }
 
 func newWithdrawals() withdrawals {
@@ -73,7 +73,7 @@
 	w := &withdrawal{Withdrawal: rec, caller: Caller{Team: rec.Team, Queue: rec.Queue, Public: rec.Public}, since: now}
 	all.byJob[rec.Job] = append(all.byJob[rec.Job], w)
 	all.byAge = append(all.byAge, w)
-	all.count[w.caller.bounded()]++
+	all.count[w.caller.countKey()]++
 }
 
 // renew makes w the newest.
@@ -90,8 +90,8 @@
 		if all.byJob[w.Job] = slices.DeleteFunc(all.byJob[w.Job], same); len(all.byJob[w.Job]) == 0 {
 			delete(all.byJob, w.Job)
 		}
-		if all.count[w.caller.bounded()]--; all.count[w.caller.bounded()] == 0 {
-			delete(all.count, w.caller.bounded())
+		if all.count[w.caller.countKey()]--; all.count[w.caller.countKey()] == 0 {
+			delete(all.count, w.caller.countKey())
 		}
 	}
 	all.byAge = slices.Delete(all.byAge, 0, n)
@@ -109,7 +109,7 @@
 
 // hasRoom reports whether one more withdrawal by c is within the bounds.
 func (all *withdrawals) hasRoom(c Caller) bool {
-	return len(all.byAge) < maxWithdrawals && all.count[c.bounded()] < maxTeamWithdrawals
+	return len(all.byAge) < maxWithdrawals && all.count[c.countKey()] < maxTeamWithdrawals
 }
 
 // withdraw has a withdrawal of a job by c stored with the next append, unless there is one.
