--- a/review/10/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; TROUBLE=0 leaves the disruption out. Exit: 0 the rule held, 1 it was broken, 2 the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pollenbend ] && [ -x target/review-2 ] || { echo "build first: the build of the deploy file and review/build-2.sh"; exit 2; }
-exec target/review-2 crash-blame review/10/record.txt
+exec target/review-2 wide-step review/8/record.txt
--- a/review/sim2/fleet.go
+++ b/review/sim2/fleet.go
@@ -25,11 +25,13 @@
 	lastSeen map[string]time.Time
 	onStart  func(w *worker, r *run) // called after each start; nil for nothing
 	quiet    map[string]bool         // submissions whose starts and ends are only counted
+	noted    map[string]string       // ends done that were taken note of, by task
+	again    []string                // starts after such an end
 }
 
 func newFleet(s *store, rec *recorder, count, cpu, memMB int) (*fleet, error) {
 	f := &fleet{store: s, rec: rec, cpu: cpu, memMB: memMB, running: make(map[string]int), need: make(map[string]int), starts: make(map[string]int),
-		failed: make(map[string]int), done: make(map[string]int), lastSeen: make(map[string]time.Time), quiet: make(map[string]bool)}
+		failed: make(map[string]int), done: make(map[string]int), lastSeen: make(map[string]time.Time), quiet: make(map[string]bool), noted: make(map[string]string)}
 	for i := range count {
 		w := &worker{fleet: f, address: "127.0.0.1:0", rack: fmt.Sprintf("r1-%d", i/6)}
 		f.workers = append(f.workers, w)
@@ -47,6 +49,9 @@
 	f.running[id]++
 	f.used += f.need[id]
 	f.lastSeen[id] = time.Now()
+	if end, noted := f.noted[r.task]; noted {
+		f.again = append(f.again, fmt.Sprintf("%s run %d starts on %s after %s", r.task, r.number, w.id, end))
+	}
 	hook, quiet := f.onStart, f.quiet[id]
 	f.mu.Unlock()
 	if !quiet {
@@ -105,6 +110,16 @@
 	return sorted[:count]
 }
 
+// noteAcknowledged records that an end is taken note of.
+func (f *fleet) noteAcknowledged(w *worker, e endRow) {
+	if e.how != "done" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noted[e.task] = fmt.Sprintf("the end done of run %d on %s was taken note of", e.run, w.id)
+}
+
 // capacity returns the CPU of all workers that are up, in thousandths of a core.
 func (f *fleet) capacity() int {
 	total := 0
