--- a/review/sim2/worker.go
+++ b/review/sim2/worker.go
@@ -272,7 +272,7 @@
 		r.resumedAt = time.Duration(ms) * time.Millisecond
 	}
 	w.runs[body.Task] = r
-	w.fleet.noteStart(w, r, body.Spec)
+	w.fleet.noteStart(w, r)
 	return http.StatusOK, answer
 }
 
