--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -63,6 +63,7 @@
 		fmt.Println("usage: sim2 CASE RECORD")
 		os.Exit(cannotRun)
 	}
+	signal.Ignore(syscall.SIGPIPE) // a reader that leaves must not end the case before its processes
 	os.Exit(runCase(os.Args[1], os.Args[2]))
 }
 
