--- a/internal/cell/engine/advising.go
+++ b/internal/cell/engine/advising.go
@@ -234,7 +234,7 @@
 		}
 	}
 	if newlyAsked > 0 && s.waiting > 0 && ev.Call.ExpectedDuration >= advice.LongCallThreshold {
-		e.markDirty(s) // stores the answer, so that the next leader need not repeat a long call
+		e.markAdviceDirty(s) // stores the answer, so that the next leader need not repeat a long call
 	}
 	if newlyAsked == len(ev.Call.Workers) && newlyAsked > 0 {
 		e.updateGoodShare(s.job().queue, float64(len(ev.Tickets))/float64(newlyAsked))
--- a/internal/cell/engine/blame.go
+++ b/internal/cell/engine/blame.go
@@ -158,7 +158,7 @@
 	t.crashes.Doubtful = max(0, t.crashes.Doubtful-1)
 	t.crashes.Caused++
 	t.onlyCause = c.oneJob
-	e.markDirty(t.step)
+	e.markDirty(t)
 }
 
 // endedTogether returns how many workers ended at the same time as that of c, without those
--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -29,7 +29,7 @@
 // storeRun stores the record of a run that addRun has returned, and sends its start command
 // after that.
 func (e *Engine) storeRun(r *run) {
-	e.markDirty(r.task.step)
+	e.markDirty(r.task)
 	e.afterAppend(func() { e.sendStart(r) })
 }
 
--- a/internal/cell/engine/crashes.go
+++ b/internal/cell/engine/crashes.go
@@ -102,7 +102,7 @@
 	}
 	e.log.Info("task no longer suspected", "job", t.step.job().id, "task", t.name, "caused", t.crashes.Caused, "doubtful", t.crashes.Doubtful)
 	t.crashes.Caused, t.crashes.Doubtful = 0, 0
-	e.markDirty(t.step)
+	e.markDirty(t)
 }
 
 // endWasSeen reports whether the process of w, which has certainly ended, most likely did so by
@@ -196,7 +196,7 @@
 			}
 		}
 		c.Run = r.number // a crash is counted once for each run, also if it moves to the next incarnation
-		e.markDirty(t.step)
+		e.markDirty(t)
 		if t.suspect() {
 			t.step.suspected = true
 			e.count(TaskSuspected)
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	e.markDirty(s)
+	e.markDirty(t)
 	e.needsPlacement = true
 	if s.remaining == 0 {
 		e.stepDone(s)
@@ -75,7 +75,7 @@
 		"life", r.incarnation, "worker_life", r.worker.incarnation, "refusing_ms", e.msSince(r.worker.refusingSince), "runs_beside", len(r.worker.runs))
 	t.lastEnd = lastEnd{run: r.number, reason: reason, source: source, at: e.now}
 	e.updateHealth(r, reason)
-	e.markDirty(s)
+	e.markDirty(t)
 	e.needsPlacement = true
 	if j.state.Final() {
 		e.compactJob(j)
--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -36,6 +36,7 @@
 	StartReportTimeout      time.Duration // time after its start from which a confirmed run must be in reports
 	MinPlacementInterval    time.Duration // minimum interval between two placement rounds
 	EndedJobRetention       time.Duration // how long the state of an ended job is kept
+	MaxRecordBytes          int           // maximum size of a record's key and value that the store takes; zero for no limit
 	Features                Features
 	Now                     func() time.Time                    // measures the duration of a placement round
 	CountCrash              func(CrashEvent)                    // counts what the engine finds out about crashes; nil for no counts
@@ -133,14 +134,13 @@
 	loadLoggedAt      time.Time     // when logLoad last logged the load
 	batch             *Append
 	appendInFlight    bool
-	stopsRetriedAt    time.Time               // when retryStops last ran
-	storeLatency      time.Duration           // smoothed duration of an append
-	appendSentAt      time.Time               // when the last append was sent
-	storeDownSince    time.Time               // since when the store refuses appends; zero if it accepts them
-	appendRetryAt     time.Time               // when the next append may be sent
-	dirtySteps        map[*stepState]struct{} // steps whose records the next append writes
-	dirtyStepList     []*stepState            // the same in the order in which they were marked
-	settledCalls      map[string]int          // highest refused attempt, by call; see Attempt
+	stopsRetriedAt    time.Time      // when retryStops last ran
+	storeLatency      time.Duration  // smoothed duration of an append
+	appendSentAt      time.Time      // when the last append was sent
+	storeDownSince    time.Time      // since when the store refuses appends; zero if it accepts them
+	appendRetryAt     time.Time      // when the next append may be sent
+	dirtySteps        []*stepState   // steps with dirty segments, in the order in which they were marked
+	settledCalls      map[string]int // highest refused attempt, by call; see Attempt
 	withdrawals       withdrawals
 }
 
@@ -154,7 +154,7 @@
 		settledCalls: make(map[string]int), withdrawals: newWithdrawals(), unknownRunStops: make(map[string]time.Time), usage: make(map[string]job.Resources),
 		queued: make(map[string]int), entitlements: make(map[string]*tokenBucket),
 		demands: make(map[int]*demand), hazards: make(map[string]*hazard), pools: make(map[string]*pool),
-		batch: &Append{}, dirtySteps: make(map[*stepState]struct{}),
+		batch: &Append{},
 	}
 	e.preemption.maxRatio = maxPreemptedRatio
 	if cfg.Features.ContentionAdmission {
--- a/internal/cell/engine/explain_bench_test.go
+++ b/internal/cell/engine/explain_bench_test.go
@@ -132,7 +132,8 @@
 			e.Handle(c.now, &AdviceAnswered{Call: call, OK: true, TTL: time.Second, Tickets: c.answerAdvice(call)})
 		}
 	}
-	for _, s := range e.dirtyStepList {
+	for _, s := range e.dirtySteps {
+		s.dirtySegments = 0
 		for _, t := range s.tasks {
 			if len(t.runs) > 0 && !t.runs[0].startSent {
 				t.runs[0].startSent = true
@@ -140,8 +141,7 @@
 			}
 		}
 	}
-	clear(e.dirtySteps)
-	e.dirtyStepList, e.batch = nil, &Append{}
+	e.dirtySteps, e.batch = nil, &Append{}
 }
 
 // threadTime returns the processor time that the thread has used.
--- a/internal/cell/engine/explain_trace_test.go
+++ b/internal/cell/engine/explain_trace_test.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"pollenbend/internal/cell/record"
 )
 
 // fingerprint describes the state of an engine that decisions depend on. Pointers stand for their
@@ -19,7 +21,10 @@
 		e.jobs[id].eachStep(func(s *stepState) {
 			shown := *s
 			shown.key = stepState{}.key // a round computes it before it uses it
-			fmt.Fprintf(&b, "step %+v %x\n", shown, s.encode())
+			fmt.Fprintf(&b, "step %+v\n", shown)
+			for segment := range record.Segments(len(s.tasks)) {
+				fmt.Fprintf(&b, "segment %d %x\n", segment, record.Encode(s.segmentRecord(segment)))
+			}
 			for _, t := range s.tasks {
 				fmt.Fprintf(&b, "task %+v\n", *t)
 				for _, r := range t.runs {
@@ -44,7 +49,7 @@
 	e.contention.describe(&b)
 	fmt.Fprintf(&b, "%d %d %d %d %d %v\n", e.backfilled, e.slipped, e.slippedInTerm, e.reserving, e.reservedCPU, e.modelUpkeep)
 	fmt.Fprintf(&b, "%v %v %v %v %v %v %v %v %v %v %v %d %d %d\n", e.openSteps, e.usage, e.queued, e.coldWorkers, e.heldWorkers, e.goodShares,
-		e.estimator, e.needsPlacement, e.placedAt, e.demandMeasuredAt, e.dirtyStepList, len(e.actions), len(e.batch.Records), len(e.batch.onStored))
+		e.estimator, e.needsPlacement, e.placedAt, e.demandMeasuredAt, e.dirtySteps, len(e.actions), len(e.batch.Records), len(e.batch.onStored))
 	fmt.Fprintf(&b, "%x %v", e.runtimes.Encode(), e.runtimes.Queues())
 	return b.String()
 }
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -33,15 +33,20 @@
 		why, retryAfter = e.storeUnavailable(ev.Wait)
 		retryAfter = e.retryAfter(ev.Spec.ID, retryAfter)
 	}
+	accepted := e.wall()
+	jobRecord := record.Encode(&record.Job{Spec: ev.Spec, Accepted: accepted})
+	if tooLarge := e.unstorable(ev.Spec, jobRecord); tooLarge != "" {
+		why, retryAfter = tooLarge, 0
+	}
 	if why != "" {
 		e.refuse(ev.Spec, why, retryAfter, ev)
 		return
 	}
-	j := newJob(ev.Spec, e.wall())
+	j := newJob(ev.Spec, accepted)
 	j.arrivedAt = e.now
 	j.overEntitlement = !e.takeToken(ev.Spec.Team)
 	e.addJob(j)
-	e.put(record.JobKey(j.id), record.Encode(&record.Job{Spec: j.spec, Accepted: j.acceptedAt}))
+	e.put(record.JobKey(j.id), jobRecord)
 	j.pendingSubmits = append(j.pendingSubmits, ev)
 	e.batch.jobs = append(e.batch.jobs, j)
 	e.afterAppend(func() {
@@ -251,7 +256,7 @@
 	j.state = state
 	j.endedAt = e.wall()
 	e.markStarted(j)
-	e.put(record.JobKey(j.id), record.Encode(j.record()))
+	e.putJob(j)
 	j.eachStep(func(s *stepState) {
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
@@ -315,22 +320,24 @@
 		return // j was forgotten, and the records are those of a later job of its id
 	}
 	j.eachStep(func(s *stepState) {
-		if s.mayBeStored() {
-			e.put(record.StepKey(s.ref), nil)
+		for segment := range record.Segments(len(s.tasks)) {
+			if s.mayBeStored(segment) {
+				e.put(record.StepKey(s.ref, segment), nil)
+			}
 		}
 	})
 	if known == j {
-		e.put(record.JobKey(j.id), record.Encode(j.record()))
+		e.putJob(j)
 	}
 }
 
-// mayBeStored reports whether the store may hold a record of s.
-func (s *stepState) mayBeStored() bool {
-	if s.advice != nil {
+// mayBeStored reports whether the store may hold a record of a segment of s.
+func (s *stepState) mayBeStored(segment int) bool {
+	if segment == 0 && (s.advice != nil || s.wholeStored) {
 		return true // the adviser's answers are stored before a task starts
 	}
-	for _, t := range s.tasks {
-		if t.lastRun > 0 || t.hasRuns() || t.done {
+	for _, t := range s.segment(segment) {
+		if t.lastRun > 0 || t.hasRuns() || t.done || t.step.spec.Gang && t.step.lastGangRun > 0 {
 			return true
 		}
 	}
--- a/internal/cell/engine/large_test.go
+++ b/internal/cell/engine/large_test.go
@@ -262,7 +262,8 @@
 				e.Handle(w.now, &AdviceAnswered{Call: call, OK: true, TTL: time.Second, Tickets: w.answerAdvice(call)})
 			}
 		}
-		for _, s := range e.dirtyStepList {
+		for _, s := range e.dirtySteps {
+			s.dirtySegments = 0
 			for _, t := range s.tasks {
 				if len(t.runs) > 0 && !t.runs[0].startSent {
 					t.runs[0].startSent = true
@@ -271,8 +272,7 @@
 				}
 			}
 		}
-		clear(e.dirtySteps)
-		e.dirtyStepList, e.batch = nil, &Append{}
+		e.dirtySteps, e.batch = nil, &Append{}
 		b.StartTimer()
 	}
 	b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
--- a/internal/cell/engine/late_takeover_test.go
+++ b/internal/cell/engine/late_takeover_test.go
@@ -141,9 +141,9 @@
 	s := w.engine.jobs[id].occurrenceAt(0).steps[0]
 	open, started := s.tasks[0].runs[0], s.tasks[1].runs[0]
 	open.startSettled, open.plannedAt, started.startSettled, started.plannedAt = false, 1, true, 2
-	assert.EqualValues(t, 2, s.newestPlan())
+	assert.EqualValues(t, 2, newestPlan(s.tasks))
 	open.startSettled = true
-	assert.Zero(t, s.newestPlan())
+	assert.Zero(t, newestPlan(s.tasks))
 }
 
 // No late command concerns a run that was planned long before the takeover.
--- a/internal/cell/engine/overload_test.go
+++ b/internal/cell/engine/overload_test.go
@@ -147,7 +147,7 @@
 	w.run(500 * time.Millisecond)
 	id := w.submit("advised", "a", gang(12, 5000, time.Second))
 	w.run(4 * time.Second)
-	step := record.StepKey(job.StepRef{Job: id})
+	step := record.StepKey(job.StepRef{Job: id}, 0)
 	assert.Contains(t, w.stored, step)
 	w.cancel(id)
 	w.run(time.Second)
--- /dev/null
+++ b/internal/cell/engine/record_limits.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"fmt"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
+)
+
+// The store rejects a record over its limit, however often it is sent. A job whose records would
+// pass the limit is refused; what may grow past it later, such as checkpoints, is left out of the
+// record, and a job whose progress still can't be stored fails, as nothing of it may start any more.
+
+const (
+	// maxTaskBytes bounds the size of the progress of one task in a record, in bytes, with its
+	// worker and its crashes, but without a checkpoint.
+	maxTaskBytes = 96
+	// endedJobBytes bounds what the record of a job that has ended holds beside the spec, in bytes.
+	endedJobBytes = 1024
+)
+
+// Rejection is a record that the store has rejected for good.
+type Rejection struct {
+	Key    string
+	Reason string
+}
+
+// fits reports whether the store takes a record of the given key and value.
+func (e *Engine) fits(key string, value []byte) bool {
+	r := record.Record{Key: key, Value: value}
+	return e.cfg.MaxRecordBytes <= 0 || r.Size() <= e.cfg.MaxRecordBytes
+}
+
+// unstorable returns the reason why the records of a job cannot be stored, or "". jobRecord is that
+// of its acceptance.
+func (e *Engine) unstorable(spec *job.Spec, jobRecord []byte) string {
+	limit := e.cfg.MaxRecordBytes
+	if limit <= 0 {
+		return ""
+	}
+	if size := len(record.JobKey(spec.ID)) + len(jobRecord) + endedJobBytes; size > limit {
+		return fmt.Sprintf("the job takes a record of %d bytes, at most %d can be stored", size, limit)
+	}
+	for i := range spec.Steps {
+		runs := 1
+		if spec.Steps[i].Speculative {
+			runs = 2
+		}
+		if size := min(spec.Steps[i].Count, record.SegmentTasks) * runs * maxTaskBytes; size > limit {
+			return fmt.Sprintf("step %d takes records of %d bytes, at most %d can be stored", i, size, limit)
+		}
+	}
+	return ""
+}
+
+// putSegment adds the record of a segment of s to the next append. What makes the record too large
+// is left out if the next leader can do without it. The job fails if the rest is too large as well.
+func (e *Engine) putSegment(s *stepState, segment int) {
+	key, rec := record.StepKey(s.ref, segment), s.segmentRecord(segment)
+	value := record.Encode(rec)
+	if e.fits(key, value) {
+		e.put(key, value)
+		return
+	}
+	bytes := len(value)
+	leaveOut := []struct {
+		what string
+		from func()
+	}{
+		{"advice", func() { rec.GoodWorkers, rec.Asked = nil, nil }},
+		{"checkpoints", func() {
+			for i := range rec.Tasks {
+				rec.Tasks[i].Checkpoint = ""
+			}
+		}},
+	}
+	for _, part := range leaveOut {
+		part.from()
+		if value = record.Encode(rec); e.fits(key, value) {
+			e.log.Warn("record stored in part", "job", s.ref.Job, "key", key, "bytes", bytes, "limit", e.cfg.MaxRecordBytes, "without", part.what)
+			e.put(key, value)
+			return
+		}
+	}
+	e.failUnstorable(s.job(), key, fmt.Sprintf("a record of %d bytes, at most %d can be stored", len(value), e.cfg.MaxRecordBytes))
+}
+
+// failUnstorable fails a job whose progress cannot be stored. Its runs whose plan is not stored do
+// not start.
+func (e *Engine) failUnstorable(j *jobState, key, why string) {
+	e.log.Error("progress not stored", "job", j.id, "key", key, "reason", why, "state", j.stateName())
+	if j.state.Final() {
+		return // the records stored before name all runs that may be at work
+	}
+	j.reason = "its progress cannot be stored: " + why
+	e.finishJob(j, record.Failed)
+}
+
+// putJob adds the record of j to the next append, without the spec if the store does not take it.
+// The next leader then doesn't know the runs of j.
+func (e *Engine) putJob(j *jobState) {
+	key, rec := record.JobKey(j.id), j.record()
+	value := record.Encode(rec)
+	if rec.Spec != nil && rec.State.Final() && (j.specRejected || !e.fits(key, value)) {
+		e.log.Warn("record stored in part", "job", j.id, "key", key, "bytes", len(value), "limit", e.cfg.MaxRecordBytes, "without", "spec")
+		rec.Spec = nil
+		value = record.Encode(rec)
+	}
+	e.put(key, value)
+}
+
+// recordsRejected applies that the store has rejected records of a batch for good, while the others
+// are stored. What was to follow once the batch is stored follows the next append, which
+// stores the consequences.
+func (e *Engine) recordsRejected(batch *Append, rejected []Rejection) {
+	pending := make(map[string]*jobState, len(batch.jobs))
+	for _, j := range batch.jobs {
+		pending[j.id] = j
+	}
+	for _, r := range rejected {
+		id, step, err := record.ParseKey(r.Key)
+		if err != nil {
+			continue // a cache, or a record whose size no caller chooses
+		}
+		j := e.jobs[id]
+		switch {
+		case j == nil || len(j.occurrences) == 0:
+		case step != nil:
+			e.failUnstorable(j, r.Key, r.Reason)
+		case j == pending[id] && !j.stored:
+			e.refuse(j.spec, "the job cannot be stored: "+r.Reason, 0, j.pendingSubmits...)
+			j.pendingSubmits = nil
+			e.dropUnstoredJob(j)
+		case j.state.Final() && !j.specRejected:
+			j.specRejected = true
+			e.putJob(j)
+		}
+	}
+	e.batch.onStored = append(batch.onStored, e.batch.onStored...)
+}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -74,7 +74,7 @@
 		e.taskDone(t, end.Run)
 	case end.Reason == EndedFailed && !counted && !t.done && !t.step.job().state.Final():
 		e.taskFailed(t, w)
-		e.markDirty(t.step)
+		e.markDirty(t)
 	}
 }
 
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -11,11 +12,24 @@
 // Restored holds the records of a cell from the store.
 type Restored struct {
 	Jobs        map[string]*record.Job
-	Steps       map[job.StepRef]*record.Step
+	Steps       map[job.StepRef]record.StoredStep
 	Withdrawals map[string]*record.Withdrawal // by key
 	Model       []byte                        // what is learned of run times, see record.ModelKey
 }
 
+// NewRestored returns an empty set of records.
+func NewRestored() Restored {
+	return Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]record.StoredStep), Withdrawals: make(map[string]*record.Withdrawal)}
+}
+
+// StepOf returns the records of a step, to which the caller may add some.
+func (r *Restored) StepOf(ref job.StepRef) record.StoredStep {
+	if r.Steps[ref] == nil {
+		r.Steps[ref] = make(record.StoredStep)
+	}
+	return r.Steps[ref]
+}
+
 // Restore applies the records that earlier leaders stored. It is called once, before
 // any event except WorkersListed.
 func (e *Engine) Restore(from Restored) {
@@ -41,7 +55,7 @@
 }
 
 // restoreJob restores a job and its steps.
-func (e *Engine) restoreJob(id string, rec *record.Job, wall int64, steps map[job.StepRef]*record.Step) {
+func (e *Engine) restoreJob(id string, rec *record.Job, wall int64, steps map[job.StepRef]record.StoredStep) {
 	if rec.Spec == nil {
 		j := &jobState{id: id, team: rec.Team, queue: rec.Queue, acceptedAt: rec.Accepted, endedAt: rec.Ended,
 			state: rec.State, reason: rec.Reason, reportedState: rec.State, stored: true, started: true, compacted: true}
@@ -95,10 +109,17 @@
 	e.compactJob(j)
 }
 
-// restoreStep applies the record of a step.
-func (e *Engine) restoreStep(s *stepState, rec *record.Step) {
-	for i := range min(len(s.tasks), len(rec.Tasks)) {
-		t, stored := s.tasks[i], &rec.Tasks[i]
+// restoreStep applies the records of a step.
+func (e *Engine) restoreStep(s *stepState, step record.StoredStep) {
+	s.wholeStored = step.Whole()
+	gangDone := s.spec.Gang && anyDone(step) // a part of its records may have been stored
+	for index, t := range s.tasks {
+		rec, i := step.Task(index)
+		if rec == nil {
+			rec, i = noProgress, 0
+		}
+		stored := rec.Tasks[i]
+		stored.Done = stored.Done || gangDone
 		t.lastRun, t.failures, t.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
 		t.crashes = rec.Crashes[i]
 		s.suspected = s.suspected || t.suspect()
@@ -113,7 +134,7 @@
 			s.waiting--
 		}
 		if stored.Worker != "" {
-			e.restoreRun(t, stored, rec.PlannedAt)
+			e.restoreRun(t, &stored, rec.PlannedAt)
 		}
 		if speculative, ok := rec.SpeculativeRuns[i]; ok {
 			t.lastRun = max(t.lastRun, speculative.Run)
@@ -122,12 +143,27 @@
 			}
 		}
 	}
-	e.restoreAdvice(s, rec)
+	if first := step[0]; first != nil {
+		e.restoreAdvice(s, first)
+	}
 	if s.remaining == 0 {
 		s.occ.remaining--
 	}
 }
 
+// noProgress is the record of a task that never had a run.
+var noProgress = &record.Step{Tasks: make([]record.Task, 1)}
+
+// anyDone reports whether a task is done according to the records of a step.
+func anyDone(step record.StoredStep) bool {
+	for _, rec := range step {
+		if slices.ContainsFunc(rec.Tasks, func(t record.Task) bool { return t.Done }) {
+			return true
+		}
+	}
+	return false
+}
+
 // restoreAdvice restores the adviser's answers to earlier leaders, without the tickets,
 // which are not stored.
 func (e *Engine) restoreAdvice(s *stepState, rec *record.Step) {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -24,6 +24,7 @@
 	stored          bool         // the job's acceptance is stored
 	started         bool         // a task has started, or none ever will
 	compacted       bool         // the job has ended and its steps are removed from the store
+	specRejected    bool         // the store has rejected the record of its end with the spec
 	overEntitlement bool         // exceeded its team's entitlement when it was submitted
 	pendingSubmits  []*Submit    // that wait until the acceptance is stored
 	occurrences     []*occurrence
@@ -69,6 +70,8 @@
 	reservation    *stepReservation // nil if it has none
 	charge         job.Resources    // of one task, see job.Step.Charge
 	inOpenSteps    bool             // it is in Engine.openSteps
+	dirtySegments  uint64           // bit set of the segments whose records the next append writes
+	wholeStored    bool             // the stored record of the first segment holds all tasks, as an earlier version wrote it
 	urgency        ordering.Step    // when it was opened, or when the declarations last changed
 	key            ordering.Key     // set by sortByUrgency
 
@@ -197,11 +200,11 @@
 	return s
 }
 
-// newestPlan returns when the newest run of s was planned, in Unix milliseconds, or zero if all
+// newestPlan returns when the newest run of tasks was planned, in Unix milliseconds, or zero if all
 // start commands are settled or that is not known.
-func (s *stepState) newestPlan() int64 {
+func newestPlan(tasks []*task) int64 {
 	newest, unsettled := int64(0), int64(0)
-	for _, t := range s.tasks {
+	for _, t := range tasks {
 		for _, r := range t.runs {
 			newest = max(newest, r.plannedAt)
 			if !r.startSettled {
@@ -215,17 +218,24 @@
 	return newest // the next leader takes it for the time of each run, see Engine.newAtTakeover
 }
 
-// encode returns the encoded record of s.
-func (s *stepState) encode() []byte {
-	r := record.Step{Tasks: make([]record.Task, len(s.tasks)), Begun: s.job().started}
+// segment returns the tasks of a segment of s.
+func (s *stepState) segment(n int) []*task {
+	from, to := record.Segment(n, len(s.tasks))
+	return s.tasks[from:to]
+}
+
+// segmentRecord returns the record of a segment of s.
+func (s *stepState) segmentRecord(segment int) *record.Step {
+	tasks := s.segment(segment)
+	r := &record.Step{Tasks: make([]record.Task, len(tasks)), Begun: s.job().started}
 	addSpeculative := func(index int, t record.Task) {
 		if r.SpeculativeRuns == nil {
 			r.SpeculativeRuns = make(map[int]record.Task)
 		}
 		r.SpeculativeRuns[index] = t
 	}
-	r.PlannedAt = s.newestPlan()
-	for i, t := range s.tasks {
+	r.PlannedAt = newestPlan(tasks)
+	for i, t := range tasks {
 		out := record.Task{Done: t.done, Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint}
 		if t.done {
 			out.Checkpoint = ""
@@ -248,18 +258,26 @@
 		}
 		r.Tasks[i] = out
 	}
-	if s.advice != nil && s.waiting > 0 {
-		for _, g := range s.advice.good {
-			r.GoodWorkers = append(r.GoodWorkers, record.GoodWorker{Worker: g.id, Incarnation: g.ticket.incarnation})
-		}
-		names := make([]string, 0, len(s.advice.asked))
-		for w := range s.advice.asked {
-			names = append(names, w.id)
-		}
-		slices.Sort(names) // the encoding does not depend on the order of the map
-		for _, name := range names {
-			r.Asked.Add(name)
-		}
+	if segment == 0 {
+		s.addAdvice(r)
+	}
+	return r
+}
+
+// addAdvice adds the adviser's answers to the record of the first segment of s.
+func (s *stepState) addAdvice(r *record.Step) {
+	if s.advice == nil || s.waiting == 0 {
+		return
+	}
+	for _, g := range s.advice.good {
+		r.GoodWorkers = append(r.GoodWorkers, record.GoodWorker{Worker: g.id, Incarnation: g.ticket.incarnation})
+	}
+	names := make([]string, 0, len(s.advice.asked))
+	for w := range s.advice.asked {
+		names = append(names, w.id)
+	}
+	slices.Sort(names) // the encoding does not depend on the order of the map
+	for _, name := range names {
+		r.Asked.Add(name)
 	}
-	return record.Encode(&r)
 }
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -40,13 +41,56 @@
 // afterAppend calls f once all records put so far are stored.
 func (e *Engine) afterAppend(f func()) { e.batch.onStored = append(e.batch.onStored, f) }
 
-// markDirty has the record of s written with the next append.
-func (e *Engine) markDirty(s *stepState) {
-	if _, marked := e.dirtySteps[s]; marked || s.job().compacted {
+// markDirty has the record that holds t written with the next append. The members of a gang
+// share what is recorded of them, so all of its records are written.
+func (e *Engine) markDirty(t *task) {
+	if t.step.spec.Gang {
+		e.markSegmentsDirty(t.step, t.step.allSegments())
 		return
 	}
-	e.dirtySteps[s] = struct{}{}
-	e.dirtyStepList = append(e.dirtyStepList, s)
+	e.markSegmentsDirty(t.step, 1<<(t.ref.Index/record.SegmentTasks))
+}
+
+// markAdviceDirty has the record that holds the adviser's answers for s written with the next append.
+func (e *Engine) markAdviceDirty(s *stepState) { e.markSegmentsDirty(s, 1) }
+
+// A bit set of segments is wide enough for the widest step.
+const _ = uint(64 - record.MaxSegments)
+
+// allSegments returns the bit set of all segments of s.
+func (s *stepState) allSegments() uint64 { return 1<<record.Segments(len(s.tasks)) - 1 }
+
+// markSegmentsDirty has the records of a bit set of segments of s written with the next append.
+func (e *Engine) markSegmentsDirty(s *stepState, segments uint64) {
+	if s.job().compacted {
+		return
+	}
+	if s.wholeStored && segments&1 != 0 {
+		segments = s.allSegments() // the first record will not hold the other tasks any more
+		s.wholeStored = false
+	}
+	if s.dirtySegments == 0 {
+		e.dirtySteps = append(e.dirtySteps, s)
+	}
+	s.dirtySegments |= segments
+}
+
+// putDirtySteps adds the records of all dirty segments to the next append.
+func (e *Engine) putDirtySteps() {
+	for _, s := range e.dirtySteps {
+		segments := s.dirtySegments
+		s.dirtySegments = 0
+		if s.job().compacted {
+			continue
+		}
+		// The first one comes last: until it is stored, that of an earlier version holds the tasks of the others.
+		for segments != 0 {
+			last := bits.Len64(segments) - 1
+			segments &^= 1 << last
+			e.putSegment(s, last)
+		}
+	}
+	e.dirtySteps = e.dirtySteps[:0]
 }
 
 // flush sends the next append once the previous one has ended.
@@ -54,13 +98,7 @@
 	if e.appendInFlight || e.now.Before(e.appendRetryAt) || e.now.Sub(e.appendSentAt) < minAppendInterval {
 		return
 	}
-	for _, s := range e.dirtyStepList {
-		if !s.job().compacted {
-			e.put(record.StepKey(s.ref), s.encode())
-		}
-	}
-	clear(e.dirtySteps)
-	e.dirtyStepList = e.dirtyStepList[:0]
+	e.putDirtySteps()
 	e.putModel()
 	if len(e.batch.Records) == 0 && len(e.batch.onStored) == 0 {
 		return
@@ -93,6 +131,10 @@
 		if took >= slowAppend {
 			e.log.Warn("slow append", "records", len(ev.Append.Records), "bytes", record.TotalSize(ev.Append.Records), "after_ms", took.Milliseconds(), "jobs", len(ev.Append.jobs))
 		}
+		if len(ev.Rejected) > 0 {
+			e.recordsRejected(ev.Append, ev.Rejected)
+			return
+		}
 		for _, f := range ev.Append.onStored {
 			f()
 		}
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -185,8 +185,9 @@
 	}
 	// Appended is the outcome of an Append.
 	Appended struct {
-		Append  *Append
-		Outcome AppendOutcome
+		Append   *Append
+		Outcome  AppendOutcome
+		Rejected []Rejection // records that the store will never take, if the others are Stored
 	}
 	// StoreRecovered reports that the store is reachable again.
 	StoreRecovered struct{}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -316,7 +316,7 @@
 	e.unholdRun(r)
 	r.incarnation, r.startedClock = incarnation, 0
 	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
-	e.markDirty(r.task.step)
+	e.markDirty(r.task)
 }
 
 // dropUnlistedWorkers drops idle workers that left the directory more than
--- a/internal/cell/engine/world_actions_test.go
+++ b/internal/cell/engine/world_actions_test.go
@@ -70,13 +70,21 @@
 			w.callers.refuseAppend(e, a) // a later leader has fenced this one off
 			return
 		}
+		var rejected []Rejection
 		for _, r := range a.Records {
+			if w.maxRecordBytes > 0 && r.Size() > w.maxRecordBytes {
+				w.t.Errorf("record %s has %d bytes, at most %d are allowed", r.Key, r.Size(), w.maxRecordBytes)
+			}
+			if w.rejectRecord != nil && w.rejectRecord(r.Key) {
+				rejected = append(rejected, Rejection{Key: r.Key, Reason: "status 400"})
+				continue
+			}
 			if len(r.Value) == 0 {
 				delete(w.stored, r.Key)
 				continue
 			}
 			w.stored[r.Key] = r.Value
 		}
-		w.deliver(e, w.storeDelay, &Appended{Append: a, Outcome: Stored})
+		w.deliver(e, w.storeDelay, &Appended{Append: a, Outcome: Stored, Rejected: rejected})
 	})
 }
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -46,9 +46,11 @@
 	answerDelay      time.Duration // of the answer to a command
 	storeRefuses     bool
 	storeHangs       bool
-	storeDelay       time.Duration    // of an append, and of its answer
-	uncertain        map[*Append]bool // appends with an attempt of unknown outcome
-	workersAsked     int              // number of workers that the adviser was asked about
+	storeDelay       time.Duration         // of an append, and of its answer
+	maxRecordBytes   int                   // of a key and value; zero for no limit
+	rejectRecord     func(key string) bool // whether the store rejects a record for good; nil for none
+	uncertain        map[*Append]bool      // appends with an attempt of unknown outcome
+	workersAsked     int                   // number of workers that the adviser was asked about
 	adviceFails      bool
 	adviser          simAdviser
 	isGood           func(step job.StepRef, worker string) bool // if nil, about four workers in ten are good
@@ -232,7 +234,7 @@
 	w.callers.leaderStarted()
 	w.uncertain = make(map[*Append]bool)
 	cfg := simConfig()
-	cfg.Term, cfg.Features = w.term, w.features
+	cfg.Term, cfg.Features, cfg.MaxRecordBytes = w.term, w.features, w.maxRecordBytes
 	cfg.Now = func() time.Time { return w.now }
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	w.engine = New(cfg, log, func() int64 { return w.now.UnixMilli() }, w.now)
@@ -243,7 +245,7 @@
 	}
 	debugLog(w.t, w)
 	w.engine.Handle(w.now, &WorkersListed{Workers: w.directory()})
-	state := Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step), Withdrawals: make(map[string]*record.Withdrawal)}
+	state := NewRestored()
 	if w.net != nil && w.net.planted.losesWithdrawals {
 		maps.DeleteFunc(w.stored, func(key string, _ []byte) bool { return record.IsWithdrawal(key) })
 	}
@@ -265,7 +267,7 @@
 		if step != nil {
 			rec := new(record.Step)
 			w.must(record.Decode(value, rec))
-			state.Steps[*step] = rec
+			state.StepOf(step.StepRef)[step.Segment] = rec
 			continue
 		}
 		rec := new(record.Job)
--- a/internal/cell/node/actions.go
+++ b/internal/cell/node/actions.go
@@ -27,6 +27,11 @@
 	// maxAppendBytes is the maximum total size, in bytes, of the keys and values in one
 	// append of several records. A larger record is appended on its own.
 	maxAppendBytes = 1 << 20
+	// recordFrameBytes bounds what a record takes in an append beside its key and value, in bytes.
+	recordFrameBytes = 8
+	// maxRejections is how often the store may reject an append until it is taken to do so for
+	// its records. A call may also be damaged on its way.
+	maxRejections = 3
 )
 
 // execute starts an action of the engine. Its result is posted as an event.
@@ -85,8 +90,13 @@
 // appendBatch stores a batch and posts the outcome once the outcome is certain.
 func (l *leader) appendBatch(a *engine.Append) {
 	start := time.Now()
-	for i, part := range splitBatch(a.Records) {
-		outcome, certain := l.appendPart(part, i == 0)
+	maxBytes := maxAppendBytes
+	if limit := l.n.settings.MaxAppendBytes; limit > 0 {
+		maxBytes = min(maxBytes, limit)
+	}
+	b := &batchAppend{leader: l}
+	for _, part := range splitBatch(a.Records, maxBytes) {
+		outcome, certain := b.append(part)
 		if !certain {
 			return // the term has ended
 		}
@@ -96,15 +106,50 @@
 		}
 	}
 	l.n.stats.Append.UpdateSince(start)
-	l.post(&engine.Appended{Append: a, Outcome: engine.Stored})
+	l.post(&engine.Appended{Append: a, Outcome: engine.Stored, Rejected: b.rejected})
+}
+
+// batchAppend stores the parts of a batch one after the other.
+type batchAppend struct {
+	*leader
+	begun    bool // a part of the batch is stored
+	rejected []engine.Rejection
+}
+
+// append appends records. If the store rejects them, it appends each half of them, so that those
+// that the store rejects on their own don't keep back the others.
+func (b *batchAppend) append(records []record.Record) (outcome engine.AppendOutcome, certain bool) {
+	outcome, err := b.appendPart(records, !b.begun)
+	switch {
+	case err == nil:
+		b.begun = b.begun || outcome == engine.Stored
+		return outcome, true
+	case !errors.Is(err, ErrRejected):
+		return outcome, false
+	case len(records) == 1:
+		r := records[0]
+		b.n.log.Error("store rejected record", "term", b.rec.Term, "key", r.Key, "bytes", r.Size(), "limit", b.n.settings.Engine.MaxRecordBytes, "reason", err.Error())
+		b.n.stats.RecordsRejected.Inc(1)
+		b.rejected = append(b.rejected, engine.Rejection{Key: r.Key, Reason: err.Error()})
+		return engine.Stored, true
+	}
+	for _, half := range [][]record.Record{records[:len(records)/2], records[len(records)/2:]} {
+		if outcome, certain = b.append(half); !certain || outcome != engine.Stored {
+			return outcome, certain
+		}
+	}
+	return engine.Stored, true
 }
 
-// appendPart appends records. It retries until the outcome is certain, or returns with
-// certain false when the term ends. The first part of a batch is returned as not stored
-// if the store has refused it and no earlier attempt may have had an effect. Later parts
-// are retried in any case, as a part of their batch is stored already.
-func (l *leader) appendPart(records []record.Record, first bool) (outcome engine.AppendOutcome, certain bool) {
-	uncertain := false
+// errOutcomeUnknown is returned for an append whose outcome was not certain when the term ended.
+var errOutcomeUnknown = errors.New("the term has ended")
+
+// appendPart appends records. It retries until the outcome is certain. Its error is marked
+// ErrRejected if the store rejects the records, or errOutcomeUnknown. The first part of a batch is
+// returned as not stored if the store has refused it and no earlier attempt may have had an
+// effect. Later parts are retried in any case, as a part of their batch is stored already.
+func (l *leader) appendPart(records []record.Record, first bool) (engine.AppendOutcome, error) {
+	uncertain, rejections := false, 0
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
 		probe := time.AfterFunc(appendProbeDelay, func() { l.abortOnceStoreAnswers(ctx, cancel) })
@@ -117,10 +162,17 @@
 			l.sequence++
 			l.noteConfirmed(sent)
 			l.noteStoreAnswer()
-			return engine.Stored, true
+			return engine.Stored, nil
 		case errors.Is(err, ErrFenced):
 			l.n.log.Warn("append refused", "term", l.rec.Term, "sequence", l.sequence, "reason", err.Error())
-			return engine.Superseded, true
+			return engine.Superseded, nil
+		case errors.Is(err, ErrRejected):
+			l.noteStoreAnswer()
+			if rejections++; rejections >= maxRejections {
+				return engine.NotStored, err // whenever they are carried out, the earlier attempts are rejected too
+			}
+			wait.For(l.ctx, appendRetryDelay)
+			continue
 		}
 		if l.ctx.Err() != nil {
 			break
@@ -128,11 +180,11 @@
 		l.noteStoreFailure(err)
 		uncertain = uncertain || !errors.Is(err, ErrNoEffect)
 		if first && !uncertain {
-			return engine.NotStored, true
+			return engine.NotStored, nil
 		}
 		wait.For(l.ctx, appendRetryDelay)
 	}
-	return engine.NotStored, false
+	return engine.NotStored, errOutcomeUnknown
 }
 
 // abortOnceStoreAnswers probes the store until ctx, that of an attempt to append, ends.
@@ -147,16 +199,17 @@
 	}
 }
 
-// splitBatch splits records into parts of at most maxAppendBytes, or of one record that
-// is larger.
-func splitBatch(records []record.Record) [][]record.Record {
+// splitBatch splits records into parts of at most maxBytes, with recordFrameBytes for each
+// record, or of one record that is larger.
+func splitBatch(records []record.Record, maxBytes int) [][]record.Record {
 	var parts [][]record.Record
 	first, size := 0, 0
 	for i, r := range records {
-		size += r.Size()
-		if size > maxAppendBytes && i > first {
+		framed := r.Size() + recordFrameBytes
+		size += framed
+		if size > maxBytes && i > first {
 			parts = append(parts, records[first:i])
-			first, size = i, r.Size()
+			first, size = i, framed
 		}
 	}
 	return append(parts, records[first:])
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -237,6 +237,9 @@
 	term         int64             // newest term that has fenced the earlier ones
 	lastSequence int64             // sequence number of the last append in that term
 	records      map[string][]byte // newest value of each key
+
+	maxRecordBytes int // of a key and value; zero for no limit
+	rejections     int // appends that were rejected
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{records: make(map[string][]byte)} }
@@ -387,6 +390,12 @@
 		if sequence <= a.lastSequence {
 			return nil // a repeat
 		}
+		for _, r := range records {
+			if a.maxRecordBytes > 0 && r.Size() > a.maxRecordBytes {
+				a.rejections++
+				return errors.Mark(errors.New("status 400"), ErrRejected)
+			}
+		}
 		a.lastSequence = sequence
 		for _, r := range records {
 			a.records[r.Key] = r.Value
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -38,7 +38,10 @@
 	// PayloadsFromEntries makes relays fetch the payload of a job from the instance that
 	// took the job, so that it does not pass over the leader's link to each of them.
 	PayloadsFromEntries bool
-	Engine              engine.Config
+	// MaxAppendBytes is the maximum size of the records of one append, with
+	// recordFrameBytes for each; zero if the store sets no limit.
+	MaxAppendBytes int
+	Engine         engine.Config
 }
 
 // Ports are the interfaces through which the node uses other systems.
--- a/internal/cell/node/ports.go
+++ b/internal/cell/node/ports.go
@@ -32,6 +32,8 @@
 	ErrFenced = errors.New("a later term has begun")
 	// ErrNoEffect means that the call had no effect.
 	ErrNoEffect = errors.New("the call had no effect")
+	// ErrRejected means that the call had no effect and would have none if it were repeated.
+	ErrRejected = errors.New("the call is rejected")
 )
 
 // Store stores durably the leadership record and the state of the cell.
@@ -46,8 +48,8 @@
 	// marked ErrFenced if a later term has begun.
 	Fence(ctx context.Context, term int64) error
 	// Append stores all of the records or none. Repeating it with the same term and
-	// sequence number has no further effect. Its errors may be marked ErrFenced or
-	// ErrNoEffect.
+	// sequence number has no further effect. Its errors may be marked ErrFenced,
+	// ErrNoEffect or ErrRejected.
 	Append(ctx context.Context, term, sequence int64, records []record.Record) error
 	// Load calls f with the newest record of every key.
 	Load(ctx context.Context, f func(record.Record)) error
--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -16,10 +16,11 @@
 	Append   gometrics.Timer   // time until a batch is stored
 	Start    gometrics.Timer   // time until a worker answers a start command
 
-	EntriesIgnored gometrics.Counter // entries of the directory that name no worker to use
-	WorkersEnded   gometrics.Counter // workers with runs that refused connections
-	TasksSuspected gometrics.Counter // crashes of which a task is suspected
-	JobsGivenUp    gometrics.Counter // jobs that failed as their tasks crash workers
+	EntriesIgnored  gometrics.Counter // entries of the directory that name no worker to use
+	WorkersEnded    gometrics.Counter // workers with runs that refused connections
+	RecordsRejected gometrics.Counter // records that the store has rejected for good
+	TasksSuspected  gometrics.Counter // crashes of which a task is suspected
+	JobsGivenUp     gometrics.Counter // jobs that failed as their tasks crash workers
 
 	WorkersEvacuated   gometrics.Gauge        // workers in evacuated availability zones, on the leader
 	RunsEvacuated      gometrics.Gauge        // runs that are left on them
@@ -45,10 +46,11 @@
 		Append:   gometrics.NewRegisteredTimer(metrics.Name("cell_append_seconds"), r),
 		Start:    gometrics.NewRegisteredTimer(metrics.Name("cell_start_seconds"), r),
 
-		EntriesIgnored: gometrics.NewRegisteredCounter(metrics.Name("cell_worker_entries_ignored_total"), r),
-		WorkersEnded:   gometrics.NewRegisteredCounter(metrics.Name("cell_workers_ended_total"), r),
-		TasksSuspected: gometrics.NewRegisteredCounter(metrics.Name("cell_tasks_suspected_total"), r),
-		JobsGivenUp:    gometrics.NewRegisteredCounter(metrics.Name("cell_jobs_given_up_total"), r),
+		EntriesIgnored:  gometrics.NewRegisteredCounter(metrics.Name("cell_worker_entries_ignored_total"), r),
+		WorkersEnded:    gometrics.NewRegisteredCounter(metrics.Name("cell_workers_ended_total"), r),
+		RecordsRejected: gometrics.NewRegisteredCounter(metrics.Name("cell_records_rejected_total"), r),
+		TasksSuspected:  gometrics.NewRegisteredCounter(metrics.Name("cell_tasks_suspected_total"), r),
+		JobsGivenUp:     gometrics.NewRegisteredCounter(metrics.Name("cell_jobs_given_up_total"), r),
 
 		WorkersEvacuated:   gometrics.NewRegisteredGauge(metrics.Name("cell_workers_evacuated"), r),
 		RunsEvacuated:      gometrics.NewRegisteredGauge(metrics.Name("cell_runs_evacuated"), r),
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"pollenbend/internal/cell/engine"
-	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/record"
 
 	"pollenbend/internal/wait"
@@ -77,7 +76,7 @@
 // false if the term ended first.
 func (l *leader) load() (engine.Restored, bool) {
 	for l.ctx.Err() == nil {
-		state := engine.Restored{Jobs: make(map[string]*record.Job), Steps: make(map[job.StepRef]*record.Step), Withdrawals: make(map[string]*record.Withdrawal)}
+		state := engine.NewRestored()
 		ctx, cancel := context.WithTimeout(l.ctx, loadTimeout)
 		err := l.n.ports.Store.Load(ctx, func(r record.Record) { l.restoreRecord(&state, r) })
 		cancel()
@@ -109,7 +108,7 @@
 		return
 	}
 	if step != nil {
-		err = setDecoded(state.Steps, *step, r.Value)
+		err = setDecoded(state.StepOf(step.StepRef), step.Segment, r.Value)
 	} else {
 		err = setDecoded(state.Jobs, id, r.Value)
 	}
--- a/internal/cell/record/record.go
+++ b/internal/cell/record/record.go
@@ -1,11 +1,12 @@
 // Package record defines the form in which jobs and their progress are kept in the
-// durable store: one record for each job and one for each of its steps. The
-// newest record of a key replaces the earlier ones.
+// durable store: one record for each job and one for each segment of its steps, which
+// holds up to SegmentTasks tasks. The newest record of a key replaces the earlier ones.
 package record
 
 import (
 	"encoding/binary"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,13 +91,28 @@
 // JobKey returns the key of the record of a job.
 func JobKey(id string) string { return jobPrefix + id }
 
-// StepKey returns the key of the record of a step.
-func StepKey(ref job.StepRef) string { return stepPrefix + ref.String() }
+// StepKey returns the key of the record of a segment of a step. The key of the first segment
+// is that of the whole step in records of earlier versions.
+func StepKey(ref job.StepRef, segment int) string {
+	key := stepPrefix + ref.String()
+	if segment > 0 {
+		key += segmentSeparator + strconv.Itoa(segment)
+	}
+	return key
+}
+
+const segmentSeparator = "/"
 
-// ParseKey returns the id of the job and, for the key of a step, the step that key
-// identifies. It returns an error if key has neither form,
+// StepSegment identifies a segment of a step.
+type StepSegment struct {
+	job.StepRef
+	Segment int
+}
+
+// ParseKey returns the id of the job and, for the key of a segment of a step, the segment that
+// key identifies. It returns an error if key has neither form,
 // such as ModelKey.
-func ParseKey(key string) (id string, step *job.StepRef, err error) {
+func ParseKey(key string) (id string, step *StepSegment, err error) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		return id, nil, nil
 	}
@@ -104,11 +120,19 @@
 	if !ok {
 		return "", nil, errors.Newf("unknown key %q", key)
 	}
+	segment := 0
+	name, number, later := strings.Cut(name, segmentSeparator)
+	if later {
+		segment, err = strconv.Atoi(number)
+		if err != nil || segment < 1 || segment >= MaxSegments {
+			return "", nil, errors.Newf("key %q: no number of a segment", key)
+		}
+	}
 	task, err := job.ParseTask(name + ".0")
 	if err != nil {
 		return "", nil, errors.Wrapf(err, "key %q", key)
 	}
-	return task.Job, &task.StepRef, nil
+	return task.Job, &StepSegment{task.StepRef, segment}, nil
 }
 
 // Encode returns the CBOR encoding of v. It panics if v is of a type that the codec
--- a/internal/cell/record/record_test.go
+++ b/internal/cell/record/record_test.go
@@ -43,15 +43,21 @@
 
 func TestKeys(t *testing.T) {
 	ref := job.StepRef{Job: "5c0e7a21d94b36f8", Occurrence: 3, Step: 1}
-	id, step, err := ParseKey(StepKey(ref))
+	for _, segment := range []int{0, 1, MaxSegments - 1} {
+		id, step, err := ParseKey(StepKey(ref, segment))
+		require.NoError(t, err)
+		assert.Equal(t, ref.Job, id)
+		assert.Equal(t, StepSegment{ref, segment}, *step)
+	}
+	id, step, err := ParseKey("s/5c0e7a21d94b36f8.3.1") // as earlier versions wrote it
 	require.NoError(t, err)
 	assert.Equal(t, ref.Job, id)
-	assert.Equal(t, ref, *step)
+	assert.Equal(t, StepSegment{ref, 0}, *step)
 	id, step, err = ParseKey(JobKey("x"))
 	require.NoError(t, err)
 	assert.Equal(t, "x", id)
 	assert.Nil(t, step)
-	for _, key := range []string{"", "z/x", "s/x", "s/x.1"} {
+	for _, key := range []string{"", "z/x", "s/x", "s/x.1", "s/x.0.1/", "s/x.0.1/0", "s/x.0.1/-1", "s/x.0.1/40", "s/x.0.1/1/1"} {
 		_, _, err := ParseKey(key)
 		assert.Error(t, err, key)
 	}
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -31,10 +31,47 @@
 // doneAtOnce is a task that was done by its first run, as most are.
 var doneAtOnce = Task{Done: true, Run: 1}
 
-// Step is the progress of the tasks of a step. The keys of SpeculativeRuns are indexes
-// of tasks. GoodWorkers holds the workers that the adviser recommended and Asked those
-// that it was asked about. Both are kept while tasks wait, as advice is slow to get.
-// The keys of Crashes are indexes of tasks, too.
+// SegmentTasks is the number of tasks in a segment of a step. The size of a record is bounded by
+// it, whatever the width of the step. It is part of the stored form: segment n holds the tasks
+// from n*SegmentTasks on.
+const SegmentTasks = 256
+
+// MaxSegments is the number of segments of the widest step.
+const MaxSegments = (job.MaxTasks + SegmentTasks - 1) / SegmentTasks
+
+// Segments returns the number of segments of a step of the given number of tasks.
+func Segments(tasks int) int { return (tasks + SegmentTasks - 1) / SegmentTasks }
+
+// Segment returns the indexes of the first task of a segment of a step of the given number of
+// tasks, and of the first one after it.
+func Segment(segment, tasks int) (from, to int) {
+	return segment * SegmentTasks, min(tasks, (segment+1)*SegmentTasks)
+}
+
+// StoredStep holds the records of a step, by segment.
+type StoredStep map[int]*Step
+
+// Task returns the record that holds the task with the given index, and the task's index in it.
+// It returns nil if none does, so the task never had a run.
+func (s StoredStep) Task(index int) (*Step, int) {
+	if r, i := s[index/SegmentTasks], index%SegmentTasks; r != nil && i < len(r.Tasks) {
+		return r, i
+	}
+	// The first record holds all tasks if an earlier version wrote it.
+	if r := s[0]; r != nil && index < len(r.Tasks) {
+		return r, index
+	}
+	return nil, 0
+}
+
+// Whole reports whether the first record holds tasks of other segments too, as those of earlier
+// versions do.
+func (s StoredStep) Whole() bool { return s[0] != nil && len(s[0].Tasks) > SegmentTasks }
+
+// Step is the progress of the tasks of a segment of a step. The keys of SpeculativeRuns and Crashes
+// are indexes of tasks, counted from the first one of the segment. GoodWorkers holds the workers that
+// the adviser recommended and Asked those that it was asked about. Both are in the first segment and
+// are kept while tasks wait, as advice is slow to get.
 type Step struct {
 	Tasks           []Task
 	Crashes         map[int]Crashes
--- a/internal/cell/record/step_test.go
+++ b/internal/cell/record/step_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"pollenbend/internal/cell/job"
 )
 
 // earlierStep is a step as earlier versions encoded it.
@@ -100,3 +102,31 @@
 	b.ReportMetric(float64(len(Encode(in))), "bytes")
 	b.ReportMetric(float64(len(earlier)), "bytes-earlier")
 }
+
+func TestTasksOfSegments(t *testing.T) {
+	first, second := &Step{Tasks: make([]Task, SegmentTasks)}, &Step{Tasks: make([]Task, 10)}
+	s := StoredStep{0: first, 1: second}
+	for index, want := range map[int]struct {
+		record *Step
+		index  int
+	}{0: {first, 0}, SegmentTasks - 1: {first, SegmentTasks - 1}, SegmentTasks: {second, 0}, SegmentTasks + 9: {second, 9}, SegmentTasks + 10: {nil, 0}} {
+		r, i := s.Task(index)
+		assert.Same(t, want.record, r, index)
+		assert.Equal(t, want.index, i, index)
+	}
+	assert.False(t, s.Whole())
+
+	// The record of an earlier version holds what no later segment does.
+	whole := &Step{Tasks: make([]Task, 600)}
+	s = StoredStep{0: whole, 1: second}
+	for index, want := range map[int]struct {
+		record *Step
+		index  int
+	}{0: {whole, 0}, SegmentTasks: {second, 0}, SegmentTasks + 10: {whole, SegmentTasks + 10}, 599: {whole, 599}, 600: {nil, 0}} {
+		r, i := s.Task(index)
+		assert.Same(t, want.record, r, index)
+		assert.Equal(t, want.index, i, index)
+	}
+	assert.True(t, s.Whole())
+	assert.Equal(t, MaxSegments, Segments(job.MaxTasks))
+}
