--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -86,7 +86,7 @@
 		e.observeRuntime(r)
 		e.taskDone(t, r.number)
 	case EndedFailed:
-		e.taskFailed(t, r.worker)
+		e.taskFailed(t, r.worker, r.number)
 	default:
 		if t.failures > 0 && !t.hasRuns() {
 			e.failExhausted(t) // the declarations may have changed while it ran
@@ -138,23 +138,38 @@
 	e.addOpenStep(s)
 }
 
-// taskFailed counts a failure of t on w, and fails the job when its attempts are used up.
-func (e *Engine) taskFailed(t *task, w *worker) {
+// taskFailed counts the failure of the run of t with the given number on w, and fails the job when its
+// attempts are used up.
+func (e *Engine) taskFailed(t *task, w *worker, number int) {
 	s := t.step
 	if s.spec.LongRunning {
 		return
 	}
-	t.failures++
 	t.lastFailedOn = w.id
 	if s.spec.Gang {
-		// A gang fails as a whole, once per run of the gang.
-		for _, m := range s.tasks {
-			m.failures = max(m.failures, t.failures)
-		}
+		s.gangFailed(number)
+	} else {
+		t.failures++
 	}
 	e.failExhausted(t)
 }
 
+// gangFailed counts the failure of a run of the gang, which fails as a whole: once, however many of its
+// members end as failed.
+func (s *stepState) gangFailed(number int) {
+	if slices.Contains(s.failedGangRuns, number) {
+		return
+	}
+	s.failedGangRuns = append(s.failedGangRuns, number)
+	failures := 0
+	for _, m := range s.tasks {
+		failures = max(failures, m.failures)
+	}
+	for _, m := range s.tasks {
+		m.failures = failures + 1
+	}
+}
+
 // failExhausted fails the job of t if t has used up the attempts that its queue declares.
 // While the declarations of the queue are not known, the job goes on.
 func (e *Engine) failExhausted(t *task) {
--- /dev/null
+++ b/internal/cell/engine/gang_failures_test.go
@@ -0,0 +1,135 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// failTogether ends n members of the present run of a job's gang as failed, each worker's in one
+// report, and the others as broken by that.
+func (w *world) failTogether(id string, n int) {
+	type member struct {
+		worker *simWorker
+		run    *simRun
+	}
+	var members []member
+	for _, worker := range w.ids {
+		s := w.workers[worker]
+		for _, name := range sortedKeys(s.runs) {
+			if s.runs[name].gang != nil && name[:len(id)] == id {
+				members = append(members, member{s, s.runs[name]})
+			}
+		}
+	}
+	require.GreaterOrEqual(w.t, len(members), n)
+	waiting := make(map[*simWorker][]func())
+	for i, m := range members {
+		waiting[m.worker] = append(waiting[m.worker], m.worker.pendingAnswers...)
+		m.worker.pendingAnswers = nil
+		reason := EndedFailed
+		if i >= n {
+			reason = EndedGangBroken
+		}
+		m.run.gang = nil
+		w.endRun(m.worker, m.run, reason)
+	}
+	for _, worker := range w.ids {
+		for _, answer := range waiting[w.workers[worker]] {
+			answer()
+		}
+	}
+}
+
+// gangWorld returns a world of the given number of workers, and a job with a gang of four that may fail twice
+// and has started.
+func gangWorld(t *testing.T, workers int) (w *world, id string) {
+	w = newWorld(t, workers, 1)
+	for _, s := range w.workers {
+		s.capacity.CPU = 32_000 / int64(workers)
+	}
+	w.publishDirectory()
+	w.run(time.Second)
+	id = w.submit("urgent", "a", gang(4, 2000, time.Minute))
+	w.run(time.Second)
+	require.Equal(t, 4, w.starts)
+	return w, id
+}
+
+// Issue 54: each of several members that end as failed in one run of a gang counted as an attempt, so the
+// job was shown as failed although it had attempts left.
+func TestGangRunThatSeveralMembersFailCountsOnce(t *testing.T) {
+	for _, workers := range []int{1, 2, 4} {
+		for failing := 1; failing <= 4; failing++ {
+			t.Run(fmt.Sprintf("%d of 4 on %d workers", failing, workers), func(t *testing.T) {
+				w, id := gangWorld(t, workers)
+				w.failTogether(id, failing)
+				w.run(10 * time.Second)
+				require.Equal(t, StateRunning, w.state(id))
+				require.Equal(t, 8, w.starts, "the second run")
+				w.failTogether(id, failing)
+				w.run(time.Second)
+				assert.Equal(t, StateFailed, w.state(id), "the second run counts too")
+				assert.Equal(t, 8, w.starts)
+			})
+		}
+	}
+}
+
+// The members of one run end as failed before and after a change of the leader, whether the first ends
+// are stored or not. The run counts once, and is not forgotten.
+func TestGangRunCountsOnceOverAChangeOfLeader(t *testing.T) {
+	for name, stored := range map[string]bool{"first ends stored": true, "first ends not stored": false} {
+		t.Run(name, func(t *testing.T) {
+			w, id := gangWorld(t, 4)
+			for round := range 2 {
+				// Only the first two workers reach this leader, and only two members fail there.
+				for _, worker := range w.ids[2:] {
+					w.workers[worker].unreachable = true
+				}
+				w.run(50 * time.Millisecond)
+				w.storeHangs = !stored
+				w.failTogether(id, 4)
+				w.run(300 * time.Millisecond)
+				for _, worker := range w.ids[2:] {
+					w.workers[worker].unreachable = false
+				}
+				w.storeHangs = false
+				w.startLeader()
+				w.run(10 * time.Second)
+				if round == 0 {
+					require.Equal(t, StateRunning, w.state(id))
+					require.Equal(t, 8, w.starts, "the second run")
+				}
+			}
+			assert.Equal(t, StateFailed, w.state(id), "the second run counts too")
+			assert.Equal(t, 8, w.starts)
+		})
+	}
+}
+
+// A run of a gang that ended while its worker was away counts when it is listed, though the gang has another
+// run by then.
+func TestFailuresOfAReplacedGangRunCountOnce(t *testing.T) {
+	w, id := gangWorld(t, 4)
+	s := w.engine.jobs[id].occurrences[0].steps[0]
+	for _, m := range s.tasks {
+		for _, r := range m.runs {
+			m.lastEnd = lastEnd{run: r.number, reason: EndedStopped}
+		}
+	}
+	end := func(index int, number int) {
+		w.engine.applyEnd(w.engine.workers[w.ids[index]], s.tasks[index].ref, &RunEnd{Number: int64(number), Task: s.tasks[index].name, Run: s.lastGangRun, Reason: EndedFailed})
+	}
+	for _, m := range s.tasks {
+		m.runs = nil // given up
+	}
+	for index := range 4 {
+		end(index, 1)
+	}
+	assert.Equal(t, 1, s.tasks[0].failures)
+	assert.Equal(t, 1, s.tasks[3].failures)
+}
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -73,7 +73,7 @@
 	case end.Reason == EndedDone:
 		e.taskDone(t, end.Run)
 	case end.Reason == EndedFailed && !counted && !t.done && !t.step.job().state.Final():
-		e.taskFailed(t, w)
+		e.taskFailed(t, w, end.Run)
 		e.markDirty(t)
 	}
 }
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -144,6 +144,7 @@
 		}
 	}
 	if first := step[0]; first != nil {
+		s.failedGangRuns = first.FailedGangRuns
 		e.restoreAdvice(s, first)
 	}
 	if s.remaining == 0 {
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -63,6 +63,7 @@
 	triedAt        time.Time // when a placement round last tried it
 	started        bool      // this leader has planned runs for its tasks
 	lastGangRun    int       // highest run number of the gang
+	failedGangRuns []int     // numbers of the gang's runs that count as failed
 	advice         *adviceState
 	planFailedAt   time.Time        // when no start could be found for it, see Engine.planStart; zero if one was
 	neverFits      bool             // its tasks don't fit on the workers that it may reserve, whatever ends there
@@ -259,6 +260,7 @@
 		r.Tasks[i] = out
 	}
 	if segment == 0 {
+		r.FailedGangRuns = s.failedGangRuns
 		s.addAdvice(r)
 	}
 	return r
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -80,6 +80,7 @@
 	Asked           NameSet
 	Begun           bool  // a task of the job is known to have started
 	PlannedAt       int64 // Unix milliseconds when the newest run was planned; zero if all starts are settled, or if unknown
+	FailedGangRuns  []int // numbers of a gang's runs that count in Failures, in the first segment; missing in records of earlier versions
 }
 
 // GoodWorker is a worker that the adviser recommended for a step, in one incarnation.
@@ -111,6 +112,8 @@
 	Crashes map[int]Crashes `cbor:"11,keyasint,omitempty"` // by task
 
 	PlannedAt int64 `cbor:"12,keyasint,omitempty"` // see Step
+
+	FailedGangRuns []int `cbor:"13,keyasint,omitempty"` // see Step
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -162,7 +165,7 @@
 // encoded returns the encoded form of s.
 func (s *Step) encoded() *stepRecord {
 	r := stepEncoder{stepRecord: stepRecord{
-		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers), Crashes: s.Crashes, PlannedAt: s.PlannedAt,
+		Asked: s.Asked, Begun: s.Begun, Count: len(s.Tasks), GoodCount: len(s.GoodWorkers), Crashes: s.Crashes, PlannedAt: s.PlannedAt, FailedGangRuns: s.FailedGangRuns,
 		Workers: slices.Clip(s.GoodWorkers), Rows: make([]taskRow, 0, len(s.Tasks)),
 	}}
 	for i := range s.Tasks {
@@ -192,7 +195,7 @@
 	if r.Count < 0 || r.Count > job.MaxTasks || len(r.DoneAtOnce) > (r.Count+7)/8 || r.GoodCount < 0 || r.GoodCount > len(r.Workers) {
 		return errors.Newf("a step of %d tasks and %d workers with inconsistent fields", r.Count, len(r.Workers))
 	}
-	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun, Crashes: r.Crashes, PlannedAt: r.PlannedAt}
+	*s = Step{Tasks: make([]Task, r.Count), Asked: r.Asked, Begun: r.Begun, Crashes: r.Crashes, PlannedAt: r.PlannedAt, FailedGangRuns: r.FailedGangRuns}
 	if r.GoodCount > 0 {
 		s.GoodWorkers = r.Workers[:r.GoodCount]
 	}
