--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -33,15 +33,16 @@
 		why, retryAfter = e.storeUnavailable(ev.Wait)
 		retryAfter = e.retryAfter(ev.Spec.ID, retryAfter)
 	}
-	accepted := e.wall()
-	jobRecord := record.Encode(&record.Job{Spec: ev.Spec, Accepted: accepted})
-	if tooLarge := e.unstorable(ev.Spec, jobRecord); tooLarge != "" {
-		why, retryAfter = tooLarge, 0
-	}
 	if why != "" {
 		e.refuse(ev.Spec, why, retryAfter, ev)
 		return
 	}
+	accepted := e.wall()
+	jobRecord := record.Encode(&record.Job{Spec: ev.Spec, Accepted: accepted})
+	if why := e.unstorable(ev.Spec, jobRecord); why != "" {
+		e.refuse(ev.Spec, why, 0, ev)
+		return
+	}
 	j := newJob(ev.Spec, accepted)
 	j.arrivedAt = e.now
 	j.overEntitlement = !e.takeToken(ev.Spec.Team)
