--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -135,9 +135,9 @@
 	storeAddress := c.listen("127.0.0.1:0", c.store)
 	c.fleet.register = func(w *worker) {
 		c.fleet.mu.Lock()
-		born, cpu := w.born, w.cpu
+		born, cpu, address := w.born, w.cpu, w.address
 		c.fleet.mu.Unlock()
-		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, w.address, zoneOf(w.id), cpu, born))
+		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, address, zoneOf(w.id), cpu, born))
 	}
 	c.fleet.listen = c.listenAt
 	c.startOddServers()
