--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -161,12 +161,8 @@
 		return
 	}
 	s.failedGangRuns = append(s.failedGangRuns, number)
-	failures := 0
 	for _, m := range s.tasks {
-		failures = max(failures, m.failures)
-	}
-	for _, m := range s.tasks {
-		m.failures = failures + 1
+		m.failures++
 	}
 }
 
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -334,11 +334,14 @@
 
 // mayBeStored reports whether the store may hold a record of a segment of s.
 func (s *stepState) mayBeStored(segment int) bool {
-	if segment == 0 && (s.advice != nil || s.wholeStored) {
+	switch {
+	case segment == 0 && (s.advice != nil || s.wholeStored):
 		return true // the adviser's answers are stored before a task starts
+	case s.spec.Gang && s.lastGangRun > 0:
+		return true // all segments of a gang are written together
 	}
 	for _, t := range s.segment(segment) {
-		if t.lastRun > 0 || t.hasRuns() || t.done || t.step.spec.Gang && t.step.lastGangRun > 0 {
+		if t.lastRun > 0 || t.hasRuns() || t.done {
 			return true
 		}
 	}
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -275,7 +275,9 @@
 }
 
 // upTo returns a random duration of up to d.
-func (n *network) upTo(d time.Duration) time.Duration { return time.Duration(n.rand.Int64N(int64(d))) }
+func upTo(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+
+func (n *network) upTo(d time.Duration) time.Duration { return upTo(n.rand, d) }
 
 // disturb mixes two kinds of trouble on the link to a worker for up to six seconds.
 func (n *network) disturb(id string) {
--- a/internal/cell/engine/record_limits.go
+++ b/internal/cell/engine/record_limits.go
@@ -113,10 +113,6 @@
 // are stored. What was to follow once the batch is stored follows the next append, which
 // stores the consequences.
 func (e *Engine) recordsRejected(batch *Append, rejected []Rejection) {
-	pending := make(map[string]*jobState, len(batch.jobs))
-	for _, j := range batch.jobs {
-		pending[j.id] = j
-	}
 	for _, r := range rejected {
 		id, step, err := record.ParseKey(r.Key)
 		if err != nil {
@@ -127,7 +123,7 @@
 		case j == nil || len(j.occurrences) == 0:
 		case step != nil:
 			e.failUnstorable(j, r.Key, r.Reason)
-		case j == pending[id] && !j.stored:
+		case !j.stored:
 			e.refuse(j.spec, "the job cannot be stored: "+r.Reason, 0, j.pendingSubmits...)
 			j.pendingSubmits = nil
 			e.dropUnstoredJob(j)
--- a/internal/cell/engine/worker_fence.go
+++ b/internal/cell/engine/worker_fence.go
@@ -29,8 +29,8 @@
 	return w.fence
 }
 
-// fencedEarlierIncarnation reports whether a worker that answers that it has seen a higher fence number
-// than that of a call means a later call of this leader. The call was sent to an earlier incarnation.
+// fencedEarlierIncarnation reports whether a call of the given fence number, which w has refused for a
+// higher one, was sent to an earlier incarnation of w. The higher one is that of a later call of this leader.
 func (w *worker) fencedEarlierIncarnation(fence int64) bool { return fence < w.fence }
 
 // mayAcknowledge reports whether the next renewal of w may bear a cursor.
@@ -68,16 +68,16 @@
 	}
 }
 
-// nextCursor returns the cursor for a renewal of w that waits for the end of a run for the given time, or
-// zero, which acknowledges nothing.
-func (e *Engine) nextCursor(w *worker, wait time.Duration) int64 {
-	if wait > 0 || !w.acknowledgementDue() || !e.mayAcknowledge(w) {
+// nextCursor returns the cursor for the next renewal of w, or zero, which acknowledges nothing.
+func (e *Engine) nextCursor(w *worker) int64 {
+	if !w.acknowledgementDue() || !e.mayAcknowledge(w) {
 		return 0
 	}
 	return w.cursor
 }
 
-// acknowledgementDue reports whether ends of w are stored and not known to be acknowledged.
+// acknowledgementDue reports whether ends of w are stored and not known to be acknowledged. A renewal of w
+// doesn't wait then.
 func (w *worker) acknowledgementDue() bool { return w.cursor > w.ackedCursor }
 
 // awaitsAcknowledgement reports whether the next renewal of w waits until its ends can be acknowledged.
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -394,16 +394,13 @@
 	w.renewalInFlight = true
 	w.renewalSentAt = e.now
 	wait := e.cfg.RenewalMaxWait
-	if !w.reported || w.missedRenewals > 0 || w.renewWithoutWait || w.unstoredBatches > 0 {
+	if !w.reported || w.missedRenewals > 0 || w.renewWithoutWait || w.unstoredBatches > 0 || w.acknowledgementDue() {
 		wait = 0
 	}
 	if w.exposed > 0 {
 		wait = min(wait, survivalTime) // the report shows whether the start was harmless
 	}
-	if w.acknowledgementDue() {
-		wait = 0
-	}
-	w.renewalCursor = e.nextCursor(w, wait)
+	w.renewalCursor = e.nextCursor(w)
 	w.renewalFence = e.fenceOf(w)
 	w.renewWithoutWait = false
 	deadline := int64(0)
--- a/internal/cell/engine/world_callers_test.go
+++ b/internal/cell/engine/world_callers_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-func (c *callers) upTo(d time.Duration) time.Duration { return time.Duration(c.rand.Int64N(int64(d))) }
+func (c *callers) upTo(d time.Duration) time.Duration { return upTo(c.rand, d) }
 
 // instance returns the engine that takes a request: mostly the leading one.
 func (c *callers) instance() *Engine {
--- a/internal/cell/engine/world_cuts_test.go
+++ b/internal/cell/engine/world_cuts_test.go
@@ -30,23 +30,22 @@
 	if r.IntN(8) > 0 {
 		return
 	}
-	upTo := func(d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
 	share := r.Float64()
 	ids := slices.DeleteFunc(slices.Clone(n.w.ids), func(string) bool { return r.Float64() >= share })
 	for _, id := range ids {
-		length := upTo(4 * time.Second)
+		length := upTo(r, 4*time.Second)
 		if r.IntN(6) == 0 {
 			length += simConfig().Lease // longer than a lease
 		}
 		n.cut(id, length)
 		if r.IntN(3) == 0 {
-			n.w.after(upTo(length), func() {
+			n.w.after(upTo(r, length), func() {
 				if !slices.Contains(n.w.ids, id) {
 					return // it is gone for good
 				}
 				// To the engine, a single worker seems to crash when it is cut off.
 				n.rules.crashed(n.w.workers[id], len(ids) >= minSharedCrashes, length)
-				n.restart(id, upTo(time.Second), upTo(3*time.Second))
+				n.restart(id, upTo(r, time.Second), upTo(r, 3*time.Second))
 			})
 		}
 	}
--- a/internal/cell/engine/world_recuts_test.go
+++ b/internal/cell/engine/world_recuts_test.go
@@ -15,23 +15,22 @@
 	if r.IntN(10) > 0 {
 		return
 	}
-	upTo := func(d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
 	submit := func() {
-		n.w.submit([]string{"batch", "urgent"}[r.IntN(2)], "a", tasks(1+r.IntN(6), 500, upTo(3*time.Second)+time.Duration(r.IntN(2))*upTo(15*time.Second)))
+		n.w.submit([]string{"batch", "urgent"}[r.IntN(2)], "a", tasks(1+r.IntN(6), 500, upTo(r, 3*time.Second)+time.Duration(r.IntN(2))*upTo(r, 15*time.Second)))
 	}
 	ids := slices.Clone(n.w.ids)
 	r.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
 	for _, id := range ids[:min(len(ids), 1+r.IntN(3))] {
 		l := n.links[id]
 		l.lateRatio, l.lostReplyRatio = 0.6*r.Float64(), 0.6*r.Float64()
-		restart := upTo(2 * time.Second)
+		restart := upTo(r, 2*time.Second)
 		n.w.after(restart, func() {
 			if slices.Contains(n.w.ids, id) {
-				n.restart(id, upTo(600*time.Millisecond), upTo(15*time.Second))
+				n.restart(id, upTo(r, 600*time.Millisecond), upTo(r, 15*time.Second))
 			}
 		})
-		answersOnly, lasts := r.IntN(2) == 0, time.Second+upTo(9*time.Second)
-		n.w.after(restart+upTo(2*time.Second), func() {
+		answersOnly, lasts := r.IntN(2) == 0, time.Second+upTo(r, 9*time.Second)
+		n.w.after(restart+upTo(r, 2*time.Second), func() {
 			if answersOnly {
 				l.clear()
 				l.lostReplyRatio = 1
@@ -42,9 +41,9 @@
 		n.w.after(restart+2*time.Second+lasts, l.clear)
 	}
 	submit()
-	n.w.after(upTo(3*time.Second), submit)
+	n.w.after(upTo(r, 3*time.Second), submit)
 	if r.IntN(3) == 0 {
-		n.w.after(upTo(4*time.Second), n.w.startLeader)
+		n.w.after(upTo(r, 4*time.Second), n.w.startLeader)
 	}
 }
 
