--- a/internal/cell/engine/gang_failures_test.go
+++ b/internal/cell/engine/gang_failures_test.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// Issue 57: both members on one worker end as failed in one report, and the job may fail twice.
+func TestGangOfTwoThatFailsInOneReportGoesOn(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	id := w.submit("urgent", "a", gang(2, 2000, time.Minute))
+	w.run(time.Second)
+	require.Equal(t, 2, w.starts)
+	w.failTogether(id, 2)
+	w.run(10 * time.Second)
+	assert.Equal(t, StateRunning, w.state(id))
+	assert.Equal(t, 4, w.starts, "the second run")
+}
+
 // The members of one run end as failed before and after a change of the leader, whether the first ends
 // are stored or not. The run counts once, and is not forgotten.
 func TestGangRunCountsOnceOverAChangeOfLeader(t *testing.T) {
