Gangs: a test for the numbers of failed runs that the next leader restores

With the numbers of a gang's failed runs not restored, no test of internal/cell failed. TestGangRunCountsOnceOverAChangeOfLeader means to guard them, but its four members fit on one worker, so the first leader sees all ends. The new test has members of 5 of a worker's 8 cores, and the first leader sees one, two or three of the ends and has them stored, the next one the others.

Planted (restore.go without the line that restores FailedGangRuns): the three cases fail, the job is shown as failed after its first run, and no other test of gangs does. Without it they pass. The older test stays: in it, the next leader may see all ends once more.

--- a/internal/cell/engine/gang_failures_test.go
+++ b/internal/cell/engine/gang_failures_test.go
@@ -47,13 +47,18 @@
 // gangWorld returns a world of the given number of workers, and a job with a gang of four that may fail twice
 // and has started.
 func gangWorld(t *testing.T, workers int) (w *world, id string) {
+	return wideGangWorld(t, workers, 2000)
+}
+
+// wideGangWorld is gangWorld with members that need the given CPU, in thousandths of a core.
+func wideGangWorld(t *testing.T, workers int, cpu int64) (w *world, id string) {
 	w = newWorld(t, workers, 1)
 	for _, s := range w.workers {
 		s.capacity.CPU = 32_000 / int64(workers)
 	}
 	w.publishDirectory()
 	w.run(time.Second)
-	id = w.submit("urgent", "a", gang(4, 2000, time.Minute))
+	id = w.submit("urgent", "a", gang(4, cpu, time.Minute))
 	w.run(time.Second)
 	require.Equal(t, 4, w.starts)
 	return w, id
@@ -124,6 +129,36 @@
 	}
 }
 
+// Members that don't fit on one worker fail in one run: the first leader sees the ends on some workers and has them
+// stored, the next one those on the others.
+func TestGangRunWhoseEndsTwoLeadersSeeCountsOnce(t *testing.T) {
+	for seen := 1; seen <= 3; seen++ {
+		t.Run(fmt.Sprintf("%d of 4 ends seen by the first leader", seen), func(t *testing.T) {
+			w, id := wideGangWorld(t, 4, 5000)
+			for run := 1; run <= 2; run++ {
+				for _, worker := range w.ids[seen:] {
+					w.workers[worker].unreachable = true
+				}
+				w.failTogether(id, 4)
+				w.run(300 * time.Millisecond)
+				require.Equal(t, run, w.engine.jobs[id].occurrences[0].steps[0].tasks[0].failures, "seen by the first leader")
+				if run == 2 {
+					break
+				}
+				for _, worker := range w.ids[seen:] {
+					w.workers[worker].unreachable = false
+				}
+				w.startLeader()
+				w.run(10 * time.Second)
+				require.Equal(t, StateRunning, w.state(id))
+				require.Equal(t, 8, w.starts, "the second run")
+			}
+			assert.Equal(t, StateFailed, w.state(id), "the second run counts too")
+			assert.Equal(t, 8, w.starts)
+		})
+	}
+}
+
 // A run of a gang that ended while its worker was away counts when it is listed, though the gang has another
 // run by then.
 func TestFailuresOfAReplacedGangRunCountOnce(t *testing.T) {
