Schedules: gangs whose members fail at once, with ends that two leaders see

No random schedule had a gang that fails across a takeover, so with the numbers of a gang's failed runs not restored none failed.

All forms now check over the whole history that each failed run counts once: a task's count is at least the number of runs whose failed ends are acknowledged (else BUDGET would be broken) and at most that of the runs that a worker has listed as failed (else LOST). A run of a gang is one, whichever members failed. The other forms draw what they drew before and keep their courses.

--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -20,6 +20,7 @@
 	cancels             bool                             // the fault shows in schedules with cancellations at any time
 	losesWithdrawals    bool                             // a new leader gets none of the withdrawals
 	newLeaders          bool                             // the fault shows in schedules whose leaders last for seconds only
+	gangFailures        bool                             // the fault shows in schedules whose gangs fail at once on several workers
 	hidesShrinkage      bool                             // the directory shows a shrunk worker's capacity as before
 	ignoresEvacuations  bool                             // the engine is not told of evacuations
 	noLeases            bool                             // workers don't end runs whose lease has expired
@@ -150,14 +151,13 @@
 			ev.Outcome = NotSent
 		}
 	})},
-	{name: "the crashes under a task are not stored", crashes: true, newLeaders: true, action: func(n *network, action any) any {
-		if a, ok := action.(*Append); ok {
-			for i := range a.Records {
-				n.forgetCrashes(&a.Records[i])
-			}
+	{name: "the crashes under a task are not stored", crashes: true, newLeaders: true, action: onStepRecords(func(s *record.Step) { s.Crashes = nil })},
+	{name: "the numbers of a gang's failed runs are not stored", gangFailures: true, action: onStepRecords(func(s *record.Step) { s.FailedGangRuns = nil })},
+	{name: "the failures of a gang's run are not stored", gangFailures: true, action: onStepRecords(func(s *record.Step) {
+		for i := range s.Tasks {
+			s.Tasks[i].Failures = 0
 		}
-		return action
-	}},
+	})},
 	{name: "withdrawals are not stored", cancels: true, action: dropRecords(func(n *network, r *record.Record) bool { return record.IsWithdrawal(r.Key) })},
 	{name: "withdrawals are lost at a takeover", cancels: true, losesWithdrawals: true},
 	{name: "the records of canceled jobs are not stored", cancels: true, action: dropRecords(func(n *network, r *record.Record) bool {
@@ -220,17 +220,30 @@
 	return &copied
 }
 
-// forgetCrashes removes the crashes under tasks from the record of a step.
-func (n *network) forgetCrashes(r *record.Record) {
-	_, step, err := record.ParseKey(r.Key)
-	n.w.must(err)
-	if step == nil || len(r.Value) == 0 {
-		return
+// onStepRecords returns a fault that changes the records of steps before they are stored.
+func onStepRecords(change func(s *record.Step)) func(*network, any) any {
+	return func(n *network, action any) any {
+		a, ok := action.(*Append)
+		if !ok {
+			return action
+		}
+		for i := range a.Records {
+			r := &a.Records[i]
+			if record.IsWithdrawal(r.Key) || r.Key == record.ModelKey || len(r.Value) == 0 {
+				continue
+			}
+			_, step, err := record.ParseKey(r.Key)
+			n.w.must(err)
+			if step == nil {
+				continue
+			}
+			in := new(record.Step)
+			n.w.must(record.Decode(r.Value, in))
+			change(in)
+			r.Value = record.Encode(in)
+		}
+		return action
 	}
-	in := new(record.Step)
-	n.w.must(record.Decode(r.Value, in))
-	in.Crashes = nil
-	r.Value = record.Encode(in)
 }
 
 // dropRecords returns a fault that removes records from appends, which are answered as stored.
@@ -283,7 +296,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, cancels: f.cancels, newLeaders: f.newLeaders, evacuations: f.ignoresEvacuations})
+		runRandomRefusals(r, seed, refusalOptions{planted: f, restartsKeepID: f.restartsKeepID, crashes: f.crashes, cuts: f.cuts, cancels: f.cancels, newLeaders: f.newLeaders, evacuations: f.ignoresEvacuations, gangFailures: f.gangFailures})
 	}()
 	<-ended
 	return r.first
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -28,6 +28,7 @@
 	confined       bool     // some jobs may use few workers, or few of their tasks may run at a time
 	cancels        bool     // callers cancel jobs at any time, also at leaders that were replaced
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
+	gangFailures   bool     // several members of gangs fail at once, and leaders see a part of their ends
 }
 
 // runRandomRefusals submits random jobs while workers refuse calls, answers are lost, late
@@ -57,7 +58,7 @@
 	}
 	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	evacuations, takeovers, confined := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
-	recuts := rand.New(rand.NewPCG(seed, 11))
+	recuts, gangFailures := rand.New(rand.NewPCG(seed, 11)), rand.New(rand.NewPCG(seed, 12))
 	if o.cancels {
 		w.callers = newCallers(w, rand.New(rand.NewPCG(seed, 10)))
 	}
@@ -93,9 +94,13 @@
 		if o.recuts {
 			n.injectRecut(recuts)
 		}
+		if o.gangFailures {
+			n.injectGangFailure(gangFailures)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
+			n.rules.checkFailures(id)
 			n.finished(id) // notes when the job has ended
 		}
 		if t.Failed() {
@@ -116,6 +121,7 @@
 	n.finish()
 	for _, id := range sortedKeys(w.accepted) {
 		n.rules.checkShown(id)
+		n.rules.checkFailures(id)
 	}
 	for _, id := range n.unfinished() {
 		w.t.Errorf("job %s is lost: %s at the end", id, w.state(id))
@@ -295,6 +301,7 @@
 
 // clearFaults ends all faults.
 func (n *network) clearFaults() {
+	n.faultsCleared = true
 	n.w.clearFaults()
 	for _, l := range n.links {
 		l.clear()
@@ -385,16 +392,3 @@
 func TestRandomRefusalsWithContentionAdmission(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{features: Features{ContentionAdmission: true}, restartsKeepID: true, untold: true, drains: true})
 }
-
-// cancelSeeds is the number of schedules with cancellations in CI.
-const cancelSeeds = 12
-
-// Callers cancel jobs before, while and after they are submitted, at the leader and at leaders that were replaced.
-func TestRandomRefusalsWithCancellations(t *testing.T) {
-	first, count := refusalSeeds()
-	if os.Getenv("WORLD_SEEDS") == "" {
-		count = cancelSeeds
-	}
-	runRefusals(t, first, count, refusalOptions{cancels: true})
-	runRefusals(t, first, count, refusalOptions{cancels: true, restartsKeepID: true, untold: true, drains: true})
-}
--- a/internal/cell/engine/world_callers_test.go
+++ b/internal/cell/engine/world_callers_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"strings"
+	"testing"
 	"time"
 
 	"pollenbend/internal/cell/job"
@@ -346,3 +348,16 @@
 	return !s.unreachable && l.maxDelay == usualDelay && l.lostRatio == 0 && l.lateRatio == 0 && l.lostReplyRatio == 0 && l.refusedRatio == 0 &&
 		!now.Before(l.downUntil) && !now.Before(l.silentUntil) && !now.Before(l.refusesUntil)
 }
+
+// cancelSeeds is the number of schedules with cancellations in CI.
+const cancelSeeds = 12
+
+// Callers cancel jobs before, while and after they are submitted, at the leader and at leaders that were replaced.
+func TestRandomRefusalsWithCancellations(t *testing.T) {
+	first, count := refusalSeeds()
+	if os.Getenv("WORLD_SEEDS") == "" {
+		count = cancelSeeds
+	}
+	runRefusals(t, first, count, refusalOptions{cancels: true})
+	runRefusals(t, first, count, refusalOptions{cancels: true, restartsKeepID: true, untold: true, drains: true})
+}
--- a/internal/cell/engine/world_rules_test.go
+++ b/internal/cell/engine/world_rules_test.go
@@ -33,6 +33,7 @@
 // taskEnd is a run of a task that ended done or failed.
 type taskEnd struct {
 	reason         EndReason
+	run            int
 	starts         int // starts of the task before this end
 	acknowledged   bool
 	acknowledgedAt time.Time
@@ -114,7 +115,7 @@
 		return
 	}
 	h := c.history(end.Task)
-	h.ends[endKey(s, end.Number)] = &taskEnd{reason: reason, starts: h.starts}
+	h.ends[endKey(s, end.Number)] = &taskEnd{reason: reason, run: end.Run, starts: h.starts}
 	if reason == EndedFailed {
 		h.failed++
 		h.failedRuns = append(h.failedRuns, end.Run)
