Engine: a settled run on a worker lost at a takeover waits for its own lease only

Cause: a leader knows that the start of a run was carried out, by which incarnation of the worker, and that this incarnation refuses calls meant for earlier ones. It stored none of it. Its successor, if it doesn't reach the worker, had to wait until every late command of an earlier leader had arrived and the longest lease after that had ended, 13 + 10.4 s, and the longest lease of 10 s if it reached the worker once.

Change: the record of a step has a bit for each run in it that is settled, written with the next record of the step, or 0.5 s later if the run is still at work. The lease of such a run ends at most Lease (with the clock's drift) after the last call of a leader that requests it; an isolated leader goes on for 2.7 s after it was replaced (isolationTimeout and the interval of its check). So the next leader waits 2.7 + 6.24 + 0.1 s. Runs of records that lack the bit, of earlier versions too, wait as before, as do starts without an answer, and starts that no report has shown.

Ruled out: a wait of one lease from the takeover on, as an isolated leader may renew after that: TestRunGoesOnElsewhereWhileAnIsolatedLeaderRenewsItsLease starts its task twice then.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -24,6 +24,7 @@
 	MaxLease                time.Duration // maximum lease that workers grant
 	LeaseExpiryMargin       time.Duration // time after the end of a lease until its runs count as ended
 	MaxCommandDelay         time.Duration // time after which a command that got no answer is no longer carried out
+	MaxLeaderOverlap        time.Duration // how long after the start of this term the leader before may go on renewing leases
 	MaxStopDuration         time.Duration // maximum time that a stop takes
 	GangStartTimeout        time.Duration // maximum time that members of a gang wait for each other
 	OffRackMultiplier       float64       // runtime of a task outside its preferred rack relative to that inside
--- a/internal/cell/engine/record_limits.go
+++ b/internal/cell/engine/record_limits.go
@@ -57,6 +57,7 @@
 // is left out if the next leader can do without it. The job fails if the rest is too large as well.
 func (e *Engine) putSegment(s *stepState, segment int) {
 	key, rec := record.StepKey(s.ref, segment), s.segmentRecord(segment)
+	noteSettledStored(s.segment(segment))
 	value := record.Encode(rec)
 	if e.fits(key, value) {
 		e.put(key, value)
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -130,6 +130,7 @@
 		e.markStarted(r.task.step.job())
 	}
 	r.restored, r.unattributed, r.startSettled = false, false, true
+	e.noteReported(r)
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
@@ -211,10 +212,10 @@
 	}
 	e.leasesCheckedAt = e.now
 	for _, w := range e.workerList {
-		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
+		if len(w.runs) == 0 {
 			continue
 		}
-		sent := slices.DeleteFunc(w.sentRuns(), e.mayRunUnreached)
+		sent := slices.DeleteFunc(w.sentRuns(), func(r *run) bool { return e.now.Before(e.leaseExpiresAt(r)) || e.mayRunUnreached(r) })
 		if len(sent) == 0 {
 			continue
 		}
--- /dev/null
+++ b/internal/cell/engine/settled_runs.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"time"
+
+	"pollenbend/internal/cell/record"
+)
+
+// A run is settled once its start has been carried out by the incarnation that it names, which refuses
+// calls that were meant for earlier ones. No late command concerns it any more: its lease ends as leaders
+// have requested it on the clock of that incarnation, or with the incarnation. The run's record says so, as
+// the next leader, if it doesn't reach the worker, can't find it out. See docs/design/worker-calls.md.
+
+// noteFenced records that w has answered a renewal with a fence number that its earlier incarnations got no calls with.
+func (w *worker) noteFenced(ev *RenewalAnswered, now time.Time) {
+	if w.fencedSince.IsZero() && ev.Report.Incarnation != 0 && ev.Report.Incarnation == w.incarnation && !w.fenceSpent && w.renewalFence == w.fence {
+		w.fencedSince = now
+	}
+}
+
+// requestedLease returns the longest time for which a lease of Config.Lease lasts.
+func (e *Engine) requestedLease() time.Duration {
+	return e.cfg.Lease + time.Duration(float64(e.cfg.Lease)*2*clockDrift)
+}
+
+// settledLease returns how long the lease of a settled run may last from the start of a later term on. The leader
+// before may not have noticed yet that it was replaced.
+func (e *Engine) settledLease() time.Duration { return e.cfg.MaxLeaderOverlap + e.requestedLease() }
+
+// lateLeasesEnd returns when the leases have ended that w may have granted to late calls before it refused them.
+func (e *Engine) lateLeasesEnd(w *worker) time.Time { return w.fencedSince.Add(e.longestLease()) }
+
+// longestInheritedLease returns the longest lease, on its clock, that w may hold at its first report to this leader.
+func (e *Engine) longestInheritedLease(w *worker) time.Duration {
+	if w.fencedSince.IsZero() {
+		return e.cfg.MaxLease
+	}
+	return min(e.cfg.MaxLease, max(e.cfg.Lease, e.lateLeasesEnd(w).Sub(e.now)))
+}
+
+// noteReported records that a report of its worker shows r.
+func (e *Engine) noteReported(r *run) {
+	w := r.worker
+	if r.settledSince.IsZero() && r.incarnation == w.incarnation && !w.fencedSince.IsZero() && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
+		r.settledSince = e.now
+	}
+}
+
+// settledStoreDelay is how long after it was settled a run that is still at work is stored as such, unless
+// its record is written before. Most runs end earlier.
+const settledStoreDelay = 500 * time.Millisecond
+
+// storeSettled stores that r is settled if that is due.
+func (e *Engine) storeSettled(r *run) {
+	if !r.settledSince.IsZero() && !r.settledStored && e.now.Sub(r.settledSince) >= settledStoreDelay {
+		e.markSegmentsDirty(r.task.step, 1<<(r.task.ref.Index/record.SegmentTasks))
+	}
+}
+
+// noteSettledStored records that the records of tasks are being written.
+func noteSettledStored(tasks []*task) {
+	for _, t := range tasks {
+		for _, r := range t.runs {
+			r.settledStored = !r.settledSince.IsZero()
+		}
+	}
+}
+
+// restoreSettled restores that an earlier leader has stored r as settled.
+func (e *Engine) restoreSettled(r *run) {
+	w := r.worker
+	r.startSettled, r.settledSince, r.settledStored = true, e.now, true
+	if w.incarnation == r.incarnation && w.fencedSince.IsZero() {
+		w.fencedSince = e.startedAt.Add(e.settledLease() - e.longestLease())
+	}
+}
+
+// leaseExpiresAt returns when the lease of r has ended if its worker is not reached again, unless a late command
+// concerns it.
+func (e *Engine) leaseExpiresAt(r *run) time.Time {
+	end := e.leasesExpireAt(r.worker)
+	if r.inherited() && !r.settledSince.IsZero() && !r.worker.reported {
+		end = e.startedAt.Add(e.settledLease())
+	}
+	return end.Add(e.cfg.LeaseExpiryMargin)
+}
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -45,6 +45,7 @@
 			if r.phase != running {
 				continue
 			}
+			e.storeSettled(r)
 			switch {
 			case e.stalled(r):
 				e.log.Warn("run makes no progress", "job", r.task.step.ref.Job, "task", r.task.name, "run", r.number, "worker", w.id,
--- /dev/null
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -0,0 +1,179 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// maxIdleAfterTakeover is how long work may be without a run: 3 s after 4 s of calm, from when the earlier
+// leader has noticed that it was replaced.
+const maxIdleAfterTakeover = maxSimOverlap + 7*time.Second
+
+// settledRun is a task whose start a worker has accepted and reported, before a leader ends that had time
+// to store it.
+type settledRun struct {
+	w    *world
+	n    *network
+	job  string
+	task string
+	on   string // worker that has the run
+}
+
+func newSettledRun(t *testing.T, step job.Step) *settledRun {
+	w := newWorld(t, 4, 1)
+	n := w.useNetwork(1)
+	n.restartsKeepID = true
+	w.run(longestLateLease)
+	s := &settledRun{w: w, n: n, job: w.submit("batch", "a", step)}
+	s.task = taskName(s.job, 0, 0)
+	w.run(2 * time.Second)
+	s.on = sortedKeys(w.tasks[s.task].runs)[0]
+	return s
+}
+
+// longestLateLease is how long the leases may last that late commands of an earlier leader extend.
+const longestLateLease = 25 * time.Second
+
+// loseWorker has no further call reach the worker of the run, which goes on until its lease ends.
+func (s *settledRun) loseWorker() { s.n.links[s.on].lostRatio = 1 }
+
+// runsAgainWithin checks that the task starts elsewhere in time; the rules of the world check that it is not earlier
+// than its run on the lost worker has ended.
+func (s *settledRun) runsAgainWithin(limit time.Duration) {
+	before := s.w.tasks[s.task].lastRun
+	took := time.Duration(0)
+	for ; took < time.Minute && s.w.tasks[s.task].lastRun == before; took += 10 * simTick {
+		s.w.run(10 * simTick)
+	}
+	assert.LessOrEqual(s.w.t, took, limit, "until the task runs elsewhere")
+}
+
+func TestSettledRunLostAtTakeoverWaitsForTheLongestLease(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step job.Step
+	}{{"task", tasks(1, 1000, time.Minute)}, {"gang", gang(3, 5000, time.Minute)}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSettledRun(t, c.step)
+			s.loseWorker()
+			s.w.startLeader()
+			s.runsAgainWithin(maxIdleAfterTakeover)
+		})
+	}
+}
+
+func TestSettledRunLostBeforeTwoTakeoversWaitsForTheLongestLease(t *testing.T) {
+	s := newSettledRun(t, tasks(1, 1000, time.Minute))
+	s.loseWorker()
+	s.w.startLeader()
+	s.w.run(time.Second)
+	s.w.submit("batch", "a", tasks(1, 1000, time.Second))
+	s.w.run(time.Second)
+	s.w.startLeader()
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
+func TestSettledRunLostAfterTheNextLeaderReachedItWaitsForTheLongestLease(t *testing.T) {
+	s := newSettledRun(t, tasks(1, 1000, time.Minute))
+	s.w.startLeader()
+	s.w.run(200 * time.Millisecond)
+	s.loseWorker()
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
+func TestSettledRunInALaterIncarnationWaitsForTheLongestLease(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	n := w.useNetwork(1)
+	n.restartsKeepID = true
+	w.run(time.Second)
+	for _, id := range w.ids {
+		w.submit("batch", "a", tasks(4, 5000, 10*time.Second))
+		n.restart(id, 0, 100*time.Millisecond)
+	}
+	w.run(longestLateLease + 20*time.Second)
+	s := &settledRun{w: w, n: n, job: w.submit("batch", "a", tasks(1, 1000, time.Minute))}
+	s.task = taskName(s.job, 0, 0)
+	w.run(2 * time.Second)
+	s.on = sortedKeys(w.tasks[s.task].runs)[0]
+	s.loseWorker()
+	w.startLeader()
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
+// An isolated leader renews the lease once more before it ends, on a clock that is as slow as it may be.
+func TestRunGoesOnElsewhereWhileAnIsolatedLeaderRenewsItsLease(t *testing.T) {
+	s := newSettledRun(t, tasks(1, 1000, time.Minute))
+	lost := s.w.workers[s.on]
+	lost.firstClock += int64(float64(s.w.now.Sub(lost.bornAt).Milliseconds()) * (lost.clockRate - 1 + clockDrift))
+	lost.clockRate = 1 - clockDrift
+	s.loseWorker()
+	s.w.startLeader()
+	s.w.after(maxSimOverlap, func() { s.n.extendLease(lost, s.n.clock(lost)+simConfig().Lease.Milliseconds()) })
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
+func TestSpeculativeRunLostAtTakeoverWaitsForTheLongestLease(t *testing.T) {
+	step := tasks(1, 1000, 20*time.Second)
+	step.Speculative = true
+	s := newSettledRun(t, step)
+	s.w.workers[s.on].slowdown = 3
+	w := s.w
+	for end := w.now.Add(30 * time.Second); w.now.Before(end) && len(w.tasks[s.task].runs) < 2; {
+		w.run(100 * time.Millisecond)
+	}
+	require.Len(t, w.tasks[s.task].runs, 2)
+	w.run(2 * time.Second)
+	for id := range w.tasks[s.task].runs {
+		s.n.links[id].lostRatio = 1
+	}
+	w.startLeader()
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
+// Its start has no answer, so a later incarnation of the worker may carry it out.
+func TestUnsettledStartDoesNotWaitForLateCommands(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			l, id := newLateTakeover(t, seed)
+			l.w.run(time.Second)
+			l.takeOver(0)
+			cfg := simConfig()
+			l.w.run(cfg.MaxCommandDelay + cfg.MaxLease)
+			assert.Len(t, l.w.engine.workers["w00"].runs, 1)
+			l.finish(id)
+		})
+	}
+}
+
+// An earlier version stores nothing of that a start is settled.
+func TestSettledRunOfAnEarlierVersionIsTakenAsLost(t *testing.T) {
+	s := newSettledRun(t, tasks(1, 1000, time.Minute))
+	for key, value := range s.w.stored {
+		if _, step, err := record.ParseKey(key); err == nil && step != nil {
+			s.w.stored[key] = asEarlierVersion(t, value)
+		}
+	}
+	s.loseWorker()
+	s.w.startLeader()
+	cfg := simConfig()
+	s.w.run(cfg.MaxCommandDelay + cfg.MaxLease)
+	assert.Equal(t, 1, s.w.tasks[s.task].lastRun)
+}
+
+// asEarlierVersion returns a step's record as versions wrote it that did not store settled starts.
+func asEarlierVersion(t *testing.T, value []byte) []byte {
+	fields := make(map[int]cbor.RawMessage)
+	require.NoError(t, cbor.Unmarshal(value, &fields))
+	delete(fields, 14)
+	value, err := cbor.Marshal(fields)
+	require.NoError(t, err)
+	return value
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -48,6 +48,7 @@
 	clockAt          time.Time // when that answer arrived
 	leaseEnd         int64     // latest end of a lease that was requested, on the worker's clock, in ms
 	unansweredLease  time.Time // when the last command with a lease was sent to this incarnation that got no answer
+	fencedSince      time.Time // since when this incarnation refuses calls to earlier ones; zero if that is not known
 	lateLeasesUntil  time.Time // when all leases have ended that commands to earlier incarnations may have extended
 	unknownClockAt   time.Time // when the last answer of a later, unknown incarnation arrived; zero if there was none
 	reported         bool      // it has answered a renewal of this leader in this incarnation
@@ -269,7 +270,7 @@
 	w.unknownRuns = 0
 	w.draining = false
 	w.cursor, w.appliedCursor, w.ackedCursor, w.renewalCursor = 0, 0, 0, 0
-	w.fenceSpent = w.fence != 0
+	w.fenceSpent, w.fencedSince = w.fence != 0, time.Time{}
 	w.clock, w.clockAt, w.leaseEnd = 0, time.Time{}, 0
 	w.unknownClockAt = time.Time{}
 	w.resetSilence()
@@ -322,6 +323,7 @@
 func (e *Engine) moveToIncarnation(r *run, incarnation int64) {
 	e.unholdRun(r)
 	r.incarnation, r.startedClock = incarnation, 0
+	r.settledSince, r.settledStored = time.Time{}, false
 	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
 	e.markDirty(r.task)
 }
@@ -473,9 +475,9 @@
 	w.answeredSentAt = ev.SentAt
 	w.noteAcknowledged(ev)
 	w.noteAlive(ev.SentAt)
+	w.noteFenced(ev, e.now)
 	if first {
-		// An earlier leader may have requested the maximum lease just before.
-		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.cfg.MaxLease.Milliseconds())
+		w.leaseEnd = max(w.leaseEnd, ev.Report.Clock+e.longestInheritedLease(w).Milliseconds())
 	}
 	w.reported = true
 	e.settleRunsOfEarlierIncarnations(w)
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -180,10 +180,13 @@
 
 const simTick = 5 * time.Millisecond
 
+// maxSimOverlap is how long an isolated leader goes on after its successor has begun.
+const maxSimOverlap = 2700 * time.Millisecond
+
 func simConfig() Config {
 	return Config{
 		Lease: 6 * time.Second, MaxLease: 10 * time.Second, LeaseExpiryMargin: 100 * time.Millisecond, MaxCommandDelay: maxLate + time.Second, MaxStopDuration: 200 * time.Millisecond,
-		GangStartTimeout: 3 * time.Second, OffRackMultiplier: 2,
+		MaxLeaderOverlap: maxSimOverlap, GangStartTimeout: 3 * time.Second, OffRackMultiplier: 2,
 		RenewalMaxWait: 600 * time.Millisecond, RenewalRetryDelay: 150 * time.Millisecond, IdleRenewalInterval: 2 * time.Second, UnlistedRenewalWindow: 15 * time.Second,
 		UnlistedWorkerRetention: 30 * time.Second, StopRetryDelay: 400 * time.Millisecond, StartReportTimeout: 500 * time.Millisecond,
 		MinPlacementInterval: 4 * time.Millisecond, EndedJobRetention: 150 * time.Second,
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -17,6 +17,7 @@
 	Worker      string // worker that got the latest run; empty once the end of the run is known
 	Incarnation int64  // incarnation of Worker
 	Checkpoint  string
+	Settled     bool `cbor:"-"` // see Step
 }
 
 // Crashes counts the workers that crashed under a task.
@@ -71,7 +72,8 @@
 // Step is the progress of the tasks of a segment of a step. The keys of SpeculativeRuns and Crashes
 // are indexes of tasks, counted from the first one of the segment. GoodWorkers holds the workers that
 // the adviser recommended and Asked those that it was asked about. Both are in the first segment and
-// are kept while tasks wait, as advice is slow to get.
+// are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if its
+// start has been carried out by its incarnation, which refuses calls that were meant for earlier ones.
 type Step struct {
 	Tasks           []Task
 	Crashes         map[int]Crashes
@@ -114,6 +116,8 @@
 	PlannedAt int64 `cbor:"12,keyasint,omitempty"` // see Step
 
 	FailedGangRuns []int `cbor:"13,keyasint,omitempty"` // see Step
+
+	SettledRows []byte `cbor:"14,keyasint,omitempty"` // bit set of indexes in Rows, lowest bit first; missing in records of earlier versions
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -159,6 +163,12 @@
 
 // add adds a task or a speculative run of one.
 func (e *stepEncoder) add(index int, t *Task, speculative bool) {
+	if n := len(e.Rows); t.Settled {
+		for len(e.SettledRows) <= n/8 {
+			e.SettledRows = append(e.SettledRows, 0)
+		}
+		e.SettledRows[n/8] |= 1 << (n % 8)
+	}
 	e.Rows = append(e.Rows, taskRow{Index: index, Speculative: speculative, Done: t.Done, Run: t.Run, Failures: t.Failures, Worker: e.workerIndex(t), Checkpoint: t.Checkpoint})
 }
 
@@ -204,7 +214,7 @@
 			s.Tasks[i] = doneAtOnce
 		}
 	}
-	for _, row := range r.Rows {
+	for n, row := range r.Rows {
 		if row.Index < 0 || row.Index >= r.Count || row.Worker < 0 || row.Worker > len(r.Workers) {
 			return errors.Newf("task %d of %d on worker %d of %d", row.Index, r.Count, row.Worker, len(r.Workers))
 		}
@@ -212,6 +222,7 @@
 		if row.Worker > 0 {
 			w := &r.Workers[row.Worker-1]
 			t.Worker, t.Incarnation = w.Worker, w.Incarnation
+			t.Settled = n/8 < len(r.SettledRows) && r.SettledRows[n/8]&(1<<(n%8)) != 0
 		}
 		if !row.Speculative {
 			s.Tasks[row.Index] = t
--- a/internal/cell/record/step_test.go
+++ b/internal/cell/record/step_test.go
@@ -28,6 +28,7 @@
 	}
 	if rapid.Bool().Draw(t, "running") {
 		out.Worker, out.Incarnation = rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker"), rapid.Int64Range(1, 2).Draw(t, "incarnation")
+		out.Settled = rapid.Bool().Draw(t, "settled")
 	}
 	return out
 }
@@ -59,6 +60,13 @@
 		earlier, err := cbor.Marshal(&earlierStep{in.Tasks, in.SpeculativeRuns, in.GoodWorkers, in.Asked, in.Begun})
 		require.NoError(t, err)
 		in.Crashes, in.FailedGangRuns = nil, nil // not known to earlier versions
+		for i := range in.Tasks {
+			in.Tasks[i].Settled = false
+		}
+		for i, speculative := range in.SpeculativeRuns {
+			speculative.Settled = false
+			in.SpeculativeRuns[i] = speculative
+		}
 		out = new(Step)
 		require.NoError(t, Decode(earlier, out))
 		assert.Equal(t, in, out)
