Logs: why a restored run waits, and until when

`leases expired` and `run ended` did not tell whether the start of a run was settled, nor whether late commands of earlier leaders concern it, and a held run left no line at all until it ended.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -278,14 +278,20 @@
 // got no answer may be, for MaxCommandDelay, also by a later incarnation of the worker, which knows
 // nothing of a stop or an end in the earlier one. Until then the task must not run elsewhere.
 func (e *Engine) startMayArrive(r *run) bool {
-	if !r.startSent || r.startSettled {
-		return false
-	}
+	return r.startSent && !r.startSettled && !e.now.After(e.lastArrival(r))
+}
+
+// lastArrival returns until when a start command for r without an answer may be carried out.
+func (e *Engine) lastArrival(r *run) time.Time {
 	if !r.inherited() {
-		return e.now.Sub(r.startSentAt) <= e.cfg.MaxCommandDelay
+		return r.startSentAt.Add(e.cfg.MaxCommandDelay)
 	}
 	// An earlier leader may have sent it until this one took over.
-	return e.now.Sub(e.startedAt) <= e.cfg.MaxCommandDelay && (r.plannedAt == 0 || e.sincePlanned(r) <= maxPlanAge+e.cfg.MaxCommandDelay)
+	last := e.startedAt.Add(e.cfg.MaxCommandDelay)
+	if byPlan := e.now.Add(maxPlanAge + e.cfg.MaxCommandDelay - e.sincePlanned(r)); r.plannedAt != 0 && byPlan.Before(last) {
+		return byPlan
+	}
+	return last
 }
 
 // sincePlanned returns how long ago r was planned, by the clocks of the leaders.
@@ -306,6 +312,8 @@
 		return
 	}
 	r.held = true
+	e.log.Info("run held", "job", r.task.step.ref.Job, "task", r.task.name, "run", r.number, "worker", r.worker.id, "stop_reason", r.stopReason, "inherited", r.inherited(),
+		"planned_ms", e.sincePlanned(r).Milliseconds(), "until_ms", e.lastArrival(r).Sub(e.now).Milliseconds())
 	r.worker.setUsed(r.worker.used.Sub(r.charge))
 	e.needsPlacement = true
 }
--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -71,7 +71,7 @@
 	}
 	e.log.Info(what, "job", j.id, "task", t.name, "run", r.number, "worker", r.worker.id, "how", reason.String(),
 		"source", source, "ran_ms", e.msSince(r.startSentAt), "percent", r.percent, "stop_reason", r.stopReason,
-		"orders", r.startsSent, "unanswered", r.unansweredStarts, "start_settled", r.startSettled, "held", r.held, "stopped_ms", e.msSince(r.stopConfirmedAt), "worker_silent_ms", e.msSince(r.worker.lastAnswer),
+		"orders", r.startsSent, "unanswered", r.unansweredStarts, "start_settled", r.startSettled, "settled", r.settled(), "new_at_takeover", r.newAtTakeover, "held", r.held, "stopped_ms", e.msSince(r.stopConfirmedAt), "worker_silent_ms", e.msSince(r.worker.lastAnswer),
 		"life", r.incarnation, "worker_life", r.worker.incarnation, "refusing_ms", e.msSince(r.worker.refusingSince), "runs_beside", len(r.worker.runs))
 	t.lastEnd = lastEnd{run: r.number, reason: reason, source: source, at: e.now}
 	e.updateHealth(r, reason)
--- a/internal/cell/engine/late_leases.go
+++ b/internal/cell/engine/late_leases.go
@@ -72,7 +72,12 @@
 	if !r.inherited() || r.startSettled || !r.newAtTakeover {
 		return false
 	}
-	return e.now.Sub(e.startedAt) <= e.cfg.MaxCommandDelay+e.longestLease()+e.cfg.LeaseExpiryMargin
+	return !e.now.After(e.lateLeasesOfEarlierLeadersEnd())
+}
+
+// lateLeasesOfEarlierLeadersEnd returns when all leases have ended that late commands of earlier leaders may extend.
+func (e *Engine) lateLeasesOfEarlierLeadersEnd() time.Time {
+	return e.startedAt.Add(e.cfg.MaxCommandDelay + e.longestLease() + e.cfg.LeaseExpiryMargin)
 }
 
 // mayRunUnreached reports whether r may be at work, or begin, on a worker whose known leases are over.
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -220,7 +220,8 @@
 			continue
 		}
 		e.log.Warn("leases expired", "worker", w.id, "life", w.incarnation, "runs", len(sent), "reported", w.reported,
-			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd)
+			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd,
+			"term_ms", e.msSince(e.startedAt), "settled", countRuns(sent, (*run).settled), "new_at_takeover", countRuns(sent, (*run).wasNewAtTakeover))
 		var crashing []*task
 		if !w.refusingSince.IsZero() {
 			crashing = e.countCrash(w, sent, false)
--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -41,7 +41,7 @@
 // noteReported records that a report of its worker shows r.
 func (e *Engine) noteReported(r *run) {
 	w := r.worker
-	if r.settledSince.IsZero() && r.incarnation == w.incarnation && !w.fencedSince.IsZero() && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
+	if !r.settled() && r.incarnation == w.incarnation && !w.fencedSince.IsZero() && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
 		r.settledSince = e.now
 	}
 }
@@ -52,7 +52,7 @@
 
 // storeSettled stores that r is settled if that is due.
 func (e *Engine) storeSettled(r *run) {
-	if !r.settledSince.IsZero() && !r.settledStored && e.now.Sub(r.settledSince) >= settledStoreDelay {
+	if r.settled() && !r.settledStored && e.now.Sub(r.settledSince) >= settledStoreDelay {
 		e.markSegmentsDirty(r.task.step, 1<<(r.task.ref.Index/record.SegmentTasks))
 	}
 }
@@ -61,7 +61,7 @@
 func noteSettledStored(tasks []*task) {
 	for _, t := range tasks {
 		for _, r := range t.runs {
-			r.settledStored = !r.settledSince.IsZero()
+			r.settledStored = r.settled()
 		}
 	}
 }
@@ -79,8 +79,41 @@
 // concerns it.
 func (e *Engine) leaseExpiresAt(r *run) time.Time {
 	end := e.leasesExpireAt(r.worker)
-	if r.inherited() && !r.settledSince.IsZero() && !r.worker.reported {
+	if r.inherited() && r.settled() && !r.worker.reported {
 		end = e.startedAt.Add(e.settledLease())
 	}
 	return end.Add(e.cfg.LeaseExpiryMargin)
 }
+
+// settled reports whether no late command concerns r.
+func (r *run) settled() bool { return !r.settledSince.IsZero() }
+
+// wasNewAtTakeover reports whether late commands of earlier leaders may concern r, see Engine.newAtTakeover.
+func (r *run) wasNewAtTakeover() bool { return r.newAtTakeover && !r.startSettled }
+
+// countRuns returns the number of runs of which f holds.
+func countRuns(runs []*run, f func(*run) bool) int {
+	n := 0
+	for _, r := range runs {
+		if f(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// overIn returns how long from now the last run on w may be at work if w is not reached again.
+func (e *Engine) overIn(w *worker) time.Duration {
+	last := e.now
+	for _, r := range w.sentRuns() {
+		last = latest(last, e.leaseExpiresAt(r))
+		if r.startSettled {
+			continue
+		}
+		last = latest(last, e.lastArrival(r))
+		if r.inherited() && r.newAtTakeover {
+			last = latest(last, e.lateLeasesOfEarlierLeadersEnd())
+		}
+	}
+	return last.Sub(e.now)
+}
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -250,7 +250,7 @@
 			r.Crashes[i] = t.crashes
 		}
 		for n, u := range t.runs {
-			settled := !u.settledSince.IsZero()
+			settled := u.settled()
 			if n == 0 {
 				out.Worker, out.Incarnation, out.Run, out.Settled = u.worker.id, u.incarnation, u.number, settled
 				continue
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -513,7 +513,8 @@
 	default:
 		w.silentSince = e.now
 		w.nextRenewal = e.now // a report of finished runs may have been lost
-		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer))
+		e.log.Warn("worker does not answer", "worker", w.id, "life", w.incarnation, "runs", len(w.runs), "last_answer_ms", e.msSince(w.lastAnswer),
+			"settled", countRuns(w.runs, (*run).settled), "new_at_takeover", countRuns(w.runs, (*run).wasNewAtTakeover), "over_ms", e.overIn(w).Milliseconds())
 	}
 	if ev.ConnectionRefused && ev.Incarnation == w.incarnation {
 		e.connectionRefused(w)
