--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -130,6 +130,7 @@
 		e.markStarted(r.task.step.job())
 	}
 	r.restored, r.unattributed, r.startSettled = false, false, true
+	e.noteReported(r)
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
@@ -211,15 +212,16 @@
 	}
 	e.leasesCheckedAt = e.now
 	for _, w := range e.workerList {
-		if len(w.runs) == 0 || e.now.Before(e.leasesExpireAt(w).Add(e.cfg.LeaseExpiryMargin)) {
+		if len(w.runs) == 0 {
 			continue
 		}
-		sent := slices.DeleteFunc(w.sentRuns(), e.mayRunUnreached)
+		sent := slices.DeleteFunc(w.sentRuns(), func(r *run) bool { return e.now.Before(e.leaseExpiresAt(r)) || e.mayRunUnreached(r) })
 		if len(sent) == 0 {
 			continue
 		}
 		e.log.Warn("leases expired", "worker", w.id, "life", w.incarnation, "runs", len(sent), "reported", w.reported,
-			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd)
+			"last_answer_ms", e.msSince(w.lastAnswer), "clock", w.clock, "clock_age_ms", e.msSince(w.clockAt), "lease_end", w.leaseEnd,
+			"term_ms", e.msSince(e.startedAt), "settled", countRuns(sent, (*run).settled), "new_at_takeover", countRuns(sent, (*run).wasNewAtTakeover))
 		var crashing []*task
 		if !w.refusingSince.IsZero() {
 			crashing = e.countCrash(w, sent, false)
