--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -35,6 +36,9 @@
 	freezeRng     *rand.Rand
 	frozen        atomic.Pointer[instance] // leader that is frozen, or nil
 	oddAddresses  []string                 // entries of another writer whose addresses answer, but not as workers do
+	limits        map[string]any           // of the settings
+	callerLimits  map[string]any           // of the declarations
+	storeLimits   map[string]any           // of the settings, beside the store's address
 	stop          chan struct{}            // closed when the clients must stop
 	group         sync.WaitGroup
 	clients       sync.WaitGroup
@@ -46,6 +50,8 @@
 	ip         string
 	bootPath   string // file with the boot settings
 	front      string // address for clients
+	ready      string // address for readiness checks
+	metrics    string // address of the metrics
 	mu         sync.Mutex
 	process    *os.Process
 	stopped    bool // whether the supervisor stops restarting it
@@ -71,9 +77,7 @@
 // of the faults; SOAK_LOGS, a directory for the logs and all
 // violations of seeds that fail.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "pollenbend")
-	out, err := exec.Command("go", "build", "-o", binary, "pollenbend/cmd/pollenbend").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildProgram(t)
 	first := envInt("SOAK_FIRST", 1)
 	for seed := first; seed < first+envInt("SOAK_SEEDS", 1); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, binary, uint64(seed)) })
@@ -83,6 +87,13 @@
 	}
 }
 
+func buildProgram(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "pollenbend")
+	out, err := exec.Command("go", "build", "-o", binary, "pollenbend/cmd/pollenbend").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
 // regressions are the seeds that have failed, with their causes. Processes are not
 // deterministic, so a seed fails only in some plays.
 var regressions = []uint64{
@@ -100,10 +111,14 @@
 	3201,
 }
 
+func newCell(t *testing.T, binary string, seed uint64, workers int) *cell {
+	return &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), evacuationRng: rand.New(rand.NewPCG(seed, 7)), entryRng: rand.New(rand.NewPCG(seed, 8)), freezeRng: rand.New(rand.NewPCG(seed, 9)), binary: binary, dir: t.TempDir(), store: newStore(seed),
+		fleet: newFleet(workers, seed), stop: make(chan struct{}), limits: map[string]any{"cpuShare": 0.4}, callerLimits: map[string]any{"maxBodyBytes": 100_000}}
+}
+
 func runSeed(t *testing.T, binary string, seed uint64) {
 	instances := envInt("SOAK_INSTANCES", 5)
-	c := &cell{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), evacuationRng: rand.New(rand.NewPCG(seed, 7)), entryRng: rand.New(rand.NewPCG(seed, 8)), freezeRng: rand.New(rand.NewPCG(seed, 9)), binary: binary, dir: t.TempDir(), store: newStore(seed),
-		fleet: newFleet(6+instances/10, seed), stop: make(chan struct{})}
+	c := newCell(t, binary, seed, 6+instances/10)
 	c.start(instances)
 	defer c.killAll()
 	clients := 4 + instances/10
@@ -146,8 +161,10 @@
 		c.t.Cleanup(func() { c.fleet.closeFor(w) })
 		c.fleet.register(w)
 	}
+	limits, err := json.Marshal(c.callerLimits)
+	require.NoError(c.t, err)
 	c.store.put("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"soak.example","pathPrefix":"/q/","service":"s","attempts":`+strconv.Itoa(maxAttempts)+`,"stretch":4,"targetLatencyMs":60000,"timeoutMs":3000}],
-		"services":[{"name":"s"}],"limits":{"maxBodyBytes":100000},"tenants":[{"name":"t","apiKeys":["key"],"weight":1000,"cap":{}}]}`)
+		"services":[{"name":"s"}],"limits":`+string(limits)+`,"tenants":[{"name":"t","apiKeys":["key"],"weight":1000,"cap":{}}]}`)
 	port := c.freePort()
 	for i := range count {
 		c.instances = append(c.instances, c.newInstance(i, port, storeAddress))
@@ -173,17 +190,17 @@
 
 func (c *cell) newInstance(i, port int, storeAddress string) *instance {
 	in := &instance{name: fmt.Sprintf("i%d", i), ip: fmt.Sprintf("127.0.%d.%d", 1+c.seed%200, i+1)}
-	in.front = fmt.Sprintf("%s:%d", in.ip, port)
+	in.front, in.ready, in.metrics = fmt.Sprintf("%s:%d", in.ip, port), fmt.Sprintf("%s:%d", in.ip, port+1), fmt.Sprintf("%s:%d", in.ip, port+3)
 	l, err := net.Listen("tcp", in.ip+":0")
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { _ = l.Close() })
 	in.storeProxy = newProxy(l, storeAddress)
 	boot := map[string]any{
 		"node": in.name, "zone": "z", "ip": in.ip,
-		"listen":            map[string]string{"front": in.front, "ready": fmt.Sprintf("%s:%d", in.ip, port+1)},
-		"internalPortRange": []int{port + 2, port + 5}, "limits": map[string]any{"cpuShare": 0.4},
+		"listen":            map[string]string{"front": in.front, "ready": in.ready},
+		"internalPortRange": []int{port + 2, port + 5}, "limits": c.limits,
 		"bounds":   map[string]any{"graceS": 2.0, "holdMaxMs": 4000, "stopMs": 200, "gangMs": 3000, "status_s": 120.0, "farX": 2.0},
-		"platform": map[string]any{"address": l.Addr().String()}, "advice": "127.0.0.1:9",
+		"platform": c.storeSettings(l.Addr().String()), "advice": "127.0.0.1:9",
 	}
 	data, err := json.Marshal(boot)
 	require.NoError(c.t, err)
@@ -196,6 +213,12 @@
 	return in
 }
 
+func (c *cell) storeSettings(address string) map[string]any {
+	settings := map[string]any{"address": address}
+	maps.Copy(settings, c.storeLimits)
+	return settings
+}
+
 // supervise runs the process of in and restarts it whenever it ends.
 func (c *cell) supervise(in *instance) {
 	defer c.group.Done()
