--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -17,7 +17,7 @@
 	crowdMemoryMB = 64
 	crowdMaxFDs   = 820
 	crowdClients  = 300
-	crowdDuration = 3 * time.Second
+	crowdDuration = 4 * time.Second
 	// returnDelay is the pause between two connections of a client.
 	returnDelay = 50 * time.Millisecond
 	// recoveryTimeout bounds the wait for the answer to an ordinary request after a crowd.
