Logs: which failed runs count for a job

A job that is shown as failed too early, or too late, could not be told from the log: 'job failed' gave the count alone, and 'end of an unknown run' not whether a failure counted. The first has now the numbers of the gang's runs that count and that of the task's last run, the second whether the failure had counted, how the last run ended and the count. No decision is changed.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -174,7 +174,8 @@
 	if q == nil || t.done || j.state.Final() || t.failures < max(1, q.Attempts) {
 		return
 	}
-	e.log.Info("job failed", "job", j.id, "task", t.name, "reason", "attempts used up", "failures", t.failures, "attempts", max(1, q.Attempts))
+	e.log.Info("job failed", "job", j.id, "task", t.name, "reason", "attempts used up", "failures", t.failures, "attempts", max(1, q.Attempts),
+		"last_run", t.lastRun, "gang", t.step.spec.Gang, "failed_gang_runs", t.step.failedGangRuns)
 	e.finishJob(j, record.Failed)
 }
 
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -64,10 +64,10 @@
 	// The run is unknown: it was abandoned after its lease had expired, or its record
 	// was never stored. Its end is acknowledged like any other, so a success counts, also
 	// if the task has another run by now.
-	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String())
 	// A failure has been counted if the run was known to end, also to an earlier leader. One
 	// of a run that was given up for its lease does not count, as the lease has lapsed.
 	counted := end.Run <= t.lastRun && (t.lastEnd.run != end.Run || t.lastEnd.reason != EndedStopped)
+	e.logUnknownRun("end of an unknown run", w, t, end.Task, end.Run, "how", end.Reason.String(), "last_end_how", t.lastEnd.reason.String(), "last_run", t.lastRun, "counted", counted, "failures", t.failures)
 	if end.Run > t.lastRun {
 		t.lastRun = end.Run
 		t.step.lastGangRun = max(t.step.lastGangRun, end.Run)
