Health: a failed run of a gang counts once for its worker

A worker was quarantined after two failed runs of one gang, as if runs of three tasks had failed there: each member that ends as failed counted from the gang's second run on that worker on, as the member had failed on the same worker before.

The count is taken before the run is added to the gang's failed runs, so a member whose run's number is among them has nothing to add. Before, the new test fails: five failures in place of two after two runs of four members, and the third run waits for the quarantine. It passes now.

--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -200,6 +200,9 @@
 		if r.task.failures > 0 && r.task.lastFailedOn != w.id {
 			return // the task failed on another worker too, so the task is the likely cause
 		}
+		if slices.Contains(r.task.step.failedGangRuns, r.number) {
+			return // the run has counted for another member
+		}
 		if w.health.failed(e.now) {
 			e.log.Warn("worker quarantined", "worker", w.id, "failures", w.health.failures, "for_ms", w.health.quarantineTime.Milliseconds())
 		}
--- a/internal/cell/engine/gang_failures_test.go
+++ b/internal/cell/engine/gang_failures_test.go
@@ -181,3 +181,18 @@
 	assert.Equal(t, 1, s.tasks[0].failures)
 	assert.Equal(t, 1, s.tasks[3].failures)
 }
+
+// Each member that failed counted for the quarantine of its worker, from the second run of the gang there on.
+func TestWorkerIsNotQuarantinedForTwoFailedRunsOfAGang(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.run(time.Second)
+	id := w.submit("gangs", "a", gang(4, 2000, time.Minute))
+	w.run(time.Second)
+	for run := 1; run <= 2; run++ {
+		require.Equal(t, 4*run, w.starts)
+		w.failTogether(id, 4)
+		w.run(time.Second)
+		assert.Equal(t, run, w.engine.workers[w.ids[0]].health.failures)
+	}
+	assert.Equal(t, 12, w.starts, "the third run")
+}
