Gangs: a restored count has the numbers of its runs

A job was shown as failed though fewer runs of its gang had failed, after a takeover from an earlier version or from a leader that ended while it stored a failure. The count is stored with each member, the numbers of the runs that it holds with the first segment. Records of the version before have no numbers and count each member that failed; a batch above the store's limit of a call is stored in parts, the first segment last. The next leader took the numbers as they were, so the end of another member of such a run counted again.

Restored, a gang has the highest count of its members, but no more than runs that have ended for a member, and the newest of these runs are taken to be those that lack in the numbers. Where the older version's count is smaller than the number of ended runs it may name the wrong one: a failure that such a leader has counted for an earlier run is then not counted for the newest.

Both tests fail before: a count of three after one run, and the job is failed; and a count of two for the members of the second segment. Both pass now.

--- a/internal/cell/engine/gang_failures_test.go
+++ b/internal/cell/engine/gang_failures_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/record"
 )
 
 // failTogether ends n members of the present run of a job's gang as failed, each worker's in one
@@ -196,3 +199,65 @@
 	}
 	assert.Equal(t, 12, w.starts, "the third run")
 }
+
+// changeFirstSegment changes the stored record of the first segment of a job's first step.
+func (w *world) changeFirstSegment(id string, change func(s *record.Step)) {
+	key, rec := record.StepKey(job.StepRef{Job: id}, 0), new(record.Step)
+	w.must(record.Decode(w.stored[key], rec))
+	change(rec)
+	w.stored[key] = record.Encode(rec)
+}
+
+// An earlier version counted each failed member and stored no numbers, so the next end of the same run counted too.
+func TestGangRunThatAnEarlierVersionCountedCountsOnce(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	w.run(time.Second)
+	id := w.submit("gangs", "a", gang(4, 5000, time.Minute))
+	w.run(time.Second)
+	for _, worker := range w.ids[2:] {
+		w.workers[worker].unreachable = true
+	}
+	w.failTogether(id, 4)
+	w.run(300 * time.Millisecond)
+	w.changeFirstSegment(id, func(s *record.Step) {
+		s.FailedGangRuns = nil
+		for i := range s.Tasks {
+			s.Tasks[i].Failures = 2
+		}
+	})
+	for _, worker := range w.ids[2:] {
+		w.workers[worker].unreachable = false
+	}
+	w.startLeader()
+	w.run(10 * time.Second)
+	assert.Equal(t, StateRunning, w.state(id))
+	assert.Equal(t, 1, w.engine.jobs[id].occurrences[0].steps[0].tasks[0].failures)
+}
+
+// The leader ended while it stored the failure of a run, and only the second segment has it.
+func TestGangRunThatIsStoredInPartCountsOnce(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	w.run(time.Second)
+	id := w.submit("urgent", "a", gang(300, 80, time.Minute))
+	w.run(time.Second)
+	require.Equal(t, 300, w.starts)
+	first := record.StepKey(job.StepRef{Job: id}, 0)
+	before := w.stored[first]
+	last := sortedKeys(w.tasks[taskName(id, 0, 299)].runs)[0]
+	for _, worker := range w.ids {
+		w.workers[worker].unreachable = worker != last
+	}
+	w.failTogether(id, 300)
+	w.run(300 * time.Millisecond)
+	require.Equal(t, 1, w.engine.jobs[id].occurrences[0].steps[0].tasks[0].failures)
+	w.stored[first] = before
+	for _, worker := range w.ids {
+		w.workers[worker].unreachable = false
+	}
+	w.startLeader()
+	w.run(10 * time.Second)
+	assert.Equal(t, StateRunning, w.state(id))
+	for _, m := range w.engine.jobs[id].occurrences[0].steps[0].tasks {
+		require.Equal(t, 1, m.failures, m.name)
+	}
+}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -147,11 +147,37 @@
 		s.failedGangRuns = first.FailedGangRuns
 		e.restoreAdvice(s, first)
 	}
+	if s.spec.Gang {
+		s.restoreGangFailures()
+	}
 	if s.remaining == 0 {
 		s.occ.remaining--
 	}
 }
 
+// restoreGangFailures restores how many runs of the gang failed. The count may be stored without the numbers of
+// some of these runs, by an earlier version or as only a part of the records was stored. They are taken to be the
+// newest runs that have ended for a member.
+func (s *stepState) restoreGangFailures() {
+	count := len(s.failedGangRuns)
+	for _, t := range s.tasks {
+		count = max(count, t.failures)
+	}
+	for number := s.lastGangRun; number > 0 && len(s.failedGangRuns) < count; number-- {
+		if !slices.Contains(s.failedGangRuns, number) && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.endedRun(number) }) {
+			s.failedGangRuns = append(s.failedGangRuns, number)
+		}
+	}
+	for _, t := range s.tasks {
+		t.failures = len(s.failedGangRuns) // an earlier version counted a run once for each member that failed
+	}
+}
+
+// endedRun reports whether t had the run with the given number and it has ended.
+func (t *task) endedRun(number int) bool {
+	return t.lastRun >= number && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.number == number })
+}
+
 // noProgress is the record of a task that never had a run.
 var noProgress = &record.Step{Tasks: make([]record.Task, 1)}
 
