Engine: a start with a ticket is not held after a takeover as if the next incarnation took it

A ticket is valid in one incarnation, so a start that bears one can't be carried out by the next, and the worker refuses it once it has answered the next leader. Tickets are not stored, so a restored run counted as one without.

Change: a run whose start bears a ticket is settled from its planning on, in the record that is written anyway. On a worker that has been reached for less than 1.5 s late calls may have extended leases by the maximum; a second bit set tells, and the next leader waits 10.5 s for such runs.

Ruled out: sending the start again under the same run number, as a copy that comes late could run in a later incarnation after the end was acknowledged.

The new test failed before with 13.7 s, and 23.9 s if the worker is lost too.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -21,6 +21,9 @@
 	t.lastRun = number
 	s.lastGangRun = max(s.lastGangRun, number)
 	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned, plannedAt: e.wall()}
+	if r.repeatable() {
+		e.settleRun(r)
+	}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 	return r
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -130,7 +130,7 @@
 		e.markStarted(r.task.step.job())
 	}
 	r.restored, r.unattributed, r.startSettled = false, false, true
-	e.noteReported(r)
+	e.settleRun(r)
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -136,7 +136,8 @@
 	held             bool      // it uses nothing on its worker, see Engine.holdRun
 	startsSent       int       // number of start commands that this leader has sent
 	unansweredStarts int       // number of these that got no answer
-	settledSince     time.Time // since when it is settled, see Engine.noteReported; zero if it is not
+	settledSince     time.Time // since when it is settled, see Engine.settleRun; zero if it is not
+	lateLease        bool      // it is settled, and late commands may have extended its lease before
 	settledStored    bool      // its record says so
 	startSettled     bool      // the start command has been carried out or refused, so it will have no effect any more
 	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
@@ -250,12 +251,11 @@
 			r.Crashes[i] = t.crashes
 		}
 		for n, u := range t.runs {
-			settled := u.settled()
 			if n == 0 {
-				out.Worker, out.Incarnation, out.Run, out.Settled = u.worker.id, u.incarnation, u.number, settled
+				out.Worker, out.Incarnation, out.Run, out.Settled, out.LateLease = u.worker.id, u.incarnation, u.number, u.settled(), u.lateLease
 				continue
 			}
-			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation, Settled: settled})
+			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation, Settled: u.settled(), LateLease: u.lateLease})
 		}
 		if len(t.runs) == 1 && out.Run < t.lastRun {
 			addSpeculative(i, record.Task{Run: t.lastRun}) // it has ended, and its number must not be used again
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -177,3 +177,34 @@
 	require.NoError(t, err)
 	return value
 }
+
+// A leader ends when it has sent a start command with a ticket, which is lost.
+func TestStartWithATicketIsHeldAfterATakeoverAsIfANextIncarnationTookIt(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		t.Run(fmt.Sprintf("worker reached %t", reached), func(t *testing.T) {
+			w := newWorld(t, 4, 1)
+			s := &settledRun{w: w, n: w.useNetwork(1)}
+			s.n.restartsKeepID = true
+			w.run(longestLateLease)
+			s.n.planted.action = func(_ *network, action any) any {
+				if start, ok := action.(*Start); ok {
+					s.on = start.Worker
+					return nil
+				}
+				return action
+			}
+			s.task = taskName(w.submit("advised", "a", tasks(1, 1000, time.Minute)), 0, 0)
+			for end := w.now.Add(5 * time.Second); s.on == "" && w.now.Before(end); {
+				w.run(simTick)
+			}
+			require.NotEmpty(t, s.on)
+			s.n.planted.action = nil
+			if !reached {
+				s.loseWorker()
+			}
+			w.startLeader()
+			w.tasks[s.task] = &simTask{runs: make(map[string]*simRun)}
+			s.runsAgainWithin(maxIdleAfterTakeover)
+		})
+	}
+}
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -18,6 +18,7 @@
 	Incarnation int64  // incarnation of Worker
 	Checkpoint  string
 	Settled     bool `cbor:"-"` // see Step
+	LateLease   bool `cbor:"-"` // see Step
 }
 
 // Crashes counts the workers that crashed under a task.
@@ -72,8 +73,9 @@
 // Step is the progress of the tasks of a segment of a step. The keys of SpeculativeRuns and Crashes
 // are indexes of tasks, counted from the first one of the segment. GoodWorkers holds the workers that
 // the adviser recommended and Asked those that it was asked about. Both are in the first segment and
-// are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if its
-// start has been carried out by its incarnation, which refuses calls that were meant for earlier ones.
+// are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if it
+// runs in its incarnation or not at all, and this one refuses calls that were meant for earlier ones. LateLease
+// says that such calls may have extended the lease there just before.
 type Step struct {
 	Tasks           []Task
 	Crashes         map[int]Crashes
@@ -117,7 +119,8 @@
 
 	FailedGangRuns []int `cbor:"13,keyasint,omitempty"` // see Step
 
-	SettledRows []byte `cbor:"14,keyasint,omitempty"` // bit set of indexes in Rows, lowest bit first; missing in records of earlier versions
+	SettledRows   bitSet `cbor:"14,keyasint,omitempty"` // of indexes in Rows; missing in records of earlier versions
+	LateLeaseRows bitSet `cbor:"15,keyasint,omitempty"` // the same
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -132,6 +135,20 @@
 	Checkpoint  string
 }
 
+// bitSet is a set of small numbers, lowest bit first.
+type bitSet []byte
+
+// add adds n.
+func (b *bitSet) add(n int) {
+	for len(*b) <= n/8 {
+		*b = append(*b, 0)
+	}
+	(*b)[n/8] |= 1 << (n % 8)
+}
+
+// has reports whether n is in b.
+func (b bitSet) has(n int) bool { return n/8 < len(b) && b[n/8]&(1<<(n%8)) != 0 }
+
 // stepEncoder builds the encoded form of a step.
 type stepEncoder struct {
 	stepRecord
@@ -163,11 +180,11 @@
 
 // add adds a task or a speculative run of one.
 func (e *stepEncoder) add(index int, t *Task, speculative bool) {
-	if n := len(e.Rows); t.Settled {
-		for len(e.SettledRows) <= n/8 {
-			e.SettledRows = append(e.SettledRows, 0)
-		}
-		e.SettledRows[n/8] |= 1 << (n % 8)
+	if t.Settled {
+		e.SettledRows.add(len(e.Rows))
+	}
+	if t.LateLease {
+		e.LateLeaseRows.add(len(e.Rows))
 	}
 	e.Rows = append(e.Rows, taskRow{Index: index, Speculative: speculative, Done: t.Done, Run: t.Run, Failures: t.Failures, Worker: e.workerIndex(t), Checkpoint: t.Checkpoint})
 }
@@ -222,7 +239,7 @@
 		if row.Worker > 0 {
 			w := &r.Workers[row.Worker-1]
 			t.Worker, t.Incarnation = w.Worker, w.Incarnation
-			t.Settled = n/8 < len(r.SettledRows) && r.SettledRows[n/8]&(1<<(n%8)) != 0
+			t.Settled, t.LateLease = r.SettledRows.has(n), r.LateLeaseRows.has(n)
 		}
 		if !row.Speculative {
 			s.Tasks[row.Index] = t
