Engine: leases that an isolated leader renews end before its successor gives up their runs

A leader that is cut off from the store and the other instances goes on for 2.7 s; a lease that it renews at the end of that lasts 6.1 s more, so a task could run twice. isolationTimeout's comment relies on a maximum lease that is longer; where it is 10 s it was.

--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -242,7 +242,7 @@
 // reached again.
 func (e *Engine) leasesExpireAt(w *worker) time.Time {
 	longest := e.longestLease()
-	end := e.startedAt.Add(longest)
+	end := e.startedAt.Add(max(longest, e.settledLease())) // the leader before may not have noticed that it was replaced
 	if w.reported {
 		end = w.leasesExpireAt()
 	} else if w.incarnationSince.After(e.startedAt) {
