--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -130,7 +130,7 @@
 		e.markStarted(r.task.step.job())
 	}
 	r.restored, r.unattributed, r.startSettled = false, false, true
-	e.noteReported(r)
+	e.settleRun(r)
 	r.task.noteCheckpoint(s.Checkpoint)
 	if r.baseAt.IsZero() {
 		r.basePercent, r.baseAt = s.Percent, e.now
@@ -242,7 +242,7 @@
 // reached again.
 func (e *Engine) leasesExpireAt(w *worker) time.Time {
 	longest := e.longestLease()
-	end := e.startedAt.Add(longest)
+	end := e.startedAt.Add(max(longest, e.settledLease())) // the leader before may not have noticed that it was replaced
 	if w.reported {
 		end = w.leasesExpireAt()
 	} else if w.incarnationSince.After(e.startedAt) {
