Intake: a budget for the memory that callers make a process hold

This adds the package that bounds the sum; nothing uses it yet.

- Every connection is a holder of one budget.
It reserves before memory is taken: its buffers and stacks, a header at twice its bytes and 160 bytes for each line (a parsed line of five bytes takes 97 bytes, and 157 are allocated for it), a body as its buffer grows, trailers, the decoded form.

--- /dev/null
+++ b/internal/intake/conn.go
@@ -0,0 +1,164 @@
+package intake
+
+import (
+	"bytes"
+	"net"
+	"time"
+)
+
+const (
+	// bufferBytes is the size of the buffer through which net/http reads a connection.
+	bufferBytes = 4 << 10
+	// receiveBytes is the size of the kernel's buffer for what has been received on a
+	// connection and not read yet, and sendBytes of that for what has been written.
+	receiveBytes = 16 << 10
+	sendBytes    = 64 << 10
+	// connectionBytes is what a connection costs: the stacks of its two goroutines, the
+	// buffers of net/http and that for received bytes.
+	connectionBytes = 24<<10 + receiveBytes
+	// A header costs its bytes twice, as it is copied into strings, and headerLineBytes for
+	// each of its lines: an entry of a map that grows, a key, and a slice with one value.
+	headerByteCost  = 2
+	headerLineBytes = 160
+	// writeTimeout bounds each write. An answer that a caller waits for fits into the buffers,
+	// so a write only blocks if the caller does not read earlier answers.
+	writeTimeout = 5 * time.Second
+)
+
+// Conn is a connection of a caller whose memory counts toward the budget of a guard.
+type Conn struct {
+	net.Conn
+	guard *Guard
+	holder
+
+	// The following fields are guarded by guard.mu.
+	buffered int64 // cost of the lines that net/http may have in its buffer
+	body     int64 // what is held for a body
+	chunked  bool  // the request has a chunked body, which may end with trailers
+	trailer  int64 // what is held for trailers
+}
+
+// newConn returns c as a connection of g, or nil if there is no room for it.
+func newConn(g *Guard, c net.Conn) *Conn {
+	conn := &Conn{Conn: c, guard: g}
+	conn.close = func() { _ = c.Close() } // it ends either way
+	if !g.admit(&conn.holder, connectionBytes) {
+		return nil
+	}
+	return conn
+}
+
+// ended reports whether the connection has been closed.
+func (c *Conn) ended() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.phase == ended
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.guard.mu.Lock()
+	c.guard.end(&c.holder)
+	c.guard.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn. What net/http builds from the bytes is reserved before it gets them.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 || c.received(b[:n], len(b)) {
+		return n, err
+	}
+	_ = c.Close() // it is not used any more
+	// net/http gives no answer after an error of this kind.
+	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// received reserves memory for what becomes of received bytes. size is that of the slice that they were read
+// into: net/http reads past its buffer into larger ones, and fills all of it if it is empty. It returns false
+// if there is no room.
+func (c *Conn) received(b []byte, size int) bool {
+	cost := headerByteCost*int64(len(b)) + headerLineBytes*int64(bytes.Count(b, []byte{'\n'}))
+	g := c.guard
+	g.mu.Lock()
+	if size >= bufferBytes {
+		c.buffered = 0
+	}
+	if size <= bufferBytes {
+		c.buffered += cost
+	}
+	held, next := c.held, c.phase
+	switch {
+	case c.phase == idle:
+		held, next = connectionBytes+c.buffered, readingHeader
+	case c.phase == readingHeader:
+		held += cost
+	case c.chunked && c.buffered > c.trailer:
+		held += c.buffered - c.trailer
+		c.trailer = c.buffered
+	case c.phase != ended:
+		g.mu.Unlock()
+		return true
+	}
+	cause := next.cause()
+	ok, closed := g.changeLocked(&c.holder, held, next)
+	closedBefore := c.phase == ended
+	g.mu.Unlock()
+	g.finish(closed)
+	if !ok && !closedBefore {
+		g.refuse(cause)
+	}
+	return ok
+}
+
+// begin notes that the header of a request is complete.
+func (c *Conn) begin(hasBody, chunked bool) {
+	next := answering
+	if hasBody {
+		next = readingBody
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.body, c.trailer, c.chunked = 0, 0, chunked
+	if c.phase != ended {
+		c.guard.set(&c.holder, c.held, next)
+	}
+}
+
+// rest notes that a request has been answered. What net/http may have read of the next one
+// stays reserved. The connection is closed if there is no room for that.
+func (c *Conn) rest() {
+	c.guard.mu.Lock()
+	c.body, c.trailer, c.chunked = 0, 0, false
+	ok, closed := c.guard.changeLocked(&c.holder, connectionBytes+c.buffered, idle)
+	c.guard.mu.Unlock()
+	c.guard.finish(closed)
+	if !ok {
+		_ = c.Close() // it is not used any more
+	}
+}
+
+// hold makes the connection hold n bytes for a body, or for what is decoded from it. It returns
+// false if the connection has been closed or there is no room.
+func (c *Conn) hold(n int64, p phase, cause Cause) bool {
+	c.guard.mu.Lock()
+	closedBefore := c.phase == ended
+	ok, closed := c.guard.changeLocked(&c.holder, c.held+n-c.body, p)
+	if ok {
+		c.body = n
+	}
+	c.guard.mu.Unlock()
+	c.guard.finish(closed)
+	if !ok && !closedBefore {
+		c.guard.refuse(cause)
+	}
+	return ok
+}
