Front: what callers make an instance hold counts toward one budget

Cause: memory was bounded for each request and not for the process. The front read bodies without a read deadline, the listener bounded connections whatever each held and left ordinary callers in the accept queue, and a header was parsed before any code of ours ran.

--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -128,6 +129,24 @@
 	Public bool `cbor:"10,keyasint,omitempty"`
 }
 
+// The sizes of parts of a Spec in memory, in bytes.
+var (
+	specSize  = int64(reflect.TypeFor[Spec]().Size())
+	stepSize  = int64(reflect.TypeFor[Step]().Size())
+	indexSize = int64(reflect.TypeFor[int]().Size())
+)
+
+// Size returns about how many bytes of memory s takes.
+func (s *Spec) Size() int64 {
+	size := specSize + int64(cap(s.Steps))*stepSize
+	size += int64(len(s.ID) + len(s.Queue) + len(s.Team) + len(s.Payload) + len(s.Entry))
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += int64(cap(step.DependsOn))*indexSize + int64(len(step.Label)+len(step.PreferredRack)+len(step.Image))
+	}
+	return size
+}
+
 // Occurrences returns the number of times that the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Times) }
 
