--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -173,6 +173,11 @@
 // NewFieldError returns err as an error about a field of the job itself.
 func NewFieldError(field string, err error) error { return &FieldError{err, -1, field} }
 
+// NewStepError returns err as an error about a field of the step with the given index.
+func NewStepError(step int, field string, err error) error {
+	return &FieldError{errors.Wrapf(err, "step %d", step), step, field}
+}
+
 // Unwrap returns the error without the field.
 func (e *FieldError) Unwrap() error { return e.error }
 
@@ -184,7 +189,7 @@
 	}
 	for i := range s.Steps {
 		if field, err := s.Steps[i].invalidField(i); err != nil {
-			return &FieldError{errors.Wrapf(err, "step %d", i), i, field}
+			return NewStepError(i, field, err)
 		}
 	}
 	return nil
@@ -229,6 +234,9 @@
 			return "dependsOn", errors.Newf("depends on step %d, expected an earlier one", d)
 		}
 	}
+	if len(s.DependsOn) > MaxSteps {
+		return "dependsOn", errors.Newf("%d dependencies, at most %d", len(s.DependsOn), MaxSteps)
+	}
 	return "", nil
 }
 
