--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -9,13 +9,13 @@
 const (
 	// bufferBytes is the size of the buffer through which net/http reads a connection.
 	bufferBytes = 4 << 10
-	// receiveBytes is the size of the kernel's buffer for what has been received on a
+	// ReceiveBytes is the size of the kernel's buffer for what has been received on a
 	// connection and not read yet, and sendBytes of that for what has been written.
-	receiveBytes = 16 << 10
+	ReceiveBytes = 16 << 10
 	sendBytes    = 64 << 10
 	// connectionBytes is what a connection costs: the stacks of its two goroutines, the
 	// buffers of net/http and that for received bytes.
-	connectionBytes = 24<<10 + receiveBytes
+	connectionBytes = 24<<10 + ReceiveBytes
 	// A header costs its bytes twice, as it is copied into strings, and headerLineBytes for
 	// each of its lines: an entry of a map that grows, a key, and a slice with one value.
 	headerByteCost  = 2
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -16,7 +16,7 @@
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			// A system that refuses these sizes keeps its own, which are bounded as well.
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, ReceiveBytes)
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBytes)
 		})
 	}}
@@ -79,7 +79,7 @@
 
 // maxDiscardedBytes is the size up to which a body that no handler reads is read before the
 // answer, so that the connection can be kept.
-const maxDiscardedBytes = receiveBytes
+const maxDiscardedBytes = ReceiveBytes
 
 // begin prepares for a request whose header has been read.
 func begin(w http.ResponseWriter, r *http.Request, bodyTimeout time.Duration) {
