--- a/internal/cell/job/job.go
+++ b/internal/cell/job/job.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -128,6 +129,24 @@
 	Public bool `cbor:"10,keyasint,omitempty"`
 }
 
+// The sizes of parts of a Spec in memory, in bytes.
+var (
+	specSize  = int64(reflect.TypeFor[Spec]().Size())
+	stepSize  = int64(reflect.TypeFor[Step]().Size())
+	indexSize = int64(reflect.TypeFor[int]().Size())
+)
+
+// Size returns about how many bytes of memory s takes.
+func (s *Spec) Size() int64 {
+	size := specSize + int64(cap(s.Steps))*stepSize
+	size += int64(len(s.ID) + len(s.Queue) + len(s.Team) + len(s.Payload) + len(s.Entry))
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += int64(cap(step.DependsOn))*indexSize + int64(len(step.Label)+len(step.PreferredRack)+len(step.Image))
+	}
+	return size
+}
+
 // Occurrences returns the number of times that the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Times) }
 
@@ -154,6 +173,11 @@
 // NewFieldError returns err as an error about a field of the job itself.
 func NewFieldError(field string, err error) error { return &FieldError{err, -1, field} }
 
+// NewStepError returns err as an error about a field of the step with the given index.
+func NewStepError(step int, field string, err error) error {
+	return &FieldError{errors.Wrapf(err, "step %d", step), step, field}
+}
+
 // Unwrap returns the error without the field.
 func (e *FieldError) Unwrap() error { return e.error }
 
@@ -165,7 +189,7 @@
 	}
 	for i := range s.Steps {
 		if field, err := s.Steps[i].invalidField(i); err != nil {
-			return &FieldError{errors.Wrapf(err, "step %d", i), i, field}
+			return NewStepError(i, field, err)
 		}
 	}
 	return nil
@@ -210,6 +234,9 @@
 			return "dependsOn", errors.Newf("depends on step %d, expected an earlier one", d)
 		}
 	}
+	if len(s.DependsOn) > MaxSteps {
+		return "dependsOn", errors.Newf("%d dependencies, at most %d", len(s.DependsOn), MaxSteps)
+	}
 	return "", nil
 }
 
