Gangs: the tests of the numbers of failed runs hold beside their derivation

For the line of restore.go that restores them there is a test of a record where they can't be derived; it fails without that line (a count of run 2 in place of 1).

--- a/internal/cell/engine/gang_failures_test.go
+++ b/internal/cell/engine/gang_failures_test.go
@@ -261,3 +261,16 @@
 		require.Equal(t, 1, m.failures, m.name)
 	}
 }
+
+// The numbers can't be told from the count: the run after the one that failed has ended too, and did not fail.
+func TestNumbersOfFailedGangRunsAreRestored(t *testing.T) {
+	w, id := gangWorld(t, 1)
+	w.changeFirstSegment(id, func(s *record.Step) {
+		s.FailedGangRuns = []int{1}
+		for i := range s.Tasks {
+			s.Tasks[i] = record.Task{Run: 2, Failures: 1}
+		}
+	})
+	w.startLeader()
+	assert.Equal(t, []int{1}, w.engine.jobs[id].occurrences[0].steps[0].failedGangRuns)
+}
--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -152,7 +152,11 @@
 		}
 	})},
 	{name: "the crashes under a task are not stored", crashes: true, newLeaders: true, action: onStepRecords(func(s *record.Step) { s.Crashes = nil })},
-	{name: "the numbers of a gang's failed runs are not stored", gangFailures: true, action: onStepRecords(func(s *record.Step) { s.FailedGangRuns = nil })},
+	{name: "the numbers of a gang's failed runs are stored wrong", gangFailures: true, action: onStepRecords(func(s *record.Step) {
+		for i := range s.FailedGangRuns {
+			s.FailedGangRuns[i]++
+		}
+	})},
 	{name: "the failures of a gang's run are not stored", gangFailures: true, action: onStepRecords(func(s *record.Step) {
 		for i := range s.Tasks {
 			s.Tasks[i].Failures = 0
