Leader: forwarded jobs count toward its memory

Each instance bounds what its own callers hold, and all of them forward to one leader, which held a job three times (message, job, record) without a bound. Jobs that the store can't take were forwarded as well, to be refused there.

Change: a forwarded job reserves its size, three times, in the budget of the leader until it is answered. Without room it is refused, never ran, with a time to come back. A job whose texts alone exceed the store's record is refused at the entry.

Tests: the leader of a cluster without memory refuses a large job and accepts a small one; an entry does not call the leader for a job that can't be stored.

--- a/internal/cell/engine/record_limits.go
+++ b/internal/cell/engine/record_limits.go
@@ -39,7 +39,7 @@
 		return ""
 	}
 	if size := len(record.JobKey(spec.ID)) + len(jobRecord) + endedJobBytes; size > limit {
-		return fmt.Sprintf("the job takes a record of %d bytes, at most %d can be stored", size, limit)
+		return tooLargeReason(size, limit)
 	}
 	for i := range spec.Steps {
 		runs := 1
@@ -53,6 +53,25 @@
 	return ""
 }
 
+// CannotStore returns the reason why a job can't be stored whose texts alone take more than limit
+// bytes, or "". It is a part of what the leader checks, which costs an entry little. A limit of
+// zero is none.
+func CannotStore(spec *job.Spec, limit int) string {
+	size := len(record.JobKey(spec.ID)) + len(spec.Payload) + endedJobBytes
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		size += len(s.Label) + len(s.PreferredRack) + len(s.Image)
+	}
+	if limit <= 0 || size <= limit {
+		return ""
+	}
+	return tooLargeReason(size, limit)
+}
+
+func tooLargeReason(size, limit int) string {
+	return fmt.Sprintf("the job takes a record of %d bytes, at most %d can be stored", size, limit)
+}
+
 // putSegment adds the record of a segment of s to the next append. What makes the record too large
 // is left out if the next leader can do without it. The job fails if the rest is too large as well.
 func (e *Engine) putSegment(s *stepState, segment int) {
--- a/internal/cell/node/node.go
+++ b/internal/cell/node/node.go
@@ -41,7 +41,10 @@
 	// MaxAppendBytes is the maximum size of the records of one append, with
 	// recordFrameBytes for each; zero if the store sets no limit.
 	MaxAppendBytes int
-	Engine         engine.Config
+	// Reserve reserves memory for a job that another instance forwards to this one, or
+	// returns false if there is none. If it is nil there is no limit.
+	Reserve func(bytes int64) (release func(), ok bool)
+	Engine  engine.Config
 }
 
 // Ports are the interfaces through which the node uses other systems.
--- a/internal/cell/node/requests.go
+++ b/internal/cell/node/requests.go
@@ -32,6 +32,9 @@
 
 // Submit submits a job to the leader and sets its Entry. An error is a *verdict.Error.
 func (n *Node) Submit(ctx context.Context, spec *job.Spec) (engine.Answer, error) {
+	if why := engine.CannotStore(spec, n.settings.Engine.MaxRecordBytes); why != "" {
+		return engine.Answer{Outcome: engine.Refused, Why: why}, nil
+	}
 	spec.Entry = n.settings.Address
 	added := n.ownPayloads.addFirst(spec.ID, spec.Payload)
 	call := n.incarnation + "-" + strconv.FormatUint(n.submitCalls.Add(1), 36)
--- a/internal/cell/node/service.go
+++ b/internal/cell/node/service.go
@@ -94,8 +94,30 @@
 	TTL  time.Duration     // how long the tickets last
 }
 
-// Submit submits a job to the engine of this instance, if it leads.
+const (
+	// NoMemoryReason is the reason of a refusal for want of memory.
+	NoMemoryReason = "no memory for the request"
+	// NoMemoryRetryDelay is the delay after which the caller may retry.
+	NoMemoryRetryDelay = time.Second
+	// forwardedCopies is how many times the leader holds a forwarded job until it is answered:
+	// in the message, decoded, and as a record.
+	forwardedCopies = 3
+)
+
+// Submit submits a job to the engine of this instance, if it leads and has memory for it.
 func (s *Service) Submit(args *SubmitArgs, reply *Reply) error {
+	if s.n.leading.Load() == nil {
+		reply.NotLeading = true
+		return nil
+	}
+	if reserve := s.n.settings.Reserve; reserve != nil {
+		release, ok := reserve(forwardedCopies * args.Spec.Size())
+		if !ok {
+			reply.Answer = engine.Answer{Outcome: engine.Refused, Why: NoMemoryReason, RetryAfter: NoMemoryRetryDelay}
+			return nil
+		}
+		defer release()
+	}
 	return s.answerInTerm(args.Term, reply, func(answer func(engine.Answer)) any {
 		return &engine.Submit{Spec: args.Spec, Wait: args.Wait, Attempt: args.Attempt, Reply: answer}
 	})
