--- a/internal/soak/crowd_list_test.go
+++ b/internal/soak/crowd_list_test.go
@@ -34,6 +34,7 @@
 			}
 		}},
 		{name: "body-one-byte-short", do: short(body)},
+		{name: "more-bodies-than-connections", clients: 2 * crowdClients, do: short(body)},
 		{name: "body-in-pieces", do: func(v *visit) {
 			ok := v.send(post(v.client), []byte(lengthLine(len(body))), blank)
 			for rest := body[:len(body)-1]; ok && len(rest) > 0; rest = rest[min(pieceBytes, len(rest)):] {
