Engine: a ticket tells nothing of the incarnation that the leader believes

A ticket is valid in one incarnation, but if it was issued after a restart that the leader doesn't know of yet, in the later one: the run begins there, the next leader learns of the restart, takes the run as ended with the earlier incarnation, and starts its task elsewhere while it runs (TWICE).

Change: the record tells that a start bears a ticket, in place of the bit for late leases. A restored run with one is not held when its worker reports that it lacks it, as for the leader that sent it, and moves to the later incarnation as before.

Bits of tickets in the drawn records replace those of late leases.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -21,9 +21,6 @@
 	t.lastRun = number
 	s.lastGangRun = max(s.lastGangRun, number)
 	r := &run{task: t, worker: w, incarnation: w.incarnation, number: number, charge: s.charge, ticket: tkt, checkpoint: t.checkpoint, phase: planned, plannedAt: e.wall()}
-	if r.repeatable() {
-		e.settleRun(r)
-	}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
 	return r
@@ -103,6 +100,9 @@
 	})
 }
 
+// hasTicket reports whether the start command for r bears a ticket.
+func (r *run) hasTicket() bool { return r.ticket.value != "" || r.hadTicket }
+
 // repeatable reports whether the start command for r may be sent a second time. Its ticket is valid
 // in one incarnation of the worker, which starts a run number once; without one, a copy that is
 // carried out by a later incarnation would run the task again.
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -27,6 +27,7 @@
 	fills          bool     // batch tasks fill the workers, beside urgent jobs
 	confined       bool     // some jobs may use few workers, or few of their tasks may run at a time
 	cancels        bool     // callers cancel jobs at any time, also at leaders that were replaced
+	isolated       bool     // leaders are isolated, and go on when the next one has begun
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
 }
 
@@ -57,7 +58,7 @@
 	}
 	drains, crashes, cuts := rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5)), rand.New(rand.NewPCG(seed, 6))
 	evacuations, takeovers, confined := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
-	recuts := rand.New(rand.NewPCG(seed, 11))
+	recuts, isolated := rand.New(rand.NewPCG(seed, 11)), rand.New(rand.NewPCG(seed, 12))
 	if o.cancels {
 		w.callers = newCallers(w, rand.New(rand.NewPCG(seed, 10)))
 	}
@@ -93,6 +94,9 @@
 		if o.recuts {
 			n.injectRecut(recuts)
 		}
+		if o.isolated {
+			n.injectIsolatedLeader(isolated)
+		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
@@ -299,6 +303,7 @@
 	for _, l := range n.links {
 		l.clear()
 	}
+	n.isolated, n.calm = nil, true
 }
 
 // refusalSeeds returns the first seed and the number of seeds to run: WORLD_FIRST_SEED and
--- a/internal/cell/engine/reports.go
+++ b/internal/cell/engine/reports.go
@@ -193,7 +193,7 @@
 		if r.stopConfirmedAt.IsZero() || !ev.SentAt.After(r.stopConfirmedAt) {
 			return
 		}
-		if !r.repeatable() && e.startMayArrive(r) {
+		if !r.hasTicket() && e.startMayArrive(r) { // the ticket's incarnation has reported, or has ended
 			e.holdRun(r)
 			return
 		}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -199,9 +199,9 @@
 		t.step.waiting--
 	}
 	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, plannedAt: plannedAt, restored: true, startSent: true,
-		newAtTakeover: e.newAtTakeover(plannedAt)}
+		newAtTakeover: e.newAtTakeover(plannedAt), hadTicket: stored.Ticket}
 	if stored.Settled {
-		e.restoreSettled(r, stored.LateLease)
+		e.restoreSettled(r)
 	}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
--- a/internal/cell/engine/schedules_that_failed_test.go
+++ b/internal/cell/engine/schedules_that_failed_test.go
@@ -13,6 +13,7 @@
 		cuts      bool
 		recuts    bool
 		takeovers bool
+		isolated  bool
 	}{
 		{name: "a refused repeat of a start ended a run that went on", seed: 163},
 		{name: "a lease of an earlier incarnation was never over", seed: 123},
@@ -39,10 +40,11 @@
 		{name: "a run whose end was beyond the report counted as missing", seed: 297},
 		{name: "a renewal meant for an earlier incarnation acknowledged an end that nobody had seen", seed: 154, keptIDs: true, untold: true, recuts: true},
 		{name: "the same, of an earlier leader", seed: 152, keptIDs: true, untold: true, takeovers: true},
+		{name: "a run was given up that a restarted worker had begun with a ticket of that incarnation", seed: 344, keptIDs: true, untold: true, recuts: true, takeovers: true, isolated: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs, untold: c.untold, crashes: c.crashes, cuts: c.cuts, recuts: c.recuts, takeovers: c.takeovers})
+			runRandomRefusals(t, c.seed, refusalOptions{restartsKeepID: c.keptIDs, untold: c.untold, crashes: c.crashes, cuts: c.cuts, recuts: c.recuts, takeovers: c.takeovers, isolated: c.isolated})
 		})
 	}
 }
--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -6,11 +6,10 @@
 	"pollenbend/internal/cell/record"
 )
 
-// A run is settled if it goes on, or begins, in the incarnation that it names or not at all, and this one refuses
-// calls that were meant for earlier ones. That holds once a report has shown the run, and from its planning on
-// if its start bears a ticket, which no other incarnation takes. Its lease ends as leaders have requested it on
-// the clock of that incarnation, or with the incarnation, and so does the time in which its start is
-// carried out. The run's record says so, as the next leader can't find it out. See docs/design/worker-calls.md.
+// A run is settled once a report has shown it in the incarnation that it names, and this one refuses calls that
+// were meant for earlier ones. No late command concerns it any more: its lease ends as leaders have requested it
+// on the clock of that incarnation, or with the incarnation. The run's record says so, as the next leader, if it
+// doesn't reach the worker, can't find it out. See docs/design/worker-calls.md.
 
 // noteFenced records that w has answered a renewal with a fence number that its earlier incarnations got no calls with.
 func (w *worker) noteFenced(ev *RenewalAnswered, now time.Time) {
@@ -39,17 +38,11 @@
 	return min(e.cfg.MaxLease, max(e.cfg.Lease, e.lateLeasesEnd(w).Sub(e.now)))
 }
 
-// settleRun records that r runs in the incarnation that it names or not at all, if that one refuses calls to earlier ones.
+// settleRun records that a report of its worker shows r, unless late leases there may outlast settledLease.
 func (e *Engine) settleRun(r *run) {
 	w := r.worker
-	if w.fencedSince.IsZero() || r.incarnation != w.incarnation {
-		return
-	}
-	if !r.settled() {
-		r.settledSince, r.lateLease = e.now, true
-	}
-	if r.lateLease && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
-		r.lateLease, r.settledStored = false, false
+	if !r.settled() && r.incarnation == w.incarnation && !w.fencedSince.IsZero() && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
+		r.settledSince = e.now
 	}
 }
 
@@ -74,18 +67,11 @@
 }
 
 // restoreSettled restores that an earlier leader has stored r as settled.
-func (e *Engine) restoreSettled(r *run, lateLease bool) {
+func (e *Engine) restoreSettled(r *run) {
 	w := r.worker
-	r.startSettled, r.settledSince, r.lateLease, r.settledStored = true, e.now, lateLease, true
-	if w.incarnation != r.incarnation {
-		return
-	}
-	since := e.startedAt
-	if !lateLease {
-		since = since.Add(e.settledLease() - e.longestLease())
-	}
-	if w.fencedSince.IsZero() || since.Before(w.fencedSince) {
-		w.fencedSince = since
+	r.startSettled, r.settledSince, r.settledStored = true, e.now, true
+	if w.incarnation == r.incarnation && w.fencedSince.IsZero() {
+		w.fencedSince = e.startedAt.Add(e.settledLease() - e.longestLease())
 	}
 }
 
@@ -95,9 +81,6 @@
 	end := e.leasesExpireAt(r.worker)
 	if r.inherited() && r.settled() && !r.worker.reported {
 		end = e.startedAt.Add(e.settledLease())
-		if r.lateLease {
-			end = latest(end, e.startedAt.Add(e.longestLease()))
-		}
 	}
 	return end.Add(e.cfg.LeaseExpiryMargin)
 }
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -177,6 +177,30 @@
 	assert.Equal(t, 1, s.w.tasks[s.task].lastRun)
 }
 
+// A leader ends when it has sent a start command with a ticket, which is lost.
+func TestStartWithATicketIsHeldAfterATakeoverAsIfANextIncarnationTookIt(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	s := &settledRun{w: w, n: w.useNetwork(1)}
+	s.n.restartsKeepID = true
+	w.run(time.Second)
+	s.n.planted.action = func(_ *network, action any) any {
+		if start, ok := action.(*Start); ok {
+			s.on = start.Worker
+			return nil
+		}
+		return action
+	}
+	s.task = taskName(w.submit("advised", "a", tasks(1, 1000, time.Minute)), 0, 0)
+	for end := w.now.Add(5 * time.Second); s.on == "" && w.now.Before(end); {
+		w.run(simTick)
+	}
+	require.NotEmpty(t, s.on)
+	s.n.planted.action = nil
+	w.startLeader()
+	w.tasks[s.task] = &simTask{runs: make(map[string]*simRun)}
+	s.runsAgainWithin(maxIdleAfterTakeover)
+}
+
 // forgetSettled replaces the stored records of steps by those of an earlier version, whose runs were planned at the
 // given time.
 func (s *settledRun) forgetSettled(planned time.Time) {
@@ -189,7 +213,7 @@
 		s.w.must(record.Decode(value, rec))
 		rec.PlannedAt = planned.UnixMilli()
 		for i := range rec.Tasks {
-			rec.Tasks[i].Settled, rec.Tasks[i].LateLease = false, false
+			rec.Tasks[i].Settled, rec.Tasks[i].Ticket = false, false
 		}
 		s.w.stored[key] = record.Encode(rec)
 	}
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -27,8 +27,10 @@
 	rules          taskRules
 	reports        map[string][]*Report // by worker and incarnation, for a planted fault
 
-	deadly map[string]time.Duration // how long after its start a task crashes its worker, by task
-	open   map[string][]*call       // calls that have arrived and have no answer, by worker
+	deadly   map[string]time.Duration // how long after its start a task crashes its worker, by task
+	isolated []*isolatedLeader
+	calm     bool               // the last fault is over
+	open     map[string][]*call // calls that have arrived and have no answer, by worker
 }
 
 // link holds the faults of the calls to one worker.
@@ -87,7 +89,7 @@
 	n.w.after(c.timeout, func() { n.answer(c, c.unanswered) })
 	delay := l.delay(n.rand)
 	switch p := n.rand.Float64(); {
-	case p < l.lostRatio || n.w.now.Before(l.silentUntil):
+	case p < l.lostRatio || n.w.now.Before(l.silentUntil) || n.cutOffFrom(c.engine, c.worker):
 		return
 	case p < l.lostRatio+l.lateRatio:
 		delay = minLate + time.Duration(n.rand.Int64N(int64(maxLate-minLate)))
@@ -129,7 +131,7 @@
 	if n.planted.event != nil {
 		event = n.planted.event(n, event)
 	}
-	if n.w.engine != c.engine {
+	if !n.hears(c.engine) {
 		return
 	}
 	if ev, ok := event.(*StartAnswered); ok && ev.Outcome == NoAnswer && ev.Start.Ticket == "" {
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -362,6 +362,9 @@
 			w.execute(a)
 		}
 		w.callers.settle()
+		if w.net != nil {
+			w.net.settleIsolated()
+		}
 	}
 }
 
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -18,7 +18,7 @@
 	Incarnation int64  // incarnation of Worker
 	Checkpoint  string
 	Settled     bool `cbor:"-"` // see Step
-	LateLease   bool `cbor:"-"` // see Step
+	Ticket      bool `cbor:"-"` // the start command of the run bears a ticket
 }
 
 // Crashes counts the workers that crashed under a task.
@@ -73,9 +73,8 @@
 // Step is the progress of the tasks of a segment of a step. The keys of SpeculativeRuns and Crashes
 // are indexes of tasks, counted from the first one of the segment. GoodWorkers holds the workers that
 // the adviser recommended and Asked those that it was asked about. Both are in the first segment and
-// are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if it
-// runs in its incarnation or not at all, and this one refuses calls that were meant for earlier ones. LateLease
-// says that such calls may have extended the lease there just before.
+// are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if its
+// start has been carried out by its incarnation, which refuses calls that were meant for earlier ones.
 type Step struct {
 	Tasks           []Task
 	Crashes         map[int]Crashes
@@ -119,8 +118,8 @@
 
 	FailedGangRuns []int `cbor:"13,keyasint,omitempty"` // see Step
 
-	SettledRows   bitSet `cbor:"14,keyasint,omitempty"` // of indexes in Rows; missing in records of earlier versions
-	LateLeaseRows bitSet `cbor:"15,keyasint,omitempty"` // the same
+	SettledRows bitSet `cbor:"14,keyasint,omitempty"` // of indexes in Rows; missing in records of earlier versions
+	TicketRows  bitSet `cbor:"15,keyasint,omitempty"` // the same
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -183,8 +182,8 @@
 	if t.Settled {
 		e.SettledRows.add(len(e.Rows))
 	}
-	if t.LateLease {
-		e.LateLeaseRows.add(len(e.Rows))
+	if t.Ticket {
+		e.TicketRows.add(len(e.Rows))
 	}
 	e.Rows = append(e.Rows, taskRow{Index: index, Speculative: speculative, Done: t.Done, Run: t.Run, Failures: t.Failures, Worker: e.workerIndex(t), Checkpoint: t.Checkpoint})
 }
@@ -239,7 +238,7 @@
 		if row.Worker > 0 {
 			w := &r.Workers[row.Worker-1]
 			t.Worker, t.Incarnation = w.Worker, w.Incarnation
-			t.Settled, t.LateLease = r.SettledRows.has(n), r.LateLeaseRows.has(n)
+			t.Settled, t.Ticket = r.SettledRows.has(n), r.TicketRows.has(n)
 		}
 		if !row.Speculative {
 			s.Tasks[row.Index] = t
