Engine: leaders that last for a second or two store which runs are settled

Change: such a run is stored as settled with a bit that says that late calls may have extended its lease. The next leader waits for the maximum lease then, 10.5 s, and the bit goes once that is over. The bit has the meaning that gave it, for runs that a report has shown only.

The new test failed before with 23.55 s.

--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -201,7 +201,7 @@
 	r := &run{task: t, worker: w, incarnation: stored.Incarnation, number: stored.Run, charge: t.step.charge, phase: planned, plannedAt: plannedAt, restored: true, startSent: true,
 		newAtTakeover: e.newAtTakeover(plannedAt), hadTicket: stored.Ticket}
 	if stored.Settled {
-		e.restoreSettled(r)
+		e.restoreSettled(r, stored.LateLease)
 	}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -38,11 +38,17 @@
 	return min(e.cfg.MaxLease, max(e.cfg.Lease, e.lateLeasesEnd(w).Sub(e.now)))
 }
 
-// settleRun records that a report of its worker shows r, unless late leases there may outlast settledLease.
+// settleRun records that a report of its worker shows r, if that refuses calls that were meant for earlier incarnations.
 func (e *Engine) settleRun(r *run) {
 	w := r.worker
-	if !r.settled() && r.incarnation == w.incarnation && !w.fencedSince.IsZero() && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
-		r.settledSince = e.now
+	if r.incarnation != w.incarnation || w.fencedSince.IsZero() {
+		return
+	}
+	if !r.settled() {
+		r.settledSince, r.lateLease = e.now, true
+	}
+	if r.lateLease && !e.now.Add(e.settledLease()).Before(e.lateLeasesEnd(w)) {
+		r.lateLease, r.settledStored = false, false
 	}
 }
 
@@ -67,11 +73,18 @@
 }
 
 // restoreSettled restores that an earlier leader has stored r as settled.
-func (e *Engine) restoreSettled(r *run) {
+func (e *Engine) restoreSettled(r *run, lateLease bool) {
 	w := r.worker
-	r.startSettled, r.settledSince, r.settledStored = true, e.now, true
-	if w.incarnation == r.incarnation && w.fencedSince.IsZero() {
-		w.fencedSince = e.startedAt.Add(e.settledLease() - e.longestLease())
+	r.startSettled, r.settledSince, r.lateLease, r.settledStored = true, e.now, lateLease, true
+	if w.incarnation != r.incarnation {
+		return
+	}
+	since := e.startedAt
+	if !lateLease {
+		since = since.Add(e.settledLease() - e.longestLease())
+	}
+	if w.fencedSince.IsZero() || since.Before(w.fencedSince) {
+		w.fencedSince = since
 	}
 }
 
@@ -81,6 +94,9 @@
 	end := e.leasesExpireAt(r.worker)
 	if r.inherited() && r.settled() && !r.worker.reported {
 		end = e.startedAt.Add(e.settledLease())
+		if r.lateLease {
+			end = latest(end, e.startedAt.Add(e.longestLease()))
+		}
 	}
 	return end.Add(e.cfg.LeaseExpiryMargin)
 }
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -138,6 +138,7 @@
 	unansweredStarts int       // number of these that got no answer
 	settledSince     time.Time // since when it is settled, see Engine.settleRun; zero if it is not
 	hadTicket        bool      // an earlier leader sent its start, with a ticket
+	lateLease        bool      // it is settled, and late commands may have extended its lease before
 	settledStored    bool      // its record says so
 	startSettled     bool      // the start command has been carried out or refused, so it will have no effect any more
 	unattributed     bool      // its start was accepted by an answer that did not tell the incarnation, and no report has shown the run
@@ -252,10 +253,10 @@
 		}
 		for n, u := range t.runs {
 			if n == 0 {
-				out.Worker, out.Incarnation, out.Run, out.Settled, out.Ticket = u.worker.id, u.incarnation, u.number, u.settled(), u.hasTicket()
+				out.Worker, out.Incarnation, out.Run, out.Settled, out.LateLease, out.Ticket = u.worker.id, u.incarnation, u.number, u.settled(), u.lateLease, u.hasTicket()
 				continue
 			}
-			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation, Settled: u.settled(), Ticket: u.hasTicket()})
+			addSpeculative(i, record.Task{Run: u.number, Worker: u.worker.id, Incarnation: u.incarnation, Settled: u.settled(), LateLease: u.lateLease, Ticket: u.hasTicket()})
 		}
 		if len(t.runs) == 1 && out.Run < t.lastRun {
 			addSpeculative(i, record.Task{Run: t.lastRun}) // it has ended, and its number must not be used again
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -133,6 +133,19 @@
 	}
 }
 
+// Leaders that last for less than late leases do.
+func TestSettledRunOfShortLeadersWaitsForLateCommands(t *testing.T) {
+	s := newSettledRun(t, tasks(1, 1000, time.Minute))
+	s.forgetSettled(s.w.now)
+	for range 3 {
+		s.w.startLeader()
+		s.w.run(1200 * time.Millisecond)
+	}
+	s.loseWorker()
+	s.w.startLeader()
+	s.runsAgainWithin(s.w.engine.longestLease() + time.Second)
+}
+
 func TestSpeculativeRunLostAtTakeoverWaitsForTheLongestLease(t *testing.T) {
 	step := tasks(1, 1000, 20*time.Second)
 	step.Speculative = true
@@ -213,7 +226,7 @@
 		s.w.must(record.Decode(value, rec))
 		rec.PlannedAt = planned.UnixMilli()
 		for i := range rec.Tasks {
-			rec.Tasks[i].Settled, rec.Tasks[i].Ticket = false, false
+			rec.Tasks[i].Settled, rec.Tasks[i].LateLease, rec.Tasks[i].Ticket = false, false, false
 		}
 		s.w.stored[key] = record.Encode(rec)
 	}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -323,7 +323,7 @@
 func (e *Engine) moveToIncarnation(r *run, incarnation int64) {
 	e.unholdRun(r)
 	r.incarnation, r.startedClock = incarnation, 0
-	r.settledSince, r.settledStored = time.Time{}, false
+	r.settledSince, r.lateLease, r.settledStored = time.Time{}, false, false
 	r.stopInFlight, r.stopConfirmedAt, r.stopSentAt = false, time.Time{}, time.Time{}
 	e.markDirty(r.task)
 }
--- a/internal/cell/record/step.go
+++ b/internal/cell/record/step.go
@@ -18,6 +18,7 @@
 	Incarnation int64  // incarnation of Worker
 	Checkpoint  string
 	Settled     bool `cbor:"-"` // see Step
+	LateLease   bool `cbor:"-"` // see Step
 	Ticket      bool `cbor:"-"` // the start command of the run bears a ticket
 }
 
@@ -74,7 +75,8 @@
 // are indexes of tasks, counted from the first one of the segment. GoodWorkers holds the workers that
 // the adviser recommended and Asked those that it was asked about. Both are in the first segment and
 // are kept while tasks wait, as advice is slow to get. A latest run, or a speculative one, is Settled if its
-// start has been carried out by its incarnation, which refuses calls that were meant for earlier ones.
+// start has been carried out by its incarnation, which refuses calls that were meant for earlier ones. LateLease
+// says that such calls may have extended the lease there just before.
 type Step struct {
 	Tasks           []Task
 	Crashes         map[int]Crashes
@@ -120,6 +122,7 @@
 
 	SettledRows bitSet `cbor:"14,keyasint,omitempty"` // of indexes in Rows; missing in records of earlier versions
 	TicketRows  bitSet `cbor:"15,keyasint,omitempty"` // the same
+	LateRows    bitSet `cbor:"16,keyasint,omitempty"` // the same, of runs with LateLease
 }
 
 // taskRow is a Task, or a speculative run of one.
@@ -182,6 +185,9 @@
 	if t.Settled {
 		e.SettledRows.add(len(e.Rows))
 	}
+	if t.LateLease {
+		e.LateRows.add(len(e.Rows))
+	}
 	if t.Ticket {
 		e.TicketRows.add(len(e.Rows))
 	}
@@ -238,7 +244,7 @@
 		if row.Worker > 0 {
 			w := &r.Workers[row.Worker-1]
 			t.Worker, t.Incarnation = w.Worker, w.Incarnation
-			t.Settled, t.Ticket = r.SettledRows.has(n), r.TicketRows.has(n)
+			t.Settled, t.LateLease, t.Ticket = r.SettledRows.has(n), r.LateRows.has(n), r.TicketRows.has(n)
 		}
 		if !row.Speculative {
 			s.Tasks[row.Index] = t
--- a/internal/cell/record/step_test.go
+++ b/internal/cell/record/step_test.go
@@ -28,7 +28,7 @@
 	}
 	if rapid.Bool().Draw(t, "running") {
 		out.Worker, out.Incarnation = rapid.SampledFrom([]string{"w1", "w2"}).Draw(t, "worker"), rapid.Int64Range(1, 2).Draw(t, "incarnation")
-		out.Settled, out.Ticket = rapid.Bool().Draw(t, "settled"), rapid.Bool().Draw(t, "ticket")
+		out.Settled, out.Ticket, out.LateLease = rapid.Bool().Draw(t, "settled"), rapid.Bool().Draw(t, "ticket"), rapid.Bool().Draw(t, "late lease")
 	}
 	return out
 }
@@ -61,10 +61,10 @@
 		require.NoError(t, err)
 		in.Crashes, in.FailedGangRuns = nil, nil // not known to earlier versions
 		for i := range in.Tasks {
-			in.Tasks[i].Settled, in.Tasks[i].Ticket = false, false
+			in.Tasks[i].Settled, in.Tasks[i].Ticket, in.Tasks[i].LateLease = false, false, false
 		}
 		for i, speculative := range in.SpeculativeRuns {
-			speculative.Settled, speculative.Ticket = false, false
+			speculative.Settled, speculative.Ticket, speculative.LateLease = false, false, false
 			in.SpeculativeRuns[i] = speculative
 		}
 		out = new(Step)
