Node: an isolated leader does not forget the instances that it has lost

A leader that was cut off from the other instances, and more than 10 s later from the store, went on renewing leases without end, beside its successor.

Cause: an instance that hadn't pinged for memberTimeout (10 s) was forgotten. With no instance left to miss, the leader never counted as isolated.

Change: an instance is forgotten when it drains, or after an hour. The price is a total outage of the store after half of the others or more have ended without draining: the term then ends, which docs/design/worker-calls.md states.

--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -115,3 +115,13 @@
 		assert.Same(t, leader, c.leader())
 	})
 }
+
+func TestLeaderCutOffFromTheOthersBeforeTheStoreRenewsLeasesWithoutEnd(t *testing.T) {
+	const storeLostAfter = time.Minute
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+		c.cutOff(old, 0, storeServes)
+		time.Sleep(storeLostAfter)
+		c.cutOff(old, 0, storeNoAnswer)
+	})
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -356,13 +356,13 @@
 	// maxLeaderOverlap is how long after the start of a term the leader before may go on renewing
 	// leases. The new one counts a worker that it cannot reach as lost after these leases.
 	maxLeaderOverlap = isolationTimeout + followersInterval
-	// memberTimeout is how long after its last ping an instance counts as one that should
-	// follow. It is longer than an isolated leader goes on.
-	memberTimeout = 10 * time.Second
+	// memberTimeout is how long after its last ping an instance that has not drained counts as one
+	// that should follow. It is longer than instances are cut off from each other.
+	memberTimeout = time.Hour
 )
 
 // isolated reports whether the store is silent and most of the instances that followed
-// lately do not follow any more. The leader is then likely cut off from them, rather than
+// do not follow any more. The leader is then likely cut off from them, rather than
 // the store being away for all.
 func (l *leader) isolated(live []*follower) bool {
 	l.mu.Lock()
