Node: a leader's isolation is measured from the last confirmation of its leadership

A leader whose reads of the directory went on being answered, while the store confirmed its leadership no more, never counted as isolated. Nor did the time count for which its machine was suspended.

Cause: isolated took the arrival of any answer of the store, by the monotonic clock.

Change: it takes when the last call was sent that confirmed the leadership, by the clock that has advanced more, and the same clock for the pings of the followers.

Not ruled out: a store that takes more than 1.1 s for a call, while most followers are lost, now ends a term that other answers kept.

TestLeaderThatOnlyReachesTheDirectoryRenewsLeasesWithoutEnd failed before with 18.2 s of 2.7 s; TestIsolationOfASuspendedLeaderIsMeasuredByTheTimeOfDay failed before.

--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -125,3 +125,40 @@
 	})
 	assert.Less(t, renewedFor, maxLeaderOverlap)
 }
+
+// The monotonic clock has not advanced while the machine was suspended.
+func TestIsolationOfASuspendedLeaderIsMeasuredByTheTimeOfDay(t *testing.T) {
+	const suspended = isolationTimeout - 100*time.Millisecond
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		require.NotNil(t, old)
+		l := old.leading.Load()
+		c.cutOff(old, 0, storeNoAnswer)
+		time.Sleep(200 * time.Millisecond)
+		earlier := func(at time.Time) time.Time { return at.Round(0).Add(-suspended) }
+		l.mu.Lock()
+		for name, at := range l.pingedAt {
+			l.pingedAt[name] = earlier(at)
+		}
+		l.mu.Unlock()
+		l.confirmations.mu.Lock()
+		l.confirmations.at = earlier(l.confirmations.at)
+		l.confirmations.mu.Unlock()
+		time.Sleep(followersInterval + 2*tickInterval)
+		assert.True(t, l.ended())
+	})
+}
+
+// The directory goes on answering a leader whose leadership the store does not confirm.
+func TestLeaderThatOnlyReachesTheDirectoryRenewsLeasesWithoutEnd(t *testing.T) {
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+		c.cutOff(old, 0, storeNoAnswer)
+		go func() {
+			for range 100 {
+				old.NoteStoreAnswer()
+				time.Sleep(directoryPollInterval)
+			}
+		}()
+	})
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -339,7 +339,7 @@
 		if changed {
 			l.n.cellInstances.Store(newInstanceList(live, chosen, l.n.cpuShare()))
 		}
-		if l.isolated(live) {
+		if l.isolated(time.Now()) {
 			l.stop("neither the store nor most of the other instances answer")
 			return
 		}
@@ -349,37 +349,6 @@
 	}
 }
 
-const (
-	// isolationTimeout is how long a leader that has lost most of its followers goes on
-	// without an answer from the store. Another may lead by then.
-	isolationTimeout = 2500 * time.Millisecond
-	// maxLeaderOverlap is how long after the start of a term the leader before may go on renewing
-	// leases. The new one counts a worker that it cannot reach as lost after these leases.
-	maxLeaderOverlap = isolationTimeout + followersInterval
-	// memberTimeout is how long after its last ping an instance that has not drained counts as one
-	// that should follow. It is longer than instances are cut off from each other.
-	memberTimeout = time.Hour
-)
-
-// isolated reports whether the store is silent and most of the instances that followed
-// do not follow any more. The leader is then likely cut off from them, rather than
-// the store being away for all.
-func (l *leader) isolated(live []*follower) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	members := 0
-	for name, at := range l.pingedAt {
-		switch {
-		case name == l.n.settings.Instance:
-		case time.Since(at) > memberTimeout:
-			delete(l.pingedAt, name)
-		default:
-			members++
-		}
-	}
-	return l.n.since(&l.n.storeAnsweredAt) > isolationTimeout && 2*len(live) < members
-}
-
 // namesOf returns the names of instances.
 func namesOf(instances []*follower) []string {
 	var names []string
