Node: a leader that wakes checks its isolation before it executes a round

A leader that was cut off for about 2.2 s and then frozen for under maxRoundDuration sent renewals on waking, up to 3.9 s after the start of the next term; the next leader waits for 2.7 s.

Cause: only watchFollowers looked, every followersInterval and after a probe or a handover that take longer. On waking, run may execute a round before, and executes one even if the term has ended.

Change: run checks between Settle and the actions, first the last confirmation, then the followers. maxLeaderOverlap is the sum 2.5 + 0.8 + 0.01 s: pings that were sent before the cut may be read after a pause, and count for followerTimeout. The interval of watchFollowers is no part of it any more. A settled run on a worker that is not reached waits 9.65 s after a takeover (9.0 s before).

A paused instance of the tests' cluster doesn't watch its followers either, as a frozen process.

No test plays pings that are read after a pause.

--- a/internal/cell/node/confirm_test.go
+++ b/internal/cell/node/confirm_test.go
@@ -12,7 +12,7 @@
 	"pollenbend/internal/cell/engine"
 )
 
-// pause holds up the engine of a leader and its calls to the store, as a process that is frozen,
+// pause holds up the engine of a leader, its watch of the followers and its calls to the store, as a process that is frozen,
 // until resume is called.
 func (c *cluster) pause(m *member) (resume func()) {
 	resumed := make(chan struct{})
--- a/internal/cell/node/isolation.go
+++ b/internal/cell/node/isolation.go
@@ -8,7 +8,9 @@
 	isolationTimeout = 2500 * time.Millisecond
 	// maxLeaderOverlap is how long after the start of a term the leader before may go on renewing
 	// leases. The new one counts a worker that it cannot reach as lost after these leases.
-	maxLeaderOverlap = isolationTimeout + followersInterval
+	maxLeaderOverlap = maxRoundDuration + // pings that were sent before the cut may be read after a pause
+		followerTimeout + // after the last of them the followers count as lost
+		tickInterval // of the round in which the engine sees it
 	// memberTimeout is how long after its last ping an instance that has not drained counts as one
 	// that should follow. It is longer than instances are cut off from each other.
 	memberTimeout = time.Hour
--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -126,6 +126,24 @@
 	assert.Less(t, renewedFor, maxLeaderOverlap)
 }
 
+func TestLeaderFrozenAfterItWasCutOffExecutesARoundOnWaking(t *testing.T) {
+	const latest = isolationTimeout - leadershipRenewInterval // before the leader has noticed
+	for frozenAt := latest - 400*time.Millisecond; frozenAt < latest; frozenAt += 25 * time.Millisecond {
+		t.Run(frozenAt.String(), func(t *testing.T) {
+			renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+				c.cutOff(old, 0, storeNoAnswer)
+				go func() {
+					time.Sleep(frozenAt)
+					resume := c.pause(old)
+					time.Sleep(maxRoundDuration - 50*time.Millisecond)
+					resume()
+				}()
+			})
+			assert.Less(t, renewedFor, maxLeaderOverlap)
+		})
+	}
+}
+
 // The monotonic clock has not advanced while the machine was suspended.
 func TestIsolationOfASuspendedLeaderIsMeasuredByTheTimeOfDay(t *testing.T) {
 	const suspended = isolationTimeout - 100*time.Millisecond
--- a/internal/cell/node/leader.go
+++ b/internal/cell/node/leader.go
@@ -156,6 +156,10 @@
 			l.stop("paused for " + paused.Round(time.Millisecond).String())
 			return
 		}
+		if l.isolated(time.Now()) {
+			l.stop("neither the store nor most of the other instances answer")
+			return
+		}
 		roundStartedAt = time.Now()
 		for _, action := range actions {
 			l.execute(action)
@@ -339,10 +343,6 @@
 		if changed {
 			l.n.cellInstances.Store(newInstanceList(live, chosen, l.n.cpuShare()))
 		}
-		if l.isolated(time.Now()) {
-			l.stop("neither the store nor most of the other instances answer")
-			return
-		}
 		l.updateRelays(live)
 		l.considerHandover(live)
 		wait.Until(l.ctx, l.followerReached, followersInterval)
