Node: a failing test for a leader that is cut off with half of the others

Cause: isolation needs most of the followers to be lost. A single instance that reaches the store can lead, whatever the leader's side counts.

--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -180,3 +180,8 @@
 	})
 	assert.Less(t, renewedFor, maxLeaderOverlap)
 }
+
+func TestLeaderCutOffWithHalfOfTheOthersRenewsLeasesWithoutEnd(t *testing.T) {
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) { c.cutOff(old, 2, storeNoAnswer) })
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
