--- a/internal/soak/crowd_calm_test.go
+++ b/internal/soak/crowd_calm_test.go
@@ -66,7 +66,7 @@
 func TestCrowdCalm(t *testing.T) {
 	c := startCrowded(t, buildProgram(t), 1)
 	in := c.instances[0]
-	w := watchProcess(in)
+	w := watchProcess(in, crowdLimits)
 	for _, r := range calmRequests() {
 		t.Run(r.name, func(t *testing.T) { r.check(t, in) })
 	}
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -29,6 +29,8 @@
 	crowdSeed = 190
 )
 
+var crowdLimits = processLimits{memoryKB: crowdMemoryMB << 10, files: crowdMaxFDs}
+
 // TestCrowd lets a crowd of clients send requests that are legal but odd, most of which
 // never end, to a process with little memory: one process and one crowd for each kind.
 func TestCrowd(t *testing.T) {
@@ -95,7 +97,7 @@
 func (c *cell) meet(k crowdKind, target *instance) {
 	var watches []*watch
 	for _, in := range c.instances {
-		watches = append(watches, watchProcess(in))
+		watches = append(watches, watchProcess(in, crowdLimits))
 	}
 	start := time.Now()
 	k.crowd(target, start.Add(crowdDuration))
--- a/internal/soak/crowd_watch_test.go
+++ b/internal/soak/crowd_watch_test.go
@@ -15,10 +15,17 @@
 // sampleInterval is the interval at which a watch reads the use of resources.
 const sampleInterval = 50 * time.Millisecond
 
+// processLimits are the bounds of a process.
+type processLimits struct {
+	memoryKB int
+	files    int
+}
+
 // watch observes what a process uses.
 type watch struct {
 	in      *instance
 	pid     int
+	limits  processLimits
 	baseKB  int // resident at the beginning
 	peakKB  int // resident
 	heldKB  int // highest sum of what was resident and received but not read
@@ -35,8 +42,8 @@
 }
 
 // watchProcess observes the process of in until end is called.
-func watchProcess(in *instance) *watch {
-	w := &watch{in: in, pid: in.pid(), stop: make(chan struct{}), stopped: make(chan struct{})}
+func watchProcess(in *instance, limits processLimits) *watch {
+	w := &watch{in: in, pid: in.pid(), limits: limits, stop: make(chan struct{}), stopped: make(chan struct{})}
 	w.baseKB = w.memoryKB("VmRSS:")
 	go func() {
 		defer close(w.stopped)
@@ -120,14 +127,13 @@
 	if w.gone {
 		t.Errorf("process %d of %s has ended", w.pid, w.in.name)
 	}
-	const limitKB = crowdMemoryMB << 10
-	if w.peakKB > limitKB {
-		t.Errorf("%s has used %d kB of memory, its limit is %d kB", w.in.name, w.peakKB, limitKB)
+	if limit := w.limits.memoryKB; w.peakKB > limit {
+		t.Errorf("%s has used %d kB of memory, its limit is %d kB", w.in.name, w.peakKB, limit)
 	}
-	if w.heldKB > limitKB {
-		t.Errorf("%s has used %d kB of memory together with unread bytes, its limit is %d kB", w.in.name, w.heldKB, limitKB)
+	if limit := w.limits.memoryKB; w.heldKB > limit {
+		t.Errorf("%s has used %d kB of memory together with unread bytes, its limit is %d kB", w.in.name, w.heldKB, limit)
 	}
-	if w.files > crowdMaxFDs {
-		t.Errorf("%s has had %d open descriptors, its limit is %d", w.in.name, w.files, crowdMaxFDs)
+	if limit := w.limits.files; w.files > limit {
+		t.Errorf("%s has had %d open descriptors, its limit is %d", w.in.name, w.files, limit)
 	}
 }
