--- a/internal/cell/engine/ends.go
+++ b/internal/cell/engine/ends.go
@@ -174,7 +174,8 @@
 	if q == nil || t.done || j.state.Final() || t.failures < max(1, q.Attempts) {
 		return
 	}
-	e.log.Info("job failed", "job", j.id, "task", t.name, "reason", "attempts used up", "failures", t.failures, "attempts", max(1, q.Attempts))
+	e.log.Info("job failed", "job", j.id, "task", t.name, "reason", "attempts used up", "failures", t.failures, "attempts", max(1, q.Attempts),
+		"last_run", t.lastRun, "gang", t.step.spec.Gang, "failed_gang_runs", t.step.failedGangRuns)
 	e.finishJob(j, record.Failed)
 }
 
@@ -199,6 +200,9 @@
 		if r.task.failures > 0 && r.task.lastFailedOn != w.id {
 			return // the task failed on another worker too, so the task is the likely cause
 		}
+		if slices.Contains(r.task.step.failedGangRuns, r.number) {
+			return // the run has counted for another member
+		}
 		if w.health.failed(e.now) {
 			e.log.Warn("worker quarantined", "worker", w.id, "failures", w.health.failures, "for_ms", w.health.quarantineTime.Milliseconds())
 		}
