Leader: jobs with long texts are bounded together

A waiting step logged its whole label, 200 kB in a line.

Cause: an accepted job is held until 1.25 status_s after its end, and no bound is on the bytes of all jobs.

Further ones are refused with a time to come back. Labels are cut at 100 characters in the log.

Test: of four such jobs the fourth is refused, also by the next leader, and a fifth is accepted when they have been forgotten; others are accepted all the while.

Left: smaller jobs are bounded by the work that admission allows, not by bytes.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -43,6 +43,7 @@
 	CountCrash              func(CrashEvent)                    // counts what the engine finds out about crashes; nil for no counts
 	ReportEvacuated         func(workers, runs int)             // reports the workers in evacuated zones and their runs; nil for no reports
 	ReportRuntimes          func(RuntimeReport)                 // takes what is known of run times every few seconds; nil for no reports
+	MaxLargeJobBytes        int64                               // maximum memory of all jobs that are large, see largeJobBytes; zero for no limit
 	CountRefused            func(reason string)                 // counts a refused job, see refusalLabels; nil for no counts
 	CountReservations       func(event ReservationEvent, n int) // counts what happens to reservations; nil for no counts
 	CountPreempted          func()                              // counts a run that is stopped for another step; nil for no counts
@@ -83,6 +84,7 @@
 	actions     []any
 
 	jobs            map[string]*jobState
+	largeJobBytes   int64        // memory of the large ones among jobs
 	openSteps       []*stepState // ready steps that have tasks to place
 	scheduledJobs   []*jobState  // jobs with a schedule
 	endedJobs       []*jobState  // ordered by the time at which they ended
--- a/internal/cell/engine/jobs.go
+++ b/internal/cell/engine/jobs.go
@@ -29,6 +29,9 @@
 		return
 	}
 	why, retryAfter := e.admit(ev.Spec)
+	if why == "" {
+		why, retryAfter = e.memoryFull(ev.Spec)
+	}
 	if why == "" {
 		why, retryAfter = e.storeUnavailable(ev.Wait)
 		retryAfter = e.retryAfter(ev.Spec.ID, retryAfter)
@@ -89,7 +92,7 @@
 // addJob adds a job and opens its first steps. A scheduled job is opened by
 // openDueOccurrences.
 func (e *Engine) addJob(j *jobState) {
-	e.jobs[j.id] = j
+	e.remember(j)
 	if j.spec == nil {
 		return
 	}
@@ -357,7 +360,7 @@
 		if wall-j.endedAt < e.cfg.EndedJobRetention.Milliseconds() {
 			break
 		}
-		delete(e.jobs, j.id)
+		e.forget(j)
 		e.put(record.JobKey(j.id), nil)
 		n++
 	}
--- a/internal/cell/engine/record_limits.go
+++ b/internal/cell/engine/record_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"pollenbend/internal/cell/job"
 	"pollenbend/internal/cell/record"
@@ -72,6 +73,44 @@
 	return fmt.Sprintf("the job takes a record of %d bytes, at most %d can be stored", size, limit)
 }
 
+// largeJobBytes is the size in memory from which a job counts as large. Only long texts make a
+// job that large.
+const largeJobBytes = 64 << 10
+
+// noMemoryReason is the reason of the refusal of a large job beside others.
+const noMemoryReason = "the leader has no memory for the job"
+
+// noMemoryRetryAfter is the delay after which its caller may retry.
+const noMemoryRetryAfter = 5 * time.Second
+
+// memoryFull returns why a large job is refused beside the large jobs that are known, or "".
+func (e *Engine) memoryFull(spec *job.Spec) (string, time.Duration) {
+	size := spec.Size()
+	if e.cfg.MaxLargeJobBytes <= 0 || size < largeJobBytes || e.largeJobBytes+size <= e.cfg.MaxLargeJobBytes {
+		return "", 0
+	}
+	return noMemoryReason, noMemoryRetryAfter
+}
+
+// remember adds j to the known jobs.
+func (e *Engine) remember(j *jobState) {
+	e.jobs[j.id] = j
+	if j.largeBytes > 0 || j.spec == nil {
+		return
+	}
+	if size := j.spec.Size(); size >= largeJobBytes {
+		j.largeBytes = size
+		e.largeJobBytes += size
+	}
+}
+
+// forget removes j from the known jobs.
+func (e *Engine) forget(j *jobState) {
+	delete(e.jobs, j.id)
+	e.largeJobBytes -= j.largeBytes
+	j.largeBytes = 0
+}
+
 // putSegment adds the record of a segment of s to the next append. What makes the record too large
 // is left out if the next leader can do without it. The job fails if the rest is too large as well.
 func (e *Engine) putSegment(s *stepState, segment int) {
--- a/internal/cell/engine/record_limits_test.go
+++ b/internal/cell/engine/record_limits_test.go
@@ -201,3 +201,32 @@
 	w.run(time.Second)
 	assert.Equal(t, StateCanceled, w.state(id))
 }
+
+// Guards against issue 57: jobs with long texts, each inside the limits, filled the memory of the leader.
+func TestLargeJobsAreBoundedTogether(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	limit := func() { w.engine.cfg.MaxLargeJobBytes = 4 * largeJobBytes }
+	limit()
+	large := job.Step{Count: 1, Need: job.Resources{CPU: 100}, Estimate: time.Minute, Image: strings.Repeat("i", largeJobBytes)}
+	refused := func(steps ...job.Step) bool {
+		id := w.submit("batch", "a", steps...)
+		w.run(100 * time.Millisecond)
+		if w.refused[id] {
+			assert.Equal(t, noMemoryReason, w.answers[id].Why)
+			assert.Positive(t, w.answers[id].RetryAfter)
+		}
+		return w.refused[id]
+	}
+	for range 3 {
+		require.False(t, refused(large))
+	}
+	assert.True(t, refused(large))
+	assert.False(t, refused(tasks(1, 100, time.Second)), "others are accepted")
+	w.startLeader()
+	limit()
+	w.run(time.Second)
+	assert.True(t, refused(large), "the next leader has the same jobs")
+	w.run(time.Minute + w.engine.cfg.EndedJobRetention + time.Minute)
+	assert.Zero(t, w.engine.largeJobBytes)
+	assert.False(t, refused(large))
+}
--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -66,7 +66,7 @@
 	j := newJob(rec.Spec, rec.Accepted)
 	j.stored = true
 	j.arrivedAt = e.now.Add(-time.Duration(max(0, wall-rec.Accepted)) * time.Millisecond)
-	e.jobs[id] = j
+	e.remember(j)
 	for k := range j.occurrences {
 		for i := range j.spec.Steps {
 			ref := job.StepRef{Job: id, Occurrence: k, Step: i}
--- a/internal/cell/engine/schedule.go
+++ b/internal/cell/engine/schedule.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -132,11 +133,14 @@
 	}
 	e.log.Info("step waits", "step", s.name, "job", s.ref.Job, "ready_ms", e.msSince(s.readyAt), "tasks", s.waiting, "of", len(s.tasks),
 		"gang", s.spec.Gang, "cpu", s.charge.CPU, "most_free_cpu", round.mostFreeCPU(e.now), "workers", len(round.workers), "asked", asked, "good", good,
-		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "team_limit_cpu", limit.CPU, "label", s.spec.Label,
+		"tickets", valid, "calls", calls, "team_cpu", e.usage[s.job().team].CPU, "team_limit_cpu", limit.CPU, "label", fmt.Sprintf("%.*s", maxLoggedChars, s.spec.Label),
 		"tried", s.triedAt.Equal(e.now), "window_left", round.window.left, "tries_left", round.failuresLeft, "free_cpu", round.free,
 		"reserved_cpu", round.reservedCPU, "hold_left_cpu", round.holdBudget, "beside_headroom_cpu", round.cpuBesideHeadroom)
 }
 
+// maxLoggedChars is the maximum length in a log line of a text that a caller has chosen, in characters.
+const maxLoggedChars = 100
+
 // sortByUrgency sorts steps by urgency.
 func (e *Engine) sortByUrgency(steps []*stepState) {
 	e.updateYields()
--- a/internal/cell/engine/state.go
+++ b/internal/cell/engine/state.go
@@ -23,6 +23,7 @@
 	reportedState   record.State // what callers get; set to state once that is stored
 	stored          bool         // the job's acceptance is stored
 	started         bool         // a task has started, or none ever will
+	largeBytes      int64        // of memory, if the job is large and known
 	compacted       bool         // the job has ended and its steps are removed from the store
 	specRejected    bool         // the store has rejected the record of its end with the spec
 	overEntitlement bool         // exceeded its team's entitlement when it was submitted
--- a/internal/cell/engine/storing.go
+++ b/internal/cell/engine/storing.go
@@ -241,7 +241,7 @@
 	e.markStarted(j)
 	j.compacted = true
 	j.state = record.Canceled
-	delete(e.jobs, j.id)
+	e.forget(j)
 	j.eachStep(func(s *stepState) {
 		for _, t := range s.tasks {
 			for _, r := range slices.Clone(t.runs) {
