Metrics: callers don't choose how many timers there are

A timer was registered for each method and status of an answer and never removed. Callers choose the method: net/http takes any token, so each request with a new one took memory for good, without a key.

--- a/internal/cell/node/stats.go
+++ b/internal/cell/node/stats.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net/http"
+
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"pollenbend/internal/cell/engine"
@@ -85,9 +87,18 @@
 	s.MostSlowness.Update(r.MostSlowness)
 }
 
+// otherMethod is the label of methods that the handler for callers does not know. Callers choose
+// the method, and a timer is kept for each.
+const otherMethod = "other"
+
 // Answer returns the timer of the answers to callers with this method and status. It
 // registers the timer at the first call.
 func (s *Stats) Answer(method, status string) gometrics.Timer {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+	default:
+		method = otherMethod
+	}
 	name := metrics.Name("cell_answer_seconds", metrics.Label{Name: "method", Value: method}, metrics.Label{Name: "status", Value: status})
 	return gometrics.GetOrRegisterTimer(name, s.Registry)
 }
