Peers: a message has at most 16 MB

gob takes messages of up to 1 GB, several times the memory of an instance, from anyone who connects to the address for peers, and from a stream that has lost its place.

Change: connections between instances follow the lengths in the stream and end at one beyond 16 MB, before it is held.

--- a/internal/cell/peer/peer.go
+++ b/internal/cell/peer/peer.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &connection{Client: rpc.NewClient(transport)}
+	conn := &connection{Client: rpc.NewClient(&boundedConn{Conn: transport})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l.conn = conn
@@ -311,7 +311,7 @@
 			time.Sleep(delay)
 		default:
 			delay = 0
-			go server.ServeConn(&idleConn{conn})
+			go server.ServeConn(&boundedConn{Conn: &idleConn{conn}})
 		}
 	}
 }
