Intake: large requests that arrive together don't replace each other

Cause: each newcomer closed the largest incomplete request at once, and its client came back. Thousands of headers a second were parsed in part and thrown away; the budget held, but garbage grew faster than it was collected.

Change: a large newcomer closes only requests that have been incomplete for 250 ms. Without one it is refused before it has grown. Small newcomers close large requests at once, as before.

The table test had a row whose setup closed what the newcomer should close; the setup is now checked.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"math/bits"
 	"sync"
+	"time"
 )
 
 // Cause tells why a connection was closed or a request refused.
@@ -45,6 +46,10 @@
 	// largeRatio is the part of the budget that large connections may use together. The rest
 	// is kept for small ones.
 	largeRatio = 0.75
+	// minIncompleteTime is how long an incomplete request is left alone by large ones. Without
+	// it requests that arrive together replace each other as fast as they come, which makes
+	// more garbage than the collector keeps up with.
+	minIncompleteTime = 250 * time.Millisecond
 )
 
 // LimitsOf returns the limits of a process with the given memory in bytes and number of
@@ -98,7 +103,8 @@
 type holder struct {
 	held    int64
 	phase   phase
-	close   func() // ends the holder; nil if it is never closed to make room
+	since   time.Time // when the request became incomplete, if it is
+	close   func()    // ends the holder; nil if it is never closed to make room
 	in      *list.List
 	element *list.Element
 }
@@ -121,6 +127,9 @@
 	}
 }
 
+// incomplete reports whether a request in phase p is incomplete.
+func incomplete(p phase) bool { return p == readingHeader || p == readingBody }
+
 // list returns the list in which h waits to be closed, or nil.
 func (g *Guard) list(h *holder) *list.List {
 	switch {
@@ -128,7 +137,7 @@
 		return nil
 	case h.phase == idle:
 		return &g.idle
-	case h.phase == readingHeader, h.phase == readingBody:
+	case incomplete(h.phase):
 		return &g.incomplete[class(h.held)]
 	}
 	return nil
@@ -143,6 +152,9 @@
 		g.large += held
 	}
 	g.used += held - h.held
+	if incomplete(p) && !incomplete(h.phase) {
+		h.since = time.Now()
+	}
 	h.held, h.phase = held, p
 	l := g.list(h)
 	if l == h.in {
@@ -235,13 +247,13 @@
 }
 
 // victim returns the holder to close so that h may hold the given number of bytes, or nil: of
-// the large incomplete requests that are of the size class of h or above it the largest, then
-// the one that has been idle longest, then, for a small h, the small request that has been
-// incomplete longest.
+// the large incomplete requests that are of the size class of h or above it the largest, unless h
+// is large too and that request is new; then the one that has been idle longest; then, for a
+// small h, the small request that has been incomplete longest.
 func (g *Guard) victim(h *holder, held int64) *holder {
 	smallest := max(class(held), class(smallBytes))
 	for c := len(g.incomplete) - 1; c >= smallest; c-- {
-		if v := first(&g.incomplete[c], h); v != nil {
+		if v := first(&g.incomplete[c], h); v != nil && (!isLarge(held) || time.Since(v.since) >= minIncompleteTime) {
 			return v
 		}
 	}
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -98,12 +100,13 @@
 		{"no request that has been read", []row{{"a", 700, answering}}, 100, nil, true},
 		{"the newcomer is the largest", []row{{"a", 120, readingBody}, {"b", 120, readingBody}, {"c", 120, readingBody}, {"d", 120, readingBody}, {"e", 120, readingBody}, {"f", 120, readingBody}}, 300, nil, true},
 		{"a small one beside large ones that are answered", []row{{"a", 750, answering}}, 60, nil, false},
-		{"a small one closes large ones", []row{{"a", 750, readingBody}, {"b", 250, answering}}, 60, []string{"a"}, false},
+		{"a small one closes large ones", []row{{"a", 750, readingBody}, {"b", 60, answering}, {"c", 60, answering}, {"d", 60, answering}, {"e", 60, readingBody}}, 60, []string{"a"}, false},
 		{"then an idle one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, idle}, {"d", 60, idle}, {"e", 60, idle}}, 60, []string{"c"}, false},
 		{"then a small one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, readingBody}, {"d", 60, answering}, {"e", 60, answering}}, 60, []string{"b"}, false},
 		{"all are answered", []row{{"a", 750, answering}, {"b", 60, answering}, {"c", 60, answering}, {"d", 60, answering}, {"e", 60, answering}}, 60, nil, true},
 	} {
-		t.Run(test.name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			t.Log(test.name)
 			var closed []string
 			g := New(Limits{Bytes: 1000 << 10}, func(Cause) {})
 			for _, r := range test.holders {
@@ -112,8 +115,13 @@
 				require.True(t, g.admit(h, 0))
 				require.True(t, g.change(h, r.held<<10, r.phase))
 			}
+			require.Empty(t, closed)
 			newcomer := &holder{close: func() {}}
 			require.True(t, g.admit(newcomer, 0))
+			if isLarge(test.held << 10) {
+				assert.Equal(t, len(test.closed) == 0 && !test.refused, g.change(newcomer, test.held<<10, readingBody), "not at once")
+			}
+			time.Sleep(minIncompleteTime)
 			assert.Equal(t, test.refused, !g.change(newcomer, test.held<<10, readingBody))
 			assert.Equal(t, test.closed, closed)
 		})
