HTTP API: one budget for connections, headers and bodies

The HTTP server of the older cell counted the bodies that it held, by their bytes, and nothing else: neither headers of up to 32 KiB, which take many times their size, nor connections, whose number had no bound, nor the buffer of a body while it grows.

Change: the server uses internal/intake, with 64 MB, in place of Config.MaxHeldBytes, so that there is one guard and not two. A counter for each cause.

TestHeldBodiesAreBounded used a recorder, which has no connection. It now has a server on loopback: three bodies one after another are taken, a second one beside the first is refused, and in the end nothing is held.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pollenbend/internal/intake"
 	"pollenbend/internal/verdict"
 )
 
@@ -17,46 +18,25 @@
 // timeout.
 var errBodyTimeout = verdict.Refuse(verdict.CodeBadRequest, "body: not received in time")
 
-// errBodyMemoryFull is the refusal of a body that would exceed Config.MaxHeldBytes
-// together with the bodies held for other requests.
+// errBodyMemoryFull is the refusal of a body that the instance has no memory for beside
+// other requests.
 var errBodyMemoryFull = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
 
-// countedBody adds the bytes that it reads to the bytes that the instance holds.
-type countedBody struct {
-	io.Reader
-	a        *api
-	exchange *exchange
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.exchange.heldBodyBytes += int64(n)
-	if b.a.heldBodyBytes.Add(int64(n)) > b.a.cfg.MaxHeldBytes {
-		return n, errBodyMemoryFull
-	}
-	return n, err
-}
-
-// readBody reads the whole body, at most Config.MaxBodyBytes bytes. The bytes count as
+// readBody reads the whole body, at most Config.MaxBodyBytes bytes. Its memory counts as
 // held until the request is answered.
 func (a *api) readBody(r *http.Request) ([]byte, error) {
 	e := exchangeOf(r)
 	e.bodyUnread = true
-	if r.ContentLength > a.cfg.MaxBodyBytes {
-		return nil, a.tooLarge()
-	}
-	body := &countedBody{Reader: r.Body, a: a, exchange: e}
-	data, err := io.ReadAll(io.LimitReader(body, a.cfg.MaxBodyBytes+1))
+	data, err := intake.ReadBody(e, r, a.cfg.MaxBodyBytes)
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
+	case errors.Is(err, intake.ErrNoMemory):
 		return nil, errBodyMemoryFull
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, a.tooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errBodyTimeout
 	case err != nil:
 		return nil, verdict.Refuse(verdict.CodeBadRequest, "body: ended early")
-	case int64(len(data)) > a.cfg.MaxBodyBytes:
-		return nil, a.tooLarge()
 	}
 	e.bodyUnread = false
 	return data, nil
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -12,6 +12,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"pollenbend/internal/intake"
 	"pollenbend/internal/metrics"
 	"pollenbend/internal/model"
 )
@@ -34,8 +35,7 @@
 
 // Defaults for the zero values of Config.
 const (
-	DefaultMaxBodyBytes   = 1 << 20  // bytes
-	DefaultMaxHeldBytes   = 64 << 20 // bytes
+	DefaultMaxBodyBytes   = 1 << 20 // bytes
 	DefaultRequestTimeout = 60 * time.Second
 )
 
@@ -46,7 +46,7 @@
 	Gateway        Gateway
 	Status         Status
 	MaxBodyBytes   int64         // maximum bytes of one request's body
-	MaxHeldBytes   int64         // maximum bytes of all bodies held at the same time
+	Guard          *intake.Guard // bounds the memory held for callers; nil for no bound
 	RequestTimeout time.Duration // default and maximum of a caller's timeout
 	Metrics        gometrics.Registry
 	Logger         *slog.Logger
@@ -56,7 +56,6 @@
 type api struct {
 	cfg            Config
 	mux            *http.ServeMux
-	heldBodyBytes  atomic.Int64 // bodies of requests that have no answer yet
 	activeRequests atomic.Int64 // HTTP requests in progress
 }
 
@@ -65,9 +64,6 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = DefaultMaxBodyBytes
 	}
-	if cfg.MaxHeldBytes <= 0 {
-		cfg.MaxHeldBytes = DefaultMaxHeldBytes
-	}
 	if cfg.RequestTimeout <= 0 {
 		cfg.RequestTimeout = DefaultRequestTimeout
 	}
@@ -82,6 +78,9 @@
 		a.mux.HandleFunc(r.Pattern(), r.handle(a))
 	}
 	_ = cfg.Metrics.Register(metrics.Name("http_requests_active"), gometrics.NewFunctionalGauge(a.activeRequests.Load))
-	_ = cfg.Metrics.Register(metrics.Name("http_body_bytes_held"), gometrics.NewFunctionalGauge(a.heldBodyBytes.Load))
+	if g := cfg.Guard; g != nil {
+		held := func() int64 { bytes, _ := g.Used(); return bytes }
+		_ = cfg.Metrics.Register(metrics.Name("http_body_bytes_held"), gometrics.NewFunctionalGauge(held))
+	}
 	return a
 }
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -22,13 +22,12 @@
 // for the request's log line.
 type exchange struct {
 	http.ResponseWriter
-	status        int
-	bytesWritten  int
-	heldBodyBytes int64 // bytes of the body that count against Config.MaxHeldBytes
-	bodyUnread    bool  // the body was not read to its end
-	id            string
-	verdict       verdict.Verdict
-	code          verdict.Code
+	status       int
+	bytesWritten int
+	bodyUnread   bool // the body was not read to its end
+	id           string
+	verdict      verdict.Verdict
+	code         verdict.Code
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -122,7 +121,6 @@
 // propagates any other panic, including http.ErrAbortHandler.
 func (a *api) finish(e *exchange, r *http.Request, pattern string, requestNumber uint64, started time.Time) {
 	panicValue := recover()
-	a.heldBodyBytes.Add(-e.heldBodyBytes)
 	a.activeRequests.Add(-1)
 	if panicValue != nil && panicValue != http.ErrAbortHandler && e.status == 0 {
 		a.cfg.Logger.Error("handler panicked", "request", requestNumber, "route", pattern, "panic", panicValue, "stack", string(debug.Stack()))
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -4,8 +4,26 @@
 	"log/slog"
 	"net/http"
 	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"pollenbend/internal/intake"
+	"pollenbend/internal/metrics"
 )
 
+// maxHeldBytes is the maximum memory that an instance holds for callers, in bytes.
+const maxHeldBytes = 64 << 20
+
+// NewGuard returns the budget of the memory that callers make an instance hold. It counts in
+// r what is refused because of it.
+func NewGuard(r gometrics.Registry) *intake.Guard {
+	counters := make(map[intake.Cause]gometrics.Counter)
+	for _, c := range intake.Causes() {
+		counters[c] = gometrics.NewRegisteredCounter(metrics.Name("http_intake_refused_total", metrics.Label{Name: "cause", Value: string(c)}), r)
+	}
+	return intake.New(intake.Limits{Bytes: maxHeldBytes}, func(c intake.Cause) { counters[c].Inc(1) })
+}
+
 // Defaults for the zero values of ServerConfig.
 const (
 	DefaultReadTimeout    = 15 * time.Second // for the headers and the body of one request
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -16,9 +16,11 @@
 	"testing/synctest"
 
 	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/httpapi/wire"
+	"pollenbend/internal/intake"
 	"pollenbend/internal/model"
 	"pollenbend/internal/verdict"
 )
@@ -144,20 +146,42 @@
 
 func TestHeldBodiesAreBounded(t *testing.T) {
 	c := &scriptedCore{}
-	h := New(Config{Gateway: c, Status: c, MaxHeldBytes: 100})
-	full := `{"payload":"` + strings.Repeat("x", 80) + `"}`
+	const size = 200 << 10
+	guard := intake.New(intake.Limits{Bytes: 3 * size}, func(intake.Cause) {})
+	server := NewServer(ServerConfig{}, New(Config{Gateway: c, Status: c, Guard: guard}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error)
+	go func() { served <- guard.Serve(server, l, DefaultReadTimeout) }()
+	full := `{"payload":"` + strings.Repeat("x", size-100) + `"}`
+	post := func() (int, verdict.Code) {
+		resp, err := http.Post("http://"+l.Addr().String()+"/v1/requests", "application/json", strings.NewReader(full))
+		if !assert.NoError(t, err) {
+			return 0, ""
+		}
+		defer func() { assert.NoError(t, resp.Body.Close()) }()
+		var doc struct{ Code verdict.Code }
+		assert.NoError(t, json.NewDecoder(resp.Body).Decode(&doc))
+		return resp.StatusCode, doc.Code
+	}
 	for range 3 {
-		w, _ := exchangeJSON(t, h, "POST", "/v1/requests", full)
-		require.Equal(t, 200, w.Code)
+		status, _ := post()
+		require.Equal(t, 200, status)
 	}
-	c.do = func(_ context.Context, r model.Request) model.Answer {
-		w, doc := exchangeJSON(t, h, "POST", "/v1/requests", full)
-		require.Equal(t, 429, w.Code)
-		require.Equal(t, verdict.CodeOverloaded, doc.Code)
+	c.do = func(context.Context, model.Request) model.Answer {
+		status, code := post()
+		assert.Equal(t, 429, status)
+		assert.Equal(t, verdict.CodeOverloaded, code)
 		return model.Answer{Verdict: verdict.Done}
 	}
-	w, _ := exchangeJSON(t, h, "POST", "/v1/requests", full)
-	require.Equal(t, 200, w.Code)
+	status, _ := post()
+	require.Equal(t, 200, status)
+	http.DefaultClient.CloseIdleConnections()
+	require.NoError(t, server.Shutdown(t.Context()))
+	require.ErrorIs(t, <-served, http.ErrServerClosed)
+	held, connections := guard.Used()
+	assert.Zero(t, held)
+	assert.Zero(t, connections)
 }
 
 func TestProbesAndMetrics(t *testing.T) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,6 +15,7 @@
 
 	"pollenbend/internal/event"
 	"pollenbend/internal/httpapi"
+	"pollenbend/internal/intake"
 	"pollenbend/internal/model"
 	"pollenbend/internal/node"
 	"pollenbend/internal/platform"
@@ -27,6 +28,7 @@
 type Instance struct {
 	node      *node.Node
 	server    *http.Server
+	guard     *intake.Guard
 	info      platform.Instance
 	logger    *slog.Logger
 	failed    chan error
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", s.Listen.HTTP)
+	listener, err := intake.Listen(context.Background(), s.Listen.HTTP)
 	if err != nil {
 		closeTraceFile(traceFile)
 		return nil, errors.Wrapf(err, "listen on %q", s.Listen.HTTP)
@@ -79,12 +81,13 @@
 	}
 	i := &Instance{node: n, info: self, logger: logger, failed: make(chan error, 1), traceFile: traceFile}
 	i.info.HTTPAddr, i.info.PeerAddr = listener.Addr().String(), n.PeerAddr()
+	i.guard = httpapi.NewGuard(registry)
 	i.server = httpapi.NewServer(
 		httpapi.ServerConfig{RequestTimeout: s.Limits.RequestTimeout.Duration, Logger: logger},
 		httpapi.New(httpapi.Config{
 			Gateway: n, Status: n, MaxBodyBytes: s.Limits.MaxBody.Bytes,
 			RequestTimeout: s.Limits.RequestTimeout.Duration,
-			Metrics:        registry, Logger: logger, InstanceID: self.ID,
+			Metrics:        registry, Logger: logger, InstanceID: self.ID, Guard: i.guard,
 		}))
 	go i.serve(listener)
 	logger.Info("instance started", "http", i.info.HTTPAddr, "peer", i.info.PeerAddr)
@@ -92,7 +95,7 @@
 }
 
 func (i *Instance) serve(l net.Listener) {
-	if err := i.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := i.guard.Serve(i.server, l, httpapi.DefaultReadTimeout); !errors.Is(err, http.ErrServerClosed) {
 		i.failed <- err
 	}
 }
