Intake: tests of what is held, and of connections that are kept or closed

Ten of fifteen planted faults passed the tests: no reservation for trailers or for a header beyond its first buffer, unread bodies that count as answered, no Connection: close, a newcomer that is not closed, no room for the second buffer of a body, and others. Nine are found now; the tenth was a condition without effect, which is gone.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -260,7 +260,7 @@
 	if !g.exceedsTotal(h, held) {
 		return nil // room of small holders does not help
 	}
-	if v := first(&g.idle, h); v != nil || isLarge(held) {
+	if v := first(&g.idle, h); v != nil {
 		return v
 	}
 	return g.smallIncomplete(h, class(held))
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -103,6 +103,7 @@
 		{"a small one closes large ones", []row{{"a", 750, readingBody}, {"b", 60, answering}, {"c", 60, answering}, {"d", 60, answering}, {"e", 60, readingBody}}, 60, []string{"a"}, false},
 		{"then an idle one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, idle}, {"d", 60, idle}, {"e", 60, idle}}, 60, []string{"c"}, false},
 		{"then a small one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, readingBody}, {"d", 60, answering}, {"e", 60, answering}}, 60, []string{"b"}, false},
+		{"a large one closes no small one", []row{{"a", 600, answering}, {"b", 60, readingHeader}, {"c", 60, readingHeader}, {"d", 60, readingBody}, {"e", 60, readingBody}, {"f", 60, readingBody}, {"g", 60, readingBody}}, 100, nil, true},
 		{"all are answered", []row{{"a", 750, answering}, {"b", 60, answering}, {"c", 60, answering}, {"d", 60, answering}, {"e", 60, answering}}, 60, nil, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -151,7 +151,7 @@
 		{"a body that never ends", "503", []string{"POST / HTTP/1.1\r\n" + length(len(body)) + "\r\n", body[1:]}},
 		{"a chunked body that never ends", "503", []string{"POST / HTTP/1.1\r\n" + chunked, "40000\r\n" + body}},
 		{"trailers that never end", "503", []string{"POST / HTTP/1.1\r\n" + chunked + "1\r\nx\r\n0\r\na:"}},
-		{"a body that is not read", "404", []string{"POST /unread HTTP/1.1\r\n" + length(len(body)) + "\r\n", body[1:]}},
+		{"a body that is not read", "Connection: close", []string{"POST /unread HTTP/1.1\r\n" + length(len(body)) + "\r\n", body[1:]}},
 		{"a small body that is not read", "404", []string{"DELETE /unread HTTP/1.1\r\n" + length(5) + "\r\nhell"}},
 		{"a panic", "", []string{"GET /panic HTTP/1.1\r\nHost: a\r\n\r\n"}},
 		{"a hijack", "", []string{"GET /hijack HTTP/1.1\r\nHost: a\r\n\r\n"}},
@@ -193,12 +193,13 @@
 	lines := strings.Repeat("a:\r\n", 3000)
 	body := strings.Repeat("x", testBodyLimit-1)
 	for name, parts := range map[string][]string{
-		"headers":            {"GET / HTTP/1.1\r\nHost: a\r\n" + lines},
-		"bodies":             {"POST / HTTP/1.1\r\n" + length(testBodyLimit) + "\r\n", body},
-		"chunks":             {"POST / HTTP/1.1\r\n" + chunked, "40000\r\n" + body},
-		"headers and a body": {"POST / HTTP/1.1\r\n" + lines + length(testBodyLimit) + "\r\n", body},
-		"trailers":           {"POST / HTTP/1.1\r\n" + chunked + "1\r\nx\r\n0\r\n" + strings.Repeat("a:\r\n", 800)},
-		"nothing":            nil,
+		"headers":                  {"GET / HTTP/1.1\r\nHost: a\r\n" + lines},
+		"bodies":                   {"POST / HTTP/1.1\r\n" + length(testBodyLimit) + "\r\n", body},
+		"chunks":                   {"POST / HTTP/1.1\r\n" + chunked, "40000\r\n" + body},
+		"headers and a body":       {"POST / HTTP/1.1\r\n" + lines + length(testBodyLimit) + "\r\n", body},
+		"trailers":                 {"POST / HTTP/1.1\r\n" + chunked + "1\r\nx\r\n0\r\n" + strings.Repeat("a:\r\n", 800)},
+		"bodies that nobody reads": {"POST /unread HTTP/1.1\r\n" + length(testBodyLimit) + "\r\n", body},
+		"nothing":                  nil,
 	} {
 		t.Run(name, func(t *testing.T) {
 			const budget = 2 << 20
@@ -243,6 +244,111 @@
 	})
 }
 
+// What is held must follow from what was sent, as nothing else bounds it.
+func TestHeldBytes(t *testing.T) {
+	cost := func(parts ...string) (sum int64) {
+		for _, p := range parts {
+			sum += int64(headerByteCost*len(p) + headerLineBytes*strings.Count(p, "\n"))
+		}
+		return sum
+	}
+	const bufferedBody = "xxxxx"
+	get := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("b:\r\n", 100) + "\r\n"
+	head := "POST / HTTP/1.1\r\n" + length(testBodyLimit) + "\r\n"
+	begun := "POST / HTTP/1.1\r\n" + chunked + "1\r\nx\r\n"
+	trailers := "0\r\n" + strings.Repeat("a:\r\n", 500)
+	long := "GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 2500)
+	for _, test := range []struct {
+		name  string
+		parts []string
+		want  int64
+	}{
+		{"nothing", nil, 0},
+		{"a part of a header", []string{long}, cost(long)},
+		{"a body that begins", []string{head, bufferedBody}, cost(head) + firstBytes},
+		{"a large part of a body", []string{head, strings.Repeat("x", 100<<10)}, cost(head) + 128<<10},
+		{"trailers", []string{begun, trailers}, cost(begun, trailers) + firstBytes},
+		{"idle after requests", []string{get, get, get}, cost(get)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			serve(t, 4<<20, func(t *testing.T, s *served) {
+				c := s.dial()
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+				for _, p := range test.parts {
+					_, err := io.WriteString(c, p)
+					require.NoError(t, err)
+					synctest.Wait()
+				}
+				held, _ := s.guard.Used()
+				assert.InDelta(t, connectionBytes+test.want, held, headerByteCost*bufferBytes)
+				require.NoError(t, c.Close())
+			})
+		})
+	}
+}
+
+// A buffer that grows is there twice while it is copied.
+func TestGrowingBodyNeedsRoomForBothBuffers(t *testing.T) {
+	body := strings.Repeat("x", testBodyLimit)
+	for budget, want := range map[int64]string{400 << 10: "503", 800 << 10: "200 OK"} {
+		serve(t, budget, func(t *testing.T, s *served) {
+			assert.Contains(t, s.exchange("POST / HTTP/1.1\r\n"+length(len(body))+last+"\r\n", body), want)
+		})
+	}
+}
+
+// net/http would read the rest of the body before the answer.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	serve(t, 4<<20, func(t *testing.T, s *served) {
+		c := s.dial()
+		start := time.Now()
+		_, err := io.WriteString(c, "POST /unread HTTP/1.1\r\n"+length(100<<10)+"\r\n")
+		require.NoError(t, err)
+		_, err = io.ReadFull(c, make([]byte, 12))
+		require.NoError(t, err)
+		assert.Zero(t, time.Since(start))
+		require.NoError(t, c.Close())
+	})
+}
+
+func TestConnectionIsKeptAfterABody(t *testing.T) {
+	serve(t, 4<<20, func(t *testing.T, s *served) {
+		body := strings.Repeat("x", testBodyLimit)
+		out := s.exchange("POST / HTTP/1.1\r\n"+length(len(body))+"\r\n", body, "POST / HTTP/1.1\r\n"+chunked+"1\r\nx\r\n0\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n"+last+"\r\n")
+		assert.Equal(t, 3, strings.Count(out, "200 OK"))
+	})
+}
+
+func TestConnectionBesideOthersThatAreAnsweredIsClosed(t *testing.T) {
+	serve(t, 4<<20, func(t *testing.T, s *served) {
+		var answered sync.WaitGroup
+		for range 20 {
+			answered.Go(func() { assert.Contains(t, s.exchange("GET /slow HTTP/1.1\r\nHost: a\r\n"+last+"\r\n"), "200 OK") })
+		}
+		synctest.Wait()
+		assert.Empty(t, s.exchange())
+		answered.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Equal(t, []Cause{CauseConnection}, s.causes)
+	})
+}
+
+// The handler must not take a connection that was closed to make room for one that the caller broke off.
+func TestBodyOfAClosedConnectionHasNoMemory(t *testing.T) {
+	serve(t, 4<<20, func(t *testing.T, s *served) {
+		server, client := net.Pipe()
+		conn := newConn(s.guard, server)
+		read := make(chan error)
+		go func() { read <- (&body{conn: conn, limit: testBodyLimit}).read(conn) }()
+		_, err := io.WriteString(client, "x")
+		require.NoError(t, err)
+		synctest.Wait()
+		require.NoError(t, conn.Close())
+		assert.ErrorIs(t, <-read, ErrNoMemory)
+	})
+}
+
 // net/http parses what has arrived with an earlier request without reading the connection again.
 func TestPipelinedHeaderIsCounted(t *testing.T) {
 	serve(t, 4<<20, func(t *testing.T, s *served) {
