--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -41,6 +41,26 @@
 	return b.data, nil
 }
 
+// Discard reads the body of r, at most limit bytes, for a handler that has no use for it. From
+// then on the request counts as read. Errors are those of ReadBody.
+func Discard(w http.ResponseWriter, r *http.Request, limit int64) error {
+	if r.ContentLength > limit {
+		return ErrTooLarge
+	}
+	b := body{conn: connOf(r)}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return b.failure(err)
+	case n > limit:
+		return ErrTooLarge
+	case !b.hold(0, answering):
+		return ErrNoMemory
+	}
+	w.Header().Del("Connection") // the connection can be kept
+	return nil
+}
+
 // body is a body that is being read.
 type body struct {
 	conn  *Conn // nil if the request is not served by a guard
@@ -64,15 +84,20 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
-		if err != nil && b.conn != nil && b.conn.ended() {
-			return ErrNoMemory // it was closed to make room
-		}
 		if err != nil {
-			return err
+			return b.failure(err)
 		}
 	}
 }
 
+// failure returns the reason of a failed read: ErrNoMemory if the connection was closed to make room.
+func (b *body) failure(err error) error {
+	if b.conn != nil && b.conn.ended() {
+		return ErrNoMemory
+	}
+	return err
+}
+
 // grow doubles the buffer. Both buffers are reserved while one is copied.
 func (b *body) grow() error {
 	size := min(b.limit, max(firstBytes, 2*int64(cap(b.data))))
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -59,7 +59,8 @@
 }
 
 // serve runs f with a server whose handler reads bodies, for a path /slow answers after ten
-// seconds, for /panic panics, for /hijack takes the connection and for /unread reads nothing.
+// seconds, for /panic panics, for /hijack takes the connection, for /unread reads nothing and for
+// /discarded answers after ten seconds without use for the body.
 // The whole budget must be there afterwards.
 func serve(t *testing.T, bytes int64, f func(t *testing.T, s *served)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -86,13 +87,19 @@
 		http.Error(w, "unread", http.StatusNotFound)
 		return
 	}
-	data, err := ReadBody(w, r, testBodyLimit)
+	read := ReadBody
+	if r.URL.Path == "/discarded" {
+		read = func(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+			return nil, Discard(w, r, limit)
+		}
+	}
+	data, err := read(w, r, testBodyLimit)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	switch r.URL.Path {
-	case "/slow":
+	case "/slow", "/discarded":
 		select {
 		case <-time.After(10 * time.Second):
 		case <-r.Context().Done():
@@ -153,6 +160,11 @@
 		{"trailers that never end", "503", []string{"POST / HTTP/1.1\r\n" + chunked + "1\r\nx\r\n0\r\na:"}},
 		{"a body that is not read", "404", []string{"POST /unread HTTP/1.1\r\n" + length(len(body)) + "\r\n", body[1:]}},
 		{"a small body that is not read", "404", []string{"DELETE /unread HTTP/1.1\r\n" + length(5) + "\r\nhell"}},
+		{"a body that is discarded", "200 OK", []string{"DELETE /discarded HTTP/1.1\r\n" + length(len(body)) + last + "\r\n", body}},
+		{"chunks that are discarded", "200 OK", []string{"DELETE /discarded HTTP/1.1\r\n" + last + chunked, "40000\r\n" + body + "\r\n0\r\n\r\n"}},
+		{"a discarded body that is too large", "503", []string{"DELETE /discarded HTTP/1.1\r\n" + length(len(body)+1) + "\r\n", body}},
+		{"discarded chunks that are too large", "503", []string{"DELETE /discarded HTTP/1.1\r\n" + chunked, "40001\r\n" + body + "y\r\n"}},
+		{"a discarded body that never ends", "503", []string{"DELETE /discarded HTTP/1.1\r\n" + length(5) + "\r\nhell"}},
 		{"a panic", "", []string{"GET /panic HTTP/1.1\r\nHost: a\r\n\r\n"}},
 		{"a hijack", "", []string{"GET /hijack HTTP/1.1\r\nHost: a\r\n\r\n"}},
 		{"pipelined", "200 OK", []string{strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 50)}},
@@ -243,6 +255,22 @@
 	})
 }
 
+// Guards against a DELETE with a small body that was closed while it was answered, as its body counted as incomplete.
+func TestRequestWhoseBodyWasDiscardedIsAnsweredBesideACrowd(t *testing.T) {
+	serve(t, 32<<20, func(t *testing.T, s *served) {
+		answer := make(chan string)
+		go func() { answer <- s.exchange("DELETE /discarded HTTP/1.1\r\n" + length(2) + last + "\r\n{}") }()
+		synctest.Wait()
+		var crowd sync.WaitGroup
+		for range 30 { // more than connections
+			crowd.Go(func() { s.exchange("GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 3000)) })
+			synctest.Wait() // none is idle when the next one comes
+		}
+		assert.Contains(t, <-answer, "200 OK")
+		crowd.Wait()
+	})
+}
+
 // net/http parses what has arrived with an earlier request without reading the connection again.
 func TestPipelinedHeaderIsCounted(t *testing.T) {
 	serve(t, 4<<20, func(t *testing.T, s *served) {
