Intake: net/http can close the writing side of a caller's connection

After an answer to a request whose body is left unread, net/http closes the writing side, waits 500 ms and closes the connection, so that the caller sees the end of the answer before a reset. Cause: neither intake.Conn nor the connection of link.Meter below it, which hid this before the guard came, offered CloseWrite, so the end came with the reset. Both pass it on now. What else remains is in the design, as is why a pipelined request stays among idle connections: the guard can't tell what net/http has left in its buffer, and sparing every connection after an answer would let anyone keep idle ones. Measured: a test reads the answer to its end while the connection can still be read.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -85,6 +85,15 @@
 	return c.Conn.Write(b)
 }
 
+// CloseWrite closes the writing side, if the connection has sides. net/http does so before it closes a
+// connection with unread bytes, so that the caller gets the answer before the reset.
+func (c *Conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // received reserves memory for what becomes of received bytes. size is that of the slice that they were read
 // into: net/http reads past its buffer into larger ones, and fills all of it if it is empty. It returns false
 // if there is no room.
--- a/internal/intake/unread_linux_test.go
+++ b/internal/intake/unread_linux_test.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pollenbend/internal/link"
 )
 
 // control calls f with the descriptor of c.
@@ -71,3 +73,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, testBodyLimit, n)
 }
+
+// Guards against an answer that is followed by its end only when net/http closes the connection half a second later.
+func TestWritingSideOfAConnectionCanBeClosed(t *testing.T) {
+	client, server := connect(t)
+	var m link.Meter
+	g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+	conn := newConn(g, m.Conn(server))
+	_, err := io.WriteString(conn, "answer")
+	require.NoError(t, err)
+	require.NoError(t, conn.CloseWrite())
+	out, err := io.ReadAll(client) // ends although the connection is open
+	require.NoError(t, err)
+	assert.Equal(t, "answer", string(out))
+	_, err = io.WriteString(client, "x")
+	require.NoError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	require.NoError(t, err, "the reading side stays open")
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -71,3 +71,11 @@
 	c.m.sent.Add(int64(n))
 	return n, err
 }
+
+// CloseWrite closes the writing side, if the connection has sides.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
