Engine: a report that doesn't tell its incarnation settles no run

A report without the start of its worker's incarnation counts as one of the incarnation that the leader believes. If the worker has restarted, a run that a late start began there would be stored as settled in the earlier incarnation, and the next leader would give it up before its lease has ended (TWICE).

The test fails before.

--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -13,7 +13,8 @@
 
 // noteFenced records that w has answered a renewal with a fence number that its earlier incarnations got no calls with.
 func (w *worker) noteFenced(ev *RenewalAnswered, now time.Time) {
-	if w.fencedSince.IsZero() && ev.Report.Incarnation != 0 && ev.Report.Incarnation == w.incarnation && !w.fenceSpent && w.renewalFence == w.fence {
+	w.reportAttributed = ev.Report.Incarnation != 0 && ev.Report.Incarnation == w.incarnation
+	if w.fencedSince.IsZero() && w.reportAttributed && !w.fenceSpent && w.renewalFence == w.fence {
 		w.fencedSince = now
 	}
 }
@@ -41,7 +42,7 @@
 // settleRun records that a report of its worker shows r, if that refuses calls that were meant for earlier incarnations.
 func (e *Engine) settleRun(r *run) {
 	w := r.worker
-	if r.incarnation != w.incarnation || w.fencedSince.IsZero() {
+	if r.incarnation != w.incarnation || w.fencedSince.IsZero() || !w.reportAttributed {
 		return
 	}
 	if !r.settled() {
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -231,3 +231,23 @@
 		s.w.stored[key] = record.Encode(rec)
 	}
 }
+
+// A report that doesn't tell its incarnation may be of a later one than the run names.
+func TestRunInAReportWithoutItsIncarnationIsStoredAsSettled(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	n := w.useNetwork(1)
+	n.restartsKeepID = true
+	w.run(time.Second)
+	n.planted.event = func(_ *network, event any) any {
+		if ev, ok := event.(*RenewalAnswered); ok && ev.Report != nil {
+			ev.Report.Incarnation = 0
+		}
+		return event
+	}
+	id := w.submit("batch", "a", tasks(1, 1000, time.Minute))
+	w.run(5 * time.Second)
+	stored := new(record.Step)
+	w.must(record.Decode(w.stored[record.StepKey(job.StepRef{Job: id}, 0)], stored))
+	assert.NotEmpty(t, stored.Tasks[0].Worker)
+	assert.False(t, stored.Tasks[0].Settled)
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -48,6 +48,7 @@
 	clockAt          time.Time // when that answer arrived
 	leaseEnd         int64     // latest end of a lease that was requested, on the worker's clock, in ms
 	unansweredLease  time.Time // when the last command with a lease was sent to this incarnation that got no answer
+	reportAttributed bool      // its last report tells that it is of this incarnation
 	fencedSince      time.Time // since when this incarnation refuses calls to earlier ones; zero if that is not known
 	lateLeasesUntil  time.Time // when all leases have ended that commands to earlier incarnations may have extended
 	unknownClockAt   time.Time // when the last answer of a later, unknown incarnation arrived; zero if there was none
