Workers: calls after a cursor without an answer bear a higher fence number

A task ran again after its end, which was acknowledged (TWICE): a renewal with a cursor gets no answer, nor does a start that is sent after it has timed out. The worker restarts under its id, and its next incarnation carries out both, the start first, before the leader's first call reaches it.

Both calls bore the same fence number. The leader takes a higher one now once a renewal with a cursor gets no answer, as it does for a new incarnation, so an incarnation that has carried out a later call refuses the late cursor. Starts wait for that number, which is there with the next renewal while the store takes writes. No start can be under way then that its worker would refuse for it: a cursor is sent only when no start of the last 3 s is unsettled, and no start while it has no answer.

The new test fails before (the task starts again after its acknowledged success, three starts in place of two) and passes. The other order, a start and 3 s later a cursor, is left.

--- a/internal/cell/engine/worker_fence_test.go
+++ b/internal/cell/engine/worker_fence_test.go
@@ -145,3 +145,50 @@
 	assert.Greater(t, worker.fence, int64(1<<40))
 	assert.Equal(t, StateCompleted, w.state(id))
 }
+
+// A renewal with a cursor gets no answer, nor does a later start. The next incarnation carries out both, the start first,
+// before the leader reaches it. The cursor must not acknowledge the end of that run.
+func TestLateCursorAfterALateStartIsRefused(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.useNetwork(1)
+	n.restartsKeepID, n.untold = true, true
+	var cursor *Renew
+	var start *Start
+	n.planted.action = func(n *network, action any) any {
+		switch a := action.(type) {
+		case *Renew:
+			if cursor == nil && a.Cursor > 0 {
+				cursor = a
+				w.deliver(w.engine, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: w.now})
+				return nil
+			}
+		case *Start:
+			if start == nil && cursor != nil {
+				start = a
+				w.deliver(w.engine, a.Timeout, &StartAnswered{Start: a, Outcome: NoAnswer})
+				return nil
+			}
+		}
+		return action
+	}
+	w.run(time.Second)
+	w.submit("batch", "a", tasks(1, 2000, 300*time.Millisecond))
+	w.run(time.Second)
+	require.NotNil(t, cursor)
+	id := w.submit("batch", "a", tasks(1, 2000, 300*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	require.NotNil(t, start)
+	sent := w.now
+	n.links["w00"].silentUntil = w.now.Add(2 * time.Second)
+	n.restart("w00", simTick, 5*time.Second)
+	w.run(100 * time.Millisecond)
+	s := w.workers["w00"]
+	require.Equal(t, Accepted, n.start(s, start, sent).Outcome)
+	w.run(500 * time.Millisecond)
+	require.Len(t, s.ended, 1)
+	n.renew(s, cursor, sent, func(any) {})
+	assert.Len(t, s.ended, 1, "nobody has seen the end")
+	w.run(30 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+	assert.Equal(t, 2, w.starts)
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -70,7 +70,7 @@
 	delayedStarts    []*run    // whose start commands wait for the answer to it
 	renewalFence     int64     // fence number of the last renewal
 	fence            int64     // fence number of calls; zero before the first one
-	fenceSpent       bool      // an earlier incarnation got calls with that fence number
+	fenceSpent       bool      // no more calls may bear that fence number: an earlier incarnation, or a cursor without an answer, had it
 	appliedCursor    int64     // number of the last finished run that is applied
 	unstoredBatches  int       // batches of finished runs that are being stored
 	exposed          int       // runs whose start is risky and not yet known to be harmless
@@ -500,6 +500,9 @@
 func (e *Engine) renewalFailed(w *worker, ev *RenewalAnswered) {
 	e.noteLeaseOfRenewal(w, ev)
 	w.missedRenewals++
+	if w.renewalCursor > 0 {
+		w.fenceSpent = true // the cursor may reach the next incarnation after a later start
+	}
 	switch {
 	case ev.Malformed && len(w.runs) == 0:
 		w.nextRenewal = e.now.Add(malformedRetryDelay)
