HTTP API: what a body decodes to counts before it is decoded

Cause: the lists of a call and of declarations have no limit; a body of 1 MiB decodes to some hundred times as many objects as an ordinary one, and a crowd's bodies were decoded at the same time. And 64 MB of held memory lets the collector keep twice that, beside as much garbage.

Change: 200 bytes for each element outside a payload are reserved before a body is decoded, and large bodies are decoded one at a time. The budget is 32 MB, as this cell knows no memory of its machine.

Tests: a call with 300,000 requirements is refused, one with as many numbers in its payload is not.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -46,6 +46,57 @@
 	return verdict.Refuse(verdict.CodeTooLarge, "body: longer than %d bytes", a.cfg.MaxBodyBytes)
 }
 
+const (
+	// elementBytes is about what an element of a list or a field of an object takes when it has
+	// been decoded, with the lists that it outgrows.
+	elementBytes = 200
+	// largeBodyBytes is the size from which bodies are decoded one at a time.
+	largeBodyBytes = 16 << 10
+)
+
+// decodedBytes returns about how many bytes the JSON in data takes beside its texts when it has
+// been decoded. The payload of a call stays as it is.
+func decodedBytes(data []byte) int64 {
+	var elements int64
+	var text []byte // the last string
+	depth, inPayload := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; c {
+		case '"':
+			end := stringEnd(data, i)
+			text = data[i:end]
+			i = end - 1
+		case ':':
+			inPayload = inPayload || depth == 1 && string(text) == `"payload"`
+		case ']', '}':
+			depth--
+		case '[', '{', ',':
+			if c != ',' {
+				depth++
+			} else if depth == 1 {
+				inPayload = false
+			}
+			if !inPayload {
+				elements++
+			}
+		}
+	}
+	return elements * elementBytes
+}
+
+// stringEnd returns the index after the string that begins at data[start].
+func stringEnd(data []byte, start int) int {
+	for i := start + 1; i < len(data); i++ {
+		switch data[i] {
+		case '\\':
+			i++
+		case '"':
+			return i + 1
+		}
+	}
+	return len(data)
+}
+
 // decodeStrict decodes exactly one JSON document without unknown fields. The error
 // names the invalid field.
 func decodeStrict(data []byte, target any) error {
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 	cfg            Config
 	mux            *http.ServeMux
 	activeRequests atomic.Int64 // HTTP requests in progress
+	decoding       sync.Mutex   // held while a large body is decoded
 }
 
 // New returns the handler of all routes.
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollenbend/internal/httpapi/wire"
+	"pollenbend/internal/intake"
 	"pollenbend/internal/model"
 	"pollenbend/internal/verdict"
 )
@@ -220,5 +221,12 @@
 	if err != nil {
 		return err
 	}
+	if !intake.Keep(r, int64(len(data))+decodedBytes(data)) {
+		return errBodyMemoryFull
+	}
+	if len(data) >= largeBodyBytes {
+		a.decoding.Lock()
+		defer a.decoding.Unlock()
+	}
 	return decodeStrict(data, target)
 }
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -12,7 +12,7 @@
 )
 
 // maxHeldBytes is the maximum memory that an instance holds for callers, in bytes.
-const maxHeldBytes = 64 << 20
+const maxHeldBytes = 32 << 20
 
 // NewGuard returns the budget of the memory that callers make an instance hold. It counts in
 // r what is refused because of it.
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -184,6 +184,39 @@
 	assert.Zero(t, connections)
 }
 
+func TestDecodedBytes(t *testing.T) {
+	for body, elements := range map[string]int64{
+		`{}`:                                        1,
+		`{"queue":"a,[{","service":"\",,"}`:         2,
+		`{"require":[{},{},{"label":"x"}]}`:         7,
+		`{"payload":[1,2,{"a":[]}],"class":"x"}`:    2,
+		`{"PAYLOAD":[1,2],"require":["payload",1]}`: 6,
+		`{"prefer":["\`:                             2,
+	} {
+		require.Equal(t, elements*elementBytes, decodedBytes([]byte(body)), body)
+	}
+}
+
+// Guards against issue 57: lists without a limit were decoded, at many times the size of their bodies.
+func TestBodyThatDecodesToMoreThanThereIsRoomForIsRefused(t *testing.T) {
+	c := &scriptedCore{}
+	guard := NewGuard(gometrics.NewRegistry())
+	server := NewServer(ServerConfig{}, New(Config{Gateway: c, Status: c, Guard: guard}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = guard.Serve(server, l, DefaultReadTimeout) }()
+	defer server.Close()
+	for body, want := range map[string]int{
+		`{"require":[` + strings.Repeat(`{},`, 300_000) + `{}]}`: 429,
+		`{"payload":[` + strings.Repeat(`10,`, 300_000) + `1]}`:  200,
+	} {
+		resp, err := http.Post("http://"+l.Addr().String()+"/v1/requests", "application/json", strings.NewReader(body))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, want, resp.StatusCode, "%.20s", body)
+	}
+}
+
 func TestProbesAndMetrics(t *testing.T) {
 	c := &scriptedCore{notReady: "log not read"}
 	registry := gometrics.NewRegistry()
