Soak: unread bytes are those of the process's own addresses

What was seen: on body-one-byte-short and others exceeded their memory in one of three runs by bytes received and not read, with 49 MB resident and 24 to 36 MB unread.

Cause: the check summed the unread bytes of all connections to the IP address of the instance, and all runs of these tests have the same one. The kernel's table showed 1,819 connections to it while this crowd had 300 clients: another run was in progress, with listeners of its own at that address.

Change: only connections to the process's own four addresses count. The bound is the same, and all connections of callers, accepted or not, still count.

--- a/internal/soak/crowd_watch_test.go
+++ b/internal/soak/crowd_watch_test.go
@@ -2,9 +2,8 @@
 
 import (
 	"encoding/binary"
-	"encoding/hex"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -70,7 +69,7 @@
 
 func (w *watch) sample() {
 	w.peakKB = max(w.peakKB, w.memoryKB("VmHWM:"))
-	w.heldKB = max(w.heldKB, w.memoryKB("VmRSS:")+unreadBytes(w.in.ip)>>10)
+	w.heldKB = max(w.heldKB, w.memoryKB("VmRSS:")+unreadBytes(w.in)>>10)
 	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.pid)); err == nil {
 		w.files = max(w.files, len(entries))
 	}
@@ -93,21 +92,19 @@
 	return 0
 }
 
-// unreadBytes returns how many bytes the kernel has received for connections to ip that have
-// not been read, including connections that have not been accepted.
-func unreadBytes(ip string) int {
+// unreadBytes returns how many bytes the kernel has received for connections to the addresses of in
+// that have not been read, including connections that have not been accepted.
+func unreadBytes(in *instance) int {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
-	prefix := make([]byte, 4)
-	binary.LittleEndian.PutUint32(prefix, binary.BigEndian.Uint32(net.ParseIP(ip).To4()))
-	local := strings.ToUpper(hex.EncodeToString(prefix)) + ":"
+	own := map[string]bool{kernelAddress(in.front): true, kernelAddress(in.ready): true, kernelAddress(in.metrics): true, kernelAddress(in.peers): true}
 	total := 0
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
 		const stateListen = "0A" // its queue has connections, not bytes
-		if len(fields) < 5 || !strings.HasPrefix(fields[1], local) || fields[3] == stateListen {
+		if len(fields) < 5 || !own[fields[1]] || fields[3] == stateListen {
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
@@ -118,6 +115,16 @@
 	return total
 }
 
+// kernelAddress returns address as the kernel's table of connections writes it, or "".
+func kernelAddress(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return "" // the process has no such address
+	}
+	ip := a.Addr().As4()
+	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(ip[:]), a.Port())
+}
+
 func (w *watch) String() string {
 	return fmt.Sprintf("memory at first %d MB, at most %d MB, with unread bytes %d MB, %d descriptors", w.baseKB>>10, w.peakKB>>10, w.heldKB>>10, w.files)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,7 @@
 	front      string // address for clients
 	ready      string // address for readiness checks
 	metrics    string // address of the metrics
+	peers      string // address for other instances
 	mu         sync.Mutex
 	process    *os.Process
 	stopped    bool // whether the supervisor stops restarting it
@@ -190,7 +191,8 @@
 
 func (c *cell) newInstance(i, port int, storeAddress string) *instance {
 	in := &instance{name: fmt.Sprintf("i%d", i), ip: fmt.Sprintf("127.0.%d.%d", 1+c.seed%200, i+1)}
-	in.front, in.ready, in.metrics = fmt.Sprintf("%s:%d", in.ip, port), fmt.Sprintf("%s:%d", in.ip, port+1), fmt.Sprintf("%s:%d", in.ip, port+3)
+	address := func(offset int) string { return fmt.Sprintf("%s:%d", in.ip, port+offset) }
+	in.front, in.ready, in.peers, in.metrics = address(0), address(1), address(2), address(3)
 	l, err := net.Listen("tcp", in.ip+":0")
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { _ = l.Close() })
