--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -63,7 +63,7 @@
 	for i := 0; i < len(data); i++ {
 		switch c := data[i]; c {
 		case '"':
-			end := stringEnd(data, i)
+			end := intake.StringEnd(data, i)
 			text = data[i:end]
 			i = end - 1
 		case ':':
@@ -84,19 +84,6 @@
 	return elements * elementBytes
 }
 
-// stringEnd returns the index after the string that begins at data[start].
-func stringEnd(data []byte, start int) int {
-	for i := start + 1; i < len(data); i++ {
-		switch data[i] {
-		case '\\':
-			i++
-		case '"':
-			return i + 1
-		}
-	}
-	return len(data)
-}
-
 // decodeStrict decodes exactly one JSON document without unknown fields. The error
 // names the invalid field.
 func decodeStrict(data []byte, target any) error {
