--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -6,15 +6,15 @@
 	"pollenbend/internal/cell/record"
 )
 
-// A run is settled if it goes on, or begins, in the incarnation that it names or not at all, and this one refuses
-// calls that were meant for earlier ones. That holds once a report has shown the run, and from its planning on
-// if its start bears a ticket, which no other incarnation takes. Its lease ends as leaders have requested it on
-// the clock of that incarnation, or with the incarnation, and so does the time in which its start is
-// carried out. The run's record says so, as the next leader can't find it out. See docs/design/worker-calls.md.
+// A run is settled once a report has shown it in the incarnation that it names, and this one refuses calls that
+// were meant for earlier ones. No late command concerns it any more: its lease ends as leaders have requested it
+// on the clock of that incarnation, or with the incarnation. The run's record says so, as the next leader, if it
+// doesn't reach the worker, can't find it out. See docs/design/worker-calls.md.
 
 // noteFenced records that w has answered a renewal with a fence number that its earlier incarnations got no calls with.
 func (w *worker) noteFenced(ev *RenewalAnswered, now time.Time) {
-	if w.fencedSince.IsZero() && ev.Report.Incarnation != 0 && ev.Report.Incarnation == w.incarnation && !w.fenceSpent && w.renewalFence == w.fence {
+	w.reportAttributed = ev.Report.Incarnation != 0 && ev.Report.Incarnation == w.incarnation
+	if w.fencedSince.IsZero() && w.reportAttributed && !w.fenceSpent && w.renewalFence == w.fence {
 		w.fencedSince = now
 	}
 }
@@ -39,10 +39,10 @@
 	return min(e.cfg.MaxLease, max(e.cfg.Lease, e.lateLeasesEnd(w).Sub(e.now)))
 }
 
-// settleRun records that r runs in the incarnation that it names or not at all, if that one refuses calls to earlier ones.
+// settleRun records that a report of its worker shows r, if that refuses calls that were meant for earlier incarnations.
 func (e *Engine) settleRun(r *run) {
 	w := r.worker
-	if w.fencedSince.IsZero() || r.incarnation != w.incarnation {
+	if r.incarnation != w.incarnation || w.fencedSince.IsZero() || !w.reportAttributed {
 		return
 	}
 	if !r.settled() {
--- a/internal/cell/node/isolation_test.go
+++ b/internal/cell/node/isolation_test.go
@@ -115,3 +115,73 @@
 		assert.Same(t, leader, c.leader())
 	})
 }
+
+func TestLeaderCutOffFromTheOthersBeforeTheStoreRenewsLeasesWithoutEnd(t *testing.T) {
+	const storeLostAfter = time.Minute
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+		c.cutOff(old, 0, storeServes)
+		time.Sleep(storeLostAfter)
+		c.cutOff(old, 0, storeNoAnswer)
+	})
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
+
+func TestLeaderFrozenAfterItWasCutOffExecutesARoundOnWaking(t *testing.T) {
+	const latest = isolationTimeout - leadershipRenewInterval // before the leader has noticed
+	for frozenAt := latest - 400*time.Millisecond; frozenAt < latest; frozenAt += 25 * time.Millisecond {
+		t.Run(frozenAt.String(), func(t *testing.T) {
+			renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+				c.cutOff(old, 0, storeNoAnswer)
+				go func() {
+					time.Sleep(frozenAt)
+					resume := c.pause(old)
+					time.Sleep(maxRoundDuration - 50*time.Millisecond)
+					resume()
+				}()
+			})
+			assert.Less(t, renewedFor, maxLeaderOverlap)
+		})
+	}
+}
+
+// The monotonic clock has not advanced while the machine was suspended.
+func TestIsolationOfASuspendedLeaderIsMeasuredByTheTimeOfDay(t *testing.T) {
+	const suspended = isolationTimeout - 100*time.Millisecond
+	runCluster(t, 5, func(t *testing.T, c *cluster) {
+		old := c.leader()
+		require.NotNil(t, old)
+		l := old.leading.Load()
+		c.cutOff(old, 0, storeNoAnswer)
+		time.Sleep(200 * time.Millisecond)
+		earlier := func(at time.Time) time.Time { return at.Round(0).Add(-suspended) }
+		l.mu.Lock()
+		for name, at := range l.pingedAt {
+			l.pingedAt[name] = earlier(at)
+		}
+		l.mu.Unlock()
+		l.confirmations.mu.Lock()
+		l.confirmations.at = earlier(l.confirmations.at)
+		l.confirmations.mu.Unlock()
+		time.Sleep(followersInterval + 2*tickInterval)
+		assert.True(t, l.ended())
+	})
+}
+
+// The directory goes on answering a leader whose leadership the store does not confirm.
+func TestLeaderThatOnlyReachesTheDirectoryRenewsLeasesWithoutEnd(t *testing.T) {
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) {
+		c.cutOff(old, 0, storeNoAnswer)
+		go func() {
+			for range 100 {
+				old.NoteStoreAnswer()
+				time.Sleep(directoryPollInterval)
+			}
+		}()
+	})
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
+
+func TestLeaderCutOffWithHalfOfTheOthersRenewsLeasesWithoutEnd(t *testing.T) {
+	renewedFor := runIsolatedLeader(t, func(c *cluster, old *member) { c.cutOff(old, 2, storeNoAnswer) })
+	assert.Less(t, renewedFor, maxLeaderOverlap)
+}
