Soak: the stand-in's store answers the newest records in pages

In one of two plays of TestCrowd/valid-with-long-label on the process served no ordinary caller after the crowd, until the test was ended. Its leader had paused for 5.9 s, claimed the leadership again, and could not load the state: the stand-in answered log-newest in one page of more than the 4 MB that are read, where the platform's store has pages of 500 records or 1 MB.

--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -83,7 +85,7 @@
 	case "/-/log-read":
 		s.read(w, r)
 	case "/-/log-newest":
-		s.newest(w, q.Get("topic"))
+		s.newest(w, q.Get("topic"), q.Get("dependsOn"))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -188,8 +190,14 @@
 	}
 }
 
-// newest answers with the newest record of each key, without those that are empty.
-func (s *store) newest(w http.ResponseWriter, name string) {
+// The limits of a page of newest records.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
+// newest answers with a page of the newest records of the keys behind after, without those that are empty.
+func (s *store) newest(w http.ResponseWriter, name, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
@@ -197,11 +205,17 @@
 	for i, rec := range t.records {
 		last[rec[0]] = i
 	}
-	items := []map[string]any{}
-	for i, rec := range t.records {
-		if last[rec[0]] == i && rec[1] != "" {
-			items = append(items, map[string]any{"key": rec[0], "offset": i, "value": base64.StdEncoding.EncodeToString([]byte(rec[1]))})
+	items, bytes, more := []map[string]any{}, 0, false
+	for _, key := range slices.Sorted(maps.Keys(last)) {
+		value := t.records[last[key]][1]
+		if key <= after || value == "" {
+			continue
+		}
+		if more = len(items) == maxPageItems || len(items) > 0 && bytes+len(value) > maxPageBytes; more {
+			break
 		}
+		bytes += len(value)
+		items = append(items, map[string]any{"key": key, "offset": last[key], "value": base64.StdEncoding.EncodeToString([]byte(value))})
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "end": len(t.records)})
+	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "end": len(t.records)})
 }
