--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -176,7 +176,7 @@
 	c.takeBack()
 	c.endFaults()
 	c.group.Wait()
-	c.reportViolations()
+	t.Run("promises", func(*testing.T) { c.reportViolations() })
 	t.Run("no idle work", func(t *testing.T) { c.reportIdleWork(t) })
 }
 
