Intake: large requests wait until closed connections have returned their memory

A crowd of callers who leave long headers and bodies unfinished ended it on machines that give it less of a processor.

Cause: a connection that was closed to make room returned its part of the budget at once. Its goroutine still had the header, and waited for the processor behind hundreds of others, for its handler, or for the half second for which net/http delays the end of a connection with unread bytes. Whoever took its room allocated beside it, so the slower the processor, the more memory. A connection refused within a read returned its part as early, and a request found in net/http's buffer after its connection had been closed was served.

Change: what a large request reads waits until closed connections have released what they held, at most until its read deadline. Conn.Close, which net/http calls when it has finished, releases it. The handler of a closed request is canceled and its connection ends without the delay.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -35,16 +35,18 @@
 	holder
 
 	// The following fields are guarded by guard.mu.
-	buffered int64 // cost of the lines that net/http may have in its buffer
-	body     int64 // what is held for a body
-	chunked  bool  // the request has a chunked body, which may end with trailers
-	trailer  int64 // what is held for trailers
+	buffered int64     // cost of the lines that net/http may have in its buffer
+	body     int64     // what is held for a body
+	chunked  bool      // the request has a chunked body, which may end with trailers
+	trailer  int64     // what is held for trailers
+	readBy   time.Time // when reading ends, if it does
+	cancel   func()    // ends the handler of a request with a body; nil if there is none
 }
 
 // newConn returns c as a connection of g, or nil if there is no room for it.
 func newConn(g *Guard, c net.Conn) *Conn {
 	conn := &Conn{Conn: c, guard: g}
-	conn.close = func() { _ = c.Close() } // it ends either way
+	conn.holder.close = conn.drop
 	if !g.admit(&conn.holder, connectionBytes) {
 		return nil
 	}
@@ -55,13 +57,28 @@
 func (c *Conn) ended() bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	return c.phase == ended
+	return c.phase >= closing
 }
 
-// Close implements net.Conn.
+// drop closes the connection for want of room. What it holds is in use until net/http, whose next
+// read or write fails, calls Close.
+func (c *Conn) drop() {
+	c.guard.mu.Lock()
+	if c.phase != ended {
+		c.guard.set(&c.holder, c.held, closing)
+	}
+	cancel := c.cancel
+	c.guard.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	_ = c.Conn.Close() // it ends either way
+}
+
+// Close implements net.Conn. net/http calls it when it has finished with the connection.
 func (c *Conn) Close() error {
 	c.guard.mu.Lock()
-	c.guard.end(&c.holder)
+	c.guard.release(&c.holder)
 	c.guard.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -72,7 +89,7 @@
 	if n == 0 || c.received(b[:n], len(b)) {
 		return n, err
 	}
-	_ = c.Close() // it is not used any more
+	c.drop()
 	// net/http gives no answer after an error of this kind.
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
 }
@@ -116,45 +133,68 @@
 	case c.chunked && c.buffered > c.trailer:
 		held += c.buffered - c.trailer
 		c.trailer = c.buffered
-	case c.phase != ended:
+	case c.phase < closing:
 		g.mu.Unlock()
 		return true
 	}
 	cause := next.cause()
+	waits := isLarge(held) && held > c.held
 	ok, closed := g.changeLocked(&c.holder, held, next)
-	closedBefore := c.phase == ended
+	deadline := c.readBy
 	g.mu.Unlock()
-	g.finish(closed)
-	if !ok && !closedBefore {
-		g.refuse(cause)
+	return c.finish(ok, closed, cause) && (!waits || c.wait(deadline, cause))
+}
+
+// finish finishes a change of what c holds, and counts its failure unless c has been closed to make room.
+func (c *Conn) finish(ok bool, closed []victim, cause Cause) bool {
+	c.guard.finish(closed)
+	if !ok && !c.ended() {
+		c.guard.refuse(cause)
 	}
 	return ok
 }
 
-// begin notes that the header of a request is complete.
-func (c *Conn) begin(hasBody, chunked bool) {
+// wait waits until the memory that c has reserved is no longer in use. Only what large requests read waits for that: it is
+// most of the memory, while small requests, new connections and requests that have been read go on at once.
+func (c *Conn) wait(deadline time.Time, cause Cause) bool {
+	return c.finish(c.guard.wait(&c.holder, deadline), nil, cause)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.guard.mu.Lock()
+	c.readBy = t
+	c.guard.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// begin notes that the header of a request is complete. cancel ends the handler of a request with a
+// body, which is incomplete.
+func (c *Conn) begin(hasBody, chunked bool, cancel func()) {
 	next := answering
 	if hasBody {
 		next = readingBody
 	}
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	c.body, c.trailer, c.chunked = 0, 0, chunked
-	if c.phase != ended {
-		c.guard.set(&c.holder, c.held, next)
+	c.body, c.trailer, c.chunked, c.cancel = 0, 0, chunked, cancel
+	if c.phase >= closing {
+		cancel() // the request was in net/http's buffer when the connection was closed
+		return
 	}
+	c.guard.set(&c.holder, c.held, next)
 }
 
 // rest notes that a request has been answered. What net/http may have read of the next one
 // stays reserved. The connection is closed if there is no room for that.
 func (c *Conn) rest() {
 	c.guard.mu.Lock()
-	c.body, c.trailer, c.chunked = 0, 0, false
+	c.body, c.trailer, c.chunked, c.cancel = 0, 0, false, nil
 	ok, closed := c.guard.changeLocked(&c.holder, connectionBytes+c.buffered, idle)
 	c.guard.mu.Unlock()
 	c.guard.finish(closed)
 	if !ok {
-		_ = c.Close() // it is not used any more
+		c.drop()
 	}
 }
 
@@ -162,15 +202,13 @@
 // false if the connection has been closed or there is no room.
 func (c *Conn) hold(n int64, p phase, cause Cause) bool {
 	c.guard.mu.Lock()
-	closedBefore := c.phase == ended
-	ok, closed := c.guard.changeLocked(&c.holder, c.held+n-c.body, p)
+	held := c.held + n - c.body
+	waits := p == readingBody && isLarge(held) && held > c.held
+	ok, closed := c.guard.changeLocked(&c.holder, held, p)
 	if ok {
 		c.body = n
 	}
+	deadline := c.readBy
 	c.guard.mu.Unlock()
-	c.guard.finish(closed)
-	if !ok && !closedBefore {
-		c.guard.refuse(cause)
-	}
-	return ok
+	return c.finish(ok, closed, cause) && (!waits || c.wait(deadline, cause))
 }
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -50,6 +50,8 @@
 	// it requests that arrive together replace each other as fast as they come, which makes
 	// more garbage than the collector keeps up with.
 	minIncompleteTime = 250 * time.Millisecond
+	// releaseTimeout bounds the wait until closed connections have returned their memory.
+	releaseTimeout = 3 * time.Second
 )
 
 // LimitsOf returns the limits of a process with the given memory in bytes and number of
@@ -67,8 +69,10 @@
 	refuse func(Cause)
 
 	mu          sync.Mutex
-	used        int64 // sum of what is held
-	large       int64 // the part of it that large holders hold
+	used        int64         // sum of what is held
+	large       int64         // the part of it that large holders hold
+	leaving     int64         // sum of what closed holders have not released yet
+	released    chan struct{} // closed when connections that wait shall look again; nil if none waits
 	connections int
 	idle        list.List                    // idle connections, the one idle longest first
 	incomplete  [bits.UintSize + 1]list.List // by size class; the one longest in its class first
@@ -96,6 +100,7 @@
 	readingHeader              // a header is not complete
 	readingBody                // a body is not complete
 	answering                  // the request has been read; it is never closed to make room
+	closing                    // closed for want of room; its memory is still in use
 	ended
 )
 
@@ -105,6 +110,8 @@
 	phase   phase
 	since   time.Time // when the request became incomplete, if it is
 	close   func()    // ends the holder; nil if it is never closed to make room
+	leaving int64     // what it held when it was closed to make room, until that is released
+	waiting bool      // for room, in Guard.wait
 	in      *list.List
 	element *list.Element
 }
@@ -152,6 +159,7 @@
 		g.large += held
 	}
 	g.used += held - h.held
+	g.wakeIfRoom()
 	if incomplete(p) && !incomplete(h.phase) {
 		h.since = time.Now()
 	}
@@ -181,6 +189,28 @@
 	return true
 }
 
+// release ends h, whose memory is no longer in use. g.mu is held.
+func (g *Guard) release(h *holder) {
+	g.end(h)
+	g.leaving -= h.leaving
+	h.leaving = 0
+	g.wakeIfRoom()
+}
+
+func (g *Guard) wakeIfRoom() {
+	if g.used+g.leaving <= g.limits.Bytes {
+		g.wake()
+	}
+}
+
+// wake lets the connections that wait look again. g.mu is held.
+func (g *Guard) wake() {
+	if g.released != nil {
+		close(g.released)
+		g.released = nil
+	}
+}
+
 // change makes h hold the given number of bytes and go to phase p, closing others if there is
 // no room. It returns false if there is none, or if h has ended.
 func (g *Guard) change(h *holder, held int64, p phase) bool {
@@ -197,10 +227,22 @@
 	cause Cause
 }
 
-// changeLocked is change. It returns the holders that the caller must close after it has
+// evict ends h to make room. The caller must close it. g.mu is held.
+func (g *Guard) evict(h *holder) victim {
+	v := victim{h.close, h.phase.cause()}
+	h.leaving = h.held
+	g.leaving += h.leaving
+	g.end(h)
+	if h.waiting {
+		g.wake()
+	}
+	return v
+}
+
+// changeLocked is change. It returns the holders that the caller must finish after it has
 // released g.mu, which is held.
 func (g *Guard) changeLocked(h *holder, held int64, p phase) (ok bool, closed []victim) {
-	if h.phase == ended {
+	if h.phase >= closing {
 		return false, nil
 	}
 	for !g.fits(h, held) {
@@ -208,8 +250,7 @@
 		if v == nil {
 			return false, closed
 		}
-		closed = append(closed, victim{v.close, v.phase.cause()})
-		g.end(v)
+		closed = append(closed, g.evict(v))
 	}
 	g.set(h, held, p)
 	return true, closed
@@ -223,6 +264,40 @@
 	}
 }
 
+// wait waits until what h has reserved is free, as the memory of closed holders is in use until they have
+// released it. It returns false if h ends before, at the deadline, if there is one, and after releaseTimeout.
+func (g *Guard) wait(h *holder, deadline time.Time) bool {
+	var timeout <-chan time.Time
+	for {
+		g.mu.Lock()
+		h.waiting = h.phase < closing && g.used+g.leaving > g.limits.Bytes
+		if !h.waiting {
+			defer g.mu.Unlock()
+			return h.phase < closing
+		}
+		if g.released == nil {
+			g.released = make(chan struct{})
+		}
+		released := g.released
+		g.mu.Unlock()
+		if timeout == nil {
+			longest := releaseTimeout
+			if !deadline.IsZero() {
+				longest = min(longest, time.Until(deadline))
+			}
+			timeout = time.After(longest)
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			h.waiting = false
+			return false
+		}
+	}
+}
+
 // fits reports whether h may hold the given number of bytes. To hold less always fits.
 func (g *Guard) fits(h *holder, held int64) bool {
 	if held <= h.held {
@@ -293,31 +368,28 @@
 func (g *Guard) admit(h *holder, held int64) bool {
 	g.mu.Lock()
 	var closed []victim
-	ok := true
 	if g.limits.Connections > 0 && g.connections >= g.limits.Connections {
-		var v *holder
-		if v = first(&g.idle, h); v == nil {
+		v := first(&g.idle, h)
+		if v == nil {
 			v = g.smallIncomplete(h, 0)
 		}
 		for c := class(smallBytes); v == nil && c < len(g.incomplete); c++ {
 			v = first(&g.incomplete[c], h)
 		}
-		if ok = v != nil; ok {
-			closed = append(closed, victim{v.close, v.phase.cause()})
-			g.end(v)
+		if v == nil {
+			g.mu.Unlock()
+			return false
 		}
+		closed = append(closed, g.evict(v))
 	}
-	if ok {
-		g.connections++
-		var more []victim
-		h.phase = answering // not in a list yet
-		if ok, more = g.changeLocked(h, held, idle); !ok {
-			g.end(h)
-		}
-		closed = append(closed, more...)
+	g.connections++
+	h.phase = answering // not in a list yet
+	ok, more := g.changeLocked(h, held, idle)
+	if !ok {
+		g.release(h)
 	}
 	g.mu.Unlock()
-	g.finish(closed)
+	g.finish(append(closed, more...))
 	return ok
 }
 
@@ -325,13 +397,15 @@
 // guard. It returns the function that returns them, or false if there is no room.
 func (g *Guard) Take(n int64, cause Cause) (release func(), ok bool) {
 	h := &holder{phase: answering}
+	release = sync.OnceFunc(func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.release(h)
+	})
 	if !g.change(h, n, answering) {
+		release()
 		g.refuse(cause)
 		return nil, false
 	}
-	return sync.OnceFunc(func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.end(h)
-	}), true
+	return release, true
 }
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -36,6 +36,20 @@
 	require.Equal(t, listed, inLists)
 }
 
+// newHolder returns a holder that releases what it holds as soon as it is closed.
+func (g *Guard) newHolder(closed func()) *holder {
+	h := &holder{}
+	h.close = func() {
+		if closed != nil {
+			closed()
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.release(h)
+	}
+	return h
+}
+
 // Whatever holders do, the budget holds, and it is all there when they have ended.
 func TestBudgetIsNeitherExceededNorLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -52,7 +66,7 @@
 			}
 			switch {
 			case i < 0:
-				h := &holder{close: func() {}}
+				h := g.newHolder(nil)
 				if g.admit(h, min(held, 50<<10)) {
 					all = append(all, h)
 				}
@@ -70,11 +84,12 @@
 		}
 		for _, h := range all {
 			g.mu.Lock()
-			g.end(h)
+			g.release(h)
 			g.mu.Unlock()
 		}
 		g.check(t, all)
 		assert.Zero(t, g.used)
+		assert.Zero(t, g.leaving)
 		assert.Zero(t, g.connections)
 	})
 }
@@ -111,13 +126,12 @@
 			var closed []string
 			g := New(Limits{Bytes: 1000 << 10}, func(Cause) {})
 			for _, r := range test.holders {
-				h := &holder{}
-				h.close = func() { closed = append(closed, r.name) }
+				h := g.newHolder(func() { closed = append(closed, r.name) })
 				require.True(t, g.admit(h, 0))
 				require.True(t, g.change(h, r.held<<10, r.phase))
 			}
 			require.Empty(t, closed)
-			newcomer := &holder{close: func() {}}
+			newcomer := g.newHolder(nil)
 			require.True(t, g.admit(newcomer, 0))
 			if isLarge(test.held << 10) {
 				assert.Equal(t, len(test.closed) == 0 && !test.refused, g.change(newcomer, test.held<<10, readingBody), "not at once")
@@ -135,19 +149,18 @@
 	var causes []Cause
 	g := New(Limits{Bytes: 10 << 20, Connections: 4}, func(c Cause) { causes = append(causes, c) })
 	for _, r := range []row{{"large", 300, readingBody}, {"small", 50, readingHeader}, {"idle", 40, idle}, {"answered", 40, answering}} {
-		h := &holder{}
-		h.close = func() { closed = append(closed, r.name) }
+		h := g.newHolder(func() { closed = append(closed, r.name) })
 		require.True(t, g.admit(h, 0))
 		require.True(t, g.change(h, r.held<<10, r.phase))
 	}
 	for range 3 {
-		h := &holder{close: func() {}}
+		h := g.newHolder(nil)
 		require.True(t, g.admit(h, 1))
 		require.True(t, g.change(h, 1, answering))
 	}
 	assert.Equal(t, []string{"idle", "small", "large"}, closed)
 	assert.Equal(t, []Cause{CauseIdle, CauseHeader, CauseBody}, causes)
-	assert.False(t, g.admit(&holder{close: func() {}}, 1), "all are being answered")
+	assert.False(t, g.admit(g.newHolder(nil), 1), "all are being answered")
 }
 
 func TestTakenBytesAreReturnedOnce(t *testing.T) {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -62,8 +62,13 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		begin(w, r, bodyTimeout)
+		r, cancel := begin(w, r, bodyTimeout)
+		defer cancel()
 		handler.ServeHTTP(w, r)
+		if c := connOf(r); c != nil && c.ended() {
+			// net/http would keep the request for half a second, so that the caller reads the answer.
+			panic(http.ErrAbortHandler)
+		}
 	})
 	return s.Serve(&listener{l, g})
 }
@@ -81,20 +86,26 @@
 // answer, so that the connection can be kept.
 const maxDiscardedBytes = ReceiveBytes
 
-// begin prepares for a request whose header has been read.
-func begin(w http.ResponseWriter, r *http.Request, bodyTimeout time.Duration) {
+// begin prepares for a request whose header has been read. The handler of a request with a body is
+// canceled if the connection is closed to make room.
+func begin(w http.ResponseWriter, r *http.Request, bodyTimeout time.Duration) (*http.Request, context.CancelFunc) {
 	hasBody := r.ContentLength != 0
+	ctx, cancel := r.Context(), context.CancelFunc(func() {})
+	if hasBody {
+		ctx, cancel = context.WithCancel(ctx)
+	}
 	if c := connOf(r); c != nil {
-		c.begin(hasBody, r.ContentLength < 0)
+		c.begin(hasBody, r.ContentLength < 0, cancel)
 	}
 	if !hasBody {
-		return
+		return r, cancel
 	}
 	SetBodyDeadline(w, time.Now().Add(bodyTimeout))
 	if r.ContentLength < 0 || r.ContentLength > maxDiscardedBytes {
 		// net/http would read the rest before the answer.
 		w.Header().Set("Connection", "close")
 	}
+	return r.WithContext(ctx), cancel
 }
 
 // SetBodyDeadline sets the time until which the body of the request that w answers, or what is
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -59,8 +59,8 @@
 }
 
 // serve runs f with a server whose handler reads bodies, for a path /slow answers after ten
-// seconds, for /panic panics, for /hijack takes the connection, for /unread reads nothing and for
-// /discarded answers after ten seconds without use for the body.
+// seconds, for /panic panics, for /hijack takes the connection, for /unread reads nothing, for /waits
+// reads nothing and waits half a minute and for /discarded answers after ten seconds without use for the body.
 // The whole budget must be there afterwards.
 func serve(t *testing.T, bytes int64, f func(t *testing.T, s *served)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -87,6 +87,13 @@
 		http.Error(w, "unread", http.StatusNotFound)
 		return
 	}
+	if r.URL.Path == "/waits" {
+		select {
+		case <-time.After(30 * time.Second):
+		case <-r.Context().Done():
+		}
+		return
+	}
 	read := ReadBody
 	if r.URL.Path == "/discarded" {
 		read = func(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
