Intake: a chunked request is not closed while it is answered

Callers that send the next request before the answer to a chunked one lost that answer, if the budget was used up: the next request's first byte, which net/http reads while the handler runs, counted as one of the trailers, and a connection without room for those is closed. A request that has been read must never be closed, as it may have been passed on.

Trailers are counted while the body is read, and not after it. The test fails on the code before: the handler is canceled, and no answer comes.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -130,7 +130,7 @@
 		held, next = connectionBytes+c.buffered, readingHeader
 	case c.phase == readingHeader:
 		held += cost
-	case c.chunked && c.buffered > c.trailer:
+	case c.phase == readingBody && c.chunked && c.buffered > c.trailer:
 		held += c.buffered - c.trailer
 		c.trailer = c.buffered
 	case c.phase < closing:
--- a/internal/intake/server_test.go
+++ b/internal/intake/server_test.go
@@ -385,6 +385,33 @@
 	})
 }
 
+// Guards against a chunked request that was closed while it was answered, as the caller's next byte counted
+// as one of its trailers.
+func TestChunkedRequestIsAnsweredThoughTheNextOneHasNoRoom(t *testing.T) {
+	const budget = 4 << 20
+	serve(t, budget, func(t *testing.T, s *served) {
+		c := s.dial()
+		_, err := io.WriteString(c, "POST /slow HTTP/1.1\r\n"+chunked+"1\r\nx\r\n0\r\n\r\n")
+		require.NoError(t, err)
+		synctest.Wait()
+		held, _ := s.guard.Used()
+		for rest := int64(budget) - held; rest > 0; { // in small parts, which may use all of it
+			part := min(rest, smallBytes-1)
+			release, ok := s.guard.Take(part, CauseForwarded)
+			require.True(t, ok)
+			defer release()
+			rest -= part
+		}
+		_, err = io.WriteString(c, "G")
+		require.NoError(t, err)
+		answer := make([]byte, len("HTTP/1.1 200 OK"))
+		_, err = io.ReadFull(c, answer)
+		require.NoError(t, err)
+		assert.Equal(t, "HTTP/1.1 200 OK", string(answer))
+		require.NoError(t, c.Close())
+	})
+}
+
 // net/http parses what has arrived with an earlier request without reading the connection again.
 func TestPipelinedHeaderIsCounted(t *testing.T) {
 	serve(t, 4<<20, func(t *testing.T, s *served) {
