HTTP API: a large body waits for others no longer than its caller

The slot of platform/ moves to internal/intake as Decoders and serves both. A request that waits for the longest timeout is refused as overloaded. The test waits without end on the code before.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -22,6 +22,10 @@
 // other requests.
 var errBodyMemoryFull = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
 
+// errDecodersBusy is the refusal of a large body that had to wait for others to be decoded until
+// the caller left or the longest timeout was over.
+var errDecodersBusy = verdict.Refuse(verdict.CodeOverloaded, "body: other large bodies are decoded")
+
 // readBody reads the whole body, at most Config.MaxBodyBytes bytes. Its memory counts as
 // held until the request is answered.
 func (a *api) readBody(r *http.Request) ([]byte, error) {
@@ -46,13 +50,9 @@
 	return verdict.Refuse(verdict.CodeTooLarge, "body: longer than %d bytes", a.cfg.MaxBodyBytes)
 }
 
-const (
-	// elementBytes is about what an element of a list or a field of an object takes when it has
-	// been decoded, with the lists that it outgrows.
-	elementBytes = 200
-	// largeBodyBytes is the size from which bodies are decoded one at a time.
-	largeBodyBytes = 16 << 10
-)
+// elementBytes is about what an element of a list or a field of an object takes when it has
+// been decoded, with the lists that it outgrows.
+const elementBytes = 200
 
 // decodedBytes returns about how many bytes the JSON in data takes beside its texts when it has
 // been decoded. The payload of a call stays as it is.
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +57,13 @@
 	cfg            Config
 	mux            *http.ServeMux
 	activeRequests atomic.Int64 // HTTP requests in progress
-	decoding       sync.Mutex   // held while a large body is decoded
+	decoders       intake.Decoders
 }
 
 // New returns the handler of all routes.
-func New(cfg Config) http.Handler {
+func New(cfg Config) http.Handler { return newHandler(cfg) }
+
+func newHandler(cfg Config) *api {
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = DefaultMaxBodyBytes
 	}
--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -224,9 +225,12 @@
 	if !intake.Keep(r, int64(len(data))+decodedBytes(data)) {
 		return errBodyMemoryFull
 	}
-	if len(data) >= largeBodyBytes {
-		a.decoding.Lock()
-		defer a.decoding.Unlock()
+	ctx, cancel := context.WithTimeout(r.Context(), a.cfg.RequestTimeout)
+	defer cancel()
+	release, ok := a.decoders.Take(ctx, len(data))
+	if !ok {
+		return errDecodersBusy
 	}
+	defer release()
 	return decodeStrict(data, target)
 }
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
@@ -217,6 +218,37 @@
 	}
 }
 
+// Guards against requests that waited behind large bodies of others after their callers had left.
+func TestLargeBodyWaitsForOthersOnlyAsLongAsItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedCore{}
+		a := newHandler(Config{Gateway: c, Status: c, RequestTimeout: 3 * time.Second})
+		call := func(ctx context.Context, size int) (int, time.Duration) {
+			body := `{"payload":"` + strings.Repeat("x", size) + `"}`
+			w, start := httptest.NewRecorder(), time.Now()
+			r := httptest.NewRequestWithContext(ctx, "POST", "/v1/requests", strings.NewReader(body))
+			r.Header.Set("Authorization", "Bearer key")
+			a.ServeHTTP(w, r)
+			return w.Code, time.Since(start)
+		}
+		release, ok := a.decoders.Take(t.Context(), intake.LargeBodyBytes)
+		require.True(t, ok)
+		status, waited := call(t.Context(), intake.LargeBodyBytes)
+		require.Equal(t, 429, status)
+		require.Equal(t, 3*time.Second, waited)
+		leaves, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, waited = call(leaves, intake.LargeBodyBytes)
+		require.Equal(t, time.Second, waited)
+		status, waited = call(t.Context(), 1)
+		require.Equal(t, 200, status, "small ones don't wait")
+		require.Zero(t, waited)
+		release()
+		status, _ = call(t.Context(), intake.LargeBodyBytes)
+		require.Equal(t, 200, status)
+	})
+}
+
 func TestProbesAndMetrics(t *testing.T) {
 	c := &scriptedCore{notReady: "log not read"}
 	registry := gometrics.NewRegistry()
