HTTP API: a request whose body has no use is not closed while it is answered

Such a body is read and dropped before the core is asked. The test fails on the code before: the DELETE ends without an answer.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -28,22 +28,38 @@
 
 // readBody reads the whole body, at most Config.MaxBodyBytes bytes. Its memory counts as
 // held until the request is answered.
-func (a *api) readBody(r *http.Request) ([]byte, error) {
+func (a *api) readBody(r *http.Request) (data []byte, err error) {
 	e := exchangeOf(r)
 	e.bodyUnread = true
-	data, err := intake.ReadBody(e, r, a.cfg.MaxBodyBytes)
+	if data, err = intake.ReadBody(e, r, a.cfg.MaxBodyBytes); err != nil {
+		return nil, a.refuseBody(err)
+	}
+	e.bodyUnread = false
+	return data, nil
+}
+
+// discardBody reads the whole body, at most Config.MaxBodyBytes bytes, and drops it.
+func (a *api) discardBody(r *http.Request) error {
+	e := exchangeOf(r)
+	e.bodyUnread = true
+	if err := intake.Discard(e, r, a.cfg.MaxBodyBytes); err != nil {
+		return a.refuseBody(err)
+	}
+	e.bodyUnread = false
+	return nil
+}
+
+// refuseBody returns the refusal of a body that could not be read because of err.
+func (a *api) refuseBody(err error) error {
 	switch {
 	case errors.Is(err, intake.ErrNoMemory):
-		return nil, errBodyMemoryFull
+		return errBodyMemoryFull
 	case errors.Is(err, intake.ErrTooLarge):
-		return nil, a.tooLarge()
+		return a.tooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errBodyTimeout
-	case err != nil:
-		return nil, verdict.Refuse(verdict.CodeBadRequest, "body: ended early")
+		return errBodyTimeout
 	}
-	e.bodyUnread = false
-	return data, nil
+	return verdict.Refuse(verdict.CodeBadRequest, "body: ended early")
 }
 
 func (a *api) tooLarge() error {
--- a/internal/httpapi/routes.go
+++ b/internal/httpapi/routes.go
@@ -26,17 +26,17 @@
 func Routes() []Route {
 	return []Route{
 		{Method: http.MethodPost, Path: "/v1/requests", parse: (*api).parseCall},
-		{Method: http.MethodGet, Path: "/v1/requests/{id}", parse: (*api).parseStatus},
-		{Method: http.MethodDelete, Path: "/v1/requests/{id}", parse: (*api).parseCancel},
+		{Method: http.MethodGet, Path: "/v1/requests/{id}", parse: withoutBody((*api).parseStatus)},
+		{Method: http.MethodDelete, Path: "/v1/requests/{id}", parse: withoutBody((*api).parseCancel)},
 		{Method: http.MethodPost, Path: "/v1/jobs", parse: (*api).parseSubmit},
-		{Method: http.MethodGet, Path: "/v1/jobs/{id}", parse: (*api).parseStatus},
-		{Method: http.MethodDelete, Path: "/v1/jobs/{id}", parse: (*api).parseCancel},
+		{Method: http.MethodGet, Path: "/v1/jobs/{id}", parse: withoutBody((*api).parseStatus)},
+		{Method: http.MethodDelete, Path: "/v1/jobs/{id}", parse: withoutBody((*api).parseCancel)},
 		{Method: http.MethodPost, Path: "/v1/tickets", parse: (*api).parseTickets},
-		{Method: http.MethodGet, Path: "/v1/config", parse: noParams(model.OpConfig)},
+		{Method: http.MethodGet, Path: "/v1/config", parse: withoutBody(noParams(model.OpConfig))},
 		{Method: http.MethodPost, Path: "/v1/config", parse: (*api).parseApply},
-		{Method: http.MethodGet, Path: "/v1/cell", parse: noParams(model.OpCell)},
-		{Method: http.MethodGet, Path: "/v1/timeline", parse: (*api).parseTimeline},
-		{Method: http.MethodPost, Path: "/v1/drain", parse: noParams(model.OpDrainSelf)},
+		{Method: http.MethodGet, Path: "/v1/cell", parse: withoutBody(noParams(model.OpCell))},
+		{Method: http.MethodGet, Path: "/v1/timeline", parse: withoutBody((*api).parseTimeline)},
+		{Method: http.MethodPost, Path: "/v1/drain", parse: withoutBody(noParams(model.OpDrainSelf))},
 		{Method: http.MethodGet, Path: "/healthz", serve: (*api).serveHealth},
 		{Method: http.MethodGet, Path: "/readyz", serve: (*api).serveReady},
 		{Method: http.MethodGet, Path: "/metrics", serve: (*api).serveMetrics},
@@ -57,6 +57,19 @@
 	}
 }
 
+// withoutBody returns a parser for a request whose body has no use. It is read all the same, as a
+// request counts as incomplete until then, and its connection may be closed to make room.
+func withoutBody(parse func(*api, *http.Request) (model.Request, error)) func(*api, *http.Request) (model.Request, error) {
+	return func(a *api, r *http.Request) (model.Request, error) {
+		if r.ContentLength != 0 {
+			if err := a.discardBody(r); err != nil {
+				return model.Request{}, err
+			}
+		}
+		return parse(a, r)
+	}
+}
+
 // forward parses the request, passes it to the core and writes the answer.
 func (a *api) forward(w http.ResponseWriter, r *http.Request, parse func(*api, *http.Request) (model.Request, error)) {
 	key, err := bearerKey(r)
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -218,6 +218,43 @@
 	}
 }
 
+// Guards against a cancellation with a body that was closed while it was answered, as its body counted as incomplete.
+func TestRequestWhoseBodyHasNoUseIsAnsweredBesideACrowd(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	c := &scriptedCore{do: func(_ context.Context, r model.Request) model.Answer {
+		close(begun)
+		<-end
+		return model.Answer{ID: r.ID, Verdict: verdict.Done}
+	}}
+	guard := intake.New(intake.Limits{Bytes: 1 << 20, Connections: 1}, func(intake.Cause) {})
+	server := NewServer(ServerConfig{}, New(Config{Gateway: c, Status: c, Guard: guard}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = guard.Serve(server, l, DefaultReadTimeout) }()
+	defer server.Close()
+	status := make(chan int)
+	go func() {
+		r, err := http.NewRequest("DELETE", "http://"+l.Addr().String()+"/v1/requests/r-1", strings.NewReader("{}"))
+		if assert.NoError(t, err) {
+			r.Header.Set("Authorization", "Bearer key")
+			resp, err := http.DefaultClient.Do(r)
+			if assert.NoError(t, err) {
+				_ = resp.Body.Close()
+				status <- resp.StatusCode
+				return
+			}
+		}
+		status <- 0
+	}()
+	<-begun
+	other, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	_, err = other.Read(make([]byte, 1))
+	require.Error(t, err, "another connection finds no room")
+	close(end)
+	require.Equal(t, 200, <-status)
+}
+
 // Guards against requests that waited behind large bodies of others after their callers had left.
 func TestLargeBodyWaitsForOthersOnlyAsLongAsItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
