--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -22,37 +22,53 @@
 // other requests.
 var errBodyMemoryFull = verdict.Refuse(verdict.CodeOverloaded, "body: too many bytes held for other requests")
 
+// errDecodersBusy is the refusal of a large body that had to wait for others to be decoded until
+// the caller left or the longest timeout was over.
+var errDecodersBusy = verdict.Refuse(verdict.CodeOverloaded, "body: other large bodies are decoded")
+
 // readBody reads the whole body, at most Config.MaxBodyBytes bytes. Its memory counts as
 // held until the request is answered.
-func (a *api) readBody(r *http.Request) ([]byte, error) {
+func (a *api) readBody(r *http.Request) (data []byte, err error) {
+	e := exchangeOf(r)
+	e.bodyUnread = true
+	if data, err = intake.ReadBody(e, r, a.cfg.MaxBodyBytes); err != nil {
+		return nil, a.refuseBody(err)
+	}
+	e.bodyUnread = false
+	return data, nil
+}
+
+// discardBody reads the whole body, at most Config.MaxBodyBytes bytes, and drops it.
+func (a *api) discardBody(r *http.Request) error {
 	e := exchangeOf(r)
 	e.bodyUnread = true
-	data, err := intake.ReadBody(e, r, a.cfg.MaxBodyBytes)
+	if err := intake.Discard(e, r, a.cfg.MaxBodyBytes); err != nil {
+		return a.refuseBody(err)
+	}
+	e.bodyUnread = false
+	return nil
+}
+
+// refuseBody returns the refusal of a body that could not be read because of err.
+func (a *api) refuseBody(err error) error {
 	switch {
 	case errors.Is(err, intake.ErrNoMemory):
-		return nil, errBodyMemoryFull
+		return errBodyMemoryFull
 	case errors.Is(err, intake.ErrTooLarge):
-		return nil, a.tooLarge()
+		return a.tooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errBodyTimeout
-	case err != nil:
-		return nil, verdict.Refuse(verdict.CodeBadRequest, "body: ended early")
+		return errBodyTimeout
 	}
-	e.bodyUnread = false
-	return data, nil
+	return verdict.Refuse(verdict.CodeBadRequest, "body: ended early")
 }
 
 func (a *api) tooLarge() error {
 	return verdict.Refuse(verdict.CodeTooLarge, "body: longer than %d bytes", a.cfg.MaxBodyBytes)
 }
 
-const (
-	// elementBytes is about what an element of a list or a field of an object takes when it has
-	// been decoded, with the lists that it outgrows.
-	elementBytes = 200
-	// largeBodyBytes is the size from which bodies are decoded one at a time.
-	largeBodyBytes = 16 << 10
-)
+// elementBytes is about what an element of a list or a field of an object takes when it has
+// been decoded, with the lists that it outgrows.
+const elementBytes = 200
 
 // decodedBytes returns about how many bytes the JSON in data takes beside its texts when it has
 // been decoded. The payload of a call stays as it is.
