Intake: the byte after a chunked request does not wait for room

A chunked request could be closed and its handler canceled while it was answered: net/http reads one byte while a handler runs, and if that byte came between the end of the body and the handler's next step, it counted as a trailer and could wait for room, in vain.

A read of one byte reserves nothing: it is never one of a header or a trailer, which net/http reads into larger buffers.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -130,10 +130,10 @@
 		held, next = connectionBytes+c.buffered, readingHeader
 	case c.phase == readingHeader:
 		held += cost
-	case c.phase == readingBody && c.chunked && c.buffered > c.trailer:
+	case size > 1 && c.phase == readingBody && c.chunked && c.buffered > c.trailer:
 		held += c.buffered - c.trailer
 		c.trailer = c.buffered
-	case c.phase < closing:
+	case c.phase < closing: // one byte is what net/http reads while a request is answered
 		g.mu.Unlock()
 		return true
 	}
--- a/internal/intake/release_test.go
+++ b/internal/intake/release_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -331,3 +332,27 @@
 		assert.Equal(t, before, after)
 	})
 }
+
+// net/http reads the byte after a chunked body as soon as the handler has read the last chunk, and the
+// handler's next step may come after that.
+func TestReadRequestIsNotClosedAsTheByteAfterItWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(500<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		next, caller := pair(t, g)
+		var canceled atomic.Bool
+		next.begin(true, true, func() { canceled.Store(true) })
+		require.True(t, next.hold(100<<10, readingBody, CauseBody))
+		third, _ := pair(t, g)
+		require.True(t, third.hold(500<<10, answering, CauseDecoded))
+		go func() { _, _ = io.WriteString(caller, "G") }()
+		go func() { _, _ = next.Read(make([]byte, 1)) }() // as net/http
+		synctest.Wait()
+		require.True(t, next.hold(100<<10, answering, CauseBody), "the request is passed on")
+		time.Sleep(2 * releaseTimeout)
+		assert.False(t, canceled.Load())
+		assert.False(t, next.ended())
+	})
+}
