Intake: no request of a closed connection is served

A request that net/http found in its buffer after its connection had been closed to make room was passed to its handler, without anybody to answer: a DELETE could so be carried out.

The handler of such a request isn't called.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -178,11 +178,9 @@
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.body, c.trailer, c.chunked, c.cancel = 0, 0, chunked, cancel
-	if c.phase >= closing {
-		cancel() // the request was in net/http's buffer when the connection was closed
-		return
+	if c.phase < closing {
+		c.guard.set(&c.holder, c.held, next)
 	}
-	c.guard.set(&c.holder, c.held, next)
 }
 
 // rest notes that a request has been answered. What net/http may have read of the next one
@@ -210,5 +208,22 @@
 	}
 	deadline := c.readBy
 	c.guard.mu.Unlock()
-	return c.finish(ok, closed, cause) && (!waits || c.wait(deadline, cause))
+	if !c.finish(ok, closed, cause) {
+		return false
+	}
+	if waits && !c.wait(deadline, cause) {
+		c.giveBack(before)
+		return false
+	}
+	return true
+}
+
+// giveBack makes the connection hold n bytes for a body again, after it has waited in vain for more.
+func (c *Conn) giveBack(n int64) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.phase < closing {
+		c.guard.set(&c.holder, c.held+n-c.body, c.phase)
+		c.body = n
+	}
 }
--- a/internal/intake/release_test.go
+++ b/internal/intake/release_test.go
@@ -333,6 +333,43 @@
 	})
 }
 
+// A request without a body that net/http finds in its buffer after its connection was closed.
+func TestRequestWithoutBodyOfAClosedConnectionIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
+		g := New(Limits{Bytes: 480 << 10}, func(Cause) {})
+		var deleted atomic.Bool
+		server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				deleted.Store(connOf(r).ended() && r.Context().Err() == nil)
+				return
+			}
+			handle(w, r)
+		})}
+		go func() { _ = g.Serve(server, p, testBodyTimeout) }()
+		big := p.dial()
+		go func() { _, _ = io.Copy(io.Discard, big) }()
+		_, err := io.WriteString(big, "POST /slow HTTP/1.1\r\n"+length(170<<10)+"\r\n"+strings.Repeat("x", 170<<10))
+		require.NoError(t, err)
+		synctest.Wait()
+		c := p.dial()
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		for _, part := range []string{
+			"POST / HTTP/1.1\r\n" + length(5) + "\r\n",
+			"helloDELETE /job HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 950) + "\r\n",
+		} {
+			_, err = io.WriteString(c, part)
+			require.NoError(t, err)
+			synctest.Wait()
+		}
+		_, connections := g.Used()
+		t.Log("connections", connections)
+		assert.False(t, deleted.Load(), "the connection was closed before the request began")
+		time.Sleep(time.Minute)
+		require.NoError(t, server.Close())
+	})
+}
+
 // net/http reads the byte after a chunked body as soon as the handler has read the last chunk, and the
 // handler's next step may come after that.
 func TestReadRequestIsNotClosedAsTheByteAfterItWaitsForRoom(t *testing.T) {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -64,9 +64,12 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r, cancel := begin(w, r, bodyTimeout)
 		defer cancel()
+		c := connOf(r)
+		if c != nil && c.ended() { // with the request in net/http's buffer
+			panic(http.ErrAbortHandler)
+		}
 		handler.ServeHTTP(w, r)
-		if c := connOf(r); c != nil && c.ended() {
-			// net/http would keep the request for half a second, so that the caller reads the answer.
+		if c != nil && c.ended() { // nobody reads the answer
 			panic(http.ErrAbortHandler)
 		}
 	})
