Intake: a wait that fails returns what it did not get

A large request that waited for room in vain kept its reservation while its refusal was answered and its connection lingered, and a connection that net/http closed from another goroutine went on waiting for up to 3 s.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -200,7 +200,8 @@
 // false if the connection has been closed or there is no room.
 func (c *Conn) hold(n int64, p phase, cause Cause) bool {
 	c.guard.mu.Lock()
-	held := c.held + n - c.body
+	before := c.body
+	held := c.held + n - before
 	waits := p == readingBody && isLarge(held) && held > c.held
 	ok, closed := c.guard.changeLocked(&c.holder, held, p)
 	if ok {
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -198,6 +198,9 @@
 }
 
 func (g *Guard) wakeIfRoom() {
+	if h.waiting {
+		g.wake()
+	}
 	if g.used+g.leaving <= g.limits.Bytes {
 		g.wake()
 	}
--- a/internal/intake/release_test.go
+++ b/internal/intake/release_test.go
@@ -333,6 +333,41 @@
 	})
 }
 
+// http.Server.Close calls Conn.Close from another goroutine.
+func TestWaitEndsWhenItsConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(700<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		waiting, _ := pair(t, g)
+		ended := make(chan bool, 1)
+		go func() { ended <- waiting.hold(500<<10, readingBody, CauseBody) }()
+		synctest.Wait()
+		start := time.Now()
+		for range 10 { // the budget stays exceeded after the waiting one has ended
+			pair(t, g)
+		}
+		require.NoError(t, waiting.Close())
+		assert.False(t, <-ended)
+		assert.Zero(t, time.Since(start))
+	})
+}
+
+// What a refused request has not got must not count while its refusal is answered.
+func TestRefusedRequestReturnsWhatItDidNotGet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(500<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		next, _ := pair(t, g)
+		require.False(t, next.hold(500<<10, readingBody, CauseBody), "the closed one does not end")
+		held, _ := g.Used()
+		assert.Equal(t, int64(connectionBytes), held)
+	})
+}
+
 // A request without a body that net/http finds in its buffer after its connection was closed.
 func TestRequestWithoutBodyOfAClosedConnectionIsNotServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
