Intake: a connection that lingers after its answer gives way at once

Callers whose requests are refused unread (no key, a header or body that is too large) made a process hold their memory for half a second each: net/http keeps such a connection so that the caller reads the answer before the reset. A connection that was closed to make room meanwhile returned nothing until that was over, so requests from callers without a key, 1,000 a second, held 31 MB beside a budget of 4 MB, and large requests of others were refused.

net/http closes the writing side before that wait. The wait now takes place there, ends when the connection is dropped, and the goroutine ends with it. Connections that linger are the first to go, whatever their size and age, as they have been answered.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	// writeTimeout bounds each write. An answer that a caller waits for fits into the buffers,
 	// so a write only blocks if the caller does not read earlier answers.
 	writeTimeout = 5 * time.Second
+	// lingerTime is how long a connection with unread bytes is open after the answer.
+	lingerTime = 500 * time.Millisecond
 )
 
 // Conn is a connection of a caller whose memory counts toward the budget of a guard.
@@ -35,12 +38,13 @@
 	holder
 
 	// The following fields are guarded by guard.mu.
-	buffered int64     // cost of the lines that net/http may have in its buffer
-	body     int64     // what is held for a body
-	chunked  bool      // the request has a chunked body, which may end with trailers
-	trailer  int64     // what is held for trailers
-	readBy   time.Time // when reading ends, if it does
-	cancel   func()    // ends the handler of a request with a body; nil if there is none
+	buffered int64         // cost of the lines that net/http may have in its buffer
+	body     int64         // what is held for a body
+	chunked  bool          // the request has a chunked body, which may end with trailers
+	trailer  int64         // what is held for trailers
+	readBy   time.Time     // when reading ends, if it does
+	cancel   func()        // ends the handler of a request with a body; nil if there is none
+	dropped  chan struct{} // closed when the connection is dropped; nil if nobody waits for that
 }
 
 // newConn returns c as a connection of g, or nil if there is no room for it.
@@ -68,6 +72,10 @@
 		c.guard.set(&c.holder, c.held, closing)
 	}
 	cancel := c.cancel
+	if c.dropped != nil {
+		close(c.dropped)
+		c.dropped = nil
+	}
 	c.guard.mu.Unlock()
 	if cancel != nil {
 		cancel()
@@ -103,12 +111,35 @@
 }
 
 // CloseWrite closes the writing side, if the connection has sides. net/http does so before it closes a
-// connection with unread bytes, so that the caller gets the answer before the reset.
+// connection with unread bytes, so that the caller gets the answer before the reset. It then keeps the
+// request for a fixed time. That time is spent here, where it ends when the connection is dropped, and the
+// goroutine of the connection ends after it: CloseWrite does not return.
 func (c *Conn) CloseWrite() error {
+	var err error
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return inner.CloseWrite()
+		err = inner.CloseWrite()
+	}
+	if err == nil {
+		c.linger()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// linger waits for lingerTime or until the connection is dropped.
+func (c *Conn) linger() {
+	c.guard.mu.Lock()
+	if c.phase >= closing {
+		c.guard.mu.Unlock()
+		return
+	}
+	dropped := make(chan struct{})
+	c.dropped = dropped
+	c.guard.set(&c.holder, c.held, lingering)
+	c.guard.mu.Unlock()
+	select {
+	case <-dropped:
+	case <-time.After(lingerTime):
 	}
-	return nil
 }
 
 // received reserves memory for what becomes of received bytes. size is that of the slice that they were read
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -16,7 +16,7 @@
 
 // The causes.
 const (
-	CauseIdle       Cause = "idle"       // an idle connection, or one on which nothing has arrived
+	CauseIdle       Cause = "idle"       // an idle connection, one that has been answered, or one on which nothing has arrived
 	CauseHeader     Cause = "header"     // a header that is not complete
 	CauseBody       Cause = "body"       // a body that is not complete
 	CauseConnection Cause = "connection" // a new connection beside others that are all being answered
@@ -74,6 +74,7 @@
 	leaving     int64         // sum of what closed holders have not released yet
 	released    chan struct{} // closed when connections that wait shall look again; nil if none waits
 	connections int
+	lingering   list.List                    // connections that linger, the one that does so longest first
 	idle        list.List                    // idle connections, the one idle longest first
 	incomplete  [bits.UintSize + 1]list.List // by size class; the one longest in its class first
 }
@@ -100,6 +101,7 @@
 	readingHeader              // a header is not complete
 	readingBody                // a body is not complete
 	answering                  // the request has been read; it is never closed to make room
+	lingering                  // the request has been answered; the connection is about to be closed
 	closing                    // closed for want of room; its memory is still in use
 	ended
 )
@@ -142,6 +144,8 @@
 	switch {
 	case h.close == nil:
 		return nil
+	case h.phase == lingering:
+		return &g.lingering
 	case h.phase == idle:
 		return &g.idle
 	case incomplete(h.phase):
@@ -194,13 +198,13 @@
 	g.end(h)
 	g.leaving -= h.leaving
 	h.leaving = 0
+	if h.waiting {
+		g.wake()
+	}
 	g.wakeIfRoom()
 }
 
 func (g *Guard) wakeIfRoom() {
-	if h.waiting {
-		g.wake()
-	}
 	if g.used+g.leaving <= g.limits.Bytes {
 		g.wake()
 	}
@@ -324,18 +328,24 @@
 	return large > int64(largeRatio*float64(g.limits.Bytes))
 }
 
-// victim returns the holder to close so that h may hold the given number of bytes, or nil: of
-// the large incomplete requests that are of the size class of h or above it the largest, unless h
+// victim returns the holder to close so that h may hold the given number of bytes, or nil: a
+// connection that lingers; of the large incomplete requests that are of the size class of h or above it the largest, unless h
 // is large too and that request is new; then the one that has been idle longest; then, for a
 // small h, the small request that has been incomplete longest.
 func (g *Guard) victim(h *holder, held int64) *holder {
+	short := g.exceedsTotal(h, held)
+	for e := g.lingering.Front(); e != nil; e = e.Next() {
+		if v, _ := e.Value.(*holder); v != h && (short || isLarge(v.held)) {
+			return v
+		}
+	}
 	smallest := max(class(held), class(smallBytes))
 	for c := len(g.incomplete) - 1; c >= smallest; c-- {
 		if v := first(&g.incomplete[c], h); v != nil && (!isLarge(held) || time.Since(v.since) >= minIncompleteTime) {
 			return v
 		}
 	}
-	if !g.exceedsTotal(h, held) {
+	if !short {
 		return nil // room of small holders does not help
 	}
 	if v := first(&g.idle, h); v != nil {
@@ -365,14 +375,17 @@
 	return nil
 }
 
-// admit counts a new connection. At the limit of connections it closes the one that has been
-// idle longest or, if there is none, the request that has been incomplete longest, the small
+// admit counts a new connection. At the limit of connections it closes one that lingers, the one that has
+// been idle longest or, if there is neither, the request that has been incomplete longest, the small
 // ones first. It returns false if there is no room.
 func (g *Guard) admit(h *holder, held int64) bool {
 	g.mu.Lock()
 	var closed []victim
 	if g.limits.Connections > 0 && g.connections >= g.limits.Connections {
-		v := first(&g.idle, h)
+		v := first(&g.lingering, h)
+		if v == nil {
+			v = first(&g.idle, h)
+		}
 		if v == nil {
 			v = g.smallIncomplete(h, 0)
 		}
--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -29,7 +29,7 @@
 	require.LessOrEqual(t, used, g.limits.Bytes)
 	require.LessOrEqual(t, large, int64(largeRatio*float64(g.limits.Bytes)))
 	require.LessOrEqual(t, g.connections, g.limits.Connections)
-	inLists := g.idle.Len()
+	inLists := g.idle.Len() + g.lingering.Len()
 	for i := range g.incomplete {
 		inLists += g.incomplete[i].Len()
 	}
@@ -75,7 +75,7 @@
 				g.end(all[i])
 				g.mu.Unlock()
 			default:
-				g.change(all[i], held, phase(rapid.IntRange(int(idle), int(answering)).Draw(t, "phase")))
+				g.change(all[i], held, phase(rapid.IntRange(int(idle), int(lingering)).Draw(t, "phase")))
 			}
 			for _, h := range answered {
 				require.Equal(t, answering, h.phase, "a request that has been read is never closed")
@@ -116,6 +116,7 @@
 		{"the newcomer is the largest", []row{{"a", 120, readingBody}, {"b", 120, readingBody}, {"c", 120, readingBody}, {"d", 120, readingBody}, {"e", 120, readingBody}, {"f", 120, readingBody}}, 300, nil, true},
 		{"a small one beside large ones that are answered", []row{{"a", 750, answering}}, 60, nil, false},
 		{"a small one closes large ones", []row{{"a", 750, readingBody}, {"b", 60, answering}, {"c", 60, answering}, {"d", 60, answering}, {"e", 60, readingBody}}, 60, []string{"a"}, false},
+		{"one that lingers goes first", []row{{"a", 700, readingBody}, {"b", 50, lingering}, {"c", 60, idle}, {"d", 60, answering}, {"e", 60, answering}, {"f", 60, answering}}, 60, []string{"b"}, false},
 		{"then an idle one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, idle}, {"d", 60, idle}, {"e", 60, idle}}, 60, []string{"c"}, false},
 		{"then a small one", []row{{"a", 750, answering}, {"b", 60, readingHeader}, {"c", 60, readingBody}, {"d", 60, answering}, {"e", 60, answering}}, 60, []string{"b"}, false},
 		{"a large one closes no small one", []row{{"a", 600, answering}, {"b", 60, readingHeader}, {"c", 60, readingHeader}, {"d", 60, readingBody}, {"e", 60, readingBody}, {"f", 60, readingBody}, {"g", 60, readingBody}}, 100, nil, true},
--- a/internal/intake/unread_linux_test.go
+++ b/internal/intake/unread_linux_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -82,7 +83,11 @@
 	conn := newConn(g, m.Conn(server))
 	_, err := io.WriteString(conn, "answer")
 	require.NoError(t, err)
-	require.NoError(t, conn.CloseWrite())
+	lingered := make(chan any)
+	go func() {
+		defer func() { lingered <- recover() }()
+		_ = conn.CloseWrite()
+	}()
 	out, err := io.ReadAll(client) // ends although the connection is open
 	require.NoError(t, err)
 	assert.Equal(t, "answer", string(out))
@@ -90,4 +95,5 @@
 	require.NoError(t, err)
 	_, err = io.ReadFull(conn, make([]byte, 1))
 	require.NoError(t, err, "the reading side stays open")
+	assert.Equal(t, http.ErrAbortHandler, <-lingered, "net/http does not wait once more")
 }
