HTTP API: the wait for the decoders counts toward the caller's time

A caller of the older cell whose large body waited for others got its whole time once more for the request itself.

--- a/internal/httpapi/parse.go
+++ b/internal/httpapi/parse.go
@@ -227,10 +227,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), a.cfg.RequestTimeout)
 	defer cancel()
+	start := time.Now()
 	release, ok := a.decoders.Take(ctx, len(data))
 	if !ok {
 		return errDecodersBusy
 	}
 	defer release()
+	exchangeOf(r).decoderWait = time.Since(start)
 	return decodeStrict(data, target)
 }
--- a/internal/httpapi/routes.go
+++ b/internal/httpapi/routes.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"pollenbend/internal/intake"
 	"pollenbend/internal/metrics"
 	"pollenbend/internal/model"
 )
@@ -57,11 +58,11 @@
 	}
 }
 
-// withoutBody returns a parser for a request whose body has no use. It is read all the same, as a
+// withoutBody returns a parser for a request whose body has no use. A small one is read all the same, as a
 // request counts as incomplete until then, and its connection may be closed to make room.
 func withoutBody(parse func(*api, *http.Request) (model.Request, error)) func(*api, *http.Request) (model.Request, error) {
 	return func(a *api, r *http.Request) (model.Request, error) {
-		if r.ContentLength != 0 {
+		if r.ContentLength > 0 && r.ContentLength <= intake.ReceiveBytes {
 			if err := a.discardBody(r); err != nil {
 				return model.Request{}, err
 			}
@@ -83,7 +84,12 @@
 		return
 	}
 	req.Key = key
-	ctx, cancel := context.WithTimeout(r.Context(), a.answerTimeout(req)+answerMargin)
+	timeout := a.answerTimeout(req) - exchangeOf(r).decoderWait
+	if timeout <= 0 {
+		a.writeRefusal(w, r, errDecodersBusy)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout+answerMargin)
 	defer cancel()
 	a.writeCoreAnswer(w, r, req, a.cfg.Gateway.Do(ctx, req))
 }
--- a/internal/httpapi/serve.go
+++ b/internal/httpapi/serve.go
@@ -24,7 +24,8 @@
 	http.ResponseWriter
 	status       int
 	bytesWritten int
-	bodyUnread   bool // the body was not read to its end
+	bodyUnread   bool          // the body was not read to its end
+	decoderWait  time.Duration // for other large bodies to be decoded
 	id           string
 	verdict      verdict.Verdict
 	code         verdict.Code
--- a/internal/httpapi/server_test.go
+++ b/internal/httpapi/server_test.go
@@ -313,3 +313,53 @@
 	require.Contains(t, body, `pollenbend_requests_total{code="",op="call",verdict="done"} 1`)
 	require.Contains(t, body, `pollenbend_http_requests_total{route="GET /readyz",status="503"} 2`)
 }
+
+// Only small bodies are read where they have no use.
+func TestCallerWithoutAKeyIsRefusedBeforeALargeBodyIsRead(t *testing.T) {
+	for name, request := range map[string]string{
+		"too large": "GET /v1/cell HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n",
+		"in chunks": "DELETE /v1/jobs/j-1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := intake.New(intake.Limits{Bytes: 1 << 20}, func(intake.Cause) {})
+			c := coreAnswering(model.Answer{Verdict: verdict.NotRun, Code: verdict.CodeUnauthorized})
+			server := NewServer(ServerConfig{ReadTimeout: time.Second}, New(Config{Gateway: c, Status: c, Guard: guard}))
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go func() { _ = guard.Serve(server, l, time.Second) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(t, err)
+			_, err = io.WriteString(conn, request)
+			require.NoError(t, err)
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			require.NoError(t, err)
+			assert.Equal(t, "HTTP/1.1 401 Unauthorized", strings.TrimSpace(line))
+		})
+	}
+}
+
+// The time that a body has waited for others counts toward the time of its caller.
+func TestWaitForOtherBodiesCountsTowardTheTimeOfTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedCore{}
+		a := newHandler(Config{Gateway: c, Status: c, RequestTimeout: 3 * time.Second})
+		start := time.Now()
+		var deadline time.Time
+		c.do = deadlineOf(&deadline)
+		release, ok := a.decoders.Take(t.Context(), intake.LargeBodyBytes)
+		require.True(t, ok)
+		time.AfterFunc(2*time.Second, release)
+		exchangeJSON(t, a, "POST", "/v1/requests", `{"payload":"`+strings.Repeat("x", intake.LargeBodyBytes)+`"}`, "Authorization", "Bearer key")
+		require.Equal(t, 1, c.calls)
+		assert.LessOrEqual(t, deadline.Sub(start), 3*time.Second+answerMargin)
+	})
+}
+
+// deadlineOf returns an answer of the core that notes the deadline it is given.
+func deadlineOf(deadline *time.Time) func(context.Context, model.Request) model.Answer {
+	return func(ctx context.Context, r model.Request) model.Answer {
+		*deadline, _ = ctx.Deadline()
+		return model.Answer{ID: r.ID, Verdict: verdict.Done}
+	}
+}
