--- a/internal/intake/release_test.go
+++ b/internal/intake/release_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -331,3 +332,99 @@
 		assert.Equal(t, before, after)
 	})
 }
+
+// http.Server.Close calls Conn.Close from another goroutine.
+func TestWaitEndsWhenItsConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(700<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		waiting, _ := pair(t, g)
+		ended := make(chan bool, 1)
+		go func() { ended <- waiting.hold(500<<10, readingBody, CauseBody) }()
+		synctest.Wait()
+		start := time.Now()
+		for range 10 { // the budget stays exceeded after the waiting one has ended
+			pair(t, g)
+		}
+		require.NoError(t, waiting.Close())
+		assert.False(t, <-ended)
+		assert.Zero(t, time.Since(start))
+	})
+}
+
+// What a refused request has not got must not count while its refusal is answered.
+func TestRefusedRequestReturnsWhatItDidNotGet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(500<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		next, _ := pair(t, g)
+		require.False(t, next.hold(500<<10, readingBody, CauseBody), "the closed one does not end")
+		held, _ := g.Used()
+		assert.Equal(t, int64(connectionBytes), held)
+	})
+}
+
+// A request without a body that net/http finds in its buffer after its connection was closed.
+func TestRequestWithoutBodyOfAClosedConnectionIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
+		g := New(Limits{Bytes: 480 << 10}, func(Cause) {})
+		var deleted atomic.Bool
+		server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				deleted.Store(connOf(r).ended() && r.Context().Err() == nil)
+				return
+			}
+			handle(w, r)
+		})}
+		go func() { _ = g.Serve(server, p, testBodyTimeout) }()
+		big := p.dial()
+		go func() { _, _ = io.Copy(io.Discard, big) }()
+		_, err := io.WriteString(big, "POST /slow HTTP/1.1\r\n"+length(170<<10)+"\r\n"+strings.Repeat("x", 170<<10))
+		require.NoError(t, err)
+		synctest.Wait()
+		c := p.dial()
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		for _, part := range []string{
+			"POST / HTTP/1.1\r\n" + length(5) + "\r\n",
+			"helloDELETE /job HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a:\r\n", 950) + "\r\n",
+		} {
+			_, err = io.WriteString(c, part)
+			require.NoError(t, err)
+			synctest.Wait()
+		}
+		_, connections := g.Used()
+		t.Log("connections", connections)
+		assert.False(t, deleted.Load(), "the connection was closed before the request began")
+		time.Sleep(time.Minute)
+		require.NoError(t, server.Close())
+	})
+}
+
+// net/http reads the byte after a chunked body as soon as the handler has read the last chunk, and the
+// handler's next step may come after that.
+func TestReadRequestIsNotClosedAsTheByteAfterItWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Limits{Bytes: 1 << 20}, func(Cause) {})
+		large, _ := pair(t, g)
+		require.True(t, large.hold(500<<10, readingBody, CauseBody))
+		time.Sleep(minIncompleteTime)
+		next, caller := pair(t, g)
+		var canceled atomic.Bool
+		next.begin(true, true, func() { canceled.Store(true) })
+		require.True(t, next.hold(100<<10, readingBody, CauseBody))
+		third, _ := pair(t, g)
+		require.True(t, third.hold(500<<10, answering, CauseDecoded))
+		go func() { _, _ = io.WriteString(caller, "G") }()
+		go func() { _, _ = next.Read(make([]byte, 1)) }() // as net/http
+		synctest.Wait()
+		require.True(t, next.hold(100<<10, answering, CauseBody), "the request is passed on")
+		time.Sleep(2 * releaseTimeout)
+		assert.False(t, canceled.Load())
+		assert.False(t, next.ended())
+	})
+}
