Report messages that had no connection as lost once there is one

Cause: an instance counts a peer as live by the heartbeats that arrive over the peer's own connection. While its own connection to the peer is not open yet, or not again, it forwards requests to it. The node dropped such a message without an event: the core had its PeerDown before, or never, so the gateway waited until the request's time of 30 s was over for an answer to a request that was never sent. Ruled out: net/http's read timeout of 15 s, which net/http clears when the body has been read, so it does not end the wait. Change: the node remembers that a message other than a heartbeat was lost for lack of a connection, and posts a PeerDown when there is one. The gateway then sends the request again under its id, as after a lost connection, and the coordinators and the ledger do the same with their states.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,9 +45,8 @@
 	Message wire.Message
 }
 
-// PeerDown reports that the connection to a peer is lost, or that a message to it was
-// dropped because the connection's queue was full. Messages recently sent to the peer
-// may not have arrived.
+// PeerDown reports that messages sent to a peer may not have arrived: the connection to it
+// is lost, its queue was full, or there was none and there is one again.
 type PeerDown struct{ Peer wire.InstanceRef }
 
 // RenewDone is the result of a Renew. Full is that of the request. Failed means that
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -26,8 +26,13 @@
 // PeerUp implements transport.Handler.
 func (h peerHandler) PeerUp(id model.InstanceID, inc model.Incarnation) {
 	h.n.mu.Lock()
-	defer h.n.mu.Unlock()
 	h.n.connectedPeers[id] = inc
+	unsent := h.n.unsentTo[id]
+	delete(h.n.unsentTo, id)
+	h.n.mu.Unlock()
+	if unsent {
+		h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
+	}
 }
 
 // PeerDown implements transport.Handler.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	mu             sync.Mutex
 	callers        map[uint64]chan model.Answer
 	connectedPeers map[model.InstanceID]model.Incarnation
+	unsentTo       map[model.InstanceID]bool // peers that messages were lost to for lack of a connection
 
 	view           atomic.Pointer[View]
 	draining       atomic.Bool
@@ -103,6 +104,7 @@
 		appends:        make(chan event.Append, inboxSize),
 		callers:        make(map[uint64]chan model.Answer),
 		connectedPeers: make(map[model.InstanceID]model.Incarnation),
+		unsentTo:       make(map[model.InstanceID]bool),
 		drainRequested: make(chan struct{}, 1),
 	}
 	n.view.Store(&View{})
@@ -222,8 +224,9 @@
 	}
 }
 
-// send queues a message for a peer. If it cannot be queued although there is a
-// connection, the core learns from a PeerDown that the message is lost.
+// send queues a message for a peer. If it cannot be queued, the core learns from a
+// PeerDown that the message is lost: at once if there is a connection, otherwise when there
+// is one again. A peer whose own connection brings its heartbeats may be live before.
 func (n *Node) send(a event.Send) {
 	payload, err := wire.EncodeMessage(a.Message)
 	if err != nil {
@@ -234,7 +237,7 @@
 		return
 	}
 	n.stats.unsentMessages.Inc(1)
-	if inc, up := n.incarnation(a.To); up {
+	if inc, up := n.recordUnsent(a); up {
 		n.postAsync(event.PeerDown{Peer: wire.InstanceRef{Instance: a.To, Incarnation: inc}})
 	}
 }
@@ -245,12 +248,17 @@
 	n.wg.Go(func() { n.post(e) })
 }
 
-// incarnation returns the incarnation of the connected peer id.
-func (n *Node) incarnation(id model.InstanceID) (model.Incarnation, bool) {
+// recordUnsent returns the incarnation of a connected peer that a message could not be
+// sent to. If the peer is not connected, it records that the message is lost, unless it is
+// a heartbeat, which is followed by others.
+func (n *Node) recordUnsent(a event.Send) (model.Incarnation, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	inc, ok := n.connectedPeers[id]
-	return inc, ok
+	inc, up := n.connectedPeers[a.To]
+	if _, heartbeat := a.Message.(wire.Heartbeat); !up && !heartbeat {
+		n.unsentTo[a.To] = true
+	}
+	return inc, up
 }
 
 // Do passes a caller's request to the core and returns the complete answer. When
