Ask again after a peer has opened a new connection

Seen: `pollenbend status p-1` of the CLI page ended in doubt after 30 s, "no answer from the owner of the request's shard in time". Whether that or "the wait ended before the answer came" is the message depends on 200 ms between two timers. Cause: instances answer on connections of their own. A reply that is sent while the owner's connection to the gateway is lost, or not open yet, is lost. The gateway's connection to the owner stays, so the gateway learned nothing; the owner's PeerDown is no help, as it keeps no replies. Change: before the first payload of a peer's new connection the transport calls PeerAccepted, and the node posts a PeerDown. The gateway sends its open requests to that peer again under their ids, and the coordinator locates the tasks that it has dispatched to it. The peer can only have sent the payload when it had the connection, so an answer to what is sent from then on is not lost without a further report. Measured: TestRepliesLostBeforeANewConnectionOfThePeerAreReported fails without the call (the reply comes first) and passes with it, 5 of 5 with -race.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,8 +45,9 @@
 	Message wire.Message
 }
 
-// PeerDown reports that messages sent to a peer may not have arrived: the connection to it
-// is lost, its queue was full, or there was none and there is one again.
+// PeerDown reports that messages sent to a peer, or its answers, may not have arrived: the
+// connection to it is lost, its queue was full, there was none and there is one again, or the
+// peer sends on a new connection.
 type PeerDown struct{ Peer wire.InstanceRef }
 
 // RenewDone is the result of a Renew. Full is that of the request. Failed means that
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -43,6 +43,12 @@
 	h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
 }
 
+// PeerAccepted implements transport.Handler. The answers to messages of this instance may be
+// among the payloads that are lost, so it is as if the messages had not arrived.
+func (h peerHandler) PeerAccepted(id model.InstanceID, inc model.Incarnation) {
+	h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
+}
+
 // readLog polls the log from its first entry on and posts each result, including an
 // empty one, to the core.
 func (n *Node) readLog() {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -11,6 +11,7 @@
 
 	"pollenbend/internal/event"
 	"pollenbend/internal/model"
+	"pollenbend/internal/platform"
 	"pollenbend/internal/transport"
 	"pollenbend/internal/wire"
 )
@@ -84,3 +85,37 @@
 		})
 	}
 }
+
+// upHandler signals connections to peers and ignores everything else.
+type upHandler chan struct{}
+
+func (h upHandler) PeerMessage(model.InstanceID, model.Incarnation, []byte) {}
+func (h upHandler) PeerUp(model.InstanceID, model.Incarnation)              { h <- struct{}{} }
+func (h upHandler) PeerDown(model.InstanceID, model.Incarnation)            {}
+func (h upHandler) PeerAccepted(model.InstanceID, model.Incarnation)        {}
+
+// An owner that has no connection to the gateway, or loses it, loses its replies. The gateway's
+// own connection to the owner stays, so it saw no PeerDown and its caller waited until the
+// deadline.
+func TestRepliesLostBeforeANewConnectionOfThePeerAreReported(t *testing.T) {
+	ca := testCA(t)
+	n := nodeWithPeers(t, ca)
+	connected := make(upHandler, 1)
+	b := listenAs(t, ca, "b", connected)
+	payload, err := wire.EncodeMessage(wire.Reply{Handle: 1})
+	require.NoError(t, err)
+	ref := wire.InstanceRef{Instance: "b", Incarnation: 1}
+	for range 2 {
+		require.False(t, b.Send("a", payload), "there is no connection")
+		b.SetPeers([]platform.Instance{{ID: "a", PeerAddr: n.PeerAddr()}})
+		<-connected
+		for range 2 {
+			require.True(t, b.Send("a", payload))
+		}
+		require.Equal(t, event.PeerDown{Peer: ref}, <-n.inbox)
+		for range 2 {
+			require.Equal(t, event.PeerMessage{From: ref, Message: wire.Reply{Handle: 1}}, <-n.inbox)
+		}
+		b.SetPeers(nil)
+	}
+}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -17,6 +17,7 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	done   chan struct{} // closed after the last PeerMessage
+	report sync.Once     // of PeerAccepted
 }
 
 // accept serves incoming connections until the transport is closed.
@@ -198,6 +199,7 @@
 }
 
 func (in *inbound) deliver(payload []byte) {
+	in.report.Do(func() { in.t.cfg.Handler.PeerAccepted(in.peer.Instance, in.peer.Incarnation) })
 	in.t.stats.received.Inc(1)
 	in.t.stats.receivedBytes.Inc(int64(len(payload)))
 	in.t.cfg.Handler.PeerMessage(in.peer.Instance, in.peer.Incarnation, payload)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -32,6 +32,11 @@
 	// PeerDown reports that the connection is lost, and with it every payload
 	// that was queued or in transit. It is unknown which of them arrived.
 	PeerDown(id model.InstanceID, inc model.Incarnation)
+	// PeerAccepted reports that incarnation inc of instance id sends on a new
+	// connection. It is called before the connection's first payload is delivered.
+	// Payloads that the peer sent before may be lost, also those that it sent while it
+	// had no connection.
+	PeerAccepted(id model.InstanceID, inc model.Incarnation)
 }
 
 // Defaults for the zero values of Config.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -39,6 +39,7 @@
 }
 func (r *recorder) PeerUp(_ model.InstanceID, inc model.Incarnation)   { r.up <- inc }
 func (r *recorder) PeerDown(_ model.InstanceID, inc model.Incarnation) { r.down <- inc }
+func (r *recorder) PeerAccepted(model.InstanceID, model.Incarnation)   {}
 
 func devCA(t testing.TB, seed string) *DevCA {
 	t.Helper()
