Don't take a worker for restarted because of one late reply

Seen: beside load, the first request of the README is in doubt, "a worker that may have run it has restarted since", and no worker has restarted. Cause: a holder takes the latest possible start of a worker from the uptime in its replies, so it is too late by the delay of the promptest reply. A holder that has just got the worker knows one reply only. When the owner of a request changes at the same time, the request is located at once: with a reply later than the time between the workers' start and the first claim, about a second, the worker counted as restarted since, and one of 48 is enough. Change: a holder also keeps the earliest possible start. A worker that has certainly restarted counts as such at once, as before. Measured: TestLateReplyAfterATakeoverPutsNoRequestInDoubt, in virtual time, gets this very answer without the change and starts the request with it. The core's harness now keeps its workers listed when an instance stops, and can delay the replies of workers.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -46,6 +46,8 @@
 	snapshotOffsets []uint64                             // offsets of the entries that contain a snapshot
 	workers         []model.Worker
 	pendingRenewals map[model.InstanceID][]renewal
+	replyDelay      func(event.Renew) time.Duration // delay of a renewal's reply; nil delays none and tells no uptime
+	started         []event.Start
 }
 
 // renewal is a granted worker lease that is to be delivered to the instance that
@@ -74,7 +76,7 @@
 	c.cores[name] = core
 	c.instances = append(c.instances, self)
 	for _, i := range c.instances {
-		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.instances}})
+		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.instances, Workers: c.workers}})
 	}
 }
 
@@ -83,7 +85,7 @@
 	delete(c.cores, name)
 	c.instances = slices.DeleteFunc(c.instances, func(i platform.Instance) bool { return i.ID == name })
 	for _, i := range c.instances {
-		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.instances}})
+		c.step(i.ID, event.Listed{Listing: platform.Listing{Instances: c.instances, Workers: c.workers}})
 	}
 }
 
@@ -98,6 +100,8 @@
 			c.send(core.env.SelfRef(), a)
 		case event.Renew:
 			c.renew(at, a)
+		case event.Start:
+			c.started = append(c.started, a)
 		case event.Respond:
 			c.answers[a.Handle] = a.Answer
 		}
@@ -118,10 +122,15 @@
 
 // renew grants a lease on an idle worker once the requested wait has passed.
 func (c *cell) renew(at model.InstanceID, a event.Renew) {
-	c.pendingRenewals[at] = append(c.pendingRenewals[at], renewal{due: c.now + a.Request.Wait, done: event.RenewDone{
+	r := renewal{due: c.now + a.Request.Wait, done: event.RenewDone{
 		Worker: a.Worker.ID, Lease: a.Request.Lease, Full: a.Request.Full, SentAt: c.now,
 		Reply: platform.RenewReply{Granted: true, Incarnation: 1},
-	}})
+	}}
+	if c.replyDelay != nil {
+		r.done.Reply.Uptime = r.due // the workers start with the cell
+		r.due += c.replyDelay(a)
+	}
+	c.pendingRenewals[at] = append(c.pendingRenewals[at], r)
 }
 
 func (c *cell) deliverRenewals(at model.InstanceID) {
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,44 @@
 		require.NotEqual(t, model.InstanceID("c"), shard.Owner.Instance, "shard %d", i)
 	}
 }
+
+// A request whose owner has just taken over its shard is located. One worker whose first reply
+// to its new holder is late, as beside load, must not put the request in doubt: no worker has
+// restarted.
+func TestLateReplyAfterATakeoverPutsNoRequestInDoubt(t *testing.T) {
+	c := newCell(t, "a", "b", "c")
+	put := teamAndKey("secret")
+	put.Services = []model.Service{{Name: "s", Class: model.ClassNormal, Demand: model.Resources{Slots: 1}}}
+	put.Queues = []model.Queue{{Name: "q", Team: "t"}}
+	c.change("1", 0, put)
+	c.replyDelay = func(event.Renew) time.Duration { return stepTime }
+	c.listWorkers(30)
+	c.run(10 * time.Second)
+	before := c.table("a")
+	id := ""
+	for i := 0; id == ""; i++ {
+		if next := fmt.Sprintf("r-%d", i); before[model.ShardOfRequest("t", next)].Owner.Instance == "c" {
+			id = next
+		}
+	}
+
+	late := make(map[model.WorkerID]bool)
+	c.replyDelay = func(a event.Renew) time.Duration {
+		if a.Request.Full && !late[a.Worker.ID] {
+			late[a.Worker.ID] = true
+			return testTiming.DeadAfter + 10*stepTime // longer than the time from the workers' start to the first claim
+		}
+		return stepTime
+	}
+	c.stop("c")
+	for c.table("a")[model.ShardOfRequest("t", id)].Owner.Instance == "c" {
+		c.run(stepTime)
+	}
+	c.run(10 * stepTime)
+	request := model.Request{Op: model.OpCall, Key: "secret", Queue: "q", ID: id, Service: "s", Timeout: 20 * time.Second}
+	c.step("a", event.RequestIn{Handle: 1, Request: request})
+	c.run(10 * time.Second)
+	require.NotEmpty(t, late)
+	require.NotContains(t, c.answers, uint64(1), "no worker has restarted")
+	require.Len(t, c.started, 1)
+}
--- a/internal/service/ledger/dispatch.go
+++ b/internal/service/ledger/dispatch.go
@@ -165,7 +165,9 @@
 
 // Locate returns what is known of tasks and fences them: a later dispatch with at
 // most the given term and attempt is refused. Without the fence, a dispatch still in
-// transit could start a task after it was reported as never seen.
+// transit could start a task after it was reported as never seen. A worker is not covered
+// while it is unclear whether it restarted since the tasks may have been started first; the
+// coordinator asks again.
 func (s *Service) Locate(m wire.Locate) wire.Located {
 	s.maxTerms[m.Shard] = max(s.maxTerms[m.Shard], m.Term)
 	out := wire.Located{ID: m.ID}
@@ -179,7 +181,7 @@
 	}
 	for _, id := range s.workerIDs {
 		w := s.workers[id]
-		if !w.leased(s.env.Now()) {
+		if !w.leased(s.env.Now()) || w.startUnclear(oldest) {
 			continue
 		}
 		out.Covered = append(out.Covered, id)
--- a/internal/service/ledger/worker.go
+++ b/internal/service/ledger/worker.go
@@ -24,6 +24,8 @@
 	lastEvent      uint64 // sequence number of the last event received from the worker
 	incarnation    model.Incarnation
 	startedAt      time.Duration // latest time at which this incarnation can have started
+	notBefore      time.Duration // earliest time at which this incarnation can have started
+	replies        int           // that bound these two times
 	used           model.Resources
 	fencedSeq      uint64 // value of lastSeq when the last full report was requested
 }
@@ -36,6 +38,9 @@
 	// usableLeasePercent is the part of a lease on which the holder relies. The
 	// remainder covers the drift between its clock and the worker's.
 	usableLeasePercent = 95
+	// maxUnclearReplies is the number of replies after which a worker that may have started
+	// after a given time counts as started after it.
+	maxUnclearReplies = 4
 )
 
 // leased reports whether the worker's state is known and its lease has not expired.
@@ -120,10 +125,7 @@
 	w.leasedUntil = d.SentAt + s.env.Timing.WorkerLease*usableLeasePercent/100
 	restarted := w.incarnation != d.Reply.Incarnation
 	w.incarnation = d.Reply.Incarnation
-	startedAt := s.env.Now() - d.Reply.Uptime // too late by the delay of the reply, so the earliest is kept
-	if restarted || startedAt < w.startedAt {
-		w.startedAt = startedAt
-	}
+	w.boundStart(d.SentAt-d.Reply.Uptime, s.env.Now()-d.Reply.Uptime, restarted)
 	switch {
 	case d.Full:
 		s.rebuild(w, d.Reply)
@@ -139,6 +141,25 @@
 	}
 }
 
+// boundStart applies a reply according to which the worker started between earliest and
+// latest. They are apart by the time between the request and the handling of the reply, so
+// each further reply can only narrow them.
+func (w *worker) boundStart(earliest, latest time.Duration, restarted bool) {
+	if restarted {
+		w.notBefore, w.startedAt, w.replies = earliest, latest, 1
+		return
+	}
+	w.notBefore = max(w.notBefore, earliest)
+	w.startedAt = min(w.startedAt, latest)
+	w.replies++
+}
+
+// startUnclear reports whether the worker may have started before t or after it, and
+// further replies are likely to tell.
+func (w *worker) startUnclear(t time.Duration) bool {
+	return w.notBefore < t && t < w.startedAt && w.replies < maxUnclearReplies
+}
+
 func (s *Service) delayRenew(w *worker) {
 	w.retryDelay = min(max(2*w.retryDelay, minRenewRetryDelay), maxRenewRetryDelay)
 	jitter := time.Duration(s.env.Rand().Int64N(int64(w.retryDelay)))
