--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -26,8 +26,13 @@
 // PeerUp implements transport.Handler.
 func (h peerHandler) PeerUp(id model.InstanceID, inc model.Incarnation) {
 	h.n.mu.Lock()
-	defer h.n.mu.Unlock()
 	h.n.connectedPeers[id] = inc
+	unsent := h.n.unsentTo[id]
+	delete(h.n.unsentTo, id)
+	h.n.mu.Unlock()
+	if unsent {
+		h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
+	}
 }
 
 // PeerDown implements transport.Handler.
@@ -38,6 +43,12 @@
 	h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
 }
 
+// PeerAccepted implements transport.Handler. The answers to messages of this instance may be
+// among the payloads that are lost, so it is as if the messages had not arrived.
+func (h peerHandler) PeerAccepted(id model.InstanceID, inc model.Incarnation) {
+	h.n.post(event.PeerDown{Peer: wire.InstanceRef{Instance: id, Incarnation: inc}})
+}
+
 // readLog polls the log from its first entry on and posts each result, including an
 // empty one, to the core.
 func (n *Node) readLog() {
