--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -50,7 +50,7 @@
 		return
 	}
 	w, t := r.worker, r.task
-	if r.phase == stopping || w.incarnation != r.incarnation || !w.reported || w.fenceSpent || w.claimed() || t.step.job().state.Final() || t.done {
+	if r.phase == stopping || w.incarnation != r.incarnation || !w.reported || w.fenceSpent || t.step.job().state.Final() || t.done {
 		e.endRun(r, EndedStopped, "", "start not sent")
 		return
 	}
@@ -303,9 +303,9 @@
 }
 
 // mayRunInAnotherIncarnation reports whether the start command for r may have been carried out, or
-// still be, by a later incarnation of its worker than r names. That may have begun long before it was heard of.
+// still be, by a later incarnation of its worker than r names.
 func (e *Engine) mayRunInAnotherIncarnation(r *run) bool {
-	return r.unattributed || e.startMayArrive(r) || r.startSent && !r.startSettled && (!r.inherited() || r.newAtTakeover)
+	return r.unattributed || e.mayRunUnreached(r)
 }
 
 // holdRun releases the resources of r on its worker, which refuses its start command from now on.
--- a/internal/cell/engine/late_leases.go
+++ b/internal/cell/engine/late_leases.go
@@ -36,12 +36,7 @@
 // noteLateLease records that the present incarnation of w may grant the longest lease to a command
 // that was sent to an earlier one at the given time.
 func (e *Engine) noteLateLease(w *worker, sentAt time.Time) {
-	w.lateLeasesUntil = latest(w.lateLeasesUntil, e.lateLeaseEnd(sentAt))
-}
-
-// lateLeaseEnd returns when the longest lease has ended that a command sent at the given time may extend if it is late.
-func (e *Engine) lateLeaseEnd(sentAt time.Time) time.Time {
-	return sentAt.Add(e.cfg.MaxCommandDelay + e.longestLease())
+	w.lateLeasesUntil = latest(w.lateLeasesUntil, sentAt.Add(e.cfg.MaxCommandDelay+e.longestLease()))
 }
 
 // noteLateLeasesOfRestart records that w may carry out the unanswered commands to its earlier
--- a/internal/cell/engine/planted_faults_test.go
+++ b/internal/cell/engine/planted_faults_test.go
@@ -179,7 +179,7 @@
 	{name: "a shrunk worker is listed as before", crashes: true, hidesShrinkage: true},
 	{name: "evacuations are not told", ignoresEvacuations: true},
 	{name: "workers accept stops without carrying them out", noStops: true},
-	{name: "workers keep runs whose lease has expired", cuts: true, noLeases: true},
+	{name: "workers keep runs whose lease has expired", noLeases: true},
 	{name: "reported ends are forgotten before they are stored", forgetsReportedEnds: true},
 	{name: "workers start runs again that have ended", forgetsEndedRuns: true},
 }
--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -29,7 +29,6 @@
 	cancels        bool     // callers cancel jobs at any time, also at leaders that were replaced
 	isolated       bool     // leaders are isolated, and go on when the next one has begun
 	newLeaders     bool     // leaders last for shortLeadership after the last fault
-	oddEntries     bool     // another writer's entries over those of workers name other incarnations
 	gangFailures   bool     // several members of gangs fail at once, and leaders see a part of their ends
 }
 
@@ -62,7 +61,6 @@
 	evacuations, takeovers, confined := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
 	recuts := rand.New(rand.NewPCG(seed, 11))
 	gangFailures, isolated := rand.New(rand.NewPCG(seed, 12)), rand.New(rand.NewPCG(seed, 12))
-	entries := rand.New(rand.NewPCG(seed, 13))
 	if o.cancels {
 		w.callers = newCallers(w, rand.New(rand.NewPCG(seed, 10)))
 	}
@@ -104,9 +102,6 @@
 		if o.isolated {
 			n.injectIsolatedLeader(isolated)
 		}
-		if o.oddEntries {
-			n.injectOddEntry(entries)
-		}
 		w.run(time.Duration(n.rand.IntN(400)) * time.Millisecond)
 		for _, id := range sortedKeys(w.accepted) {
 			n.rules.checkShown(id)
--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -99,9 +99,6 @@
 			end = latest(end, e.startedAt.Add(e.longestLease()))
 		}
 	}
-	if r.worker.claimed() && e.mayRunInAnotherIncarnation(r) {
-		end = latest(end, e.claimedLeasesExpireAt(r.worker))
-	}
 	return end.Add(e.cfg.LeaseExpiryMargin)
 }
 
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -161,7 +161,6 @@
 		OtherIncarnation  bool
 		ConnectionRefused bool // nothing listens at the worker's address
 		Malformed         bool // the answer is no report, so what answers may be no worker
-		Probe             bool // see Renew
 	}
 	// StartAnswered is the outcome of a Start.
 	StartAnswered struct {
@@ -248,7 +247,6 @@
 		Cursor      int64         // number of the last finished run that is stored; zero acknowledges none
 		MaxWait     time.Duration // maximum time that the worker may delay its answer
 		Timeout     time.Duration // for an answer
-		Probe       bool          // it only asks which incarnation answers, beside other renewals
 	}
 	// AdviceCall is a call to the adviser about a step, which Delegate makes.
 	AdviceCall struct {
--- a/internal/cell/engine/worker_fence.go
+++ b/internal/cell/engine/worker_fence.go
@@ -35,7 +35,7 @@
 
 // mayAcknowledge reports whether the next renewal of w may bear a cursor.
 func (e *Engine) mayAcknowledge(w *worker) bool {
-	if !w.reported || w.missedRenewals > 0 || w.fenceSpent || w.claimed() {
+	if !w.reported || w.missedRenewals > 0 || w.fenceSpent {
 		return false
 	}
 	for _, r := range w.runs {
--- a/internal/cell/engine/worker_fence_test.go
+++ b/internal/cell/engine/worker_fence_test.go
@@ -121,11 +121,6 @@
 	}
 	w.recorded = nil
 	for _, r := range recorded[*Renew](w, 2*time.Second) {
-		if r.Probe { // it asks whether there is a new incarnation, and must not make the known one refuse other calls
-			assert.Zero(t, r.Deadline)
-			assert.Zero(t, r.Cursor)
-			continue
-		}
 		if r.Incarnation == w.workers[r.Worker].incarnation {
 			assert.Greater(t, r.Fence, fence)
 			assert.Equal(t, w.engine.workers[r.Worker].fence, r.Fence)
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -11,31 +11,29 @@
 
 // worker is the leader's view of a worker.
 type worker struct {
-	id                 string
-	incarnation        int64     // called life in log lines
-	incarnationSince   time.Time // when this leader first heard of the incarnation, if that is a later one than the first
-	incarnationKnownAt time.Time // when the incarnation became known, from an entry if it is the first
-	address            string
-	service            string
-	zone               string
-	rack               string
-	labels             []string
-	capacity           job.Resources
-	used               job.Resources
-	heldForGangs       job.Resources // kept free for gangs in this placement round
-	holds              []workerHold  // reserved in this placement round
-	pool               *pool         // nil for a worker that was not listed when the pools were built
-	speedClass         int           // index of its class in pool.byFreeCPU
-	poolIndex          int           // index of its list in those of its class
-	poolSlot           int           // its index in that list
-	poolOrder          int           // its index in pool.workers
-	pendingAsks        [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
-	runs               []*run        // in the order in which they were planned
+	id               string
+	incarnation      int64     // called life in log lines
+	incarnationSince time.Time // when this leader first heard of the incarnation
+	address          string
+	service          string
+	zone             string
+	rack             string
+	labels           []string
+	capacity         job.Resources
+	used             job.Resources
+	heldForGangs     job.Resources // kept free for gangs in this placement round
+	holds            []workerHold  // reserved in this placement round
+	pool             *pool         // nil for a worker that was not listed when the pools were built
+	speedClass       int           // index of its class in pool.byFreeCPU
+	poolIndex        int           // index of its list in those of its class
+	poolSlot         int           // its index in that list
+	poolOrder        int           // its index in pool.workers
+	pendingAsks      [2]int        // short and long calls to the adviser about it that have no answer yet, see callClass
+	runs             []*run        // in the order in which they were planned
 
 	listed              bool
-	entryIncarnation    int64  // incarnation that the directory's entry describes; zero if it does not tell
-	claim               *claim // the last entry, if it names another incarnation than the known one
-	probeInFlight       bool
+	entryIncarnation    int64     // incarnation that the directory's entry describes; zero if it does not tell
+	staleEntry          int64     // the earlier incarnation that the last ignored entry was of; zero if there was none
 	unlistedSince       time.Time // when it last left the directory
 	replacedIncarnation int64     // incarnation in whose place another worker has answered; zero if there is none
 	replacedAddress     string    // where that was
@@ -174,7 +172,7 @@
 // described reports whether the directory's entry is of the present incarnation, which may
 // have another capacity and other labels than the one before.
 func (w *worker) described() bool {
-	return !w.claimed() && (w.entryIncarnation == 0 || w.incarnation == 0 || w.entryIncarnation == w.incarnation)
+	return w.entryIncarnation == 0 || w.incarnation == 0 || w.entryIncarnation == w.incarnation
 }
 
 // overcommitted reports whether the runs on w use more than its capacity, which may have
@@ -220,16 +218,21 @@
 
 // workerListed applies the directory's entry of a worker.
 func (e *Engine) workerListed(w *worker, l *WorkerInfo) {
-	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation != w.incarnation {
-		e.noteClaim(w, l)
-		return
+	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation < w.incarnation {
+		if w.staleEntry != l.Incarnation {
+			w.staleEntry = l.Incarnation
+			e.log.Info("entry of an earlier incarnation ignored", "worker", w.id, "life", w.incarnation, "entry_life", l.Incarnation, "listed", w.listed)
+		}
+		return // the entry is older than the worker's restart
 	}
-	w.claim = nil
 	if l.Incarnation != 0 && l.Incarnation == w.replacedIncarnation && l.Address == w.replacedAddress {
 		return // the entry is that of a replaced worker
 	}
+	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation > w.incarnation {
+		e.newIncarnation(w, l.Incarnation, "directory")
+	}
 	if w.incarnation == 0 {
-		w.incarnation, w.incarnationKnownAt = l.Incarnation, e.now
+		w.incarnation = l.Incarnation
 	}
 	if !w.listed {
 		w.nextRenewal = e.now
@@ -251,7 +254,7 @@
 	}
 }
 
-// newIncarnation records that w has restarted, as an answer tells.
+// newIncarnation records that w has restarted.
 func (e *Engine) newIncarnation(w *worker, incarnation int64, source string) {
 	e.log.Info("worker restarted", "worker", w.id, "life", incarnation, "before", w.incarnation, "source", source, "runs", len(w.runs))
 	e.switchIncarnation(w, incarnation)
@@ -261,7 +264,7 @@
 // and settles the runs of the earlier one.
 func (e *Engine) switchIncarnation(w *worker, incarnation int64) {
 	w.incarnation = incarnation
-	w.incarnationSince, w.incarnationKnownAt = e.now, e.now
+	w.incarnationSince = e.now
 	e.noteLateLeasesOfRestart(w)
 	e.settleRunsOfEarlierIncarnations(w)
 	w.reported = false
@@ -275,7 +278,6 @@
 	w.nextRenewal = e.now
 	w.health = health{}
 	e.needsPlacement = true
-	e.applyClaim(w)
 }
 
 // replaced reports whether another worker has answered at the address of w.
@@ -362,7 +364,6 @@
 	}
 	e.renewalsCheckedAt = e.now
 	for _, w := range e.workerList {
-		e.probe(w)
 		if w.renewalInFlight || e.now.Before(w.nextRenewal) || w.address == "" {
 			continue
 		}
@@ -438,10 +439,6 @@
 	if w == nil {
 		return
 	}
-	if ev.Probe {
-		e.probeAnswered(w, ev)
-		return
-	}
 	w.renewalInFlight = false
 	defer e.sendDelayedStarts(w)
 	if ev.Fenced && w.fencedEarlierIncarnation(w.renewalFence) {
@@ -456,8 +453,14 @@
 		e.renewalFailed(w, ev)
 		return
 	}
-	if ev.Report.Incarnation != 0 && !e.incarnationTold(w, ev.Report.Incarnation, ev.SentAt, "renewal") {
-		return
+	if ev.Report.Incarnation != 0 && ev.Report.Incarnation != w.incarnation {
+		if w.incarnation != 0 && ev.Report.Incarnation < w.incarnation {
+			return
+		}
+		if w.incarnation != 0 {
+			e.newIncarnation(w, ev.Report.Incarnation, "renewal")
+		}
+		w.incarnation = ev.Report.Incarnation
 	}
 	e.noteLeaseOfRenewal(w, ev)
 	first := !w.reported
--- a/internal/cell/engine/world_callers_test.go
+++ b/internal/cell/engine/world_callers_test.go
@@ -107,7 +107,7 @@
 			case *Stop:
 				c.w.deliver(s.engine, a.Timeout, &StopAnswered{Stop: a, Outcome: NoAnswer})
 			case *Renew:
-				c.w.deliver(s.engine, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: c.w.now})
+				c.w.deliver(s.engine, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: c.w.now})
 			case *AdviceCall:
 				c.w.deliver(s.engine, a.ExpectedDuration, &AdviceAnswered{Call: a})
 			}
--- a/internal/cell/engine/world_commands_test.go
+++ b/internal/cell/engine/world_commands_test.go
@@ -191,12 +191,12 @@
 	s := w.workers[a.Worker]
 	sent := w.now
 	if s.unreachable {
-		w.deliver(e, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent})
+		w.deliver(e, a.Timeout, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent})
 		return
 	}
 	w.after(simTick, func() {
 		if s.incarnation != a.Incarnation {
-			w.deliver(e, 0, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent, OtherIncarnation: true})
+			w.deliver(e, 0, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent, OtherIncarnation: true})
 			return
 		}
 		s.fence = max(s.fence, a.Fence)
@@ -214,12 +214,12 @@
 				return
 			}
 			answered = true
-			w.deliver(e, simTick, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent, Report: w.report(s)})
+			w.deliver(e, simTick, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent, Report: w.report(s)})
 		}
 		w.after(a.Timeout, func() {
 			if !answered && w.engine == e {
 				answered = true
-				e.Handle(w.now, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent})
+				e.Handle(w.now, &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent})
 			}
 		})
 		if a.MaxWait == 0 || len(s.ended) > 0 {
--- a/internal/cell/engine/world_lives_test.go
+++ b/internal/cell/engine/world_lives_test.go
@@ -124,7 +124,7 @@
 
 // renew carries out a renewal.
 func (n *network) renew(s *simWorker, a *Renew, sent time.Time, reply func(any)) {
-	ev := &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent}
+	ev := &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent}
 	foreign := a.Incarnation != s.incarnation
 	switch _, refused := n.refusal(s); {
 	case foreign && !n.restartsKeepID:
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -15,7 +15,6 @@
 type network struct {
 	w             *world
 	rand          *rand.Rand
-	probeRand     *rand.Rand // of the calls that are probes, so that the schedules of others don't depend on them
 	links         map[string]*link
 	planted       plantedFault
 	endsPerReport int
@@ -55,7 +54,7 @@
 )
 
 func (w *world) useNetwork(seed uint64) *network {
-	n := &network{w: w, rand: rand.New(rand.NewPCG(seed, 3)), probeRand: rand.New(rand.NewPCG(seed, 14)), links: make(map[string]*link), endsPerReport: 500, seenEnded: make(map[string]time.Time),
+	n := &network{w: w, rand: rand.New(rand.NewPCG(seed, 3)), links: make(map[string]*link), endsPerReport: 500, seenEnded: make(map[string]time.Time),
 		deadly: make(map[string]time.Duration), open: make(map[string][]*call),
 		reports: make(map[string][]*Report), rules: taskRules{w: w, tasks: make(map[string]*taskHistory)}}
 	w.net = n
@@ -82,23 +81,19 @@
 	unanswered any
 	carryOut   func(s *simWorker, reply func(event any))
 	answered   bool
-	rand       *rand.Rand
 }
 
 // send sends a call. The engine gets exactly one event: the answer, or unanswered after
 // the timeout.
 func (n *network) send(c *call) {
-	if c.rand == nil {
-		c.rand = n.rand
-	}
 	l := n.links[c.worker]
 	n.w.after(c.timeout, func() { n.answer(c, c.unanswered) })
-	delay := l.delay(c.rand)
-	switch p := c.rand.Float64(); {
+	delay := l.delay(n.rand)
+	switch p := n.rand.Float64(); {
 	case p < l.lostRatio || n.w.now.Before(l.silentUntil) || n.cutOffFrom(c.engine, c.worker):
 		return
 	case p < l.lostRatio+l.lateRatio:
-		delay = minLate + time.Duration(c.rand.Int64N(int64(maxLate-minLate)))
+		delay = minLate + time.Duration(n.rand.Int64N(int64(maxLate-minLate)))
 	}
 	n.w.after(delay, func() { n.arrive(c) })
 }
@@ -110,7 +105,7 @@
 	case s.unreachable:
 		return
 	case n.w.now.Before(l.refusesUntil):
-		n.w.after(l.delay(c.rand), func() { n.answer(c, refusedConnection(c.unanswered)) })
+		n.w.after(l.delay(n.rand), func() { n.answer(c, refusedConnection(c.unanswered)) })
 		return
 	case n.w.now.Before(l.downUntil):
 		return
@@ -118,10 +113,10 @@
 	incarnation, replied := s.incarnation, false
 	c.carryOut(s, func(event any) {
 		replied = true
-		if c.rand.Float64() < l.lostReplyRatio || s.unreachable || s.incarnation != incarnation {
+		if n.rand.Float64() < l.lostReplyRatio || s.unreachable || s.incarnation != incarnation {
 			return
 		}
-		n.w.after(l.delay(c.rand), func() { n.answer(c, event) })
+		n.w.after(l.delay(n.rand), func() { n.answer(c, event) })
 	})
 	if !replied {
 		n.open[c.worker] = append(n.open[c.worker], c)
@@ -182,12 +177,8 @@
 		n.send(&call{engine: e, worker: a.Worker, timeout: a.Timeout, unanswered: &StopAnswered{Stop: a, Outcome: NoAnswer},
 			carryOut: func(s *simWorker, reply func(any)) { reply(n.stop(s, a)) }})
 	case *Renew:
-		var r *rand.Rand
-		if a.Probe {
-			r = n.probeRand
-		}
-		n.send(&call{engine: e, worker: a.Worker, timeout: a.Timeout, rand: r,
-			unanswered: &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, Probe: a.Probe, SentAt: sent},
+		n.send(&call{engine: e, worker: a.Worker, timeout: a.Timeout,
+			unanswered: &RenewalAnswered{Worker: a.Worker, Incarnation: a.Incarnation, SentAt: sent},
 			carryOut:   func(s *simWorker, reply func(any)) { n.renew(s, a, sent, reply) }})
 	case *AdviceCall:
 		n.advise(e, a)
--- a/internal/cell/engine/world_test.go
+++ b/internal/cell/engine/world_test.go
@@ -135,24 +135,23 @@
 // simWorker simulates a worker as the platform specifies it.
 type simWorker struct {
 	life
-	id               string
-	incarnation      int64
-	capacity         job.Resources
-	shrunk           []shrinkage    // past capacities
-	listed           *job.Resources // capacity in the directory; nil for the present one
-	fence            int64          // highest term of a leader that has reached the worker
-	leaseEnd         time.Time
-	runs             map[string]*simRun
-	ended            []RunEnd // not acknowledged yet
-	lastEnd          int64
-	endedRuns        map[string]int // highest run number that was stopped or has ended, by task
-	unreachable      bool
-	draining         bool
-	crashed          bool // the directory lists its last incarnation
-	pendingAnswers   []func()
-	slowdown         float64 // runtime of a run as a multiple of its estimate
-	expiredEnds      int64   // number of the last end that was listed when the lease had expired
-	entryIncarnation int64   // that another writer's entry over that of the worker names; zero if there is none
+	id             string
+	incarnation    int64
+	capacity       job.Resources
+	shrunk         []shrinkage    // past capacities
+	listed         *job.Resources // capacity in the directory; nil for the present one
+	fence          int64          // highest term of a leader that has reached the worker
+	leaseEnd       time.Time
+	runs           map[string]*simRun
+	ended          []RunEnd // not acknowledged yet
+	lastEnd        int64
+	endedRuns      map[string]int // highest run number that was stopped or has ended, by task
+	unreachable    bool
+	draining       bool
+	crashed        bool // the directory lists its last incarnation
+	pendingAnswers []func()
+	slowdown       float64 // runtime of a run as a multiple of its estimate
+	expiredEnds    int64   // number of the last end that was listed when the lease had expired
 }
 
 type event struct {
@@ -302,9 +301,6 @@
 		if s.crashed {
 			incarnation--
 		}
-		if s.entryIncarnation != 0 {
-			incarnation = s.entryIncarnation
-		}
 		list = append(list, WorkerInfo{ID: id, Incarnation: incarnation, Address: id, Service: "s", Zone: zoneOf(id), Labels: w.labels(id),
 			Capacity: s.listedCapacity(), Draining: s.draining, LeavesIn: 2 * time.Second, ColdFor: w.cold[id]})
 	}
--- a/internal/cell/node/cluster_test.go
+++ b/internal/cell/node/cluster_test.go
@@ -461,7 +461,7 @@
 func (oneWorker) Renew(_ context.Context, _ int64, renewal *engine.Renew) *engine.RenewalAnswered {
 	sent := time.Now()
 	time.Sleep(renewal.MaxWait)
-	return &engine.RenewalAnswered{Worker: renewal.Worker, Probe: renewal.Probe, Incarnation: 1, SentAt: sent, Report: &engine.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}}
+	return &engine.RenewalAnswered{Worker: renewal.Worker, Incarnation: 1, SentAt: sent, Report: &engine.Report{Incarnation: 1, Clock: time.Now().UnixMilli()}}
 }
 
 // fixedPolicy declares one queue. It reads the store at intervals, as the platform's
--- a/internal/cell/node/fenced_test.go
+++ b/internal/cell/node/fenced_test.go
@@ -18,7 +18,7 @@
 // Renew implements Workers.
 func (fencingWorker) Renew(_ context.Context, _ int64, renewal *engine.Renew) *engine.RenewalAnswered {
 	time.Sleep(time.Millisecond)
-	return &engine.RenewalAnswered{Worker: renewal.Worker, Probe: renewal.Probe, Incarnation: renewal.Incarnation, SentAt: time.Now(), Fenced: true}
+	return &engine.RenewalAnswered{Worker: renewal.Worker, Incarnation: renewal.Incarnation, SentAt: time.Now(), Fenced: true}
 }
 
 // Guards against an entry of another writer whose address answers each call that it has seen a newer
--- a/internal/cell/node/relays.go
+++ b/internal/cell/node/relays.go
@@ -389,7 +389,7 @@
 	case *engine.Renew:
 		// The relay sends the renewal after sentAt, so what its report lacks was not there
 		// at sentAt or later.
-		return &engine.RenewalAnswered{Worker: action.Worker, Incarnation: action.Incarnation, Probe: action.Probe, SentAt: a.sentAt,
+		return &engine.RenewalAnswered{Worker: action.Worker, Incarnation: action.Incarnation, SentAt: a.sentAt,
 			Report: result.Report, Fenced: result.Fenced, OtherIncarnation: result.OtherIncarnation, ConnectionRefused: result.ConnectionRefused, Malformed: result.Malformed}
 	}
 	panic("not an action for a relay")
--- a/internal/cell/node/relays_test.go
+++ b/internal/cell/node/relays_test.go
@@ -80,7 +80,7 @@
 	for task, run := range a.runs {
 		report.Running = append(report.Running, engine.RunStatus{Task: task, Run: run, Percent: 1})
 	}
-	return &engine.RenewalAnswered{Worker: renewal.Worker, Probe: renewal.Probe, Incarnation: 1, SentAt: sent, Report: report}
+	return &engine.RenewalAnswered{Worker: renewal.Worker, Incarnation: 1, SentAt: sent, Report: report}
 }
 
 // runRelayCluster runs f on a cluster whose leader uses relays for its only worker.
@@ -358,7 +358,7 @@
 
 // Renew implements Workers.
 func (refusingWorker) Renew(_ context.Context, _ int64, renewal *engine.Renew) *engine.RenewalAnswered {
-	return &engine.RenewalAnswered{Worker: renewal.Worker, Probe: renewal.Probe, ConnectionRefused: true}
+	return &engine.RenewalAnswered{Worker: renewal.Worker, ConnectionRefused: true}
 }
 
 func TestRelayForgetsThatAWorkerRefusesConnections(t *testing.T) {
--- a/internal/cell/node/worker_fence_test.go
+++ b/internal/cell/node/worker_fence_test.go
@@ -27,7 +27,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fences[renewal.Incarnation] = append(w.fences[renewal.Incarnation], fence)
-	return &engine.RenewalAnswered{Worker: renewal.Worker, Probe: renewal.Probe, Incarnation: renewal.Incarnation, SentAt: sent,
+	return &engine.RenewalAnswered{Worker: renewal.Worker, Incarnation: renewal.Incarnation, SentAt: sent,
 		Report: &engine.Report{Incarnation: w.incarnation, Clock: time.Now().UnixMilli()}}
 }
 
--- a/internal/soak/entries_test.go
+++ b/internal/soak/entries_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -67,20 +66,10 @@
 	}
 	id := fmt.Sprintf("w%02d", c.entryRng.IntN(len(c.fleet.workers)))
 	w := c.fleet.workers[id]
-	if c.entryRng.IntN(3) == 0 {
-		entry = c.laterEntry(w)
-	}
 	c.store.put("keyed.servers", id, entry)
 	time.AfterFunc(heartbeat, func() { c.fleet.register(w) })
 }
 
-// laterEntry returns an entry like that of w, with a later start.
-func (c *cell) laterEntry(w *worker) string {
-	c.fleet.mu.Lock()
-	defer c.fleet.mu.Unlock()
-	return workerEntry(w.id, w.address, w.cpu, []int64{math.MaxInt64, w.born + 1, w.born + 60_000}[c.entryRng.IntN(3)])
-}
-
 // checkMemory checks that no process has used more memory than a machine has.
 func (c *cell) checkMemory() {
 	for _, in := range c.instances {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -180,11 +180,6 @@
 	t.Run("no idle work", func(t *testing.T) { c.reportIdleWork(t) })
 }
 
-// workerEntry returns the entry of a worker.
-func workerEntry(id, address string, cpu, born int64) string {
-	return fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, address, zoneOf(id), cpu, born)
-}
-
 // start starts the stand-ins and count instances.
 func (c *cell) start(count int) {
 	storeAddress := c.listen("127.0.0.1:0", c.store)
@@ -195,7 +190,7 @@
 		if left {
 			return
 		}
-		c.store.put("keyed.servers", w.id, workerEntry(w.id, address, cpu, born))
+		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, address, zoneOf(w.id), cpu, born))
 	}
 	c.fleet.listen = c.listenAt
 	c.startOddServers()
