Intake: the tests of lingering connections share one server

linger_test.go set up the same server three times and had a second copy of served.exchange. Both are one now; assertions, crowds and bounds are as before. internal/intake passes, with the race detector as well.

--- a/internal/intake/linger_test.go
+++ b/internal/intake/linger_test.go
@@ -27,27 +27,32 @@
 	}
 }
 
+// serveRefusing starts a server of handle with a budget of 4 MB, until stop is called.
+func serveRefusing() (s *served, stop func() error) {
+	s = &served{pipes: &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}, guard: New(Limits{Bytes: 4 << 20}, func(Cause) {})}
+	server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(handle), MaxHeaderBytes: 16 << 10}
+	go func() { _ = s.guard.Serve(server, s.pipes, testBodyTimeout) }()
+	return s, server.Close
+}
+
 // Callers without a key: each request is small and is refused with an answer at once.
 func TestSmallRefusedRequestsStayNearTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-		g := New(Limits{Bytes: 4 << 20}, func(Cause) {})
-		server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(handle), MaxHeaderBytes: 16 << 10}
-		go func() { _ = g.Serve(server, p, testBodyTimeout) }()
+		s, stop := serveRefusing()
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
-		go crowd(ctx, p, time.Millisecond, "POST /unread HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 130)+length(1<<20)+"\r\n")
+		go crowd(ctx, s.pipes, time.Millisecond, "POST /unread HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 130)+length(1<<20)+"\r\n")
 		var most int64
 		for ctx.Err() == nil {
 			time.Sleep(10 * time.Millisecond)
-			g.mu.Lock()
-			most = max(most, g.used+g.leaving)
-			g.mu.Unlock()
+			s.guard.mu.Lock()
+			most = max(most, s.guard.used+s.guard.leaving)
+			s.guard.mu.Unlock()
 		}
-		t.Logf("in use at most %d kB of %d", most>>10, g.limits.Bytes>>10)
-		assert.LessOrEqual(t, most, 2*g.limits.Bytes)
+		t.Logf("in use at most %d kB of %d", most>>10, s.guard.limits.Bytes>>10)
+		assert.LessOrEqual(t, most, 2*s.guard.limits.Bytes)
 		time.Sleep(time.Minute)
-		require.NoError(t, server.Close())
+		require.NoError(t, stop())
 	})
 }
 
@@ -61,18 +66,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-				g := New(Limits{Bytes: 4 << 20}, func(Cause) {})
-				server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(handle), MaxHeaderBytes: 16 << 10}
-				go func() { _ = g.Serve(server, p, testBodyTimeout) }()
+				s, stop := serveRefusing()
 				ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
 				defer cancel()
-				go crowd(ctx, p, 10*time.Millisecond, request)
+				go crowd(ctx, s.pipes, 10*time.Millisecond, request)
 				time.Sleep(time.Second)
 				body := strings.Repeat("x", 250<<10)
 				served := 0
 				var slowest time.Duration
-				s := &dialer{p}
 				for range 10 {
 					start := time.Now()
 					if strings.Contains(s.exchange("POST / HTTP/1.1\r\n"+length(len(body))+last+"\r\n", body), "200 OK") {
@@ -86,42 +87,23 @@
 				assert.Less(t, slowest, time.Second)
 				cancel()
 				time.Sleep(time.Minute)
-				require.NoError(t, server.Close())
+				require.NoError(t, stop())
 			})
 		})
 	}
 }
 
-type dialer struct{ *pipes }
-
-func (s *dialer) exchange(parts ...string) string {
-	c := s.dial()
-	go func() {
-		for _, p := range parts {
-			if _, err := io.WriteString(c, p); err != nil {
-				return
-			}
-		}
-	}()
-	out, _ := io.ReadAll(c)
-	return string(out)
-}
-
 // A connection that has just been accepted counts as idle and goes before requests that were refused with an answer.
 func TestSmallRequestsAreServedBesideRefusedOnes(t *testing.T) {
 	for _, offset := range []time.Duration{0, 500 * time.Microsecond} {
 		t.Run(offset.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-				g := New(Limits{Bytes: 4 << 20}, func(Cause) {})
-				server := &http.Server{ReadHeaderTimeout: 3 * time.Second, Handler: http.HandlerFunc(handle), MaxHeaderBytes: 16 << 10}
-				go func() { _ = g.Serve(server, p, testBodyTimeout) }()
+				s, stop := serveRefusing()
 				ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
 				defer cancel()
-				go crowd(ctx, p, time.Millisecond, "POST /unread HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 130)+length(1<<20)+"\r\n")
+				go crowd(ctx, s.pipes, time.Millisecond, "POST /unread HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 130)+length(1<<20)+"\r\n")
 				time.Sleep(time.Second + offset)
 				ok := 0
-				s := &dialer{p}
 				for range 20 {
 					if strings.Contains(s.exchange("POST / HTTP/1.1\r\n"+length(5)+last+"\r\n", "hello"), "200 OK") {
 						ok++
@@ -131,7 +113,7 @@
 				assert.Equal(t, 20, ok)
 				cancel()
 				time.Sleep(time.Minute)
-				require.NoError(t, server.Close())
+				require.NoError(t, stop())
 			})
 		})
 	}
