review: case 13, one accepted job of many small tasks takes the instances over their memory

One job of 64 steps of 10,000 tasks, which is accepted, and the leaders are killed for their memory one after the other.

--- a/review/sim3/main.go
+++ b/review/sim3/main.go
@@ -18,6 +18,7 @@
 }{
 	"crashes": {3, crashes},
 	"copies":  {3, copies},
+	"many":    {3, many},
 }
 
 func main() {
