--- a/review/sim3/main.go
+++ b/review/sim3/main.go
@@ -16,8 +16,10 @@
 	instances int
 	play      scenario
 }{
-	"copies": {3, copies},
-	"entry":  {3, entry},
+	"copies":  {3, copies},
+	"born":    {3, born},
+	"address": {3, address},
+	"label":   {3, label},
 }
 
 func main() {
