--- a/review/sim3/entry.go
+++ b/review/sim3/entry.go
@@ -90,7 +90,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.runs[task]
-	return !w.dead && r != nil && w.clock()-r.started >= d.Milliseconds()
+	return r != nil && w.clock()-r.started >= d.Milliseconds()
 }
 
 func (c *cell) allWorkers() []*worker {
