engine: which runs are settled is stored while their worker does not answer

Cause: checkRuns stored that a run is settled 0.5 s after a report had shown it, and passed over workers that don't answer. A run that was reported less than 0.5 s before its worker fell silent was never stored as settled, however long the leader went on.

Now it is stored with the next append once the worker misses a renewal, also for runs that are being stopped.

--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -54,12 +54,22 @@
 }
 
 // settledStoreDelay is how long after it was settled a run that is still at work is stored as such, unless
-// its record is written before. Most runs end earlier.
+// its record is written before or its worker falls silent. Most runs end earlier.
 const settledStoreDelay = 500 * time.Millisecond
 
-// storeSettled stores that r is settled if that is due.
+// storeSettledRuns stores which runs on w are settled as far as that is due. If w does not answer it is due at once:
+// the next leader may not reach w either, and waits much longer for runs that are not known to be settled.
+func (e *Engine) storeSettledRuns(w *worker) {
+	for _, r := range w.runs {
+		if w.missedRenewals > 0 || e.now.Sub(r.settledSince) >= settledStoreDelay {
+			e.storeSettled(r)
+		}
+	}
+}
+
+// storeSettled has it written with the next append that r is settled, unless that is stored.
 func (e *Engine) storeSettled(r *run) {
-	if r.settled() && !r.settledStored && e.now.Sub(r.settledSince) >= settledStoreDelay {
+	if r.settled() && !r.settledStored {
 		e.markSegmentsDirty(r.task.step, 1<<(r.task.ref.Index/record.SegmentTasks))
 	}
 }
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -30,7 +30,7 @@
 )
 
 // checkRuns stops stalled runs, requests placement for runs that are worth speculating,
-// and stops runs on draining workers in time.
+// and stops runs on draining workers in time. It stores which runs are settled.
 func (e *Engine) checkRuns() {
 	if e.now.Sub(e.runsCheckedAt) < runCheckInterval {
 		return
@@ -38,6 +38,7 @@
 	e.runsCheckedAt = e.now
 	e.stragglers = e.stragglers[:0]
 	for _, w := range e.workerList {
+		e.storeSettledRuns(w)
 		if len(w.runs) == 0 || w.missedRenewals > 0 {
 			continue
 		}
@@ -45,7 +46,6 @@
 			if r.phase != running {
 				continue
 			}
-			e.storeSettled(r)
 			switch {
 			case e.stalled(r):
 				e.log.Warn("run makes no progress", "job", r.task.step.ref.Job, "task", r.task.name, "run", r.number, "worker", w.id,
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -232,6 +232,47 @@
 	}
 }
 
+// newRecentRun returns a task whose run has just reached the given state, on a fleet that has no late leases.
+func newRecentRun(t *testing.T, step job.Step, reached func(*run) bool) *settledRun {
+	w := newWorld(t, 4, 1)
+	s := &settledRun{w: w, n: w.useNetwork(1)}
+	s.n.restartsKeepID = true
+	w.run(longestLateLease)
+	s.job = w.submit("batch", "a", step)
+	s.task = taskName(s.job, 0, 0)
+	ref, err := job.ParseTask(s.task)
+	w.must(err)
+	for end := w.now.Add(5 * time.Second); w.now.Before(end); {
+		w.run(simTick)
+		if runs := w.engine.task(ref).runs; len(runs) > 0 && reached(runs[0]) {
+			s.on = runs[0].worker.id
+			return s
+		}
+	}
+	require.Fail(t, "the run has not reached the state")
+	return nil
+}
+
+// cutOffWorker has the connections to the worker of the run end and new ones refused. The run goes on until its lease ends.
+func (s *settledRun) cutOffWorker() { s.n.cut(s.on, time.Hour) }
+
+// The worker is lost right after its first report of the run, and the leader ends a while later: that the run is
+// settled was not stored while the worker did not answer.
+func TestSettledRunOfASilentWorkerWaitsForTheLongestLeaseAfterATakeover(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step job.Step
+	}{{"task", tasks(1, 1000, time.Minute)}, {"gang", gang(3, 5000, time.Minute)}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newRecentRun(t, c.step, (*run).settled)
+			s.cutOffWorker()
+			s.w.run(time.Second)
+			s.w.startLeader()
+			s.runsAgainWithin(maxIdleAfterTakeover)
+		})
+	}
+}
+
 // A report that doesn't tell its incarnation may be of a later one than the run names.
 func TestRunInAReportWithoutItsIncarnationIsStoredAsSettled(t *testing.T) {
 	w := newWorld(t, 4, 1)
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -503,6 +503,7 @@
 func (e *Engine) renewalFailed(w *worker, ev *RenewalAnswered) {
 	e.noteLeaseOfRenewal(w, ev)
 	w.missedRenewals++
+	e.storeSettledRuns(w)
 	if w.renewalCursor > 0 {
 		w.fenceSpent = true // the cursor may reach the next incarnation after a later start
 	}
