engine: an answered start settles its run without a report

Cause: a run was settled only once a report had shown it, up to 0.6 s after its start, as renewals wait for an end.

What a report tells beyond the answer is the incarnation. Answers to starts don't tell it, but they show the worker's clock, which begins anew with each incarnation (PROTOCOL.md). An answer whose clock is where that of the last report must be by now settles the run, if that incarnation refuses calls to earlier ones, as before.

Ruled out: that the clock of a later incarnation is always near zero. Now a clock has to agree within the time that the report and the answer took, some hundred milliseconds, and to be further on than one that began near zero after the report was requested. Under this leader a report still decides where a run is if its worker restarts; the record alone is believed sooner.

TestAnsweredStartOfALostWorkerWaitsForTheLongestLeaseAfterATakeover failed before: 23.55 s, 10.31 s allowed. TestStartThatALaterIncarnationAcceptsIsNotSettledByItsAnswer fails without the comparison of the clocks. TestRunInAReportWithoutItsIncarnationIsStoredAsSettled now waits until the last report with an incarnation is old, as the answer to the start, which tells its own, settled the run rightly.

--- a/internal/cell/engine/commands.go
+++ b/internal/cell/engine/commands.go
@@ -196,6 +196,9 @@
 	e.runSeen(r, ev.Clock)
 	if r.phase != running { // a report has not shown it
 		r.unattributed = ev.Incarnation == 0
+		if e.startedByPresent(r, ev) {
+			e.settleRun(r)
+		}
 	}
 	if r.phase == starting {
 		r.phase = running
--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -6,8 +6,8 @@
 	"pollenbend/internal/cell/record"
 )
 
-// A run is settled once a report has shown it in the incarnation that it names, and this one refuses calls that
-// were meant for earlier ones. No late command concerns it any more: its lease ends as leaders have requested it
+// A run is settled once it is known that the incarnation which it names has carried out its start, by a report or by
+// the answer to the start, and this incarnation refuses calls that were meant for earlier ones. No late command concerns it any more: its lease ends as leaders have requested it
 // on the clock of that incarnation, or with the incarnation. The run's record says so, as the next leader, if it
 // doesn't reach the worker, can't find it out. See docs/design/worker-calls.md.
 
@@ -39,7 +39,8 @@
 	return min(e.cfg.MaxLease, max(e.cfg.Lease, e.lateLeasesEnd(w).Sub(e.now)))
 }
 
-// settleRun records that a report of its worker shows r, if that refuses calls that were meant for earlier incarnations.
+// settleRun records that the present incarnation of its worker has r, if that refuses calls that were meant for
+// earlier incarnations.
 func (e *Engine) settleRun(r *run) {
 	w := r.worker
 	if r.incarnation != w.incarnation || w.fencedSince.IsZero() || !w.reportAttributed {
@@ -53,6 +54,41 @@
 	}
 }
 
+// startedByPresent reports whether the acceptance of a start command for r is an answer of the present incarnation of its
+// worker, which r names.
+func (e *Engine) startedByPresent(r *run, ev *StartAnswered) bool {
+	switch {
+	case r.incarnation != r.worker.incarnation:
+		return false
+	case ev.Incarnation != 0:
+		return ev.Incarnation == r.incarnation
+	}
+	return ev.Start.Incarnation == r.incarnation && e.isClockOfPresent(r.worker, ev.Clock, ev.Start.sentAt)
+}
+
+// isClockOfPresent reports whether the clock, in ms, in the answer to a call that was sent to w at the given time is that
+// of the incarnation that the last report told. A later incarnation has begun after that report was requested, and its
+// clock has begun anew: near zero, or anywhere, and then the two agree only by a rare chance.
+func (e *Engine) isClockOfPresent(w *worker, clock int64, sentAt time.Time) bool {
+	if !w.reported || !w.reportAttributed {
+		return false
+	}
+	sinceRequest := e.now.Sub(w.answeredSentAt)
+	if clock <= (sinceRequest + maxFirstClock).Milliseconds() {
+		return false
+	}
+	earliest := sentAt.Sub(w.reportedAt) // the report may have overtaken the answer
+	if earliest > 0 {
+		earliest = time.Duration(float64(earliest) * (1 - clockDrift))
+	}
+	latest := time.Duration(float64(sinceRequest) * (1 + clockDrift))
+	return clock >= w.reportedClock+earliest.Milliseconds()-1 && clock <= w.reportedClock+latest.Milliseconds()+1
+}
+
+// maxFirstClock is the time that a clock near zero may show when its incarnation begins. It is also longer than a pause
+// of this process that the steady clock doesn't count and that does not end the term.
+const maxFirstClock = 3 * time.Second
+
 // settledStoreDelay is how long after it was settled a run that is still at work is stored as such, unless
 // its record is written before or its worker falls silent. Most runs end earlier.
 const settledStoreDelay = 500 * time.Millisecond
--- a/internal/cell/engine/takeover_waits_test.go
+++ b/internal/cell/engine/takeover_waits_test.go
@@ -233,10 +233,11 @@
 }
 
 // newRecentRun returns a task whose run has just reached the given state, on a fleet that has no late leases.
-func newRecentRun(t *testing.T, step job.Step, reached func(*run) bool) *settledRun {
+// Answers to its start don't tell the incarnation if untold.
+func newRecentRun(t *testing.T, step job.Step, reached func(*run) bool, untold bool) *settledRun {
 	w := newWorld(t, 4, 1)
 	s := &settledRun{w: w, n: w.useNetwork(1)}
-	s.n.restartsKeepID = true
+	s.n.restartsKeepID, s.n.untold = true, untold
 	w.run(longestLateLease)
 	s.job = w.submit("batch", "a", step)
 	s.task = taskName(s.job, 0, 0)
@@ -264,7 +265,23 @@
 		step job.Step
 	}{{"task", tasks(1, 1000, time.Minute)}, {"gang", gang(3, 5000, time.Minute)}} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newRecentRun(t, c.step, (*run).settled)
+			s := newRecentRun(t, c.step, (*run).settled, false)
+			s.cutOffWorker()
+			s.w.run(time.Second)
+			s.w.startLeader()
+			s.runsAgainWithin(maxIdleAfterTakeover)
+		})
+	}
+}
+
+// wasAnswered reports whether the start of r has been accepted.
+func wasAnswered(r *run) bool { return r.phase == running }
+
+// The worker is lost after it has accepted the start, and before a report shows the run.
+func TestAnsweredStartOfALostWorkerWaitsForTheLongestLeaseAfterATakeover(t *testing.T) {
+	for _, untold := range []bool{false, true} {
+		t.Run(fmt.Sprintf("untold %t", untold), func(t *testing.T) {
+			s := newRecentRun(t, tasks(1, 1000, time.Minute), wasAnswered, untold)
 			s.cutOffWorker()
 			s.w.run(time.Second)
 			s.w.startLeader()
@@ -273,6 +290,56 @@
 	}
 }
 
+// Guards against answers of later incarnations that count as the present one's. The last report was requested at 100 s and
+// arrived at 100.5 s with a clock of 50 s.
+func TestClockOfALaterIncarnationCountsAsThatOfThePresentOne(t *testing.T) {
+	start := time.Now()
+	at := func(ms int64) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		name                     string
+		reported, clock          int64 // ms
+		sentMS, answeredMS       int64
+		untold, unreported, want bool
+	}{
+		{name: "the present one", reported: 50_000, clock: 50_102, sentMS: 100_600, answeredMS: 100_610, want: true},
+		{name: "with a slow clock", reported: 50_000, clock: 59_800, sentMS: 110_500, answeredMS: 110_510, want: true},
+		{name: "whose report overtook the answer", reported: 50_000, clock: 49_850, sentMS: 100_300, answeredMS: 100_700, want: true},
+		{name: "a clock near zero", reported: 50_000, clock: 1_000, sentMS: 100_600, answeredMS: 100_610},
+		{name: "two clocks near zero", reported: 1_500, clock: 1_600, sentMS: 100_600, answeredMS: 100_610},
+		{name: "a clock from anywhere, ahead", reported: 50_000, clock: 51_000, sentMS: 100_600, answeredMS: 100_610},
+		{name: "a clock from anywhere, behind", reported: 50_000, clock: 49_990, sentMS: 100_600, answeredMS: 100_610},
+		{name: "a clock that stands still", reported: 50_000, clock: 50_000, sentMS: 110_500, answeredMS: 110_510},
+		{name: "a report without an incarnation", reported: 50_000, clock: 50_102, sentMS: 100_600, answeredMS: 100_610, untold: true},
+		{name: "no report", reported: 50_000, clock: 50_102, sentMS: 100_600, answeredMS: 100_610, unreported: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &Engine{now: at(c.answeredMS)}
+			w := &worker{reported: !c.unreported, reportAttributed: !c.untold, reportedClock: c.reported, answeredSentAt: at(100_000), reportedAt: at(100_500)}
+			assert.Equal(t, c.want, e.isClockOfPresent(w, c.clock, at(c.sentMS)))
+		})
+	}
+}
+
+// The worker has restarted, which this leader doesn't know yet, and the next incarnation accepts the start.
+func TestStartThatALaterIncarnationAcceptsIsNotSettledByItsAnswer(t *testing.T) {
+	s := newRecentRun(t, tasks(4, 1000, time.Second), wasAnswered, true)
+	s.w.run(5 * time.Second)
+	for _, id := range s.w.ids {
+		s.n.restart(id, 0, time.Hour)
+	}
+	answered := 0
+	s.n.planted.event = func(_ *network, event any) any {
+		if ev, ok := event.(*StartAnswered); ok && ev.Outcome == Accepted && ev.Start.run.worker.incarnation == 1 {
+			answered++
+			s.w.after(0, func() { assert.False(t, ev.Start.run.settled() && ev.Start.run.incarnation == 1) })
+		}
+		return event
+	}
+	s.w.submit("batch", "a", tasks(4, 1000, time.Minute))
+	s.w.run(time.Second)
+	assert.Positive(t, answered)
+}
+
 // A report that doesn't tell its incarnation may be of a later one than the run names.
 func TestRunInAReportWithoutItsIncarnationIsStoredAsSettled(t *testing.T) {
 	w := newWorld(t, 4, 1)
@@ -285,6 +352,7 @@
 		}
 		return event
 	}
+	w.run(3 * time.Second) // no report of before tells the incarnation that answers the start
 	id := w.submit("batch", "a", tasks(1, 1000, time.Minute))
 	w.run(5 * time.Second)
 	stored := new(record.Step)
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -46,6 +46,8 @@
 
 	clock            int64     // the worker's clock at the last answer, in ms
 	clockAt          time.Time // when that answer arrived
+	reportedClock    int64     // the clock in its last report, in ms
+	reportedAt       time.Time // when that report arrived
 	leaseEnd         int64     // latest end of a lease that was requested, on the worker's clock, in ms
 	unansweredLease  time.Time // when the last command with a lease was sent to this incarnation that got no answer
 	reportAttributed bool      // its last report tells that it is of this incarnation
@@ -473,7 +475,7 @@
 		e.refusalDisproved(w)
 	}
 	w.noteClock(ev.Report.Clock, e.now)
-	w.answeredSentAt = ev.SentAt
+	w.answeredSentAt, w.reportedClock, w.reportedAt = ev.SentAt, ev.Report.Clock, e.now
 	w.noteAcknowledged(ev)
 	w.noteAlive(ev.SentAt)
 	w.noteFenced(ev, e.now)
