cell: a leader that ends in order stores which runs are settled

Cause: a leader that got SIGTERM, or handed over to an instance with more CPU, ended its term without storing what it knew. That a run is settled was due in the store up to 0.5 s later, and starts on their way were planned and sent until the last moment. Its successor doesn't reach the lost workers and waits for the worst.

Now the engine is asked to conclude first: it plans no more runs, waits up to 0.1 s for the answers to its starts, and stores which runs are settled. The handover waits for that at most 0.4 s, not at all while the store does not answer; a term that isn't followed by another goes on.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -80,7 +80,8 @@
 	startedAt   time.Time
 	fence       int64 // newest fence number, see FenceRenewed
 	steppedDown bool
-	inDoubt     bool // a worker has named a newer leader, and CheckLeadership has no answer yet
+	inDoubt     bool        // a worker has named a newer leader, and CheckLeadership has no answer yet
+	conclusion  *conclusion // nil unless the term ends in order
 	actions     []any
 
 	jobs            map[string]*jobState
@@ -206,6 +207,10 @@
 		e.storeRecovered()
 	case *DelegatesChanged:
 		e.delegatesChanged(ev.Delegates)
+	case *Conclude:
+		e.beginConclusion(ev)
+	case *TermContinues:
+		e.continueTerm()
 	case *LeadershipConfirmed:
 		e.inDoubt, e.needsPlacement = false, true
 	}
@@ -225,7 +230,7 @@
 		if len(e.openSteps) > 0 && now.Sub(e.placedAt) >= maxPlacementInterval {
 			e.needsPlacement = true
 		}
-		if e.needsPlacement && !e.inDoubt && now.Sub(e.placedAt) >= max(e.cfg.MinPlacementInterval, placementPauseMultiplier*e.placementTook) {
+		if e.needsPlacement && !e.inDoubt && e.conclusion == nil && now.Sub(e.placedAt) >= max(e.cfg.MinPlacementInterval, placementPauseMultiplier*e.placementTook) {
 			e.needsPlacement = false
 			e.placedAt = now
 			start := e.cfg.Now()
@@ -239,6 +244,7 @@
 		e.refuseUnstoredJobs()
 		e.logLoad()
 		e.maintainModel()
+		e.conclude()
 		e.flush()
 	}
 	actions := e.actions
--- a/internal/cell/engine/types.go
+++ b/internal/cell/engine/types.go
@@ -196,6 +196,11 @@
 	FenceRenewed struct{ Fence int64 }
 	// LeadershipConfirmed answers CheckLeadership: no other instance has claimed the leadership.
 	LeadershipConfirmed struct{}
+	// Conclude asks the engine to store what the next leader needs, before the term ends in order. Done is called
+	// once it is stored.
+	Conclude struct{ Done func() }
+	// TermContinues reports that the term goes on after Conclude, as no other instance has taken over.
+	TermContinues struct{}
 	// DelegatesChanged carries the delegates: the instances that can call the adviser.
 	DelegatesChanged struct{ Delegates []string }
 )
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"pollenbend/internal/cell/engine"
 )
 
 // considerHandover hands over if the store does not answer this leader but answers
@@ -124,7 +127,35 @@
 		l.moreCPUSince = time.Now()
 	}
 	if time.Since(l.moreCPUSince) >= moreCPUHandoverDelay {
-		l.handOver(best)
+		l.conclude(l.ctx)
+		if !l.handOver(best) {
+			l.moreCPUSince = time.Time{}
+			l.post(&engine.TermContinues{})
+		}
+	}
+}
+
+// concludeTimeout bounds how long the end of a term in order waits until the store has what the next leader needs. It
+// allows for a slow store, and is a small part of the time that a process has to end.
+const concludeTimeout = 400 * time.Millisecond
+
+// conclude has the engine store what the next leader needs, unless the store does not answer.
+func (l *leader) conclude(ctx context.Context) {
+	if l.storeFailingFor() > 0 {
+		return
+	}
+	start, stored := time.Now(), make(chan struct{})
+	if !l.postUnlessEnded(&engine.Conclude{Done: sync.OnceFunc(func() { close(stored) })}) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, concludeTimeout)
+	defer cancel()
+	select {
+	case <-stored:
+		l.n.log.Info("stored what the next leader needs", "term", l.rec.Term, "after_ms", time.Since(start).Milliseconds())
+	case <-ctx.Done():
+		l.n.log.Warn("the term ends without storing what the next leader needs", "term", l.rec.Term, "after_ms", time.Since(start).Milliseconds())
+	case <-l.done:
 	}
 }
 
--- a/internal/cell/node/term.go
+++ b/internal/cell/node/term.go
@@ -207,8 +207,9 @@
 
 // resign ends the term so that another instance can lead at once: the one that successor
 // returns or, if there is none or it cannot be reached, the first that reads the
-// resignation.
+// resignation. What the next leader needs is stored before.
 func (l *leader) resign(ctx context.Context) {
+	l.conclude(ctx)
 	if to := l.successor(); to != nil && l.handOver(to) {
 		return
 	}
