engine: random schedules of leaders that end in order

Workers are lost at about the time when the leader ends, get late calls and restart under their ids, as in TestRandomRefusalsWithUnreachedWorkers.

--- a/internal/cell/engine/random_refusals_test.go
+++ b/internal/cell/engine/random_refusals_test.go
@@ -15,6 +15,7 @@
 type refusalOptions struct {
 	planted        plantedFault
 	restartsKeepID bool
+	orderlyEnds    bool     // leaders end in order before others take over
 	untold         bool     // answers to commands don't tell the worker's incarnation
 	drains         bool     // workers drain, and others replace them
 	crashes        bool     // tasks crash their workers, racks fail, and workers shrink and grow
@@ -45,7 +46,7 @@
 		w.slownessOf = func(id string) float64 { return 0.3 + 3*seeded(fmt.Sprint(seed, id, w.now.Unix())).Float64() }
 	}
 	n := w.useNetwork(seed)
-	n.planted, n.restartsKeepID, n.untold = o.planted, o.restartsKeepID, o.untold
+	n.planted, n.restartsKeepID, n.untold, n.orderlyEnds = o.planted, o.restartsKeepID, o.untold, o.orderlyEnds
 	if o.crashes {
 		w.useRacks()
 		n.w.startLeader()
@@ -382,6 +383,11 @@
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, untold: true, takeovers: true})
 }
 
+// The same with leaders that end in order, at about the time when the worker is lost.
+func TestRandomRefusalsWithLeadersThatEndInOrder(t *testing.T) {
+	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, untold: true, takeovers: true, orderlyEnds: true})
+}
+
 // Availability zones are evacuated, at times all of them, and taken back.
 func TestRandomRefusalsWithEvacuations(t *testing.T) {
 	runRefusalSeeds(t, refusalOptions{restartsKeepID: true, drains: true, evacuations: true})
--- a/internal/cell/engine/world_network_test.go
+++ b/internal/cell/engine/world_network_test.go
@@ -24,6 +24,7 @@
 	// call which is under way when the worker restarts is carried out by the new one.
 	restartsKeepID bool
 	untold         bool // answers to commands don't tell the worker's incarnation
+	orderlyEnds    bool // leaders end in order before others take over
 	faultsCleared  bool // the last fault of the schedule is over
 	rules          taskRules
 	reports        map[string][]*Report // by worker and incarnation, for a planted fault
--- a/internal/cell/engine/world_takeovers_test.go
+++ b/internal/cell/engine/world_takeovers_test.go
@@ -26,8 +26,31 @@
 	})
 	n.w.after(restart+upTo(r, time.Second), submit)
 	lasts := simConfig().MaxCommandDelay + upTo(r, simConfig().MaxLease)
-	n.w.after(time.Second+upTo(r, 3*time.Second), func() {
-		n.links[id].silentUntil = n.w.now.Add(lasts)
+	lost := func() { n.links[id].silentUntil = n.w.now.Add(lasts) }
+	takeover := time.Second + upTo(r, 3*time.Second)
+	if n.orderlyEnds {
+		n.w.after(takeover-500*time.Millisecond+upTo(r, time.Second), lost)
+		n.endInOrder(takeover, upTo(r, 500*time.Millisecond))
+		return
+	}
+	n.w.after(takeover, func() {
+		lost()
 		n.w.startLeader()
 	})
 }
+
+// endInOrder asks the leader to end in order after a time, and has the next one begin once it has stored what it
+// knows, or after the limit.
+func (n *network) endInOrder(after, limit time.Duration) {
+	n.w.after(after, func() {
+		ending, begun := n.w.engine, false
+		begin := func() {
+			if !begun && n.w.engine == ending {
+				begun = true
+				n.w.startLeader()
+			}
+		}
+		ending.Handle(n.w.now, &Conclude{Done: func() { n.w.after(simTick, begin) }})
+		n.w.after(limit, begin)
+	})
+}
