--- a/internal/soak/entries_test.go
+++ b/internal/soak/entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -23,12 +24,35 @@
 var oddEntries = []string{
 	"\x00\xff", "null", "[]", `{"service":"s"}`,
 	strings.Repeat(`{"service":`, 50_000), strings.Repeat("[", 200_000),
-	`{"service":"s","address":"127.0.0.1:70000","zone":"z1","state":"ready","capacity":{"cpu":8000},"born":1}`,
-	`{"service":"s","address":"worker.example:80","zone":"z1","state":"ready","capacity":{"cpu":8000},"born":1}`,
-	`{"service":"s","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":9223372036854775807},"born":1}`,
-	`{"service":"s","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":-1},"born":1}`,
-	`{"service":"s","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":1e400},"born":1}`,
-	`{"service":"s","address":"127.0.0.1:9","zone":"z1","state":"ready","capacity":{"cpu":8000},"born":"now"}`,
+	entryOf("127.0.0.1:70000", "z1", 8000, "r1-9", 1),
+	entryOf("worker.example:80", "z1", 8000, "r1-9", 1),
+	entryOf("127.0.0.1:9", "z1", math.MaxInt64, "r1-9", 1),
+	entryOf("127.0.0.1:9", "z1", -1, "r1-9", 1),
+	strings.Replace(entryOf("127.0.0.1:9", "z1", 8000, "r1-9", 1), "8000", "1e400", 1),
+	strings.Replace(entryOf("127.0.0.1:9", "z1", 8000, "r1-9", 1), `"born":1`, `"born":"now"`, 1),
+}
+
+// entryOf returns the entry of a worker as PROTOCOL.md has it.
+func entryOf(address, zone string, cpu int64, rack string, born int64) string {
+	return fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"version":"1","slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":%d,"memMb":1000},"labels":["a",%q],"born":%d,"seq":1}`,
+		address, zone, cpu, rack, born)
+}
+
+// oddForms are changes by which the entry of a worker becomes one of another writer.
+var oddForms = [][2]string{{`"slots":8,`, ""}, {`"version":"1",`, ""}, {`"seq":1`, `"seq":"none"`}, {`,"seq":1`, ""}, {`"version":"1"`, `"version":1`}, {`"slots":8`, `"slots":"8"`}}
+
+// oddEntryOver returns an entry of another writer like that of w, with a later start or the address of another worker.
+func (c *cell) oddEntryOver(w *worker) string {
+	other := c.fleet.workers[fmt.Sprintf("w%02d", c.overRng.IntN(len(c.fleet.workers)))]
+	c.fleet.mu.Lock()
+	address, born := other.address, w.born
+	if c.overRng.IntN(2) == 0 {
+		address, born = w.address, w.born+1+c.overRng.Int64N(math.MaxInt64-w.born)
+	}
+	cpu := w.cpu
+	c.fleet.mu.Unlock()
+	form := oddForms[c.overRng.IntN(len(oddForms))]
+	return strings.Replace(entryOf(address, zoneOf(w.id), cpu, "r1-1", born), form[0], form[1], 1)
 }
 
 // startOddServers serves the addresses that entries of another writer name: one whose answers have no
@@ -46,7 +70,7 @@
 		_, _ = w.Write([]byte(`{"clockMs":1,"reason":"fence"}`)) // a failure is one more odd answer
 	}))
 	for _, address := range []string{endless, fencing} {
-		c.oddAddresses = append(c.oddAddresses, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z1","state":"ready","capacity":{"cpu":8000,"memMb":1000},"labels":["a","r1-9"],"born":1}`, address))
+		c.oddAddresses = append(c.oddAddresses, entryOf(address, "z1", 8000, "r1-9", 1))
 	}
 }
 
@@ -66,6 +90,9 @@
 	}
 	id := fmt.Sprintf("w%02d", c.entryRng.IntN(len(c.fleet.workers)))
 	w := c.fleet.workers[id]
+	if c.overRng.IntN(2) == 0 {
+		entry = c.oddEntryOver(w)
+	}
 	c.store.put("keyed.servers", id, entry)
 	time.AfterFunc(heartbeat, func() { c.fleet.register(w) })
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,7 @@
 	instances     []*instance
 	evacuationRng *rand.Rand
 	entryRng      *rand.Rand
+	overRng       *rand.Rand // of the odd entries that are made from those of workers
 	freezeRng     *rand.Rand
 	recutRng      *rand.Rand
 	leaveRng      *rand.Rand
@@ -137,7 +138,7 @@
 
 func newCell(t *testing.T, binary string, seed uint64, workers int) *cell {
 	rng := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
-	return &cell{t: t, seed: seed, rng: rng(3), evacuationRng: rng(7), entryRng: rng(8), freezeRng: rng(9), recutRng: rng(12), leaderRng: rng(13), leaveRng: rng(16), binary: binary, dir: t.TempDir(), store: newStore(seed),
+	return &cell{t: t, seed: seed, rng: rng(3), evacuationRng: rng(7), entryRng: rng(8), overRng: rng(17), freezeRng: rng(9), recutRng: rng(12), leaderRng: rng(13), leaveRng: rng(16), binary: binary, dir: t.TempDir(), store: newStore(seed),
 		fleet: newFleet(workers, seed), stop: make(chan struct{}), limits: map[string]any{"cpuShare": 0.4}, callerLimits: map[string]any{"maxBodyBytes": 100_000}}
 }
 
@@ -190,7 +191,7 @@
 		if left {
 			return
 		}
-		c.store.put("keyed.servers", w.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":%d,"memMb":1000},"labels":["a","r1-1"],"born":%d}`, address, zoneOf(w.id), cpu, born))
+		c.store.put("keyed.servers", w.id, entryOf(address, zoneOf(w.id), cpu, "r1-1", born))
 	}
 	c.fleet.listen = c.listenAt
 	c.startOddServers()
