engine: an entry that moves a worker to a service that is not declared does not count

PROTOCOL.md: an entry with "a state or service that isn't named here" names no worker to use.

The engine knows the declarations, so it ignores such an entry over that of a worker whose service is declared. When declarations change the directory is applied again, as a worker may list itself before its service is declared.

TestEntryWithAnUndeclaredServiceIsBelieved failed before: the worker's incarnation was 2^63-1.

--- a/internal/cell/engine/engine.go
+++ b/internal/cell/engine/engine.go
@@ -90,6 +90,7 @@
 	scheduledJobs   []*jobState  // jobs with a schedule
 	endedJobs       []*jobState  // ordered by the time at which they ended
 	workers         map[string]*worker
+	directory       []WorkerInfo       // as it was last listed
 	workerList      []*worker          // in the order in which they were found
 	pools           map[string]*pool   // by service
 	coldWorkers     []*worker          // workers that are slow after their start
@@ -321,6 +322,7 @@
 	}
 	e.log.Info("declarations applied", "version", p.Version, "before", before.Version, "queues", len(p.Queues), "teams", len(p.Teams))
 	e.failExhaustedJobs(before)
+	e.workersListed(e.directory) // entries may count now whose services were not declared
 	for _, s := range e.openSteps {
 		s.urgency = e.urgencyOf(s)
 	}
--- a/internal/cell/engine/later_incarnation_test.go
+++ b/internal/cell/engine/later_incarnation_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pollenbend/internal/cell/job"
+	"pollenbend/internal/cell/policy"
 )
 
 // tooLargeIncarnations are incarnations of an entry of another writer over that of a worker, whose is 1.
@@ -72,3 +73,43 @@
 		})
 	}
 }
+
+// Guards against an entry of another writer with a service that is not declared, over that of a known worker: what it says
+// of the incarnation, the address and the capacity was believed.
+func TestEntryWithAnUndeclaredServiceIsBelieved(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.useNetwork(1).restartsKeepID = true
+	w.run(time.Second)
+	id := w.submit("batch", "a", tasks(1, 1000, 6*time.Second))
+	w.run(2 * time.Second)
+	on := w.engine.workers[sortedKeys(w.tasks[taskName(id, 0, 0)].runs)[0]]
+	odd := w.directory()
+	for i := range odd {
+		odd[i].Service, odd[i].Incarnation, odd[i].Address = "nowhere", math.MaxInt64, "10.9.9.9:9"
+	}
+	address := on.address
+	w.engine.Handle(w.now, &WorkersListed{Workers: odd})
+	assert.Equal(t, []any{int64(1), address, "s"}, []any{on.incarnation, on.address, on.service})
+	assert.False(t, on.listed, "the entry names no worker to use")
+	w.run(time.Second)
+	w.publishDirectory()
+	w.run(6 * time.Second)
+	assert.Equal(t, "completed", w.state(id))
+	assert.Equal(t, 1, w.starts)
+}
+
+// A worker may list itself under a service before the declarations name that.
+func TestEntryWithAServiceThatIsDeclaredLaterIsLost(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	w.run(time.Second)
+	moved := w.directory()
+	moved[0].Service = "later"
+	w.engine.Handle(w.now, &WorkersListed{Workers: moved})
+	assert.False(t, w.engine.workers[moved[0].ID].listed)
+	declared := *w.policy
+	declared.Version++
+	declared.Services = append([]policy.Service{{Name: "later"}}, declared.Services...)
+	w.engine.Handle(w.now, &PolicyChanged{Policy: declared.Index()})
+	assert.True(t, w.engine.workers[moved[0].ID].listed)
+	assert.Equal(t, "later", w.engine.workers[moved[0].ID].service)
+}
--- a/internal/cell/engine/workers.go
+++ b/internal/cell/engine/workers.go
@@ -194,11 +194,15 @@
 
 // workersListed applies the directory of workers.
 func (e *Engine) workersListed(list []WorkerInfo) {
+	e.directory = list
 	present := make(map[string]bool, len(list))
 	for i := range list {
 		l := &list[i]
-		present[l.ID] = true
 		w := e.workers[l.ID]
+		if w != nil && e.leavesDeclaredServices(w, l) {
+			continue
+		}
+		present[l.ID] = true
 		if w == nil {
 			w = newWorker(l.ID)
 			e.workers[l.ID] = w
@@ -218,6 +222,12 @@
 	e.rebuildPools()
 }
 
+// leavesDeclaredServices reports whether the directory's entry of w, whose service is declared, names one that is not.
+// Until that is declared, the entry is of another writer and nothing that it says counts.
+func (e *Engine) leavesDeclaredServices(w *worker, l *WorkerInfo) bool {
+	return l.Service != w.service && !e.isDeclared(l.Service) && e.policy.Service(w.service) != nil
+}
+
 // workerListed applies the directory's entry of a worker.
 func (e *Engine) workerListed(w *worker, l *WorkerInfo) {
 	if l.Incarnation != 0 && w.incarnation != 0 && l.Incarnation < w.incarnation {
