engine: single members of a gang get no speculative runs

Cause: checkRuns picks single runs, whether their step is a gang or not. Members work only in runs of the same number, so a copy of one waits in vain. Here: three slow members, six starts.

Members get no copies now; single tasks do as before. A copy of the whole gang was weighed: it takes as much room again for work that the first run keeps doing, and the record, the count of failures and what a takeover restores know one run of a gang. A gang whose member stands still is stopped and started anew from its checkpoint, as before. Copies that an earlier version has recorded are stopped after a takeover.

TestSlowMembersOfAGangAreCopiedAlone (6 and 4 starts in place of 3) and TestCopyOfAMemberOfAGangGoesOnAfterATakeover failed before. Stops for no progress, before a worker leaves, for preemption and after failures were read: each ends the gang as a whole.

--- a/internal/cell/engine/restore.go
+++ b/internal/cell/engine/restore.go
@@ -139,7 +139,10 @@
 		if speculative, ok := rec.SpeculativeRuns[i]; ok {
 			t.lastRun = max(t.lastRun, speculative.Run)
 			if speculative.Worker != "" {
-				e.restoreRun(t, &speculative, rec.PlannedAt)
+				copied := e.restoreRun(t, &speculative, rec.PlannedAt)
+				if !s.mayCopyRuns() { // an earlier version has started it
+					e.stopRun(copied, "a copy of a single member of a gang")
+				}
 			}
 		}
 	}
@@ -211,8 +214,8 @@
 }
 
 // restoreRun restores a run that was planned by plannedAt, in Unix milliseconds. Its worker is added
-// if the directory does not list it.
-func (e *Engine) restoreRun(t *task, stored *record.Task, plannedAt int64) {
+// if the directory does not list it. It returns the run.
+func (e *Engine) restoreRun(t *task, stored *record.Task, plannedAt int64) *run {
 	w := e.workers[stored.Worker]
 	if w == nil {
 		w = newWorker(stored.Worker)
@@ -231,4 +234,5 @@
 	}
 	t.runs = append(t.runs, r)
 	e.reserve(r)
+	return r
 }
--- a/internal/cell/engine/stragglers.go
+++ b/internal/cell/engine/stragglers.go
@@ -56,7 +56,7 @@
 				e.stopRun(r, "no progress")
 			case w.draining && e.mustEvacuate(r):
 				e.stopRun(r, "its worker leaves before it ends")
-			case r.task.step.spec.Speculative && len(r.task.runs) == 1 && e.worthSpeculating(r):
+			case r.task.step.mayCopyRuns() && len(r.task.runs) == 1 && e.worthSpeculating(r):
 				e.stragglers = append(e.stragglers, r)
 				e.needsPlacement = true
 			}
@@ -64,6 +64,10 @@
 	}
 }
 
+// mayCopyRuns reports whether speculative runs may be started for single tasks of s. The members of a gang work only
+// in runs of the same number, so a copy of one of them would wait for the others in vain.
+func (s *stepState) mayCopyRuns() bool { return s.spec.Speculative && !s.spec.Gang }
+
 // expectedRuntime returns the expected runtime of a run from its start to its end.
 func (e *Engine) expectedRuntime(r *run) time.Duration {
 	if e.cfg.Features.LearnedRuntimes {
--- a/internal/cell/engine/stragglers_test.go
+++ b/internal/cell/engine/stragglers_test.go
@@ -30,6 +30,51 @@
 	assert.Equal(t, 4, w.starts)
 }
 
+// The members of a gang work only in runs of the same number: copies of single ones end alone.
+func TestSlowMembersOfAGangAreCopiedAlone(t *testing.T) {
+	for name, slow := range map[string][]string{"all of them": {"w00", "w01", "w02", "w03"}, "one of them": {"w01"}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 4, 1)
+			w.run(time.Second)
+			step := gang(3, 6000, 2*time.Second) // fills three of the four workers
+			step.Speculative = true
+			for _, id := range slow {
+				w.workers[id].slowdown = 6
+			}
+			id := w.submit("batch", "a", step)
+			w.run(14 * time.Second)
+			assert.Equal(t, StateCompleted, w.state(id))
+			assert.Equal(t, 3, w.starts)
+		})
+	}
+}
+
+// An earlier version may have started a copy of a member just before the leader ended.
+func TestCopyOfAMemberOfAGangGoesOnAfterATakeover(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	w.run(time.Second)
+	step := gang(2, 1000, 4*time.Second)
+	step.Speculative = true
+	id := w.submit("batch", "a", step)
+	w.run(500 * time.Millisecond)
+	member := w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
+	for _, other := range w.engine.workerList {
+		if len(other.runs) == 0 {
+			w.engine.planRun(member, other, 2, ticket{})
+			break
+		}
+	}
+	w.run(500 * time.Millisecond)
+	w.startLeader()
+	member = w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
+	assert.Len(t, member.runs, 2)
+	w.run(time.Second)
+	assert.Len(t, member.runs, 1)
+	assert.Equal(t, 1, member.runs[0].number)
+	w.run(6 * time.Second)
+	assert.Equal(t, StateCompleted, w.state(id))
+}
+
 func TestDrainingWorkerIsEvacuatedInTime(t *testing.T) {
 	w := newWorld(t, 3, 1)
 	w.run(time.Second)
