--- a/internal/cell/engine/settled_runs.go
+++ b/internal/cell/engine/settled_runs.go
@@ -7,9 +7,10 @@
 )
 
 // A run is settled once it is known that the incarnation which it names has carried out its start, by a report or by
-// the answer to the start, and this incarnation refuses calls that were meant for earlier ones. No late command concerns it any more: its lease ends as leaders have requested it
-// on the clock of that incarnation, or with the incarnation. The run's record says so, as the next leader, if it
-// doesn't reach the worker, can't find it out. See docs/design/worker-calls.md.
+// the answer to the start, and this incarnation refuses calls that were meant for earlier ones. No late command
+// concerns it any more: its lease ends as leaders have requested it on the clock of that incarnation, or with the
+// incarnation. The run's record says so, as the next leader, if it doesn't reach the worker, can't find it out. See
+// docs/design/worker-calls.md.
 
 // noteFenced records that w has answered a renewal with a fence number that its earlier incarnations got no calls with.
 func (w *worker) noteFenced(ev *RenewalAnswered, now time.Time) {
@@ -77,12 +78,13 @@
 	if clock <= (sinceRequest + maxFirstClock).Milliseconds() {
 		return false
 	}
-	earliest := sentAt.Sub(w.reportedAt) // the report may have overtaken the answer
-	if earliest > 0 {
-		earliest = time.Duration(float64(earliest) * (1 - clockDrift))
+	least := sentAt.Sub(w.reportedAt) // negative if the report has overtaken the answer
+	if least > 0 {
+		least = time.Duration(float64(least) * (1 - clockDrift))
 	}
-	latest := time.Duration(float64(sinceRequest) * (1 + clockDrift))
-	return clock >= w.reportedClock+earliest.Milliseconds()-1 && clock <= w.reportedClock+latest.Milliseconds()+1
+	most := time.Duration(float64(sinceRequest) * (1 + clockDrift))
+	advance := clock - w.reportedClock
+	return least.Milliseconds()-1 <= advance && advance <= most.Milliseconds()+1 // clocks show whole milliseconds
 }
 
 // maxFirstClock is the time that a clock near zero may show when its incarnation begins. It is also longer than a pause
--- a/internal/cell/node/handover.go
+++ b/internal/cell/node/handover.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// concludeTimeout bounds how long the end of a term in order waits until the store has what the next leader needs. It
-// allows for a slow store, and is a small part of the time that a process has to end.
+// concludeTimeout bounds how long the end of a term in order waits until what the next leader needs is stored. It allows
+// for a slow store, and is a small part of the time that a process has to end.
 const concludeTimeout = 400 * time.Millisecond
 
 // conclude has the engine store what the next leader needs, unless the store does not answer.
