--- a/internal/cell/engine/stragglers_test.go
+++ b/internal/cell/engine/stragglers_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// planCopy plans run 2 of a task on a worker that has no run.
+func (w *world) planCopy(t *task) {
+	for _, other := range w.engine.workerList {
+		if len(other.runs) == 0 {
+			w.engine.planRun(t, other, 2, ticket{})
+			return
+		}
+	}
+	w.t.Fatal("each worker has a run")
+}
+
 // An earlier version may have started a copy of a member just before the leader ended.
 func TestCopyOfAMemberOfAGangGoesOnAfterATakeover(t *testing.T) {
 	w := newWorld(t, 4, 1)
@@ -58,12 +69,7 @@
 	id := w.submit("batch", "a", step)
 	w.run(500 * time.Millisecond)
 	member := w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
-	for _, other := range w.engine.workerList {
-		if len(other.runs) == 0 {
-			w.engine.planRun(member, other, 2, ticket{})
-			break
-		}
-	}
+	w.planCopy(member)
 	w.run(500 * time.Millisecond)
 	w.startLeader()
 	member = w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
@@ -98,12 +104,7 @@
 	id := w.submit("batch", "a", step)
 	w.run(500 * time.Millisecond)
 	task := w.engine.jobs[id].occurrenceAt(0).steps[0].tasks[0]
-	for _, other := range w.engine.workerList {
-		if other != task.runs[0].worker {
-			w.engine.planRun(task, other, 2, ticket{})
-			break
-		}
-	}
+	w.planCopy(task)
 	w.run(500 * time.Millisecond)
 	w.engine.stopRun(task.runs[1], "test")
 	w.run(time.Second)
